--- /dev/null
+++ b/Makefile
@@ -0,0 +1,33 @@
+# Builds, tests and demonstrates sesameledge. Needs Go and make only.
+
+MODULES := . ./standin
+GOTEST_TIMEOUT := 8m
+
+.PHONY: all build test check fmt vet staticcheck unit generate
+
+all: build
+
+build:
+	go build -o bin/ ./cmd/... ./standin/...
+
+test: check build unit
+
+check: fmt vet staticcheck
+
+fmt:
+	@bad=$$(gofmt -l $$(git ls-files '*.go')); if [ -n "$$bad" ]; then echo "gofmt: $$bad"; exit 1; fi
+
+vet:
+	go vet ./... ./standin/...
+
+staticcheck:
+	go tool staticcheck ./... ./standin/...
+
+unit:
+	go test -race -timeout $(GOTEST_TIMEOUT) ./... ./standin/...
+
+# Regenerates the committed gRPC code. Needs protoc; the build does not.
+generate:
+	mkdir -p bin/gen
+	go build -o bin/gen google.golang.org/protobuf/cmd/protoc-gen-go google.golang.org/grpc/cmd/protoc-gen-go-grpc
+	PATH="$$PWD/bin/gen:$$PATH" protoc --go_out=. --go_opt=paths=source_relative --go-grpc_out=. --go-grpc_opt=paths=source_relative peer/peerpb/peer.proto
--- /dev/null
+++ b/cmd/sesameledge/main.go
@@ -0,0 +1,4 @@
+// Command sesameledge is part of sesameledge.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/sesameledged/main.go
@@ -0,0 +1,4 @@
+// Command sesameledged is part of sesameledge.
+package main
+
+func main() {}
--- /dev/null
+++ b/standin/platform/main.go
@@ -0,0 +1,4 @@
+// Command platform is a stand-in for the platform.
+package main
+
+func main() {}
