--- /dev/null
+++ b/api/error.go
@@ -0,0 +1,97 @@
+package api
+
+import (
+	"fmt"
+	"net/http"
+)
+
+// Code is a stable error code.
+type Code string
+
+// The error codes of the callers' interface.
+const (
+	CodeMalformed       Code = "malformed_json"
+	CodeUnknownField    Code = "unknown_field"
+	CodeSchema          Code = "schema_not_supported"
+	CodeBodyTooLarge    Code = "body_too_large"
+	CodeTooManyTasks    Code = "too_many_tasks"
+	CodeInvalid         Code = "invalid_value"
+	CodeMissing         Code = "missing_value"
+	CodeUnknownKind     Code = "unknown_kind"
+	CodeUnknownTeam     Code = "unknown_team"
+	CodeBadTicket       Code = "malformed_ticket"
+	CodeTicketExpired   Code = "ticket_expired"
+	CodeTicketNotFound  Code = "ticket_not_submitted"
+	CodeTicketReused    Code = "ticket_reused"
+	CodeDeadlineTooLong Code = "deadline_too_long"
+	CodeDraining        Code = "draining"
+	CodeOverloaded      Code = "overloaded"
+	CodeQuota           Code = "team_quota_exceeded"
+	CodeTooLate         Code = "deadline_cannot_be_met"
+	CodeNeverFits       Code = "no_endpoint_can_run_it"
+	CodeNoEndpoint      Code = "no_endpoint_available"
+	CodeKeyEpoch        Code = "key_epoch_expired"
+	CodeLogUnavailable  Code = "log_unavailable"
+	CodeRunning         Code = "running"
+	CodeDeadline        Code = "deadline_exceeded"
+	CodeCancelled       Code = "cancelled"
+	CodeTaskFailed      Code = "task_failed"
+	CodeTaskLost        Code = "task_outcome_unknown"
+	CodeOwnerLost       Code = "owner_lost"
+	CodeOwnerAway       Code = "owner_unreachable"
+	CodeAnswerExpired   Code = "answer_expired"
+	CodeInternal        Code = "internal_invariant"
+)
+
+// Error is a coded error about one field.
+type Error struct {
+	Code    Code   `json:"code"`
+	Field   string `json:"field,omitempty"`
+	Message string `json:"message"`
+}
+
+// Error renders the code, the field and the sentence.
+func (e *Error) Error() string {
+	if e.Field == "" {
+		return fmt.Sprintf("%s: %s", e.Code, e.Message)
+	}
+	return fmt.Sprintf("%s: %s: %s", e.Code, e.Field, e.Message)
+}
+
+// Errorf makes an Error.
+func Errorf(code Code, field, format string, args ...any) *Error {
+	return &Error{Code: code, Field: field, Message: fmt.Sprintf(format, args...)}
+}
+
+// HTTPStatus maps a reply to the status of its HTTP response.
+func (r *Reply) HTTPStatus() int {
+	switch r.Outcome {
+	case Complete, Failed:
+		return http.StatusOK
+	case Unknown:
+		return http.StatusAccepted
+	}
+	if r.Reason == nil {
+		return http.StatusServiceUnavailable
+	}
+	switch r.Reason.Code {
+	case CodeBodyTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case CodeOverloaded, CodeQuota, CodeTooLate:
+		return http.StatusTooManyRequests
+	case CodeDraining, CodeNoEndpoint, CodeLogUnavailable, CodeInternal:
+		return http.StatusServiceUnavailable
+	case CodeTicketExpired, CodeKeyEpoch:
+		return http.StatusGone
+	case CodeTicketNotFound:
+		return http.StatusNotFound
+	case CodeTicketReused:
+		return http.StatusConflict
+	}
+	return http.StatusBadRequest
+}
+
+// Refusal makes a reply that says "not run" with its reason.
+func Refusal(err *Error) *Reply {
+	return &Reply{Schema: Schema, Outcome: Refused, Reason: err}
+}
--- /dev/null
+++ b/api/job.go
@@ -0,0 +1,107 @@
+// Package api defines the JSON messages of the callers' interface, their strict
+// decoding, and the stable error codes.
+package api
+
+import (
+	"encoding/json"
+	"time"
+
+	"sesameledge.dev/sesameledge/ticket"
+)
+
+// Schema is the newest schema version of the callers' messages that this build knows.
+const Schema = 1
+
+// Job is a submission.
+type Job struct {
+	Schema   int       `json:"schema"`
+	Ticket   ticket.ID `json:"ticket,omitempty"`
+	Key      string    `json:"key,omitempty"`       // caller's idempotency key
+	KeyEpoch *uint64   `json:"key_epoch,omitempty"` // log offset that bounds the key's life
+	Team     string    `json:"team"`
+	Kind     string    `json:"kind"`
+	// DeadlineMS is the time in milliseconds after acceptance by which the job ends.
+	// 0 takes the kind's default.
+	DeadlineMS int64  `json:"deadline_ms,omitempty"`
+	Tasks      []Task `json:"tasks"`
+	// WaitMS is how long in milliseconds the request waits for the answer. Absent
+	// means until the deadline; 0 returns at once.
+	WaitMS *int64 `json:"wait_ms,omitempty"`
+}
+
+// Task is one task of a job. The declared values are hints; back ends do not enforce them.
+type Task struct {
+	Payload      json.RawMessage `json:"payload,omitempty"`
+	RunMS        int64           `json:"run_ms,omitempty"`       // declared run time, milliseconds
+	Cores        float64         `json:"cores,omitempty"`        // declared size, processor cores
+	MemoryMB     int64           `json:"memory_mb,omitempty"`    // declared size, mebibytes
+	Accelerators int             `json:"accelerators,omitempty"` // declared size, whole accelerators
+}
+
+// Deadline returns DeadlineMS as a duration.
+func (j *Job) Deadline() time.Duration { return time.Duration(j.DeadlineMS) * time.Millisecond }
+
+// Outcome is the kind of a reply.
+type Outcome string
+
+// The outcomes of a job. Complete and Failed are final. Refused is final and means that
+// no task started. Unknown asks the caller to ask again.
+const (
+	Complete Outcome = "complete"
+	Failed   Outcome = "failed"
+	Refused  Outcome = "refused"
+	Unknown  Outcome = "unknown"
+)
+
+// TaskState says what is known about a task of a job that did not complete.
+type TaskState string
+
+// The states of a task in a reply.
+const (
+	TaskCompleted  TaskState = "completed"
+	TaskNotRun     TaskState = "not_run"
+	TaskRan        TaskState = "ran"
+	TaskMayHaveRun TaskState = "may_have_run"
+)
+
+// TaskReply is the result or the state of one task.
+type TaskReply struct {
+	Index  int             `json:"index"`
+	State  TaskState       `json:"state"`
+	Result json.RawMessage `json:"result,omitempty"`
+}
+
+// Reply is the answer to a submission, a wait or a cancellation.
+type Reply struct {
+	Schema  int         `json:"schema"`
+	Ticket  ticket.ID   `json:"ticket,omitempty"`
+	Outcome Outcome     `json:"outcome"`
+	Reason  *Error      `json:"reason,omitempty"`
+	Tasks   []TaskReply `json:"tasks,omitempty"`
+	// ElapsedMS is the time in milliseconds from acceptance by the owner to the verdict.
+	ElapsedMS float64 `json:"elapsed_ms,omitempty"`
+}
+
+// Final reports whether the outcome can no longer change.
+func (r *Reply) Final() bool { return r.Outcome == Complete || r.Outcome == Failed }
+
+// TicketRequest asks for a batch of tickets.
+type TicketRequest struct {
+	Schema        int   `json:"schema"`
+	Count         int   `json:"count"`
+	MaxDeadlineMS int64 `json:"max_deadline_ms,omitempty"`
+}
+
+// TicketReply carries a batch of tickets of one owner.
+type TicketReply struct {
+	Schema        int         `json:"schema"`
+	Tickets       []ticket.ID `json:"tickets"`
+	WindowMS      int64       `json:"window_ms"`
+	MaxDeadlineMS int64       `json:"max_deadline_ms"`
+}
+
+// EpochReply carries the log offset that a caller sends along with an idempotency key.
+type EpochReply struct {
+	Schema int    `json:"schema"`
+	Epoch  uint64 `json:"key_epoch"`
+}
--- /dev/null
+++ b/dispatch/attempt.go
@@ -0,0 +1,224 @@
+package dispatch
+
+import (
+	"time"
+
+	"sesameledge.dev/sesameledge/api"
+	"sesameledge.dev/sesameledge/place"
+)
+
+// placeWaiting starts waiting tasks, job by job in queue order, until no endpoint can
+// take more. Jobs of a group without room do not hold up jobs of other groups.
+func (s *State) placeWaiting(now time.Duration) {
+	full := make(map[string]bool)
+	kept := s.queue[:0]
+	for _, j := range s.queue {
+		if j.ended() {
+			continue
+		}
+		if !full[j.kind.Group] && !s.placeJob(now, j) {
+			full[j.kind.Group] = true
+		}
+		if len(j.waiting) > 0 && !j.ended() {
+			kept = append(kept, j)
+		}
+	}
+	clear(s.queue[len(kept):])
+	s.queue = kept
+}
+
+// placeJob starts the job's waiting tasks and reports whether all found an endpoint.
+func (s *State) placeJob(now time.Duration, j *job) bool {
+	for len(j.waiting) > 0 {
+		index := j.waiting[0]
+		info := place.Task{Kind: j.kindName, Group: j.kind.Group, Run: time.Duration(j.specs[index].RunMS) * time.Millisecond}
+		ep, ok := s.endpoints.Pick(now, info, j.tasks[index].avoid)
+		if !ok {
+			return false
+		}
+		j.waiting = j.waiting[1:]
+		if !s.start(now, j, index, ep) {
+			return true
+		}
+	}
+	return true
+}
+
+// start hands a task to an endpoint. It is the only place that does so, and it checks
+// the at-most-once invariants first.
+func (s *State) start(now time.Duration, j *job, index int, ep place.Endpoint) bool {
+	t := &j.tasks[index]
+	switch {
+	case t.state != taskWaiting:
+		return s.violation(now, j, "a task that may have started was about to start again")
+	case j.ended():
+		return s.violation(now, j, "a task of an ended job was about to start")
+	case now >= j.deadline:
+		return s.violation(now, j, "a task was about to start after its deadline")
+	case j.ticket.Incarnation != s.opts.Incarnation:
+		return s.violation(now, j, "a task of another incarnation was about to start")
+	}
+	t.state = taskInFlight
+	t.attempt++
+	t.endpoint = ep
+	j.inFlight++
+	s.counters.Attempts++
+	s.endpoints.Started(ep.ID)
+	s.emit(StartAttempt{
+		Task:      TaskRef{Ticket: j.id, Index: index},
+		Attempt:   t.attempt,
+		Kind:      j.kindName,
+		Endpoint:  ep,
+		Payload:   j.specs[index].Payload,
+		Remaining: j.deadline - now,
+	})
+	return true
+}
+
+func (s *State) violation(now time.Duration, j *job, message string) bool {
+	s.counters.Violations++
+	s.emit(Violation{Ticket: j.id, Message: message})
+	if !j.ended() {
+		s.fail(now, j, api.Errorf(api.CodeInternal, "", "the job was stopped by an internal check: %s", message))
+	}
+	return false
+}
+
+func (s *State) attemptEnded(now time.Duration, ev AttemptEnded) {
+	j, ok := s.jobs[ev.Task.Ticket]
+	if !ok || ev.Task.Index < 0 || ev.Task.Index >= len(j.tasks) {
+		s.counters.LateAnswers++
+		return
+	}
+	t := &j.tasks[ev.Task.Index]
+	if t.state != taskInFlight || t.attempt != ev.Attempt {
+		s.counters.LateAnswers++
+		return
+	}
+	j.inFlight--
+	s.endpoints.Ended(now, t.endpoint.ID, place.Sample{
+		Kind:    j.kindName,
+		Failed:  ev.Outcome == AttemptFailed || ev.Outcome == AttemptUnknown,
+		Refused: ev.Outcome == AttemptNotStarted,
+		Service: ev.Service,
+		Load:    ev.Load,
+	})
+	s.settle(now, j, t, ev)
+}
+
+// settle records an attempt's outcome. The task's state stays truthful after the
+// verdict too, but the verdict does not change.
+func (s *State) settle(now time.Duration, j *job, t *task, ev AttemptEnded) {
+	switch ev.Outcome {
+	case AttemptCompleted:
+		t.state = taskCompleted
+		if j.ended() {
+			s.counters.LateAnswers++
+			return
+		}
+		s.taskCompleted(now, j, t, ev)
+	case AttemptFailed:
+		t.state = taskFailed
+		if !j.ended() {
+			s.fail(now, j, api.Errorf(api.CodeTaskFailed, "", "task %d failed: %s", ev.Task.Index, ev.Reason))
+		}
+	case AttemptNotStarted:
+		s.counters.NotStarted++
+		t.state = taskWaiting
+		if !j.ended() {
+			s.retry(now, j, t, ev)
+		}
+	default:
+		s.counters.Unknown++
+		t.state = taskUnknown
+		if !j.ended() {
+			s.fail(now, j, api.Errorf(api.CodeTaskLost, "", "it is not known whether task %d ran: %s", ev.Task.Index, ev.Reason))
+		}
+	}
+}
+
+func (s *State) taskCompleted(now time.Duration, j *job, t *task, ev AttemptEnded) {
+	t.result = ev.Result
+	j.bytes += int64(len(ev.Result))
+	s.bytes += int64(len(ev.Result))
+	j.open--
+	s.open--
+	s.teamOpen[j.team]--
+	if j.open > 0 {
+		return
+	}
+	if now >= j.deadline {
+		s.fail(now, j, api.Errorf(api.CodeDeadline, "deadline_ms", "the job did not end within its deadline"))
+		return
+	}
+	s.counters.JobsComplete++
+	s.end(j, j.completeReply(now))
+}
+
+// retry offers a task that provably did not start to another endpoint.
+func (s *State) retry(now time.Duration, j *job, t *task, ev AttemptEnded) {
+	if t.attempt >= s.policy.MaxAttempts {
+		s.fail(now, j, api.Errorf(api.CodeNoEndpoint, "", "task %d was refused %d times, last: %s", ev.Task.Index, t.attempt, ev.Reason))
+		return
+	}
+	t.avoid = t.endpoint.ID
+	if len(j.waiting) == 0 {
+		s.queue = append(s.queue, j)
+	}
+	j.waiting = append(j.waiting, ev.Task.Index)
+}
+
+func (s *State) cancel(now time.Duration, ev Cancel) {
+	j, ok := s.jobs[ev.ID]
+	if !ok {
+		s.await(now, Await{ID: ev.ID, Waiter: ev.Waiter, NoWait: true})
+		return
+	}
+	if !j.ended() {
+		s.fail(now, j, api.Errorf(api.CodeCancelled, "", "the job was cancelled by its caller"))
+	}
+	s.reply(ev.Waiter, j.verdict)
+}
+
+// fail ends a job that cannot complete and drops its tasks at the endpoints.
+func (s *State) fail(now time.Duration, j *job, reason *api.Error) {
+	s.counters.JobsFailed++
+	s.open -= j.open
+	s.teamOpen[j.team] -= j.open
+	s.end(j, j.failedReply(reason, now))
+	s.cancelInFlight(j)
+}
+
+func (s *State) end(j *job, verdict *api.Reply) {
+	j.verdict = verdict
+	j.waiting = nil
+	for _, w := range j.waiters {
+		s.reply(w, verdict)
+	}
+	j.waiters = nil
+	j.specs = nil
+}
+
+// cancelInFlight asks each endpoint, with one message, to drop the job's tasks.
+func (s *State) cancelInFlight(j *job) {
+	if j.inFlight == 0 {
+		return
+	}
+	byEndpoint := make(map[place.EndpointID]int)
+	for i := range j.tasks {
+		t := &j.tasks[i]
+		if t.state != taskInFlight {
+			continue
+		}
+		s.counters.Cancelled++
+		at, ok := byEndpoint[t.endpoint.ID]
+		if !ok {
+			at = len(s.effects)
+			byEndpoint[t.endpoint.ID] = at
+			s.emit(CancelAttempts{Endpoint: t.endpoint})
+		}
+		c := s.effects[at].(CancelAttempts)
+		c.Tasks = append(c.Tasks, TaskRef{Ticket: j.id, Index: i})
+		s.effects[at] = c
+	}
+}
--- /dev/null
+++ b/dispatch/event.go
@@ -0,0 +1,143 @@
+package dispatch
+
+import (
+	"encoding/json"
+	"time"
+
+	"sesameledge.dev/sesameledge/api"
+	"sesameledge.dev/sesameledge/place"
+	"sesameledge.dev/sesameledge/ticket"
+)
+
+// WaiterID identifies a caller's open request. The shell draws it.
+type WaiterID uint64
+
+// TaskRef identifies a task.
+type TaskRef struct {
+	Ticket ticket.ID `json:"ticket"`
+	Index  int       `json:"index"`
+}
+
+// Event is an input of the reducer.
+type Event interface{ isEvent() }
+
+// Submit hands in a job under a ticket that this incarnation minted.
+type Submit struct {
+	ID     ticket.ID
+	Ticket ticket.Ticket
+	Job    *api.Job
+	Digest uint64 // hash of the job; tells a resubmission from a reused ticket
+	Waiter WaiterID
+	NoWait bool // reply at once with what is known
+}
+
+// Await asks for the answer of a job.
+type Await struct {
+	ID     ticket.ID
+	Waiter WaiterID
+	NoWait bool
+}
+
+// Cancel ends a job.
+type Cancel struct {
+	ID     ticket.ID
+	Waiter WaiterID
+}
+
+// WaiterTimeout says that a caller's wait has ended and that it expects a reply now.
+type WaiterTimeout struct {
+	ID     ticket.ID
+	Waiter WaiterID
+}
+
+// WaiterGone says that a caller's connection was lost.
+type WaiterGone struct {
+	ID     ticket.ID
+	Waiter WaiterID
+}
+
+// AttemptOutcome classifies how an attempt on an endpoint ended.
+type AttemptOutcome int
+
+// The outcomes of an attempt.
+const (
+	// AttemptCompleted means that the task ran and returned a result.
+	AttemptCompleted AttemptOutcome = iota + 1
+	// AttemptFailed means that the task ran and failed.
+	AttemptFailed
+	// AttemptNotStarted means that the task provably did not start.
+	AttemptNotStarted
+	// AttemptUnknown means that the task may have started.
+	AttemptUnknown
+)
+
+// AttemptEnded reports how an attempt ended.
+type AttemptEnded struct {
+	Task    TaskRef
+	Attempt int
+	Outcome AttemptOutcome
+	Result  json.RawMessage
+	Reason  string
+	Service time.Duration
+	Load    int // load that the endpoint reported; -1 if none
+}
+
+// EndpointsChanged replaces the list of endpoints.
+type EndpointsChanged struct{ Endpoints []place.Endpoint }
+
+// PolicyChanged replaces the policy that configuration sets.
+type PolicyChanged struct{ Policy *Policy }
+
+// DrainStarted makes the reducer refuse new jobs.
+type DrainStarted struct{}
+
+// Tick lets due deadlines and retries take effect.
+type Tick struct{}
+
+func (Submit) isEvent()           {}
+func (Await) isEvent()            {}
+func (Cancel) isEvent()           {}
+func (WaiterTimeout) isEvent()    {}
+func (WaiterGone) isEvent()       {}
+func (AttemptEnded) isEvent()     {}
+func (EndpointsChanged) isEvent() {}
+func (PolicyChanged) isEvent()    {}
+func (DrainStarted) isEvent()     {}
+func (Tick) isEvent()             {}
+
+// Effect is an output of the reducer, run by the shell.
+type Effect interface{ isEffect() }
+
+// StartAttempt hands a task to an endpoint.
+type StartAttempt struct {
+	Task     TaskRef
+	Attempt  int
+	Kind     string
+	Endpoint place.Endpoint
+	Payload  json.RawMessage
+	// Remaining is the time until the job's deadline.
+	Remaining time.Duration
+}
+
+// CancelAttempts asks an endpoint to drop tasks whose job has ended.
+type CancelAttempts struct {
+	Endpoint place.Endpoint
+	Tasks    []TaskRef
+}
+
+// ReplyTo answers a caller's request.
+type ReplyTo struct {
+	Waiter WaiterID
+	Reply  *api.Reply
+}
+
+// Violation reports a broken invariant. The job has failed already.
+type Violation struct {
+	Ticket  ticket.ID
+	Message string
+}
+
+func (StartAttempt) isEffect()   {}
+func (CancelAttempts) isEffect() {}
+func (ReplyTo) isEffect()        {}
+func (Violation) isEffect()      {}
--- /dev/null
+++ b/dispatch/policy.go
@@ -0,0 +1,57 @@
+package dispatch
+
+import "time"
+
+// Kind is the policy of a job kind.
+type Kind struct {
+	Group           string        // back-end group that runs the kind
+	Idempotent      bool          // recorded for callers; tasks start at most once either way
+	DefaultDeadline time.Duration // deadline of a job that names none
+	MaxTasks        int           // 0 means no limit of its own
+}
+
+// Team is the policy of a team.
+type Team struct {
+	Weight   float64 // share of the slots relative to other teams
+	MaxTasks int     // open tasks on this host; 0 means no limit
+}
+
+// Policy is what configuration sets for the dispatcher.
+type Policy struct {
+	Kinds    map[string]Kind
+	Teams    map[string]Team
+	MaxTasks int // open tasks on this host; 0 means DefaultMaxTasks
+	// MaxAttempts bounds the attempts of a task, all but the last proven not started.
+	MaxAttempts int
+	// RetryDelay is the pause before a refused task is offered again.
+	RetryDelay time.Duration
+	// MaxBytes bounds the payloads and results held; 0 means DefaultMaxBytes.
+	MaxBytes int64
+}
+
+// Defaults of Policy.
+const (
+	DefaultMaxTasks    = 50_000
+	DefaultMaxAttempts = 8
+	DefaultRetryDelay  = 2 * time.Millisecond
+	DefaultMaxBytes    = 256 << 20
+	defaultDeadline    = 30 * time.Second
+)
+
+// withDefaults fills in what the policy leaves open.
+func (p *Policy) withDefaults() *Policy {
+	out := *p
+	if out.MaxTasks == 0 {
+		out.MaxTasks = DefaultMaxTasks
+	}
+	if out.MaxAttempts == 0 {
+		out.MaxAttempts = DefaultMaxAttempts
+	}
+	if out.RetryDelay == 0 {
+		out.RetryDelay = DefaultRetryDelay
+	}
+	if out.MaxBytes == 0 {
+		out.MaxBytes = DefaultMaxBytes
+	}
+	return &out
+}
--- /dev/null
+++ b/dispatch/submit.go
@@ -0,0 +1,196 @@
+package dispatch
+
+import (
+	"time"
+
+	"sesameledge.dev/sesameledge/api"
+	"sesameledge.dev/sesameledge/ticket"
+)
+
+func (s *State) submit(now time.Duration, ev Submit) {
+	if s.answerKnown(now, ev) {
+		return
+	}
+	minted, known := s.minted.mintedAt(ev.Ticket.Seq)
+	if !known || now > minted+ev.Ticket.Lifetime() {
+		s.reply(ev.Waiter, lifeEndedReply(ev.ID))
+		return
+	}
+	kind, refusal := s.admit(now, minted, ev)
+	if refusal != nil {
+		s.refuse(minted, ev, refusal)
+		return
+	}
+	s.accept(now, minted, ev, kind)
+}
+
+// answerKnown handles a ticket that was submitted before.
+func (s *State) answerKnown(now time.Duration, ev Submit) bool {
+	if reason, ok := s.refused[ev.ID]; ok {
+		s.reply(ev.Waiter, refusedReply(ev.ID, reason))
+		return true
+	}
+	j, ok := s.jobs[ev.ID]
+	if !ok {
+		return false
+	}
+	if j.digest != ev.Digest {
+		// Not a refusal: the job that holds the ticket may have run.
+		r := &api.Reply{Schema: api.Schema, Ticket: ev.ID, Outcome: api.Unknown,
+			Reason: api.Errorf(api.CodeTicketReused, "ticket", "the ticket belongs to another job; take a new ticket")}
+		s.reply(ev.Waiter, r)
+		return true
+	}
+	s.counters.Resubmissions++
+	s.wait(now, j, ev.Waiter, ev.NoWait)
+	return true
+}
+
+// admit checks a first submission and returns the job's kind or the reason to refuse.
+func (s *State) admit(now, minted time.Duration, ev Submit) (Kind, *api.Error) {
+	job := ev.Job
+	kind, ok := s.policy.Kinds[job.Kind]
+	if !ok {
+		return kind, api.Errorf(api.CodeUnknownKind, "kind", "the kind %q is not configured", job.Kind)
+	}
+	team, ok := s.policy.Teams[job.Team]
+	if !ok {
+		return kind, api.Errorf(api.CodeUnknownTeam, "team", "the team %q is not configured", job.Team)
+	}
+	n := len(job.Tasks)
+	deadline := jobDeadline(job, kind, ev.Ticket)
+	switch {
+	case s.draining:
+		return kind, api.Errorf(api.CodeDraining, "", "this host is shutting down")
+	case now > minted+ev.Ticket.Window:
+		return kind, api.Errorf(api.CodeTicketExpired, "ticket", "the ticket was not submitted within %v", ev.Ticket.Window)
+	case deadline > ev.Ticket.MaxDeadline:
+		return kind, api.Errorf(api.CodeDeadlineTooLong, "deadline_ms", "the ticket allows deadlines up to %v", ev.Ticket.MaxDeadline)
+	case kind.MaxTasks > 0 && n > kind.MaxTasks:
+		return kind, api.Errorf(api.CodeTooManyTasks, "tasks", "jobs of kind %s have at most %d tasks", job.Kind, kind.MaxTasks)
+	case s.endpoints.Live(kind.Group) == 0:
+		return kind, api.Errorf(api.CodeNoEndpoint, "kind", "no endpoint of group %s is available", kind.Group)
+	case team.MaxTasks > 0 && s.teamOpen[job.Team]+n > team.MaxTasks:
+		return kind, api.Errorf(api.CodeQuota, "team", "team %s has %d open tasks of %d", job.Team, s.teamOpen[job.Team], team.MaxTasks)
+	case s.open+n > s.policy.MaxTasks || s.bytes > s.policy.MaxBytes:
+		return kind, api.Errorf(api.CodeOverloaded, "", "this host has %d open tasks", s.open)
+	}
+	return kind, nil
+}
+
+// refuse records the refusal, because a ticket that was answered "not run" must never
+// start later.
+func (s *State) refuse(minted time.Duration, ev Submit, reason *api.Error) {
+	s.counters.JobsRefused++
+	s.refused[ev.ID] = reason
+	s.setTimer(minted+ev.Ticket.Lifetime(), timerExpiry, ev.ID)
+	s.reply(ev.Waiter, refusedReply(ev.ID, reason))
+}
+
+func (s *State) accept(now, minted time.Duration, ev Submit, kind Kind) {
+	s.counters.JobsAccepted++
+	deadline := jobDeadline(ev.Job, kind, ev.Ticket)
+	j := &job{
+		id: ev.ID, ticket: ev.Ticket, digest: ev.Digest,
+		team: ev.Job.Team, kindName: ev.Job.Kind, kind: kind,
+		accepted: now,
+		deadline: now + deadline,
+		expires:  minted + ev.Ticket.Lifetime(),
+		tasks:    make([]task, len(ev.Job.Tasks)),
+		specs:    ev.Job.Tasks,
+		waiting:  make([]int, len(ev.Job.Tasks)),
+		open:     len(ev.Job.Tasks),
+	}
+	for i := range j.waiting {
+		j.waiting[i] = i
+		j.bytes += int64(len(j.specs[i].Payload))
+	}
+	s.jobs[j.id] = j
+	s.queue = append(s.queue, j)
+	s.open += j.open
+	s.teamOpen[j.team] += j.open
+	s.bytes += j.bytes
+	s.setTimer(j.deadline, timerDeadline, j.id)
+	s.setTimer(j.expires, timerExpiry, j.id)
+	s.wait(now, j, ev.Waiter, ev.NoWait)
+}
+
+func (s *State) await(now time.Duration, ev Await) {
+	if reason, ok := s.refused[ev.ID]; ok {
+		s.reply(ev.Waiter, refusedReply(ev.ID, reason))
+		return
+	}
+	if j, ok := s.jobs[ev.ID]; ok {
+		s.wait(now, j, ev.Waiter, ev.NoWait)
+		return
+	}
+	s.reply(ev.Waiter, s.absentReply(now, ev.ID))
+}
+
+// wait replies at once if the verdict is known or the caller does not wait.
+func (s *State) wait(now time.Duration, j *job, w WaiterID, noWait bool) {
+	switch {
+	case j.ended():
+		s.reply(w, j.verdict)
+	case noWait:
+		s.reply(w, j.runningReply(now))
+	default:
+		j.waiters = append(j.waiters, w)
+	}
+}
+
+func (s *State) waiterTimeout(now time.Duration, ev WaiterTimeout) {
+	if j, ok := s.jobs[ev.ID]; ok && s.removeWaiter(ev.ID, ev.Waiter) {
+		s.reply(ev.Waiter, j.runningReply(now))
+	}
+}
+
+func (s *State) removeWaiter(id ticket.ID, w WaiterID) bool {
+	j, ok := s.jobs[id]
+	if !ok {
+		return false
+	}
+	for i, have := range j.waiters {
+		if have == w {
+			j.waiters = append(j.waiters[:i], j.waiters[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+// absentReply answers for a ticket of this incarnation that holds no job.
+func (s *State) absentReply(now time.Duration, id ticket.ID) *api.Reply {
+	t, err := ticket.Parse(id)
+	if err != nil {
+		return api.Refusal(api.Errorf(api.CodeBadTicket, "ticket", "%v", err))
+	}
+	minted, known := s.minted.mintedAt(t.Seq)
+	if !known || now > minted+t.Lifetime() {
+		return lifeEndedReply(id)
+	}
+	return &api.Reply{Schema: api.Schema, Ticket: id, Outcome: api.Unknown,
+		Reason: api.Errorf(api.CodeTicketNotFound, "ticket", "no job has been submitted with this ticket yet")}
+}
+
+// lifeEndedReply answers after the ticket's life, when the job's record is gone.
+func lifeEndedReply(id ticket.ID) *api.Reply {
+	return &api.Reply{Schema: api.Schema, Ticket: id, Outcome: api.Failed,
+		Reason: api.Errorf(api.CodeAnswerExpired, "ticket", "the ticket's life has ended; the job may have run and its answer is no longer kept")}
+}
+
+func refusedReply(id ticket.ID, reason *api.Error) *api.Reply {
+	r := api.Refusal(reason)
+	r.Ticket = id
+	return r
+}
+
+func jobDeadline(job *api.Job, kind Kind, t ticket.Ticket) time.Duration {
+	switch {
+	case job.DeadlineMS > 0:
+		return job.Deadline()
+	case kind.DefaultDeadline > 0:
+		return min(kind.DefaultDeadline, t.MaxDeadline)
+	}
+	return min(defaultDeadline, t.MaxDeadline)
+}
--- /dev/null
+++ b/dispatch/view.go
@@ -0,0 +1,79 @@
+package dispatch
+
+import (
+	"sort"
+	"time"
+
+	"sesameledge.dev/sesameledge/api"
+	"sesameledge.dev/sesameledge/place"
+	"sesameledge.dev/sesameledge/ticket"
+)
+
+// JobView is one job in a state dump.
+type JobView struct {
+	Ticket     ticket.ID   `json:"ticket"`
+	Team       string      `json:"team"`
+	Kind       string      `json:"kind"`
+	AgeMS      float64     `json:"age_ms"`
+	DeadlineMS float64     `json:"deadline_in_ms"`
+	Tasks      int         `json:"tasks"`
+	Open       int         `json:"open"`
+	InFlight   int         `json:"in_flight"`
+	Waiting    int         `json:"waiting"`
+	Waiters    int         `json:"waiters"`
+	Outcome    api.Outcome `json:"outcome,omitempty"`
+}
+
+// View is the dispatcher's state in a state dump.
+type View struct {
+	Draining  bool                 `json:"draining"`
+	OpenTasks int                  `json:"open_tasks"`
+	Bytes     int64                `json:"bytes"`
+	Refused   int                  `json:"refused_tickets"`
+	TeamOpen  map[string]int       `json:"team_open_tasks"`
+	Counters  Counters             `json:"counters"`
+	Jobs      []JobView            `json:"jobs"`
+	Endpoints []place.EndpointView `json:"endpoints"`
+}
+
+// View returns a copy of the state for a dump.
+func (s *State) View(now time.Duration) View {
+	v := View{
+		Draining:  s.draining,
+		OpenTasks: s.open,
+		Bytes:     s.bytes,
+		Refused:   len(s.refused),
+		TeamOpen:  make(map[string]int, len(s.teamOpen)),
+		Counters:  s.counters,
+		Endpoints: s.endpoints.View(),
+	}
+	for team, n := range s.teamOpen {
+		v.TeamOpen[team] = n
+	}
+	for _, j := range s.jobs {
+		v.Jobs = append(v.Jobs, j.view(now))
+	}
+	sort.Slice(v.Jobs, func(a, b int) bool { return v.Jobs[a].Ticket < v.Jobs[b].Ticket })
+	return v
+}
+
+func (j *job) view(now time.Duration) JobView {
+	v := JobView{
+		Ticket:     j.id,
+		Team:       j.team,
+		Kind:       j.kindName,
+		AgeMS:      millis(now - j.accepted),
+		DeadlineMS: millis(j.deadline - now),
+		Tasks:      len(j.tasks),
+		Open:       j.open,
+		InFlight:   j.inFlight,
+		Waiting:    len(j.waiting),
+		Waiters:    len(j.waiters),
+	}
+	if j.ended() {
+		v.Outcome = j.verdict.Outcome
+	}
+	return v
+}
+
+func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
