--- a/cmd/sesameledge/main.go
+++ b/cmd/sesameledge/main.go
@@ -1,4 +1,15 @@
-// Command sesameledge is part of sesameledge.
+// Command sesameledge is the command line for operators and callers.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"sesameledge.dev/sesameledge/command"
+)
+
+func main() {
+	info, err := os.Stderr.Stat()
+	terminal := err == nil && info.Mode()&os.ModeCharDevice != 0
+	env := command.Env{In: os.Stdin, Out: os.Stdout, Err: os.Stderr, Terminal: terminal}
+	os.Exit(command.Main(os.Args[1:], env))
+}
--- /dev/null
+++ b/daemon/callers.go
@@ -0,0 +1,133 @@
+package daemon
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"sesameledge.dev/sesameledge/api"
+	"sesameledge.dev/sesameledge/forward"
+	"sesameledge.dev/sesameledge/ticket"
+)
+
+// callersMux serves the callers' interface.
+func (d *Daemon) callersMux() *http.ServeMux {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/tickets", d.serveTickets)
+	mux.HandleFunc("POST /v1/jobs", d.serveSubmit)
+	mux.HandleFunc("GET /v1/jobs/{ticket}", d.serveAwait)
+	mux.HandleFunc("DELETE /v1/jobs/{ticket}", d.serveCancel)
+	d.healthRoutes(mux)
+	return mux
+}
+
+func (d *Daemon) apiLimits() api.Limits {
+	l := d.settings.Limits
+	return api.Limits{BodyBytes: l.BodyBytes, Tasks: l.Tasks, Tickets: l.Tickets}
+}
+
+func (d *Daemon) serveTickets(w http.ResponseWriter, r *http.Request) {
+	req, refusal := api.DecodeTicketRequest(r.Body, d.apiLimits())
+	if refusal != nil {
+		writeReply(w, api.Refusal(refusal))
+		return
+	}
+	maxDeadline := d.settings.Tickets.MaxDeadline
+	if req.MaxDeadlineMS > 0 {
+		maxDeadline = min(maxDeadline, time.Duration(req.MaxDeadlineMS)*time.Millisecond)
+	}
+	minted := d.mint(req.Count, maxDeadline)
+	reply := api.TicketReply{
+		Schema:        api.Schema,
+		Tickets:       make([]ticket.ID, len(minted)),
+		WindowMS:      d.settings.Tickets.Window.Milliseconds(),
+		MaxDeadlineMS: maxDeadline.Milliseconds(),
+	}
+	for i, t := range minted {
+		reply.Tickets[i] = t.ID()
+	}
+	writeJSON(w, http.StatusOK, reply)
+}
+
+func (d *Daemon) serveSubmit(w http.ResponseWriter, r *http.Request) {
+	job, refusal := api.DecodeJob(r.Body, d.apiLimits())
+	if refusal != nil {
+		writeReply(w, api.Refusal(refusal))
+		return
+	}
+	op := operation{kind: forward.Submit, job: job, wait: d.jobWait(job)}
+	if job.Ticket == "" {
+		op.ticket = d.mint(1, d.settings.Tickets.MaxDeadline)[0]
+		op.id = op.ticket.ID()
+	} else {
+		parsed, err := ticket.Parse(job.Ticket)
+		if err != nil {
+			writeReply(w, api.Refusal(api.Errorf(api.CodeBadTicket, "ticket", "%v", err)))
+			return
+		}
+		op.id, op.ticket = job.Ticket, parsed
+	}
+	d.performAndWrite(w, r, op)
+}
+
+// jobWait is how long a submission waits for its answer.
+func (d *Daemon) jobWait(job *api.Job) time.Duration {
+	if job.WaitMS != nil {
+		return min(time.Duration(*job.WaitMS)*time.Millisecond, d.maxWait())
+	}
+	return d.maxWait()
+}
+
+// maxWait is longer than any job, so that a caller without a wait of its own gets the
+// verdict.
+func (d *Daemon) maxWait() time.Duration { return d.settings.Tickets.MaxDeadline + replyMargin }
+
+func (d *Daemon) serveAwait(w http.ResponseWriter, r *http.Request) {
+	wait := d.maxWait()
+	if text := r.URL.Query().Get("wait_ms"); text != "" {
+		ms, err := strconv.ParseInt(text, 10, 64)
+		if err != nil || ms < 0 {
+			writeReply(w, api.Refusal(api.Errorf(api.CodeInvalid, "wait_ms", "wait_ms must be a whole number of milliseconds")))
+			return
+		}
+		wait = min(time.Duration(ms)*time.Millisecond, wait)
+	}
+	d.serveTicket(w, r, forward.Await, wait)
+}
+
+func (d *Daemon) serveCancel(w http.ResponseWriter, r *http.Request) {
+	d.serveTicket(w, r, forward.Cancel, time.Second)
+}
+
+func (d *Daemon) serveTicket(w http.ResponseWriter, r *http.Request, kind forward.Operation, wait time.Duration) {
+	id := ticket.ID(r.PathValue("ticket"))
+	parsed, err := ticket.Parse(id)
+	if err != nil {
+		writeReply(w, api.Refusal(api.Errorf(api.CodeBadTicket, "ticket", "%v", err)))
+		return
+	}
+	d.performAndWrite(w, r, operation{kind: kind, id: id, ticket: parsed, wait: wait})
+}
+
+func (d *Daemon) performAndWrite(w http.ResponseWriter, r *http.Request, op operation) {
+	if reply := d.perform(r.Context(), op); reply != nil {
+		writeReply(w, reply)
+	}
+}
+
+func writeReply(w http.ResponseWriter, r *api.Reply) { writeJSON(w, r.HTTPStatus(), r) }
+
+// writeJSON sends a value with its length, so that a truncated answer is recognised.
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)+1))
+	w.WriteHeader(status)
+	// A write error means that the caller is gone; it can ask again with its ticket.
+	_, _ = w.Write(append(body, '\n'))
+}
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,226 @@
+// Package daemon is the shell around the reducer: listeners, timers, and the goroutines
+// that run effects and turn their results into events. It decides nothing about jobs.
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log/level"
+	"google.golang.org/grpc"
+
+	"sesameledge.dev/sesameledge/backend"
+	"sesameledge.dev/sesameledge/core"
+	"sesameledge.dev/sesameledge/dispatch"
+	"sesameledge.dev/sesameledge/peer"
+	"sesameledge.dev/sesameledge/peer/peerpb"
+	"sesameledge.dev/sesameledge/platform"
+	"sesameledge.dev/sesameledge/settings"
+	"sesameledge.dev/sesameledge/ticket"
+)
+
+// Version is the version of this build.
+const Version = "0.1.0"
+
+// Daemon is one entry-host process.
+type Daemon struct {
+	settings    *settings.Settings
+	incarnation ticket.Incarnation
+	logs        *logs
+	loop        *loop
+	backend     *backend.Client
+	platform    *platform.Client
+	peers       *peer.Client
+	ctx         context.Context
+	cancel      context.CancelFunc
+	draining    atomic.Bool
+	drainOnce   sync.Once
+	drained     chan struct{}
+	followers   sync.WaitGroup
+
+	callers    *http.Server
+	operators  *http.Server
+	peerServer *grpc.Server
+
+	mu        sync.Mutex
+	addresses map[string]string // peer address by host name
+}
+
+// New returns a daemon that is not listening yet. Logs go to w.
+func New(s *settings.Settings, w io.Writer) (*Daemon, error) {
+	var seed [16]byte
+	if _, err := rand.Read(seed[:]); err != nil {
+		return nil, errors.Wrap(err, "drawing the incarnation")
+	}
+	inc := ticket.Incarnation(binary.LittleEndian.Uint64(seed[:8]))
+	ctx, cancel := context.WithCancel(context.Background())
+	d := &Daemon{
+		settings:    s,
+		incarnation: inc,
+		logs:        newLogs(w, s.Log.Format, s.Log.Level),
+		platform:    platform.NewClient(s.Platform.URL, s.Platform.Timeout),
+		peers:       peer.NewClient(nil),
+		ctx:         ctx,
+		cancel:      cancel,
+		drained:     make(chan struct{}),
+		addresses:   make(map[string]string),
+	}
+	d.backend = backend.New(backend.Options{
+		ConnsPerMinion: s.Backend.Connections,
+		DialTimeout:    s.Backend.DialTimeout,
+		IdleTimeout:    s.Backend.IdleTimeout,
+		ProveIdleAfter: s.Backend.ProveIdleAfter,
+	})
+	for _, p := range s.Peers {
+		d.addresses[p.Host] = p.Address
+	}
+	d.loop = newLoop(core.New(core.Options{
+		Host:        s.Host,
+		Incarnation: inc,
+		Zone:        s.Zone,
+		Seed:        binary.LittleEndian.Uint64(seed[8:]),
+	}))
+	d.loop.run = d.runEffect
+	return d, nil
+}
+
+// Start opens the listeners and starts serving. On error everything is closed again.
+func (d *Daemon) Start() error {
+	listen := d.settings.Listen
+	listeners := make([]net.Listener, 0, 3)
+	for _, addr := range []string{listen.Callers, listen.Peers, listen.Operators} {
+		l, err := net.Listen("tcp", addr)
+		if err != nil {
+			for _, open := range listeners {
+				_ = open.Close()
+			}
+			return errors.Wrapf(err, "listening on %s", addr)
+		}
+		listeners = append(listeners, l)
+	}
+	d.callers = &http.Server{Handler: d.callersMux(), ReadHeaderTimeout: headerTimeout}
+	d.operators = &http.Server{Handler: d.operatorsMux(), ReadHeaderTimeout: headerTimeout}
+	d.peerServer = peer.NewServer(nil)
+	peerpb.RegisterPeerServer(d.peerServer, &peerServer{d: d})
+	go d.loop.serve()
+	go func() { _ = d.callers.Serve(listeners[0]) }()
+	go func() { _ = d.peerServer.Serve(listeners[1]) }()
+	go func() { _ = d.operators.Serve(listeners[2]) }()
+	d.follow(d.followConfig)
+	d.follow(d.followHosts)
+	d.follow(d.renewRegistration)
+	level.Info(d.logs.daemon).Log("msg", "started", "host", d.settings.Host, "zone", d.settings.Zone,
+		"incarnation", d.incarnation, "callers", listen.Callers, "peers", listen.Peers, "operators", listen.Operators)
+	return nil
+}
+
+const (
+	headerTimeout = 10 * time.Second
+	// registerEvery is the pause between renewals in the platform's host list.
+	registerEvery = time.Second
+	// drainPoll is the pause between checks for open jobs.
+	drainPoll = 20 * time.Millisecond
+)
+
+func (d *Daemon) follow(f func(context.Context)) {
+	d.followers.Add(1)
+	go func() {
+		defer d.followers.Done()
+		f(d.ctx)
+	}()
+}
+
+// renewRegistration keeps this host in the platform's list.
+func (d *Daemon) renewRegistration(ctx context.Context) {
+	for ctx.Err() == nil {
+		state := platform.HostLive
+		if d.draining.Load() {
+			state = platform.HostLeaving
+		}
+		err := d.platform.Register(ctx, platform.Host{
+			ID:       d.settings.Host,
+			Kind:     platform.KindEntry,
+			Address:  d.settings.Listen.Peers,
+			Identity: d.incarnation.String(),
+			Zone:     d.settings.Zone,
+			State:    state,
+		})
+		if err != nil {
+			level.Debug(d.logs.platform).Log("msg", "registration was not renewed", "err", err)
+		}
+		sleep(ctx, registerEvery)
+	}
+}
+
+// ready reports whether the load balancer should send callers here.
+func (d *Daemon) ready() bool {
+	if d.draining.Load() {
+		return false
+	}
+	ok := false
+	d.loop.query(func(_ time.Duration, s *core.State) {
+		ok = s.Config.Revision() > 0 && s.Dispatch.Endpoints() > 0
+	})
+	return ok
+}
+
+// Drain shuts the daemon down without cutting off a request: readiness fails first, then
+// new jobs are refused, running jobs end, open requests get their replies, and the peer
+// address is released last. It returns when all is closed.
+func (d *Daemon) Drain() {
+	d.drainOnce.Do(func() {
+		defer close(d.drained)
+		d.draining.Store(true)
+		level.Info(d.logs.daemon).Log("msg", "drain started")
+		ctx, cancel := context.WithTimeout(context.Background(), d.settings.Drain.Grace+d.settings.Drain.Timeout)
+		defer cancel()
+		sleep(ctx, d.settings.Drain.Grace)
+		d.loop.send(dispatch.DrainStarted{})
+		d.awaitOpenJobs(ctx)
+		d.shutdown(ctx)
+	})
+	<-d.drained
+}
+
+// Drained is closed when a drain has ended.
+func (d *Daemon) Drained() <-chan struct{} { return d.drained }
+
+func (d *Daemon) awaitOpenJobs(ctx context.Context) {
+	for {
+		open := 0
+		d.loop.query(func(_ time.Duration, s *core.State) { open = s.Dispatch.OpenJobs() })
+		if open == 0 || !sleep(ctx, drainPoll) {
+			return
+		}
+	}
+}
+
+func (d *Daemon) shutdown(ctx context.Context) {
+	_ = d.callers.Shutdown(ctx)
+	d.cancel()
+	d.followers.Wait()
+	stopped := make(chan struct{})
+	go func() {
+		d.peerServer.GracefulStop()
+		close(stopped)
+	}()
+	select {
+	case <-stopped:
+	case <-ctx.Done():
+		d.peerServer.Stop()
+	}
+	d.loop.close()
+	_ = d.operators.Close()
+	d.peers.Close()
+	d.backend.Close()
+	d.platform.Close()
+	level.Info(d.logs.daemon).Log("msg", "stopped")
+}
--- /dev/null
+++ b/daemon/effects.go
@@ -0,0 +1,94 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"sesameledge.dev/sesameledge/api"
+	"sesameledge.dev/sesameledge/core"
+	"sesameledge.dev/sesameledge/dispatch"
+	"sesameledge.dev/sesameledge/forward"
+	"sesameledge.dev/sesameledge/peer/peerpb"
+)
+
+// cancelTimeout bounds a cancellation message to a minion.
+const cancelTimeout = time.Second
+
+// forwardMargin is added to the wait of a forwarded request, for the way there and back.
+const forwardMargin = 500 * time.Millisecond
+
+// runEffect runs one effect. It must not block, because the reducer waits for it.
+func (d *Daemon) runEffect(e core.Effect) {
+	switch e := e.(type) {
+	case dispatch.StartAttempt:
+		go func() { d.loop.send(d.backend.Run(d.ctx, e)) }()
+	case dispatch.CancelAttempts:
+		go d.cancelAttempts(e)
+	case dispatch.ReplyTo:
+		d.loop.reply(e.Waiter, e.Reply)
+	case dispatch.Violation:
+		level.Error(d.logs.dispatch).Log("msg", "invariant violated; the job was failed", "ticket", e.Ticket, "detail", e.Message)
+	case forward.SendToOwner:
+		go func() { d.loop.send(d.forwardToOwner(e)) }()
+	case forward.ReplyTo:
+		d.loop.reply(e.Waiter, e.Reply)
+	case core.ConfigInForce:
+		d.configInForce(e)
+	case core.ConfigRejected:
+		level.Warn(d.logs.config).Log("msg", "record rejected", "id", e.Outcome.ID, "reason", e.Outcome.Reason)
+	}
+}
+
+func (d *Daemon) cancelAttempts(e dispatch.CancelAttempts) {
+	ctx, cancel := context.WithTimeout(d.ctx, cancelTimeout)
+	defer cancel()
+	if err := d.backend.Cancel(ctx, e); err != nil {
+		level.Debug(d.logs.backend).Log("msg", "cancellation failed", "endpoint", e.Endpoint.ID, "tasks", len(e.Tasks), "err", err)
+	}
+}
+
+func (d *Daemon) configInForce(e core.ConfigInForce) {
+	level.Info(d.logs.config).Log("msg", "revision in force", "revision", e.Revision)
+	if e.Config.LogLevel != "" {
+		d.logs.setLevel(e.Config.LogLevel)
+	}
+}
+
+// forwardToOwner sends a request to the host that the ticket names and returns what the
+// reducer has to know.
+func (d *Daemon) forwardToOwner(e forward.SendToOwner) forward.Event {
+	waiter := e.Request.Waiter
+	address, ok := d.peerAddress(e.Request.Ticket.Host)
+	if !ok {
+		return forward.OwnerFailed{Waiter: waiter, Reason: "host " + e.Request.Ticket.Host + " is not known"}
+	}
+	ctx, cancel := context.WithTimeout(d.ctx, e.Wait+forwardMargin)
+	defer cancel()
+	reply, err := d.peers.Forward(ctx, address, &peerpb.ForwardRequest{
+		Operation:   forwardOperation[e.Request.Operation],
+		Ticket:      string(e.Request.ID),
+		Incarnation: uint64(e.Request.Ticket.Incarnation),
+		Job:         e.Request.Job,
+		WaitMs:      e.Wait.Milliseconds(),
+	})
+	if err != nil {
+		return forward.OwnerFailed{Waiter: waiter, Reason: "no answer from " + e.Request.Ticket.Host}
+	}
+	if reply.WrongIncarnation {
+		return forward.OwnerReplaced{Waiter: waiter, Host: e.Request.Ticket.Host, Now: incarnation(reply.Incarnation)}
+	}
+	r := new(api.Reply)
+	if err := json.Unmarshal(reply.Reply, r); err != nil {
+		return forward.OwnerFailed{Waiter: waiter, Reason: "unreadable answer from " + e.Request.Ticket.Host}
+	}
+	return forward.OwnerReplied{Waiter: waiter, Reply: r}
+}
+
+var forwardOperation = map[forward.Operation]peerpb.Operation{
+	forward.Submit: peerpb.Operation_OPERATION_SUBMIT,
+	forward.Await:  peerpb.Operation_OPERATION_AWAIT,
+	forward.Cancel: peerpb.Operation_OPERATION_CANCEL,
+}
--- /dev/null
+++ b/daemon/logs.go
@@ -0,0 +1,65 @@
+package daemon
+
+import (
+	"io"
+	"sync/atomic"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+)
+
+// logs holds one logger per part of the daemon. Each line carries the part's name.
+type logs struct {
+	threshold *atomic.Int32
+	daemon    log.Logger
+	dispatch  log.Logger
+	backend   log.Logger
+	config    log.Logger
+	platform  log.Logger
+	peer      log.Logger
+}
+
+var severity = map[string]int32{"debug": 0, "info": 1, "warn": 2, "error": 3}
+
+func newLogs(w io.Writer, format, minLevel string) *logs {
+	base := log.NewLogfmtLogger(log.NewSyncWriter(w))
+	if format == "json" {
+		base = log.NewJSONLogger(log.NewSyncWriter(w))
+	}
+	threshold := new(atomic.Int32)
+	threshold.Store(severity[minLevel])
+	base = log.With(&leveled{next: base, threshold: threshold}, "ts", log.DefaultTimestampUTC)
+	part := func(name string) log.Logger { return log.With(base, "part", name) }
+	return &logs{
+		threshold: threshold,
+		daemon:    part("daemon"),
+		dispatch:  part("dispatch"),
+		backend:   part("backend"),
+		config:    part("config"),
+		platform:  part("platform"),
+		peer:      part("peer"),
+	}
+}
+
+// setLevel changes the least severity that is logged.
+func (l *logs) setLevel(name string) { l.threshold.Store(severity[name]) }
+
+// leveled drops lines below the threshold. Unlike level.NewFilter it can be changed
+// while the daemon runs.
+type leveled struct {
+	next      log.Logger
+	threshold *atomic.Int32
+}
+
+// Log implements log.Logger.
+func (l *leveled) Log(keyvals ...any) error {
+	for i := 0; i+1 < len(keyvals); i += 2 {
+		if keyvals[i] != level.Key() {
+			continue
+		}
+		if v, ok := keyvals[i+1].(level.Value); ok && severity[v.String()] < l.threshold.Load() {
+			return nil
+		}
+	}
+	return l.next.Log(keyvals...)
+}
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -77,3 +77,9 @@
 }
 
 func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// OpenTasks returns the number of tasks without a result of jobs without a verdict.
+func (s *State) OpenTasks() int { return s.open }
+
+// Endpoints returns the number of endpoints known.
+func (s *State) Endpoints() int { return s.endpoints.Len() }
--- /dev/null
+++ b/forward/forward.go
@@ -0,0 +1,281 @@
+// Package forward is the reducer for tickets that another incarnation owns. It decides
+// what this host may truthfully say about them: the owner's own reply, "unknown" while
+// the owner cannot be reached, and "failed, may have run" once the owner can no longer
+// say "complete".
+package forward
+
+import (
+	"sort"
+	"time"
+
+	"sesameledge.dev/sesameledge/api"
+	"sesameledge.dev/sesameledge/dispatch"
+	"sesameledge.dev/sesameledge/ticket"
+)
+
+// Operation is what a caller asks about a ticket.
+type Operation int
+
+// The operations.
+const (
+	Submit Operation = iota + 1
+	Await
+	Cancel
+)
+
+// Event is an input of the reducer.
+type Event interface{ isEvent() }
+
+// Request is a caller's request about a ticket of another incarnation.
+type Request struct {
+	ID        ticket.ID
+	Ticket    ticket.Ticket
+	Operation Operation
+	Job       []byte // JSON job for Submit
+	Wait      time.Duration
+	Waiter    dispatch.WaiterID
+}
+
+// OwnerReplied carries the owner's reply.
+type OwnerReplied struct {
+	Waiter dispatch.WaiterID
+	Reply  *api.Reply
+}
+
+// OwnerFailed says that the owner could not be reached.
+type OwnerFailed struct {
+	Waiter dispatch.WaiterID
+	Reason string
+}
+
+// OwnerReplaced says that another incarnation answers at the owner's address.
+type OwnerReplaced struct {
+	Waiter dispatch.WaiterID
+	Host   string
+	Now    ticket.Incarnation
+}
+
+// WaiterGone says that the caller's connection was lost.
+type WaiterGone struct{ Waiter dispatch.WaiterID }
+
+// Tick lets due retries take effect.
+type Tick struct{}
+
+func (Request) isEvent()       {}
+func (OwnerReplied) isEvent()  {}
+func (OwnerFailed) isEvent()   {}
+func (OwnerReplaced) isEvent() {}
+func (WaiterGone) isEvent()    {}
+func (Tick) isEvent()          {}
+
+// Effect is an output of the reducer.
+type Effect interface{ isEffect() }
+
+// SendToOwner asks the shell to forward a request. The shell answers with OwnerReplied,
+// OwnerFailed or OwnerReplaced.
+type SendToOwner struct {
+	Request Request
+	Wait    time.Duration // wait left
+}
+
+// ReplyTo answers a caller's request.
+type ReplyTo struct {
+	Waiter dispatch.WaiterID
+	Reply  *api.Reply
+}
+
+func (SendToOwner) isEffect() {}
+func (ReplyTo) isEffect()     {}
+
+const (
+	// retryDelay is the pause before an unreachable owner is tried again.
+	retryDelay = 100 * time.Millisecond
+	// keepSeen is how long a ticket is remembered after its lifetime, so that the reply
+	// "failed" does not turn back into "unknown".
+	keepSeen = 5 * time.Minute
+	// maxSeen bounds the tickets remembered; beyond it the oldest are forgotten.
+	maxSeen = 200_000
+)
+
+// State is the reducer's state. It is not safe for concurrent use.
+type State struct {
+	seen     map[ticket.ID]time.Duration // first sight
+	order    []seenEntry                 // by first sight
+	gone     map[ticket.Incarnation]bool
+	waiting  map[dispatch.WaiterID]*pending
+	counters Counters
+	effects  []Effect
+}
+
+type seenEntry struct {
+	id     ticket.ID
+	forget time.Duration
+}
+
+type pending struct {
+	req     Request
+	until   time.Duration
+	retryAt time.Duration // 0 while a forwarded request is outstanding
+	reason  string
+}
+
+// Counters counts what the reducer did since the process started.
+type Counters struct {
+	Forwarded  uint64 `json:"forwarded"`
+	Failed     uint64 `json:"owner_failed"`
+	OwnersGone uint64 `json:"owners_gone"`
+	Verdicts   uint64 `json:"verdicts_for_lost_owners"`
+}
+
+// New returns an empty State.
+func New() *State {
+	return &State{
+		seen:    make(map[ticket.ID]time.Duration),
+		gone:    make(map[ticket.Incarnation]bool),
+		waiting: make(map[dispatch.WaiterID]*pending),
+	}
+}
+
+// Apply applies an event and returns the effects, valid until the next call.
+func (s *State) Apply(now time.Duration, ev Event) []Effect {
+	s.effects = s.effects[:0]
+	switch ev := ev.(type) {
+	case Request:
+		s.request(now, ev)
+	case OwnerReplied:
+		s.ownerReplied(ev)
+	case OwnerFailed:
+		s.ownerFailed(now, ev)
+	case OwnerReplaced:
+		s.ownerReplaced(now, ev)
+	case WaiterGone:
+		delete(s.waiting, ev.Waiter)
+	case Tick:
+	}
+	s.retryDue(now)
+	s.forget(now)
+	return s.effects
+}
+
+// NextWake returns when the next retry is due.
+func (s *State) NextWake() (time.Duration, bool) {
+	var at time.Duration
+	found := false
+	for _, p := range s.waiting {
+		if p.retryAt > 0 && (!found || p.retryAt < at) {
+			at, found = p.retryAt, true
+		}
+	}
+	return at, found
+}
+
+// Counters returns a copy of the counters.
+func (s *State) Counters() Counters { return s.counters }
+
+func (s *State) request(now time.Duration, req Request) {
+	first, ok := s.seen[req.ID]
+	if !ok {
+		first = now
+		s.seen[req.ID] = now
+		s.order = append(s.order, seenEntry{id: req.ID, forget: now + req.Ticket.Lifetime() + keepSeen})
+	}
+	if reply := s.verdict(now, first, req); reply != nil {
+		s.reply(req.Waiter, reply)
+		return
+	}
+	p := &pending{req: req, until: now + req.Wait}
+	s.waiting[req.Waiter] = p
+	s.send(now, p)
+}
+
+// verdict returns the final reply if the owner can no longer answer "complete".
+func (s *State) verdict(now, first time.Duration, req Request) *api.Reply {
+	switch {
+	case s.gone[req.Ticket.Incarnation]:
+		s.counters.Verdicts++
+		return lost(req.ID, "the process that owned the job is gone; the job may have run")
+	case now > first+req.Ticket.Lifetime():
+		s.counters.Verdicts++
+		return lost(req.ID, "the owner of the job could not be reached within the ticket's lifetime; the job may have run")
+	}
+	return nil
+}
+
+func (s *State) send(now time.Duration, p *pending) {
+	s.counters.Forwarded++
+	p.retryAt = 0
+	s.emit(SendToOwner{Request: p.req, Wait: max(p.until-now, 0)})
+}
+
+func (s *State) ownerReplied(ev OwnerReplied) {
+	if _, ok := s.waiting[ev.Waiter]; !ok {
+		return
+	}
+	delete(s.waiting, ev.Waiter)
+	s.reply(ev.Waiter, ev.Reply)
+}
+
+func (s *State) ownerFailed(now time.Duration, ev OwnerFailed) {
+	s.counters.Failed++
+	p, ok := s.waiting[ev.Waiter]
+	if !ok {
+		return
+	}
+	p.retryAt = now + retryDelay
+	p.reason = ev.Reason
+	if p.retryAt < p.until {
+		return
+	}
+	delete(s.waiting, ev.Waiter)
+	s.reply(ev.Waiter, &api.Reply{Schema: api.Schema, Ticket: p.req.ID, Outcome: api.Unknown,
+		Reason: api.Errorf(api.CodeOwnerAway, "ticket", "the owner of the job cannot be reached now (%s); ask again", ev.Reason)})
+}
+
+func (s *State) ownerReplaced(now time.Duration, ev OwnerReplaced) {
+	p, ok := s.waiting[ev.Waiter]
+	if !ok {
+		return
+	}
+	if ev.Now == p.req.Ticket.Incarnation {
+		s.ownerFailed(now, OwnerFailed{Waiter: ev.Waiter, Reason: "contradictory reply"})
+		return
+	}
+	if !s.gone[p.req.Ticket.Incarnation] {
+		s.counters.OwnersGone++
+		s.gone[p.req.Ticket.Incarnation] = true
+	}
+	delete(s.waiting, ev.Waiter)
+	s.reply(ev.Waiter, s.verdict(now, s.seen[p.req.ID], p.req))
+}
+
+func (s *State) retryDue(now time.Duration) {
+	var due []dispatch.WaiterID
+	for w, p := range s.waiting {
+		if p.retryAt > 0 && p.retryAt <= now {
+			due = append(due, w)
+		}
+	}
+	// Map order is random; the reducer must be deterministic.
+	sort.Slice(due, func(i, j int) bool { return due[i] < due[j] })
+	for _, w := range due {
+		s.send(now, s.waiting[w])
+	}
+}
+
+func (s *State) forget(now time.Duration) {
+	for len(s.order) > 0 && (s.order[0].forget <= now || len(s.order) > maxSeen) {
+		delete(s.seen, s.order[0].id)
+		s.order = s.order[1:]
+	}
+}
+
+func (s *State) emit(e Effect) { s.effects = append(s.effects, e) }
+
+func (s *State) reply(w dispatch.WaiterID, r *api.Reply) {
+	s.emit(ReplyTo{Waiter: w, Reply: r})
+}
+
+func lost(id ticket.ID, message string) *api.Reply {
+	return &api.Reply{Schema: api.Schema, Ticket: id, Outcome: api.Failed,
+		Reason: api.Errorf(api.CodeOwnerLost, "ticket", "%s", message)}
+}
--- a/place/place.go
+++ b/place/place.go
@@ -163,3 +163,6 @@
 	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
 	return out
 }
+
+// Len returns the number of endpoints.
+func (s *Set) Len() int { return len(s.endpoints) }
