--- /dev/null
+++ b/standin/platformsim/config.go
@@ -0,0 +1,43 @@
+// Package platformsim is a stand-in for the platform: the append-only log service, the
+// lagging list of hosts and the workers, with faults that can be switched at run time.
+// It serves the protocol that package platform of the product defines.
+package platformsim
+
+import "time"
+
+// Defaults of Config.
+const (
+	DefaultAppendRate = 300 // appends a second, the platform's "several hundred"
+	DefaultSyncTime   = 4 * time.Millisecond
+	DefaultRetention  = 100_000 // records of a stream
+	DefaultHostLag    = time.Second
+	DefaultHostTTL    = 3 * time.Second
+)
+
+// Config sets up a Sim. Zero fields take the defaults.
+type Config struct {
+	Address    string        // loopback IP:port; default 127.0.0.1:0
+	AppendRate float64       // appends a second over all streams
+	SyncTime   time.Duration // time that one synced append takes
+	Retention  int           // records kept of each stream
+	HostLag    time.Duration // age of the served host list; negative for no lag
+	HostTTL    time.Duration // a host that does not renew within it disappears
+	Seed       uint64        // seeds the choice of lost answers
+}
+
+func (c Config) withDefaults() Config {
+	setDefault(&c.Address, "127.0.0.1:0")
+	setDefault(&c.AppendRate, DefaultAppendRate)
+	setDefault(&c.SyncTime, DefaultSyncTime)
+	setDefault(&c.Retention, DefaultRetention)
+	setDefault(&c.HostLag, DefaultHostLag)
+	setDefault(&c.HostTTL, DefaultHostTTL)
+	return c
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
--- /dev/null
+++ b/standin/platformsim/sim.go
@@ -0,0 +1,87 @@
+package platformsim
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"sesameledge.dev/sesameledge/platform"
+	"sesameledge.dev/sesameledge/standin/simhttp"
+)
+
+// sweepInterval is how often hosts that stopped renewing are removed.
+const sweepInterval = 100 * time.Millisecond
+
+// Sim is one stand-in of the platform.
+type Sim struct {
+	cfg    Config
+	log    *logStore
+	sync   *syncer
+	hosts  *hostList
+	server *simhttp.Server
+	ctx    context.Context // ends at Stop
+	cancel context.CancelFunc
+}
+
+// New returns a Sim that is not started.
+func New(cfg Config) *Sim {
+	cfg = cfg.withDefaults()
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Sim{
+		cfg:    cfg,
+		log:    newLogStore(cfg.Retention),
+		sync:   newSyncer(cfg.AppendRate, cfg.SyncTime),
+		hosts:  newHostList(cfg.HostLag, cfg.HostTTL),
+		ctx:    ctx,
+		cancel: cancel,
+	}
+}
+
+// Start listens and serves. It fails if the address cannot be bound or is not a
+// loopback address.
+func (s *Sim) Start() error {
+	ln, err := simhttp.Listen(s.cfg.Address)
+	if err != nil {
+		return err
+	}
+	s.server = simhttp.Serve(ln, s.routes())
+	go s.sweep()
+	return nil
+}
+
+// Stop closes the listener and all connections. Queued appends are dropped.
+func (s *Sim) Stop() {
+	s.cancel()
+	if s.server != nil {
+		s.server.Close()
+	}
+}
+
+// Addr returns the IP:port that a started Sim listens on.
+func (s *Sim) Addr() string { return s.server.Addr() }
+
+// URL returns the base URL of a started Sim.
+func (s *Sim) URL() string { return "http://" + s.Addr() }
+
+func (s *Sim) routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+platform.PathRecords, s.serveAppend)
+	mux.HandleFunc("GET "+platform.PathRecords, s.serveRead)
+	mux.HandleFunc("GET "+platform.PathHosts, s.serveHosts)
+	mux.HandleFunc("POST "+platform.PathHosts, s.serveRegister)
+	mux.HandleFunc("POST "+platform.PathHosts+"/{id}/state", s.serveHostState)
+	return mux
+}
+
+func (s *Sim) sweep() {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-s.ctx.Done():
+			return
+		case now := <-ticker.C:
+			s.hosts.expire(now)
+		}
+	}
+}
