Add the test bed and the demo

Cause: the whole path has to be seen running as separate processes. Change: package testbed starts the platform's stand-in, minions and daemons on loopback; make demo submits a quote-desk job and a badge job through two hosts with the command line and checks answers and starts.

--- a/Makefile
+++ b/Makefile
@@ -31,3 +31,8 @@
 	mkdir -p bin/gen
 	go build -o bin/gen google.golang.org/protobuf/cmd/protoc-gen-go google.golang.org/grpc/cmd/protoc-gen-go-grpc
 	PATH="$$PWD/bin/gen:$$PATH" protoc --go_out=. --go_opt=paths=source_relative --go-grpc_out=. --go-grpc_opt=paths=source_relative peer/peerpb/peer.proto
+
+.PHONY: demo
+# Starts a small deployment, runs two jobs and checks them. KEEP=1 leaves it running.
+demo: build
+	bin/demo --bin bin $(if $(KEEP),--keep)
