--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -6,6 +6,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/binary"
+	"expvar"
 	"io"
 	"net"
 	"net/http"
@@ -49,6 +50,7 @@
 	callers    *http.Server
 	operators  *http.Server
 	peerServer *grpc.Server
+	metrics    *expvar.Map
 
 	mu        sync.Mutex
 	addresses map[string]string // peer address by host name
@@ -89,6 +91,7 @@
 		Seed:        binary.LittleEndian.Uint64(seed[8:]),
 	}))
 	d.loop.run = d.runEffect
+	d.metrics = d.newMetrics()
 	return d, nil
 }
 
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"expvar"
 	"io"
 	"net/http"
 	"time"
@@ -59,7 +58,7 @@
 		writeJSON(w, http.StatusOK, d.status())
 	})
 	mux.HandleFunc("GET /debug/state", d.serveDump)
-	mux.Handle("GET /debug/vars", expvar.Handler())
+	mux.HandleFunc("GET /debug/vars", d.serveVars)
 	mux.HandleFunc("GET /v1/config", d.serveConfig)
 	mux.HandleFunc("POST /v1/config", d.servePublish)
 	mux.HandleFunc("POST /v1/drain", func(w http.ResponseWriter, _ *http.Request) {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -142,7 +142,9 @@
 	s := Defaults()
 	var list finding.List
 	doc := strictyaml.Decode(path, text, &s, &list)
-	s.check(doc, &list)
+	if doc.Readable() {
+		s.check(doc, &list)
+	}
 	if err := list.Err(); err != nil {
 		return nil, err
 	}
--- a/standin/demo/main.go
+++ b/standin/demo/main.go
@@ -31,6 +31,7 @@
 const demoTimeout = 40 * time.Second
 
 // demoConfig is the configuration that the demo publishes.
+// docs/api.md uses its teams and kinds.
 const demoConfig = `schema: 1
 teams:
   association: {weight: 1}
@@ -89,7 +90,8 @@
 		return err
 	}
 	if a.Keep {
-		fmt.Println("\nrunning; interrupt to stop")
+		fmt.Printf("\nexport HOST=%s\nexport OPERATOR=%s\nrunning; interrupt to stop\n",
+			bed.Hosts[0].CallersURL(), bed.Hosts[0].OperatorsURL())
 		<-ctx.Done()
 	}
 	return nil
--- a/strictyaml/decode.go
+++ b/strictyaml/decode.go
@@ -35,6 +35,10 @@
 	}
 }
 
+// Readable reports whether the text was YAML with content. If not, checks of single
+// fields would only repeat that.
+func (d *Document) Readable() bool { return len(d.places) > 0 }
+
 // Decode decodes text into the struct that into points to. Field names come from yaml
 // tags. Durations are written as "250ms". Problems are added to list; what could be
 // decoded is kept.
