Add run-time faults to the platform stand-in

Cause: the platform's store can be down or slow for long, and an answer can be lost after the operation took effect; the product's handling needs tests. Change: per service (log, hosts, workers) an outage that hangs or answers 503, an extra delay and a share of lost answers, plus retention and host lag, through POST /admin/faults. An outage also withholds answers of running requests.

--- a/standin/platformsim/hosts.go
+++ b/standin/platformsim/hosts.go
@@ -92,6 +92,22 @@
 	}
 }
 
+// renewAll counts every host as renewed. Hosts cannot renew during an outage of the
+// list, so each gets a full TTL after it.
+func (l *hostList) renewAll(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, reg := range l.current {
+		reg.renewed = now
+	}
+}
+
+func (l *hostList) setLag(lag time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lag = lag
+}
+
 // list returns the hosts as they were the lag ago, ordered by identifier.
 func (l *hostList) list(now time.Time) platform.HostsReply {
 	l.mu.Lock()
--- a/standin/platformsim/log.go
+++ b/standin/platformsim/log.go
@@ -62,6 +62,16 @@
 	return reply, true, s.grown
 }
 
+// setRetention changes the number of records kept and truncates every stream to it.
+func (l *logStore) setRetention(records int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.retention = records
+	for _, s := range l.streams {
+		s.truncate(records)
+	}
+}
+
 func (s *stream) next() uint64 { return s.first + uint64(len(s.records)) }
 
 func (s *stream) truncate(retention int) {
--- a/standin/platformsim/sim.go
+++ b/standin/platformsim/sim.go
@@ -18,6 +18,7 @@
 	log    *logStore
 	sync   *syncer
 	hosts  *hostList
+	faults map[Service]*faultSwitch
 	server *simhttp.Server
 	ctx    context.Context // ends at Stop
 	cancel context.CancelFunc
@@ -27,11 +28,16 @@
 func New(cfg Config) *Sim {
 	cfg = cfg.withDefaults()
 	ctx, cancel := context.WithCancel(context.Background())
+	faults := make(map[Service]*faultSwitch, len(services))
+	for n, service := range services {
+		faults[service] = newFaultSwitch(cfg.Seed, uint64(n))
+	}
 	return &Sim{
 		cfg:    cfg,
 		log:    newLogStore(cfg.Retention),
 		sync:   newSyncer(cfg.AppendRate, cfg.SyncTime),
 		hosts:  newHostList(cfg.HostLag, cfg.HostTTL),
+		faults: faults,
 		ctx:    ctx,
 		cancel: cancel,
 	}
@@ -65,11 +71,16 @@
 
 func (s *Sim) routes() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST "+platform.PathRecords, s.serveAppend)
-	mux.HandleFunc("GET "+platform.PathRecords, s.serveRead)
-	mux.HandleFunc("GET "+platform.PathHosts, s.serveHosts)
-	mux.HandleFunc("POST "+platform.PathHosts, s.serveRegister)
-	mux.HandleFunc("POST "+platform.PathHosts+"/{id}/state", s.serveHostState)
+	handle := func(service Service, pattern string, handler http.HandlerFunc) {
+		mux.HandleFunc(pattern, s.withFaults(service, handler))
+	}
+	handle(ServiceLog, "POST "+platform.PathRecords, s.serveAppend)
+	handle(ServiceLog, "GET "+platform.PathRecords, s.serveRead)
+	handle(ServiceHosts, "GET "+platform.PathHosts, s.serveHosts)
+	handle(ServiceHosts, "POST "+platform.PathHosts, s.serveRegister)
+	handle(ServiceHosts, "POST "+platform.PathHosts+"/{id}/state", s.serveHostState)
+	mux.HandleFunc("GET /admin/faults", s.serveFaults)
+	mux.HandleFunc("POST /admin/faults", s.serveSetFaults)
 	return mux
 }
 
