Add workers, leases and lagging usage to the platform stand-in

Cause: tasks on workers are started through the platform, whose answers can be lost and whose leases lapse while the holder is paused. Change: leases that fence once lapsed; start idempotent by task identity and readable; stop (also before the start arrives), throttle, checkpoint and resume; contention for cores, kills when memory runs out; usage served with a lag; the message types are in worker_wire.go because the product defines none yet.

--- a/standin/platformsim/config.go
+++ b/standin/platformsim/config.go
@@ -3,7 +3,11 @@
 // It serves the protocol that package platform of the product defines.
 package platformsim
 
-import "time"
+import (
+	"time"
+
+	"sesameledge.dev/sesameledge/platform"
+)
 
 // Defaults of Config.
 const (
@@ -12,17 +16,20 @@
 	DefaultRetention  = 100_000 // records of a stream
 	DefaultHostLag    = time.Second
 	DefaultHostTTL    = 3 * time.Second
+	DefaultUsageLag   = 2 * time.Second
 )
 
 // Config sets up a Sim. Zero fields take the defaults.
 type Config struct {
-	Address    string        // loopback IP:port; default 127.0.0.1:0
-	AppendRate float64       // appends a second over all streams
-	SyncTime   time.Duration // time that one synced append takes
-	Retention  int           // records kept of each stream
-	HostLag    time.Duration // age of the served host list; negative for no lag
-	HostTTL    time.Duration // a host that does not renew within it disappears
-	Seed       uint64        // seeds the choice of lost answers
+	Address    string          // loopback IP:port; default 127.0.0.1:0
+	AppendRate float64         // appends a second over all streams
+	SyncTime   time.Duration   // time that one synced append takes
+	Retention  int             // records kept of each stream
+	HostLag    time.Duration   // age of the served host list; negative for no lag
+	HostTTL    time.Duration   // a host that does not renew within it disappears
+	Workers    []platform.Host // workers of the platform; see the function Workers
+	UsageLag   time.Duration   // least age of the reported usage
+	Seed       uint64          // seeds the choice of lost answers
 }
 
 func (c Config) withDefaults() Config {
@@ -32,6 +39,7 @@
 	setDefault(&c.Retention, DefaultRetention)
 	setDefault(&c.HostLag, DefaultHostLag)
 	setDefault(&c.HostTTL, DefaultHostTTL)
+	setDefault(&c.UsageLag, DefaultUsageLag)
 	return c
 }
 
--- a/standin/platformsim/sim.go
+++ b/standin/platformsim/sim.go
@@ -14,14 +14,15 @@
 
 // Sim is one stand-in of the platform.
 type Sim struct {
-	cfg    Config
-	log    *logStore
-	sync   *syncer
-	hosts  *hostList
-	faults map[Service]*faultSwitch
-	server *simhttp.Server
-	ctx    context.Context // ends at Stop
-	cancel context.CancelFunc
+	cfg     Config
+	log     *logStore
+	sync    *syncer
+	hosts   *hostList
+	faults  map[Service]*faultSwitch
+	workers *workerPool
+	server  *simhttp.Server
+	ctx     context.Context // ends at Stop
+	cancel  context.CancelFunc
 }
 
 // New returns a Sim that is not started.
@@ -33,13 +34,14 @@
 		faults[service] = newFaultSwitch(cfg.Seed, uint64(n))
 	}
 	return &Sim{
-		cfg:    cfg,
-		log:    newLogStore(cfg.Retention),
-		sync:   newSyncer(cfg.AppendRate, cfg.SyncTime),
-		hosts:  newHostList(cfg.HostLag, cfg.HostTTL),
-		faults: faults,
-		ctx:    ctx,
-		cancel: cancel,
+		cfg:     cfg,
+		log:     newLogStore(cfg.Retention),
+		sync:    newSyncer(cfg.AppendRate, cfg.SyncTime),
+		hosts:   newHostList(cfg.HostLag, cfg.HostTTL),
+		faults:  faults,
+		workers: newWorkerPool(cfg.Workers, cfg.UsageLag),
+		ctx:     ctx,
+		cancel:  cancel,
 	}
 }
 
@@ -51,7 +53,9 @@
 		return err
 	}
 	s.server = simhttp.Serve(ln, s.routes())
+	s.renewWorkers(time.Now())
 	go s.sweep()
+	go s.workers.run(s.ctx)
 	return nil
 }
 
@@ -79,6 +83,8 @@
 	handle(ServiceHosts, "GET "+platform.PathHosts, s.serveHosts)
 	handle(ServiceHosts, "POST "+platform.PathHosts, s.serveRegister)
 	handle(ServiceHosts, "POST "+platform.PathHosts+"/{id}/state", s.serveHostState)
+	s.workerRoutes(handle)
+	mux.HandleFunc("GET "+pathTasksAdmin, s.serveTaskTotals)
 	mux.HandleFunc("GET /admin/faults", s.serveFaults)
 	mux.HandleFunc("POST /admin/faults", s.serveSetFaults)
 	return mux
@@ -92,7 +98,17 @@
 		case <-s.ctx.Done():
 			return
 		case now := <-ticker.C:
+			s.renewWorkers(now)
 			s.hosts.expire(now)
 		}
 	}
 }
+
+// renewWorkers keeps the workers in the host list. They are reached through the
+// platform, so its address is theirs.
+func (s *Sim) renewWorkers(now time.Time) {
+	for _, host := range s.cfg.Workers {
+		host.Address = s.Addr()
+		s.hosts.register(now, host)
+	}
+}
--- /dev/null
+++ b/standin/platformsim/worker_pool.go
@@ -0,0 +1,223 @@
+package platformsim
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"sesameledge.dev/sesameledge/platform"
+)
+
+// Errors of the worker interface.
+var (
+	errUnknownWorker  = errors.New("unknown worker")
+	errUnknownTask    = errors.New("unknown task")
+	errLeaseInvalid   = errors.New("lease is unknown or has lapsed")
+	errOtherWorker    = errors.New("task is known on another worker")
+	errNoAccelerators = errors.New("too few accelerators are free")
+	errNotRunning     = errors.New("task is not running")
+	errNoCheckpoint   = errors.New("task to resume from was not checkpointed or is resumed already")
+)
+
+// workerPool holds the workers, their tasks and the leases. Finished tasks are kept for
+// good, because a start is idempotent by the task's identity.
+type workerPool struct {
+	mu       sync.Mutex
+	usageLag time.Duration
+	workers  map[string]*worker
+	order    []string // identifiers of the workers, as configured
+	tasks    map[string]*task
+	leases   map[string]*lease
+	messages int // start requests received
+	starts   int
+	stepped  time.Time // time of the last step
+}
+
+type worker struct {
+	host    platform.Host
+	running map[string]*task
+	samples []sample // usage not yet served, oldest first; the first one is served
+}
+
+type task struct {
+	view    TaskView
+	request StartRequest
+	resumed bool // a task resumed from this one's checkpoint
+}
+
+func newWorkerPool(hosts []platform.Host, usageLag time.Duration) *workerPool {
+	p := &workerPool{
+		usageLag: usageLag,
+		workers:  make(map[string]*worker, len(hosts)),
+		tasks:    make(map[string]*task),
+		leases:   make(map[string]*lease),
+	}
+	for _, h := range hosts {
+		p.workers[h.ID] = &worker{host: h, running: make(map[string]*task)}
+		p.order = append(p.order, h.ID)
+	}
+	return p
+}
+
+// Workers returns n equal workers for Config.Workers, spread over the zones in turn,
+// with 8 workers to a rack.
+func Workers(n int, cores float64, memoryMB int64, accelerators int, group string, zones ...string) []platform.Host {
+	const rackSize = 8
+	hosts := make([]platform.Host, 0, n)
+	for i := range n {
+		zone := zones[i%len(zones)]
+		hosts = append(hosts, platform.Host{
+			ID:           fmt.Sprintf("worker-%03d", i),
+			Kind:         platform.KindWorker,
+			Identity:     fmt.Sprintf("worker-%03d.1", i),
+			Zone:         zone,
+			Group:        group,
+			State:        platform.HostLive,
+			Cores:        cores,
+			MemoryMB:     memoryMB,
+			Accelerators: accelerators,
+			Rack:         fmt.Sprintf("%s-rack-%02d", zone, i/len(zones)/rackSize),
+		})
+	}
+	return hosts
+}
+
+// start starts a task, or returns the known one with its identity.
+func (p *workerPool) start(now time.Time, workerID string, req StartRequest) (view TaskView, created bool, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.messages++
+	w := p.workers[workerID]
+	if w == nil {
+		return TaskView{}, false, errUnknownWorker
+	}
+	if known := p.tasks[req.Task]; known != nil {
+		if known.view.Worker != workerID {
+			return known.view, false, errOtherWorker
+		}
+		return known.view, false, nil
+	}
+	progress, err := p.admit(now, w, req)
+	if err != nil {
+		return TaskView{}, false, err
+	}
+	t := &task{request: req, view: TaskView{
+		Task:       req.Task,
+		Worker:     workerID,
+		Lease:      req.Lease,
+		State:      TaskRunning,
+		Started:    true,
+		Speed:      1,
+		ProgressMS: progress,
+	}}
+	p.tasks[req.Task] = t
+	w.running[req.Task] = t
+	p.starts++
+	return t.view, true, nil
+}
+
+// admit checks whether a new task may start, and returns the progress it resumes from.
+func (p *workerPool) admit(now time.Time, w *worker, req StartRequest) (progressMS float64, err error) {
+	if l := p.leases[req.Lease]; l == nil || !l.valid(now) {
+		return 0, errLeaseInvalid
+	}
+	if w.accelerators()+req.Accelerators > w.host.Accelerators {
+		return 0, errNoAccelerators
+	}
+	if req.ResumeFrom == "" {
+		return 0, nil
+	}
+	from := p.tasks[req.ResumeFrom]
+	if from == nil || from.view.State != TaskCheckpointed || from.resumed {
+		return 0, errNoCheckpoint
+	}
+	from.resumed = true
+	return from.view.ProgressMS, nil
+}
+
+// read returns a task.
+func (p *workerPool) read(workerID, id string) (TaskView, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t, err := p.find(workerID, id)
+	if err != nil {
+		return TaskView{}, err
+	}
+	return t.view, nil
+}
+
+func (p *workerPool) find(workerID, id string) (*task, error) {
+	if p.workers[workerID] == nil {
+		return nil, errUnknownWorker
+	}
+	t := p.tasks[id]
+	if t == nil || t.view.Worker != workerID {
+		return nil, errUnknownTask
+	}
+	return t, nil
+}
+
+// stop stops a task. An unknown task is recorded as stopped and never starts on the
+// pool, so that a start request that is still on its way has no effect.
+func (p *workerPool) stop(workerID, id string) (TaskView, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.workers[workerID] == nil {
+		return TaskView{}, errUnknownWorker
+	}
+	if p.tasks[id] == nil {
+		p.tasks[id] = &task{view: TaskView{Task: id, Worker: workerID, State: TaskStopped}}
+	}
+	t, err := p.find(workerID, id)
+	if err != nil {
+		return TaskView{}, errOtherWorker
+	}
+	p.end(t, TaskStopped)
+	return t.view, nil
+}
+
+// throttle sets the speed of a running task.
+func (p *workerPool) throttle(workerID, id string, speed float64) (TaskView, error) {
+	return p.change(workerID, id, func(t *task) { t.view.Speed = speed })
+}
+
+// checkpoint ends a running task and keeps its progress.
+func (p *workerPool) checkpoint(workerID, id string) (TaskView, error) {
+	return p.change(workerID, id, func(t *task) { p.end(t, TaskCheckpointed) })
+}
+
+// change applies a change to a running task.
+func (p *workerPool) change(workerID, id string, apply func(*task)) (TaskView, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t, err := p.find(workerID, id)
+	if err != nil {
+		return TaskView{}, err
+	}
+	if t.view.State != TaskRunning {
+		return t.view, errNotRunning
+	}
+	apply(t)
+	return t.view, nil
+}
+
+// end ends a task if it runs.
+func (p *workerPool) end(t *task, state TaskState) {
+	if t.view.State != TaskRunning {
+		return
+	}
+	t.view.State = state
+	delete(p.workers[t.view.Worker].running, t.view.Task)
+}
+
+func (p *workerPool) totals() TaskTotals {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	totals := TaskTotals{StartMessages: p.messages, Starts: p.starts, States: make(map[TaskState]int)}
+	for _, t := range p.tasks {
+		totals.States[t.view.State]++
+	}
+	return totals
+}
--- /dev/null
+++ b/standin/platformsim/workers_test.go
@@ -0,0 +1,159 @@
+package platformsim
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+type poolTest struct {
+	*testing.T
+	pool *workerPool
+	now  time.Time
+}
+
+func newPoolTest(t *testing.T) *poolTest {
+	hosts := Workers(2, 4, 1000, 1, "g", "z")
+	p := &poolTest{T: t, pool: newWorkerPool(hosts, 2*time.Second), now: time.Unix(1000, 0)}
+	p.pool.step(p.now)
+	if err := p.pool.renew(p.now, "lease", 5*time.Second); err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+// pass advances the time in steps.
+func (p *poolTest) pass(d time.Duration) {
+	for end := p.now.Add(d); p.now.Before(end); {
+		p.now = p.now.Add(workerStep)
+		p.pool.step(p.now)
+	}
+}
+
+func (p *poolTest) start(task string, payload TaskPayload) {
+	p.Helper()
+	req := StartRequest{Task: task, Lease: "lease", Payload: payload}
+	if _, _, err := p.pool.start(p.now, "worker-000", req); err != nil {
+		p.Fatal(err)
+	}
+}
+
+func (p *poolTest) expect(task string, want TaskState) {
+	p.Helper()
+	if v, err := p.pool.read("worker-000", task); err != nil || v.State != want {
+		p.Errorf("task %s: %+v, %v; want %s", task, v, err, want)
+	}
+}
+
+// Guards against a lease that lets a paused holder go on: its tasks must stop, and the
+// same lease must neither renew nor start anything.
+func TestLapsedLeaseStopsTasksAndFences(t *testing.T) {
+	p := newPoolTest(t)
+	p.start("a", TaskPayload{RunMS: 60_000, Cores: 1})
+	p.pass(4 * time.Second)
+	if err := p.pool.renew(p.now, "lease", 5*time.Second); err != nil {
+		t.Fatal(err)
+	}
+	p.pass(4 * time.Second)
+	p.expect("a", TaskRunning)
+	p.pass(time.Second)
+	p.expect("a", TaskLapsed)
+	if err := p.pool.renew(p.now, "lease", time.Second); !errors.Is(err, errLeaseInvalid) {
+		t.Errorf("renewal of a lapsed lease: %v", err)
+	}
+	_, _, err := p.pool.start(p.now, "worker-000", StartRequest{Task: "b", Lease: "lease"})
+	if !errors.Is(err, errLeaseInvalid) {
+		t.Errorf("start under a lapsed lease: %v", err)
+	}
+}
+
+// Guards against a second start of a task identity, on the same or another worker, or
+// after it was stopped before its start arrived.
+func TestStartIsIdempotentByIdentity(t *testing.T) {
+	p := newPoolTest(t)
+	p.start("a", TaskPayload{RunMS: 100, Cores: 1})
+	p.pass(200 * time.Millisecond)
+	p.start("a", TaskPayload{RunMS: 100, Cores: 1})
+	p.expect("a", TaskDone)
+	req := StartRequest{Task: "a", Lease: "lease"}
+	if _, _, err := p.pool.start(p.now, "worker-001", req); !errors.Is(err, errOtherWorker) {
+		t.Errorf("start on another worker: %v", err)
+	}
+	if v, err := p.pool.stop("worker-000", "b"); err != nil || v.Started {
+		t.Errorf("stop before the start: %+v, %v", v, err)
+	}
+	p.start("b", TaskPayload{})
+	p.expect("b", TaskStopped)
+	if totals := p.pool.totals(); totals.Starts != 1 || totals.StartMessages != 4 {
+		t.Errorf("totals %+v", totals)
+	}
+}
+
+// Guards against throttling, contention or a checkpoint that has no effect on progress.
+func TestThrottleContentionAndCheckpoint(t *testing.T) {
+	p := newPoolTest(t)
+	p.start("a", TaskPayload{RunMS: 10_000, Cores: 4})
+	p.start("b", TaskPayload{RunMS: 10_000, Cores: 4})
+	p.pass(time.Second) // both at half speed, because they want 8 of 4 cores
+	if _, err := p.pool.throttle("worker-000", "b", 0.001); err != nil {
+		t.Fatal(err)
+	}
+	p.pass(time.Second)
+	view, err := p.pool.checkpoint("worker-000", "a")
+	if err != nil || view.ProgressMS < 1450 || view.ProgressMS > 1500 {
+		t.Fatalf("checkpoint: %+v, %v; want a progress of about 1500 ms", view, err)
+	}
+	req := StartRequest{Task: "c", Lease: "lease", ResumeFrom: "a"}
+	resumed, _, err := p.pool.start(p.now, "worker-001", req)
+	if err != nil || resumed.ProgressMS != view.ProgressMS {
+		t.Errorf("resumed: %+v, %v", resumed, err)
+	}
+	req.Task = "d"
+	if _, _, err := p.pool.start(p.now, "worker-001", req); !errors.Is(err, errNoCheckpoint) {
+		t.Errorf("second resumption of a checkpoint: %v", err)
+	}
+}
+
+// Guards against usage that is ahead of its lag, and memory that never runs out.
+func TestUsageLagsAndMemoryRunsOut(t *testing.T) {
+	p := newPoolTest(t)
+	p.start("small", TaskPayload{RunMS: 60_000, Cores: 1, MemoryMB: 400})
+	p.pass(1900 * time.Millisecond)
+	if u := p.pool.usages(p.now); len(u) > 0 && u[0].MemoryMB != 0 {
+		t.Errorf("usage after 1.9 s at a lag of 2 s: %+v", u[0])
+	}
+	p.pass(300 * time.Millisecond)
+	if u := p.pool.usages(p.now); len(u) != 2 || u[0].MemoryMB != 400 || u[0].AgeMS < 2000 {
+		t.Errorf("usage after 2.2 s: %+v", u)
+	}
+	p.start("large", TaskPayload{RunMS: 60_000, Cores: 1, MemoryMB: 700})
+	p.pass(workerStep)
+	p.expect("large", TaskOutOfMemory)
+	p.expect("small", TaskRunning)
+}
+
+// Guards against a start whose lost answer also loses the task, and against a task that
+// cannot be read back over HTTP.
+func TestLostStartIsReadBack(t *testing.T) {
+	s := startSim(t, Config{Workers: Workers(1, 4, 1000, 0, "g", "z")})
+	workers := s.URL() + "/v1/workers/worker-000/tasks"
+	mustCall(t, "POST", s.URL()+PathLeases, `{"lease":"l","ttl_ms":60000}`, nil)
+	mustCall(t, "POST", s.URL()+"/admin/faults", `{"service":"workers","lost_answer":1}`, nil)
+	start := `{"task":"t/0","lease":"l","cores":1,"payload":{"run_ms":10,"echo":"hello"}}`
+	if _, err := call(t, "POST", workers, start, nil); err == nil {
+		t.Fatal("the answer was not lost")
+	}
+	var view TaskView
+	for range 200 {
+		status := mustCall(t, "GET", workers+"/t%2F0", "", &view)
+		if status != http.StatusOK || view.State == TaskDone {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	if !view.Started || view.State != TaskDone || string(view.Result) != `"hello"` {
+		t.Errorf("read back: %+v", view)
+	}
+}
