Fuzz the dispatch and forward reducers against an oracle

Random orders of submissions, reused tickets, cancellations, late, repeated and crossed outcomes, pauses, endpoint and policy changes and a drain run against the dispatch reducer. The oracle counts starts per task and knows when "not run" is true.

Faults found and fixed: - At exactly mint time + lifetime the record of a job was already dropped, while submit still took the ticket for an unused one: a resubmission was answered "refused, not run" for a job that had run. Both now use lifeEnded (>=). - A request that was pending when the ticket's lifetime ended, or when the owner was found to be gone, was answered "unknown", or was forwarded once more, or relayed a late "complete". The verdict now comes first in each case. Found by reading: the set of gone incarnations was unbounded; it keeps 10,000.

--- /dev/null
+++ b/dispatch/model_test.go
@@ -0,0 +1,280 @@
+package dispatch
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"sesameledge.dev/sesameledge/api"
+	"sesameledge.dev/sesameledge/ticket"
+)
+
+// model is the oracle: it counts starts per task and replies per ticket, and knows for
+// each task whether "not run" would be true. It shares no code with the reducer.
+type model struct {
+	t       *rapid.T
+	s       *State
+	now     time.Duration
+	tickets []*modelTicket
+	byID    map[ticket.ID]*modelTicket
+	waiters map[WaiterID]*modelWaiter
+	tries   []*modelAttempt
+	tasks   map[TaskRef]*modelTask
+	nextID  WaiterID
+}
+
+// modelTicket is what the oracle knows about a ticket.
+type modelTicket struct {
+	id       ticket.ID
+	ticket   ticket.Ticket
+	minted   time.Duration
+	job      *api.Job // first submission
+	digest   uint64
+	first    time.Duration // time of the first submission
+	deadline time.Duration // absolute, of the first submission
+	refused  bool
+	final    api.Outcome
+	tries    int
+}
+
+// modelTask is what the oracle knows about a task.
+type modelTask struct {
+	mayHaveRun bool // an attempt was made that is not proven "not started"
+	starts     int
+	result     json.RawMessage
+	reported   time.Duration // when the result reached the owner
+}
+
+// modelAttempt is an attempt in the hands of an endpoint.
+type modelAttempt struct {
+	start   StartAttempt
+	ran     bool
+	refused bool
+	ended   *AttemptEnded // the outcome reported first
+}
+
+type modelWaiter struct {
+	tk     *modelTicket
+	digest uint64 // of a submission
+	submit bool
+	done   bool
+}
+
+func newModel(t *rapid.T, off switches) *model {
+	s := New(Options{Host: "a-1", Incarnation: 7, Zone: "a", Seed: 1})
+	s.off = off
+	return &model{t: t, s: s, byID: make(map[ticket.ID]*modelTicket),
+		waiters: make(map[WaiterID]*modelWaiter), tasks: make(map[TaskRef]*modelTask)}
+}
+
+func (m *model) task(ref TaskRef) *modelTask {
+	mt := m.tasks[ref]
+	if mt == nil {
+		mt = new(modelTask)
+		m.tasks[ref] = mt
+	}
+	return mt
+}
+
+func (m *model) apply(ev Event) {
+	for _, e := range m.s.Apply(m.now, ev) {
+		switch e := e.(type) {
+		case StartAttempt:
+			m.started(e)
+		case ReplyTo:
+			m.replied(e)
+		case Violation:
+			m.t.Fatalf("the reducer reports a violation: %s", e.Message)
+		}
+	}
+}
+
+// started checks that no task is handed out twice, nor after a refusal, a final reply or
+// the deadline.
+func (m *model) started(e StartAttempt) {
+	tk := m.byID[e.Task.Ticket]
+	mt := m.task(e.Task)
+	switch {
+	case tk.refused:
+		m.t.Fatalf("start of %v after the reply \"refused\"", e.Task)
+	case tk.final != "":
+		m.t.Fatalf("start of %v after the final reply %q", e.Task, tk.final)
+	case mt.mayHaveRun:
+		m.t.Fatalf("start of %v, which may have run", e.Task)
+	case m.now >= tk.deadline || e.Remaining <= 0:
+		m.t.Fatalf("start of %v after its deadline", e.Task)
+	case string(e.Payload) != string(tk.job.Tasks[e.Task.Index].Payload):
+		m.t.Fatalf("start of %v with a payload of another job", e.Task)
+	}
+	mt.mayHaveRun = true
+	tk.tries++
+	m.tries = append(m.tries, &modelAttempt{start: e})
+}
+
+func (m *model) replied(e ReplyTo) {
+	w := m.waiters[e.Waiter]
+	if w == nil || w.done {
+		m.t.Fatalf("reply to request %d, which is unknown, answered or gone", e.Waiter)
+	}
+	w.done = true
+	r := e.Reply
+	if r.Ticket != w.tk.id {
+		m.t.Fatalf("request about %s was answered for %s", w.tk.id, r.Ticket)
+	}
+	switch r.Outcome {
+	case api.Complete:
+		m.complete(w, r)
+	case api.Failed:
+		m.failed(w, r)
+	case api.Refused:
+		m.refusedReply(w.tk, r)
+	case api.Unknown:
+		m.unknown(w.tk, r)
+	default:
+		m.t.Fatalf("outcome %q", r.Outcome)
+	}
+}
+
+// complete checks that the answer is whole, in time and the caller's own.
+func (m *model) complete(w *modelWaiter, r *api.Reply) {
+	tk := w.tk
+	if w.submit && w.digest != tk.digest {
+		m.t.Fatalf("a reused ticket got the answer of another job")
+	}
+	if m.now >= tk.minted+tk.ticket.Lifetime() {
+		m.t.Fatalf("complete after the ticket's lifetime")
+	}
+	m.finalIs(tk, r)
+	if len(r.Tasks) != len(tk.job.Tasks) {
+		m.t.Fatalf("complete with %d of %d results", len(r.Tasks), len(tk.job.Tasks))
+	}
+	for i, task := range r.Tasks {
+		mt := m.task(TaskRef{Ticket: tk.id, Index: i})
+		if task.Index != i || mt.starts != 1 || string(task.Result) != string(mt.result) {
+			m.t.Fatalf("task %d: result %s, want %s; %d starts", i, task.Result, mt.result, mt.starts)
+		}
+		if mt.reported >= tk.deadline {
+			m.t.Fatalf("complete, but the result of task %d came after the deadline", i)
+		}
+	}
+}
+
+func (m *model) failed(w *modelWaiter, r *api.Reply) {
+	if m.answerMayBeGone(w.tk, r) {
+		return
+	}
+	m.finalIs(w.tk, r)
+	for _, task := range r.Tasks {
+		mt := m.task(TaskRef{Ticket: w.tk.id, Index: task.Index})
+		switch {
+		case task.State == api.TaskNotRun && mt.mayHaveRun:
+			m.t.Fatalf("task %d is said not to have run, but may have", task.Index)
+		case task.State == api.TaskRan && mt.starts == 0:
+			m.t.Fatalf("task %d is said to have run, but has not", task.Index)
+		case len(task.Result) > 0:
+			m.t.Fatalf("a failed job carries a partial answer")
+		}
+	}
+}
+
+// answerMayBeGone allows "answer expired" once the ticket's lifetime has ended.
+func (m *model) answerMayBeGone(tk *modelTicket, r *api.Reply) bool {
+	if r.Reason == nil || r.Reason.Code != api.CodeAnswerExpired {
+		return false
+	}
+	if m.now < tk.minted-mintResolution+tk.ticket.Lifetime() {
+		m.t.Fatalf("answer expired within the ticket's lifetime")
+	}
+	return true
+}
+
+func (m *model) refusedReply(tk *modelTicket, r *api.Reply) {
+	for i := range tk.job.Tasks {
+		if m.task(TaskRef{Ticket: tk.id, Index: i}).mayHaveRun {
+			m.t.Fatalf("refused (%v), but task %d may have run", r.Reason, i)
+		}
+	}
+	if tk.tries > 0 {
+		m.t.Fatalf("refused (%v) after an attempt", r.Reason)
+	}
+	m.finalIs(tk, r)
+	tk.refused = true
+}
+
+func (m *model) unknown(tk *modelTicket, r *api.Reply) {
+	switch {
+	case r.Reason.Code == api.CodeRunning && (tk.final != "" || m.now >= tk.deadline):
+		m.t.Fatalf("running after %q or the deadline", tk.final)
+	case r.Reason.Code == api.CodeTicketNotFound && tk.tries > 0:
+		m.t.Fatalf("not submitted, but started")
+	}
+}
+
+// finalIs checks that the final outcome of a ticket never changes.
+func (m *model) finalIs(tk *modelTicket, r *api.Reply) {
+	if tk.final != "" && tk.final != r.Outcome {
+		m.t.Fatalf("ticket %s: outcome %q after %q (%v)", tk.id, r.Outcome, tk.final, r.Reason)
+	}
+	tk.final = r.Outcome
+}
+
+// check holds between any two events.
+func (m *model) check(t *rapid.T) {
+	m.t = t
+	m.apply(Tick{})
+	for id, w := range m.waiters {
+		if !w.done && w.tk.job != nil && m.now >= w.tk.deadline {
+			t.Fatalf("request %d has no reply after the deadline", id)
+		}
+	}
+	if n := m.s.Counters().Violations; n > 0 {
+		t.Fatalf("%d violations counted", n)
+	}
+	m.checkTotals()
+	m.checkMemory()
+}
+
+func (m *model) checkTotals() {
+	open := 0
+	for _, j := range m.s.jobs {
+		if !j.ended() {
+			open += j.open
+		}
+	}
+	if open != m.s.open {
+		m.t.Fatalf("%d open tasks counted, %d exist", m.s.open, open)
+	}
+	team := 0
+	for name, n := range m.s.teamOpen {
+		if n < 0 {
+			m.t.Fatalf("team %s has %d open tasks", name, n)
+		}
+		team += n
+	}
+	if team != open {
+		m.t.Fatalf("%d open tasks of teams, %d exist", team, open)
+	}
+}
+
+// checkMemory holds records against the tickets whose lifetime has not ended.
+func (m *model) checkMemory() {
+	live := 0
+	for _, tk := range m.tickets {
+		if m.now < tk.minted+tk.ticket.Lifetime() {
+			live++
+		}
+	}
+	if n := len(m.s.jobs) + len(m.s.refused); n > live {
+		m.t.Fatalf("%d records for %d live tickets", n, live)
+	}
+	// A deadline never outlasts its ticket by more than the window left at submission.
+	if n := len(m.s.timers); n > 2*len(m.tickets) {
+		m.t.Fatalf("%d timers for %d tickets", n, len(m.tickets))
+	}
+}
+
+func (m *model) result(ref TaskRef) json.RawMessage {
+	return json.RawMessage(fmt.Sprintf(`"result of %s/%d"`, ref.Ticket, ref.Index))
+}
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -43,6 +43,7 @@
 	bytes     int64
 	counters  Counters
 	effects   []Effect
+	off       switches
 }
 
 // Counters counts what the reducer did since the process started.
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -12,7 +12,7 @@
 		return
 	}
 	minted, known := s.minted.mintedAt(ev.Ticket.Seq)
-	if !known || now > minted+ev.Ticket.Lifetime() {
+	if !known || lifeEnded(now, minted, ev.Ticket) {
 		s.reply(ev.Waiter, lifeEndedReply(ev.ID))
 		return
 	}
@@ -166,13 +166,19 @@
 		return api.Refusal(api.Errorf(api.CodeBadTicket, "ticket", "%v", err))
 	}
 	minted, known := s.minted.mintedAt(t.Seq)
-	if !known || now > minted+t.Lifetime() {
+	if !known || lifeEnded(now, minted, t) {
 		return lifeEndedReply(id)
 	}
 	return &api.Reply{Schema: api.Schema, Ticket: id, Outcome: api.Unknown,
 		Reason: api.Errorf(api.CodeTicketNotFound, "ticket", "no job has been submitted with this ticket yet")}
 }
 
+// lifeEnded reports whether the owner may have dropped its record of the ticket. It has
+// to agree with the expiry timers: at the very end of the lifetime the record is gone.
+func lifeEnded(now, minted time.Duration, t ticket.Ticket) bool {
+	return now >= minted+t.Lifetime()
+}
+
 // lifeEndedReply answers after the ticket's life, when the job's record is gone.
 func lifeEndedReply(id ticket.ID) *api.Reply {
 	return &api.Reply{Schema: api.Schema, Ticket: id, Outcome: api.Failed,
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -95,6 +95,9 @@
 	keepSeen = 5 * time.Minute
 	// maxSeen bounds the tickets remembered; beyond it the oldest are forgotten.
 	maxSeen = 200_000
+	// maxGone bounds the incarnations remembered as gone. A forgotten one is learned
+	// again from its successor.
+	maxGone = 10_000
 )
 
 // State is the reducer's state. It is not safe for concurrent use.
@@ -102,9 +105,11 @@
 	seen     map[ticket.ID]time.Duration // first sight
 	order    []seenEntry                 // by first sight
 	gone     map[ticket.Incarnation]bool
+	goneList []ticket.Incarnation // by the time they were learned
 	waiting  map[dispatch.WaiterID]*pending
 	counters Counters
 	effects  []Effect
+	off      switches
 }
 
 type seenEntry struct {
@@ -114,6 +119,7 @@
 
 type pending struct {
 	req     Request
+	first   time.Duration // first sight of the ticket
 	until   time.Duration
 	retryAt time.Duration // 0 while a forwarded request is outstanding
 	reason  string
@@ -143,7 +149,7 @@
 	case Request:
 		s.request(now, ev)
 	case OwnerReplied:
-		s.ownerReplied(ev)
+		s.ownerReplied(now, ev)
 	case OwnerFailed:
 		s.ownerFailed(now, ev)
 	case OwnerReplaced:
@@ -183,7 +189,7 @@
 		s.reply(req.Waiter, reply)
 		return
 	}
-	p := &pending{req: req, until: now + req.Wait}
+	p := &pending{req: req, first: first, until: now + req.Wait}
 	s.waiting[req.Waiter] = p
 	s.send(now, p)
 }
@@ -207,18 +213,32 @@
 	s.emit(SendToOwner{Request: p.req, Wait: max(p.until-now, 0)})
 }
 
-func (s *State) ownerReplied(ev OwnerReplied) {
-	if _, ok := s.waiting[ev.Waiter]; !ok {
+// ownerReplied relays the owner's reply. A host that has answered "failed" for the ticket,
+// or would by now, keeps to that.
+func (s *State) ownerReplied(now time.Duration, ev OwnerReplied) {
+	p, ok := s.waiting[ev.Waiter]
+	if !ok || s.settle(now, p) {
 		return
 	}
 	delete(s.waiting, ev.Waiter)
 	s.reply(ev.Waiter, ev.Reply)
 }
 
+// settle answers a pending request if the verdict is known by now.
+func (s *State) settle(now time.Duration, p *pending) bool {
+	r := s.verdict(now, p.first, p.req)
+	if r == nil {
+		return false
+	}
+	delete(s.waiting, p.req.Waiter)
+	s.reply(p.req.Waiter, r)
+	return true
+}
+
 func (s *State) ownerFailed(now time.Duration, ev OwnerFailed) {
 	s.counters.Failed++
 	p, ok := s.waiting[ev.Waiter]
-	if !ok {
+	if !ok || s.settle(now, p) {
 		return
 	}
 	p.retryAt = now + retryDelay
@@ -240,12 +260,21 @@
 		s.ownerFailed(now, OwnerFailed{Waiter: ev.Waiter, Reason: "contradictory reply"})
 		return
 	}
-	if !s.gone[p.req.Ticket.Incarnation] {
-		s.counters.OwnersGone++
-		s.gone[p.req.Ticket.Incarnation] = true
+	s.markGone(p.req.Ticket.Incarnation)
+	s.settle(now, p)
+}
+
+func (s *State) markGone(inc ticket.Incarnation) {
+	if s.gone[inc] {
+		return
+	}
+	s.counters.OwnersGone++
+	s.gone[inc] = true
+	s.goneList = append(s.goneList, inc)
+	if len(s.goneList) > maxGone {
+		delete(s.gone, s.goneList[0])
+		s.goneList = s.goneList[1:]
 	}
-	delete(s.waiting, ev.Waiter)
-	s.reply(ev.Waiter, s.verdict(now, s.seen[p.req.ID], p.req))
 }
 
 func (s *State) retryDue(now time.Duration) {
@@ -258,7 +287,9 @@
 	// Map order is random; the reducer must be deterministic.
 	sort.Slice(due, func(i, j int) bool { return due[i] < due[j] })
 	for _, w := range due {
-		s.send(now, s.waiting[w])
+		if p := s.waiting[w]; !s.settle(now, p) {
+			s.send(now, p)
+		}
 	}
 }
 
--- /dev/null
+++ b/forward/model_test.go
@@ -0,0 +1,287 @@
+package forward
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"sesameledge.dev/sesameledge/api"
+	"sesameledge.dev/sesameledge/dispatch"
+	"sesameledge.dev/sesameledge/place"
+	"sesameledge.dev/sesameledge/ticket"
+)
+
+// world is several hosts, each a dispatch and a forward reducer, the messages between
+// them, and callers that follow the rules of package client. It is the oracle too.
+type world struct {
+	t         *rapid.T
+	off       switches
+	rules     callerRules
+	now       time.Duration
+	hosts     []*process // by address; a killed process stays until it is replaced
+	cut       map[[2]int]bool
+	messages  []message
+	callers   []*caller
+	jobs      map[ticket.ID]*jobTruth
+	requests  map[dispatch.WaiterID]*request
+	tries     []*attempt
+	nextID    dispatch.WaiterID
+	processes ticket.Incarnation
+}
+
+// callerRules turns rules of the callers off.
+type callerRules struct{ acceptLate bool }
+
+// process is one run of a daemon. Its clock starts with it.
+type process struct {
+	slot     int
+	inc      ticket.Incarnation
+	started  time.Duration
+	dispatch *dispatch.State
+	forward  *State
+	paused   bool
+	dead     bool
+	seen     map[ticket.ID]time.Duration
+}
+
+// jobTruth is what is true about the job of a ticket.
+type jobTruth struct {
+	ticket   ticket.Ticket
+	job      *api.Job
+	minted   time.Duration
+	owner    *process
+	starts   map[int]int
+	results  map[int]json.RawMessage
+	refused  bool
+	failedAt time.Duration // when a host first answered "failed"; 0 for never
+}
+
+// caller is one of the callers that share a ticket.
+type caller struct {
+	truth *jobTruth
+	id    ticket.ID
+	asked time.Duration
+	open  dispatch.WaiterID // 0 for none
+	final api.Outcome
+}
+
+// request is a request that a process has to answer: a caller's, or one forwarded by a
+// peer.
+type request struct {
+	id   ticket.ID
+	from *caller
+	peer *process
+	via  dispatch.WaiterID // the peer's request
+}
+
+// message is in flight. deliver must not be nil; lost may be.
+type message struct {
+	to      *process // nil for a caller
+	from    *process // nil for a caller
+	deliver func()
+	lost    func()
+}
+
+type attempt struct {
+	owner *process
+	start dispatch.StartAttempt
+	ran   bool
+	ended bool
+}
+
+func newWorld(t *rapid.T, off switches, rules callerRules) *world {
+	w := &world{t: t, off: off, rules: rules, cut: make(map[[2]int]bool),
+		jobs: make(map[ticket.ID]*jobTruth), requests: make(map[dispatch.WaiterID]*request)}
+	for slot := range 3 {
+		w.hosts = append(w.hosts, w.boot(slot))
+	}
+	return w
+}
+
+func (w *world) boot(slot int) *process {
+	w.processes++
+	p := &process{slot: slot, inc: w.processes, started: w.now, seen: make(map[ticket.ID]time.Duration), forward: New()}
+	p.forward.off = w.off
+	p.dispatch = dispatch.New(dispatch.Options{Host: fmt.Sprintf("h%d", slot), Incarnation: p.inc, Zone: "a", Seed: 1})
+	w.onDispatch(p, dispatch.PolicyChanged{Policy: &dispatch.Policy{
+		Kinds: map[string]dispatch.Kind{"k": {Group: "g"}}, Teams: map[string]dispatch.Team{"t": {Weight: 1}}, MaxTasks: 8}})
+	w.onDispatch(p, dispatch.EndpointsChanged{Endpoints: []place.Endpoint{
+		{ID: "m-1", Zone: "a", Group: "g", Slots: 4}, {ID: "m-2", Zone: "a", Group: "g", Slots: 4}}})
+	return p
+}
+
+func (p *process) local(now time.Duration) time.Duration { return now - p.started }
+func (p *process) runs() bool                            { return !p.dead && !p.paused }
+
+func (w *world) onDispatch(p *process, ev dispatch.Event) {
+	effects := append([]dispatch.Effect(nil), p.dispatch.Apply(p.local(w.now), ev)...)
+	for _, e := range effects {
+		switch e := e.(type) {
+		case dispatch.StartAttempt:
+			w.startAttempt(p, e)
+		case dispatch.ReplyTo:
+			w.ownerReply(p, e)
+		case dispatch.Violation:
+			w.t.Fatalf("violation: %s", e.Message)
+		}
+	}
+}
+
+func (w *world) onForward(p *process, ev Event) {
+	effects := append([]Effect(nil), p.forward.Apply(p.local(w.now), ev)...)
+	for _, e := range effects {
+		switch e := e.(type) {
+		case SendToOwner:
+			w.sendToOwner(p, e)
+		case ReplyTo:
+			w.forwardReply(p, e)
+		}
+	}
+}
+
+func (w *world) startAttempt(p *process, e dispatch.StartAttempt) {
+	truth := w.jobs[e.Task.Ticket]
+	if truth.refused {
+		w.t.Fatalf("start of %v after the reply \"refused\"", e.Task)
+	}
+	w.tries = append(w.tries, &attempt{owner: p, start: e})
+}
+
+// ownerReply takes a reply of the owner to a caller or to a peer.
+func (w *world) ownerReply(p *process, e dispatch.ReplyTo) {
+	r := w.requests[e.Waiter]
+	truth := w.jobs[r.id]
+	switch e.Reply.Outcome {
+	case api.Refused:
+		w.refused(truth)
+	case api.Complete:
+		if truth.failedAt > 0 {
+			w.t.Fatalf("the owner answers complete after another host answered failed")
+		}
+		if w.now >= truth.minted+truth.ticket.Lifetime() {
+			w.t.Fatalf("the owner answers complete after the lifetime")
+		}
+	}
+	if r.peer == nil {
+		w.toCaller(r.from, e.Waiter, p, e.Reply)
+		return
+	}
+	w.send(p, r.peer, func() { w.onForward(r.peer, OwnerReplied{Waiter: r.via, Reply: e.Reply}) },
+		func() { w.onForward(r.peer, OwnerFailed{Waiter: r.via, Reason: "lost"}) })
+}
+
+func (w *world) refused(truth *jobTruth) {
+	truth.refused = true
+	if len(truth.starts) > 0 {
+		w.t.Fatalf("refused, but a task has started")
+	}
+	for _, a := range w.tries {
+		if a.start.Task.Ticket == truth.ticket.ID() {
+			w.t.Fatalf("refused after an attempt")
+		}
+	}
+}
+
+// forwardReply checks what a host says about a ticket of another incarnation.
+func (w *world) forwardReply(p *process, e ReplyTo) {
+	r := w.requests[e.Waiter]
+	truth := w.jobs[r.id]
+	lifetimeOver := p.local(w.now) > p.seen[r.id]+truth.ticket.Lifetime()
+	if e.Reply.Reason != nil && e.Reply.Reason.Code == api.CodeOwnerLost {
+		if !truth.owner.dead && w.now <= truth.minted+truth.ticket.Lifetime() {
+			w.t.Fatalf("failed before the lifetime of a live owner's ticket has ended")
+		}
+		if truth.failedAt == 0 {
+			truth.failedAt = max(w.now, 1)
+		}
+	}
+	if e.Reply.Outcome == api.Unknown && lifetimeOver {
+		w.t.Fatalf("unknown after the lifetime")
+	}
+	w.toCaller(r.from, e.Waiter, p, e.Reply)
+}
+
+// sendToOwner does what the shell does with the effect.
+func (w *world) sendToOwner(p *process, e SendToOwner) {
+	req := e.Request
+	var slot int
+	if _, err := fmt.Sscanf(req.Ticket.Host, "h%d", &slot); err != nil {
+		w.t.Fatalf("host %q", req.Ticket.Host)
+	}
+	failed := func() { w.onForward(p, OwnerFailed{Waiter: req.Waiter, Reason: "lost"}) }
+	w.messages = append(w.messages, message{from: p, to: w.hosts[slot], lost: failed, deliver: func() {
+		q := w.hosts[slot]
+		if q.inc != req.Ticket.Incarnation {
+			w.send(q, p, func() { w.onForward(p, OwnerReplaced{Waiter: req.Waiter, Now: q.inc}) }, failed)
+			return
+		}
+		id := w.newRequest(&request{id: req.ID, peer: p, via: req.Waiter})
+		w.ask(q, req.Operation, req.ID, req.Ticket, id, e.Wait <= 0)
+	}})
+}
+
+func (w *world) newRequest(r *request) dispatch.WaiterID {
+	w.nextID++
+	w.requests[w.nextID] = r
+	return w.nextID
+}
+
+// ask hands a request to the owner's dispatcher.
+func (w *world) ask(p *process, op Operation, id ticket.ID, t ticket.Ticket, waiter dispatch.WaiterID, noWait bool) {
+	switch op {
+	case Submit:
+		w.onDispatch(p, dispatch.Submit{ID: id, Ticket: t, Job: w.jobs[id].job, Digest: 1, Waiter: waiter, NoWait: noWait})
+	case Cancel:
+		w.onDispatch(p, dispatch.Cancel{ID: id, Waiter: waiter})
+	default:
+		w.onDispatch(p, dispatch.Await{ID: id, Waiter: waiter, NoWait: noWait})
+	}
+}
+
+func (w *world) send(from, to *process, deliver, lost func()) {
+	w.messages = append(w.messages, message{from: from, to: to, deliver: deliver, lost: lost})
+}
+
+func (w *world) toCaller(c *caller, waiter dispatch.WaiterID, from *process, r *api.Reply) {
+	w.messages = append(w.messages, message{from: from,
+		deliver: func() { w.callerReply(c, waiter, r) },
+		lost: func() {
+			if c.open == waiter {
+				c.open = 0
+			}
+		}})
+}
+
+// callerReply applies the rules of package client to a reply.
+func (w *world) callerReply(c *caller, waiter dispatch.WaiterID, r *api.Reply) {
+	if c.open != waiter || c.final != "" {
+		return
+	}
+	c.open = 0
+	switch r.Outcome {
+	case api.Complete:
+		if w.now-c.asked <= c.truth.ticket.Lifetime() || w.rules.acceptLate {
+			w.accept(c, r)
+		}
+	case api.Failed, api.Refused:
+		c.final = r.Outcome
+	}
+}
+
+// accept checks an answer that a caller takes as complete.
+func (w *world) accept(c *caller, r *api.Reply) {
+	c.final = api.Complete
+	if c.truth.failedAt > 0 && c.truth.failedAt < w.now && !c.truth.owner.dead {
+		w.t.Fatalf("complete accepted after a host had answered failed")
+	}
+	if len(r.Tasks) != len(c.truth.job.Tasks) {
+		w.t.Fatalf("complete with %d of %d results", len(r.Tasks), len(c.truth.job.Tasks))
+	}
+	for i, task := range r.Tasks {
+		if c.truth.starts[i] != 1 || string(task.Result) != string(c.truth.results[i]) {
+			w.t.Fatalf("task %d: result %s, want %s, %d starts", i, task.Result, c.truth.results[i], c.truth.starts[i])
+		}
+	}
+}
