Show that each check of the oracle can fail

A passing fuzz run means little if the oracle cannot notice a fault. Unexported switches turn single mechanisms off, and a test requires that the one check meant for the mechanism fails: 12 cases in dispatch, 6 in forward (one of them a caller that accepts "complete" after the ticket's lifetime). make fuzz runs longer with a fresh seed and prints it.

--- a/Makefile
+++ b/Makefile
@@ -36,3 +36,11 @@
 # Starts a small deployment, runs two jobs and checks them. KEEP=1 leaves it running.
 demo: build
 	bin/demo --bin bin $(if $(KEEP),--keep)
+
+.PHONY: fuzz
+# Fuzzes the reducers for longer with a fresh seed. SEED repeats a run.
+FUZZ_CHECKS := 200000
+fuzz: SEED := $(or $(SEED),$(shell od -An -N4 -tu4 /dev/urandom | tr -d ' '))
+fuzz:
+	@echo "seed $(SEED)"
+	go test -timeout 30m -run Fuzz ./dispatch ./forward -rapid.seed=$(SEED) -rapid.checks=$(FUZZ_CHECKS) -rapid.steps=80
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -91,7 +91,7 @@
 		return
 	}
 	t := &j.tasks[ev.Task.Index]
-	if t.state != taskInFlight || t.attempt != ev.Attempt {
+	if t.state != taskInFlight || (t.attempt != ev.Attempt && !s.off.anyAttempt) {
 		s.counters.LateAnswers++
 		return
 	}
@@ -112,7 +112,7 @@
 	switch ev.Outcome {
 	case AttemptCompleted:
 		t.state = taskCompleted
-		if j.ended() {
+		if j.ended() && !s.off.secondVerdict {
 			s.counters.LateAnswers++
 			return
 		}
@@ -131,6 +131,11 @@
 	default:
 		s.counters.Unknown++
 		t.state = taskUnknown
+		if s.off.resendUnknown && !j.ended() {
+			t.state = taskWaiting
+			s.retry(now, j, t, ev)
+			return
+		}
 		if !j.ended() {
 			s.fail(now, j, api.Errorf(api.CodeTaskLost, "", "it is not known whether task %d ran: %s", ev.Task.Index, ev.Reason))
 		}
@@ -144,10 +149,10 @@
 	j.open--
 	s.open--
 	s.teamOpen[j.team]--
-	if j.open > 0 {
+	if j.open > 0 && !s.off.partialAnswer {
 		return
 	}
-	if now >= j.deadline {
+	if now >= j.deadline && !s.off.lateComplete {
 		s.fail(now, j, api.Errorf(api.CodeDeadline, "deadline_ms", "the job did not end within its deadline"))
 		return
 	}
@@ -185,18 +190,29 @@
 	s.counters.JobsFailed++
 	s.open -= j.open
 	s.teamOpen[j.team] -= j.open
-	s.end(j, j.failedReply(reason, now))
+	verdict := j.failedReply(reason, now)
+	if s.off.falseNotRun {
+		for i := range verdict.Tasks {
+			verdict.Tasks[i].State = api.TaskNotRun
+		}
+	}
+	s.end(j, verdict)
 	s.cancelInFlight(j)
 }
 
 func (s *State) end(j *job, verdict *api.Reply) {
 	j.verdict = verdict
 	j.waiting = nil
-	for _, w := range j.waiters {
-		s.reply(w, verdict)
+	if !s.off.silentEnd {
+		for _, w := range j.waiters {
+			s.reply(w, verdict)
+		}
 	}
 	j.waiters = nil
 	j.specs = nil
+	if s.off.forgetJobs {
+		delete(s.jobs, j.id)
+	}
 }
 
 // cancelInFlight asks each endpoint, with one message, to drop the job's tasks.
--- a/dispatch/fuzz_test.go
+++ b/dispatch/fuzz_test.go
@@ -15,11 +15,11 @@
 // TestFuzzDispatch guards against a second start, a false "not run", a partial or crossed
 // answer, a second outcome and unbounded records, under arbitrary orders of events.
 func TestFuzzDispatch(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) { runMachine(t, switches{}) })
+	rapid.Check(t, func(t *rapid.T) { runMachine(t, switches{}, "") })
 }
 
-func runMachine(t *rapid.T, off switches) {
-	m := newModel(t, off)
+func runMachine(t *rapid.T, off switches, only string) {
+	m := newModel(t, off, only)
 	m.policy(t)
 	m.endpoints(t)
 	act := func(f func(*rapid.T)) func(*rapid.T) {
@@ -71,7 +71,7 @@
 func (m *model) submit(t *rapid.T) {
 	tk := m.pick(t)
 	variant := 0
-	if rapid.IntRange(0, 9).Draw(t, "reuse") == 0 {
+	if rapid.IntRange(0, 4).Draw(t, "reuse") == 0 {
 		variant = 1
 	}
 	job := tk.job
@@ -148,7 +148,7 @@
 	id, w := m.pending(t)
 	m.apply(WaiterTimeout{ID: w.tk.id, Waiter: id})
 	if !w.done {
-		t.Fatalf("request %d has no reply after its wait", id)
+		m.fatalf("request %d has no reply after its wait", id)
 	}
 }
 
@@ -171,7 +171,7 @@
 	mt.starts++
 	mt.result = m.result(a.start.Task)
 	if mt.starts > 1 {
-		t.Fatalf("task %v started twice", a.start.Task)
+		m.fatalf("task %v started twice", a.start.Task)
 	}
 }
 
--- a/dispatch/model_test.go
+++ b/dispatch/model_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strings"
 	"time"
 
 	"pgregory.net/rapid"
@@ -23,6 +24,7 @@
 	tries   []*modelAttempt
 	tasks   map[TaskRef]*modelTask
 	nextID  WaiterID
+	only    string // if set, the only check that counts
 }
 
 // modelTicket is what the oracle knows about a ticket.
@@ -62,13 +64,20 @@
 	done   bool
 }
 
-func newModel(t *rapid.T, off switches) *model {
+func newModel(t *rapid.T, off switches, only string) *model {
 	s := New(Options{Host: "a-1", Incarnation: 7, Zone: "a", Seed: 1})
 	s.off = off
-	return &model{t: t, s: s, byID: make(map[ticket.ID]*modelTicket),
+	return &model{t: t, s: s, only: only, byID: make(map[ticket.ID]*modelTicket),
 		waiters: make(map[WaiterID]*modelWaiter), tasks: make(map[TaskRef]*modelTask)}
 }
 
+// fatalf reports a broken check. A test of one check passes over the others.
+func (m *model) fatalf(format string, args ...any) {
+	if message := fmt.Sprintf(format, args...); strings.Contains(message, m.only) {
+		m.t.Fatal(message)
+	}
+}
+
 func (m *model) task(ref TaskRef) *modelTask {
 	mt := m.tasks[ref]
 	if mt == nil {
@@ -86,7 +95,7 @@
 		case ReplyTo:
 			m.replied(e)
 		case Violation:
-			m.t.Fatalf("the reducer reports a violation: %s", e.Message)
+			m.fatalf("the reducer reports a violation: %s", e.Message)
 		}
 	}
 }
@@ -98,15 +107,15 @@
 	mt := m.task(e.Task)
 	switch {
 	case tk.refused:
-		m.t.Fatalf("start of %v after the reply \"refused\"", e.Task)
+		m.fatalf("start of %v after the reply \"refused\"", e.Task)
 	case tk.final != "":
-		m.t.Fatalf("start of %v after the final reply %q", e.Task, tk.final)
+		m.fatalf("start of %v after the final reply %q", e.Task, tk.final)
 	case mt.mayHaveRun:
-		m.t.Fatalf("start of %v, which may have run", e.Task)
+		m.fatalf("start of %v, which may have run", e.Task)
 	case m.now >= tk.deadline || e.Remaining <= 0:
-		m.t.Fatalf("start of %v after its deadline", e.Task)
+		m.fatalf("start of %v after its deadline", e.Task)
 	case string(e.Payload) != string(tk.job.Tasks[e.Task.Index].Payload):
-		m.t.Fatalf("start of %v with a payload of another job", e.Task)
+		m.fatalf("start of %v with a payload of another job", e.Task)
 	}
 	mt.mayHaveRun = true
 	tk.tries++
@@ -116,12 +125,12 @@
 func (m *model) replied(e ReplyTo) {
 	w := m.waiters[e.Waiter]
 	if w == nil || w.done {
-		m.t.Fatalf("reply to request %d, which is unknown, answered or gone", e.Waiter)
+		m.fatalf("reply to request %d, which is unknown, answered or gone", e.Waiter)
 	}
 	w.done = true
 	r := e.Reply
 	if r.Ticket != w.tk.id {
-		m.t.Fatalf("request about %s was answered for %s", w.tk.id, r.Ticket)
+		m.fatalf("request about %s was answered for %s", w.tk.id, r.Ticket)
 	}
 	switch r.Outcome {
 	case api.Complete:
@@ -133,7 +142,7 @@
 	case api.Unknown:
 		m.unknown(w.tk, r)
 	default:
-		m.t.Fatalf("outcome %q", r.Outcome)
+		m.fatalf("outcome %q", r.Outcome)
 	}
 }
 
@@ -141,22 +150,22 @@
 func (m *model) complete(w *modelWaiter, r *api.Reply) {
 	tk := w.tk
 	if w.submit && w.digest != tk.digest {
-		m.t.Fatalf("a reused ticket got the answer of another job")
+		m.fatalf("a reused ticket got the answer of another job")
 	}
 	if m.now >= tk.minted+tk.ticket.Lifetime() {
-		m.t.Fatalf("complete after the ticket's lifetime")
+		m.fatalf("complete after the ticket's lifetime")
 	}
 	m.finalIs(tk, r)
 	if len(r.Tasks) != len(tk.job.Tasks) {
-		m.t.Fatalf("complete with %d of %d results", len(r.Tasks), len(tk.job.Tasks))
+		m.fatalf("complete with %d of %d results", len(r.Tasks), len(tk.job.Tasks))
 	}
 	for i, task := range r.Tasks {
 		mt := m.task(TaskRef{Ticket: tk.id, Index: i})
 		if task.Index != i || mt.starts != 1 || string(task.Result) != string(mt.result) {
-			m.t.Fatalf("task %d: result %s, want %s; %d starts", i, task.Result, mt.result, mt.starts)
+			m.fatalf("task %d: result %s, want %s; %d starts", i, task.Result, mt.result, mt.starts)
 		}
 		if mt.reported >= tk.deadline {
-			m.t.Fatalf("complete, but the result of task %d came after the deadline", i)
+			m.fatalf("complete, but the result of task %d came after the deadline", i)
 		}
 	}
 }
@@ -170,11 +179,11 @@
 		mt := m.task(TaskRef{Ticket: w.tk.id, Index: task.Index})
 		switch {
 		case task.State == api.TaskNotRun && mt.mayHaveRun:
-			m.t.Fatalf("task %d is said not to have run, but may have", task.Index)
+			m.fatalf("task %d is said not to have run, but may have", task.Index)
 		case task.State == api.TaskRan && mt.starts == 0:
-			m.t.Fatalf("task %d is said to have run, but has not", task.Index)
+			m.fatalf("task %d is said to have run, but has not", task.Index)
 		case len(task.Result) > 0:
-			m.t.Fatalf("a failed job carries a partial answer")
+			m.fatalf("a failed job carries a partial answer")
 		}
 	}
 }
@@ -185,7 +194,7 @@
 		return false
 	}
 	if m.now < tk.minted-mintResolution+tk.ticket.Lifetime() {
-		m.t.Fatalf("answer expired within the ticket's lifetime")
+		m.fatalf("answer expired within the ticket's lifetime")
 	}
 	return true
 }
@@ -193,11 +202,11 @@
 func (m *model) refusedReply(tk *modelTicket, r *api.Reply) {
 	for i := range tk.job.Tasks {
 		if m.task(TaskRef{Ticket: tk.id, Index: i}).mayHaveRun {
-			m.t.Fatalf("refused (%v), but task %d may have run", r.Reason, i)
+			m.fatalf("refused (%v), but task %d may have run", r.Reason, i)
 		}
 	}
 	if tk.tries > 0 {
-		m.t.Fatalf("refused (%v) after an attempt", r.Reason)
+		m.fatalf("refused (%v) after an attempt", r.Reason)
 	}
 	m.finalIs(tk, r)
 	tk.refused = true
@@ -206,16 +215,16 @@
 func (m *model) unknown(tk *modelTicket, r *api.Reply) {
 	switch {
 	case r.Reason.Code == api.CodeRunning && (tk.final != "" || m.now >= tk.deadline):
-		m.t.Fatalf("running after %q or the deadline", tk.final)
+		m.fatalf("running after %q or the deadline", tk.final)
 	case r.Reason.Code == api.CodeTicketNotFound && tk.tries > 0:
-		m.t.Fatalf("not submitted, but started")
+		m.fatalf("not submitted, but started")
 	}
 }
 
 // finalIs checks that the final outcome of a ticket never changes.
 func (m *model) finalIs(tk *modelTicket, r *api.Reply) {
 	if tk.final != "" && tk.final != r.Outcome {
-		m.t.Fatalf("ticket %s: outcome %q after %q (%v)", tk.id, r.Outcome, tk.final, r.Reason)
+		m.fatalf("ticket %s: outcome %q after %q (%v)", tk.id, r.Outcome, tk.final, r.Reason)
 	}
 	tk.final = r.Outcome
 }
@@ -226,11 +235,11 @@
 	m.apply(Tick{})
 	for id, w := range m.waiters {
 		if !w.done && w.tk.job != nil && m.now >= w.tk.deadline {
-			t.Fatalf("request %d has no reply after the deadline", id)
+			m.fatalf("request %d has no reply after the deadline", id)
 		}
 	}
 	if n := m.s.Counters().Violations; n > 0 {
-		t.Fatalf("%d violations counted", n)
+		m.fatalf("%d violations counted", n)
 	}
 	m.checkTotals()
 	m.checkMemory()
@@ -244,17 +253,17 @@
 		}
 	}
 	if open != m.s.open {
-		m.t.Fatalf("%d open tasks counted, %d exist", m.s.open, open)
+		m.fatalf("%d open tasks counted, %d exist", m.s.open, open)
 	}
 	team := 0
 	for name, n := range m.s.teamOpen {
 		if n < 0 {
-			m.t.Fatalf("team %s has %d open tasks", name, n)
+			m.fatalf("team %s has %d open tasks", name, n)
 		}
 		team += n
 	}
 	if team != open {
-		m.t.Fatalf("%d open tasks of teams, %d exist", team, open)
+		m.fatalf("%d open tasks of teams, %d exist", team, open)
 	}
 }
 
@@ -267,11 +276,11 @@
 		}
 	}
 	if n := len(m.s.jobs) + len(m.s.refused); n > live {
-		m.t.Fatalf("%d records for %d live tickets", n, live)
+		m.fatalf("%d records for %d live tickets", n, live)
 	}
 	// A deadline never outlasts its ticket by more than the window left at submission.
 	if n := len(m.s.timers); n > 2*len(m.tickets) {
-		m.t.Fatalf("%d timers for %d tickets", n, len(m.tickets))
+		m.fatalf("%d timers for %d tickets", n, len(m.tickets))
 	}
 }
 
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -160,13 +160,16 @@
 }
 
 func (s *State) deadline(now time.Duration, id ticket.ID) {
-	if j, ok := s.jobs[id]; ok && !j.ended() {
+	if j, ok := s.jobs[id]; ok && !j.ended() && !s.off.lateComplete {
 		s.fail(now, j, api.Errorf(api.CodeDeadline, "deadline_ms", "the job did not end within its deadline"))
 	}
 }
 
 // drop forgets a job whose ticket's life has ended.
 func (s *State) drop(id ticket.ID) {
+	if s.off.keepRecords {
+		return
+	}
 	delete(s.refused, id)
 	if j, ok := s.jobs[id]; ok {
 		s.bytes -= j.bytes
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -34,7 +34,7 @@
 	if !ok {
 		return false
 	}
-	if j.digest != ev.Digest {
+	if j.digest != ev.Digest && !s.off.anyDigest {
 		// Not a refusal: the job that holds the ticket may have run.
 		r := &api.Reply{Schema: api.Schema, Ticket: ev.ID, Outcome: api.Unknown,
 			Reason: api.Errorf(api.CodeTicketReused, "ticket", "the ticket belongs to another job; take a new ticket")}
@@ -82,7 +82,9 @@
 // start later.
 func (s *State) refuse(minted time.Duration, ev Submit, reason *api.Error) {
 	s.counters.JobsRefused++
-	s.refused[ev.ID] = reason
+	if !s.off.forgetRefusals {
+		s.refused[ev.ID] = reason
+	}
 	s.setTimer(minted+ev.Ticket.Lifetime(), timerExpiry, ev.ID)
 	s.reply(ev.Waiter, refusedReply(ev.ID, reason))
 }
--- a/dispatch/switches.go
+++ b/dispatch/switches.go
@@ -8,8 +8,10 @@
 	lateComplete   bool // deadlines are not enforced
 	anyAttempt     bool // outcomes are not matched with the attempt in flight
 	forgetJobs     bool // jobs are forgotten at their verdict
-	anyDigest      bool // reused tickets are not recognised
-	partialAnswer  bool // a job is complete although a result is missing
-	startEnded     bool // jobs with a verdict stay in the queue
-	secondVerdict  bool // an outcome after the verdict replaces it
+	anyDigest      bool // reused tickets are not recognized
+	partialAnswer  bool // a job is complete with its first result
+	secondVerdict  bool // a late result replaces the verdict
+	falseNotRun    bool // tasks of a failed job are always said not to have run
+	keepRecords    bool // records outlast the lifetime of their ticket
+	silentEnd      bool // waiting requests get no reply at the verdict
 }
--- /dev/null
+++ b/dispatch/switches_test.go
@@ -0,0 +1,34 @@
+package dispatch
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// TestOracleNotices shows that each check of the oracle can fail: with one mechanism
+// switched off the same sequences must break it.
+func TestOracleNotices(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		off   switches
+		check string // part of its message
+	}{
+		{"resend unknown", switches{resendUnknown: true}, "which may have run"},
+		{"forget refusals", switches{forgetRefusals: true}, "after the reply \"refused\""},
+		{"late complete", switches{lateComplete: true}, "came after the deadline"},
+		{"no deadline", switches{lateComplete: true}, "no reply after the deadline"},
+		{"any attempt", switches{anyAttempt: true}, "result \"crossed\""},
+		{"forget jobs", switches{forgetJobs: true}, "after the final reply"},
+		{"any digest", switches{anyDigest: true}, "answer of another job"},
+		{"partial answer", switches{partialAnswer: true}, "0 starts"},
+		{"second verdict", switches{secondVerdict: true}, "outcome \"complete\" after \"failed\""},
+		{"false not run", switches{falseNotRun: true}, "said not to have run"},
+		{"keep records", switches{keepRecords: true}, "live tickets"},
+		{"silent end", switches{silentEnd: true}, "no reply after the deadline"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			requireCaught(t, func(t *rapid.T) { runMachine(t, c.off, c.check) })
+		})
+	}
+}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -196,11 +196,17 @@
 
 // verdict returns the final reply if the owner can no longer answer "complete".
 func (s *State) verdict(now, first time.Duration, req Request) *api.Reply {
+	life := req.Ticket.Lifetime()
+	if s.off.earlyVerdict {
+		life /= 2
+	}
 	switch {
+	case s.off.noVerdict:
+		return nil
 	case s.gone[req.Ticket.Incarnation]:
 		s.counters.Verdicts++
 		return lost(req.ID, "the process that owned the job is gone; the job may have run")
-	case now > first+req.Ticket.Lifetime():
+	case now > first+life:
 		s.counters.Verdicts++
 		return lost(req.ID, "the owner of the job could not be reached within the ticket's lifetime; the job may have run")
 	}
@@ -220,8 +226,15 @@
 	if !ok || s.settle(now, p) {
 		return
 	}
-	delete(s.waiting, ev.Waiter)
-	s.reply(ev.Waiter, ev.Reply)
+	s.answer(p, ev.Reply)
+}
+
+// answer replies to a pending request and forgets it.
+func (s *State) answer(p *pending, r *api.Reply) {
+	if !s.off.keepAnswered {
+		delete(s.waiting, p.req.Waiter)
+	}
+	s.reply(p.req.Waiter, r)
 }
 
 // settle answers a pending request if the verdict is known by now.
@@ -230,14 +243,16 @@
 	if r == nil {
 		return false
 	}
-	delete(s.waiting, p.req.Waiter)
-	s.reply(p.req.Waiter, r)
+	s.answer(p, r)
 	return true
 }
 
 func (s *State) ownerFailed(now time.Duration, ev OwnerFailed) {
 	s.counters.Failed++
 	p, ok := s.waiting[ev.Waiter]
+	if ok && s.off.silenceIsGone {
+		s.markGone(p.req.Ticket.Incarnation)
+	}
 	if !ok || s.settle(now, p) {
 		return
 	}
@@ -246,8 +261,7 @@
 	if p.retryAt < p.until {
 		return
 	}
-	delete(s.waiting, ev.Waiter)
-	s.reply(ev.Waiter, &api.Reply{Schema: api.Schema, Ticket: p.req.ID, Outcome: api.Unknown,
+	s.answer(p, &api.Reply{Schema: api.Schema, Ticket: p.req.ID, Outcome: api.Unknown,
 		Reason: api.Errorf(api.CodeOwnerAway, "ticket", "the owner of the job cannot be reached now (%s); ask again", ev.Reason)})
 }
 
--- a/forward/fuzz_test.go
+++ b/forward/fuzz_test.go
@@ -15,22 +15,22 @@
 // TestFuzzHosts guards against contradictory outcomes, second starts and false refusals
 // when hosts are killed, replaced, paused and partitioned.
 func TestFuzzHosts(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) { runHosts(t, switches{}, callerRules{}) })
+	rapid.Check(t, func(t *rapid.T) { runHosts(t, switches{}, callerRules{}, "") })
 }
 
 // finalMargin is added to a ticket's lifetime in the bound for a caller's final outcome:
 // the pause before a caller's next request.
 const finalMargin = 100 * time.Millisecond
 
-func runHosts(t *rapid.T, off switches, rules callerRules) {
-	w := newWorld(t, off, rules)
+func runHosts(t *rapid.T, off switches, rules callerRules, only string) {
+	w := newWorld(t, off, rules, only)
 	actions := map[string]func(*rapid.T){"": w.check}
 	for name, f := range map[string]func(*rapid.T){
 		"job": w.job, "request": w.request, "request2": w.request, "request3": w.request,
 		"deliver": w.deliver, "deliver2": w.deliver, "deliver3": w.deliver, "deliver4": w.deliver, "lose": w.lose,
-		"disconnect": w.disconnect, "run": w.run, "run2": w.run, "outcome": w.outcome, "outcome2": w.outcome,
+		"disconnect": w.disconnect, "run": w.run, "outcome": w.outcome, "serve": w.serve, "serve2": w.serve,
 		"kill": w.kill, "replace": w.replace, "pause": w.pause, "resume": w.resume,
-		"partition": w.partition, "heal": w.heal, "advance": w.advance, "jump": w.jump,
+		"partition": w.partition, "heal": w.heal, "advance": w.advance, "jump": w.jump, "late": w.late,
 	} {
 		actions[name] = func(t *rapid.T) {
 			w.t = t
@@ -63,6 +63,12 @@
 	for range 2 {
 		w.callers = append(w.callers, &caller{truth: truth, id: tk.ID(), asked: asked})
 	}
+	if rapid.Bool().Draw(t, "at once") {
+		w.requestAt(w.callers[len(w.callers)-2], p, Submit, 10*time.Second)
+		if q := w.process(t); q.runs() && q != p {
+			w.requestAt(w.callers[len(w.callers)-1], q, Submit, 0)
+		}
+	}
 }
 
 func (w *world) caller(t *rapid.T) *caller {
@@ -84,6 +90,10 @@
 	}
 	op := rapid.SampledFrom([]Operation{Submit, Submit, Submit, Submit, Await, Cancel}).Draw(t, "operation")
 	wait := rapid.SampledFrom([]time.Duration{0, time.Second, 10 * time.Second}).Draw(t, "wait")
+	w.requestAt(c, p, op, wait)
+}
+
+func (w *world) requestAt(c *caller, p *process, op Operation, wait time.Duration) {
 	c.open = w.newRequest(&request{id: c.id, from: c})
 	if p == c.truth.owner {
 		w.ask(p, op, c.id, c.truth.ticket, c.open, wait == 0)
@@ -159,12 +169,19 @@
 	if a.ran || a.ended {
 		t.Skip("ran or refused")
 	}
+	w.runAttempt(a)
+}
+
+func (w *world) runAttempt(a *attempt) {
+	if a.ran {
+		return
+	}
 	a.ran = true
 	truth, i := w.jobs[a.start.Task.Ticket], a.start.Task.Index
 	truth.starts[i]++
 	truth.results[i] = json.RawMessage(fmt.Sprintf(`"%s/%d"`, a.start.Task.Ticket, i))
 	if truth.starts[i] > 1 {
-		t.Fatalf("task %v started twice", a.start.Task)
+		w.fatalf("task %v started twice", a.start.Task)
 	}
 }
 
@@ -173,6 +190,10 @@
 	if a.ended || !a.owner.runs() {
 		t.Skip("ended, or its host does not run")
 	}
+	w.endAttempt(a)
+}
+
+func (w *world) endAttempt(a *attempt) {
 	a.ended = true
 	ev := dispatch.AttemptEnded{Task: a.start.Task, Attempt: a.start.Attempt, Outcome: dispatch.AttemptNotStarted, Load: -1}
 	if a.ran {
@@ -182,6 +203,17 @@
 	w.onDispatch(a.owner, ev)
 }
 
+// serve lets an endpoint run and answer all that its host has handed out.
+func (w *world) serve(t *rapid.T) {
+	owner := w.attempt(t).owner
+	for i := 0; i < len(w.tries); i++ {
+		if a := w.tries[i]; a.owner == owner && !a.ended && owner.runs() {
+			w.runAttempt(a)
+			w.endAttempt(a)
+		}
+	}
+}
+
 func (w *world) kill(t *rapid.T) {
 	p := w.process(t)
 	if p.dead || rapid.IntRange(0, 2).Draw(t, "kill") > 0 {
@@ -224,6 +256,18 @@
 	w.now = max(w.now, at+time.Duration(rapid.IntRange(-1, 1).Draw(t, "off"))*time.Nanosecond)
 }
 
+// late asks a host that has seen a ticket again, right after the lifetime in its view.
+func (w *world) late(t *rapid.T) {
+	c := w.caller(t)
+	p := w.process(t)
+	seen, ok := p.seen[c.id]
+	if !ok || !p.runs() || c.open != 0 || c.final != "" {
+		t.Skip("not seen, or busy")
+	}
+	w.now = max(w.now, p.started+seen+c.truth.ticket.Lifetime()+1)
+	w.requestAt(c, p, Await, 0)
+}
+
 func (w *world) check(t *rapid.T) {
 	w.t = t
 	for _, p := range w.hosts {
@@ -234,7 +278,7 @@
 		}
 	}
 	for _, c := range w.callers {
-		if c.final == "" && w.now-c.asked > c.truth.ticket.Lifetime()+finalMargin {
+		if c.final == "" && !w.rules.acceptLate && w.now-c.asked > c.truth.ticket.Lifetime()+finalMargin {
 			c.final = api.Failed // the caller's own rule
 		}
 	}
@@ -250,21 +294,21 @@
 	}
 	for _, j := range truth.owner.dispatch.View(truth.owner.local(w.now)).Jobs {
 		if j.Ticket == truth.ticket.ID() {
-			w.t.Fatalf("the owner keeps a job after its ticket's lifetime")
+			w.fatalf("the owner keeps a job after its ticket's lifetime")
 		}
 	}
 }
 
 func (w *world) checkMemory(p *process) {
 	if n := len(p.forward.seen); n > len(p.seen) {
-		w.t.Fatalf("%d tickets remembered, %d seen", n, len(p.seen))
+		w.fatalf("%d tickets remembered, %d seen", n, len(p.seen))
 	}
 	if n := len(p.forward.gone); n > int(w.processes) {
-		w.t.Fatalf("%d incarnations remembered, %d existed", n, w.processes)
+		w.fatalf("%d incarnations remembered, %d existed", n, w.processes)
 	}
 	for id := range p.forward.waiting {
-		if r := w.requests[id]; r == nil {
-			w.t.Fatalf("request %d is unknown", id)
+		if r := w.requests[id]; r == nil || r.done {
+			w.fatalf("request %d is unknown or answered, and still kept", id)
 		}
 	}
 }
--- a/forward/model_test.go
+++ b/forward/model_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strings"
 	"time"
 
 	"pgregory.net/rapid"
@@ -29,6 +30,7 @@
 	tries     []*attempt
 	nextID    dispatch.WaiterID
 	processes ticket.Incarnation
+	only      string // if set, the only check that counts
 }
 
 // callerRules turns rules of the callers off.
@@ -74,6 +76,7 @@
 	from *caller
 	peer *process
 	via  dispatch.WaiterID // the peer's request
+	done bool              // a forwarding host has replied
 }
 
 // message is in flight. deliver must not be nil; lost may be.
@@ -91,8 +94,8 @@
 	ended bool
 }
 
-func newWorld(t *rapid.T, off switches, rules callerRules) *world {
-	w := &world{t: t, off: off, rules: rules, cut: make(map[[2]int]bool),
+func newWorld(t *rapid.T, off switches, rules callerRules, only string) *world {
+	w := &world{t: t, only: only, off: off, rules: rules, cut: make(map[[2]int]bool),
 		jobs: make(map[ticket.ID]*jobTruth), requests: make(map[dispatch.WaiterID]*request)}
 	for slot := range 3 {
 		w.hosts = append(w.hosts, w.boot(slot))
@@ -100,6 +103,13 @@
 	return w
 }
 
+// fatalf reports a broken check. A test of one check passes over the others.
+func (w *world) fatalf(format string, args ...any) {
+	if message := fmt.Sprintf(format, args...); strings.Contains(message, w.only) {
+		w.t.Fatal(message)
+	}
+}
+
 func (w *world) boot(slot int) *process {
 	w.processes++
 	p := &process{slot: slot, inc: w.processes, started: w.now, seen: make(map[ticket.ID]time.Duration), forward: New()}
@@ -124,7 +134,7 @@
 		case dispatch.ReplyTo:
 			w.ownerReply(p, e)
 		case dispatch.Violation:
-			w.t.Fatalf("violation: %s", e.Message)
+			w.fatalf("violation: %s", e.Message)
 		}
 	}
 }
@@ -144,7 +154,7 @@
 func (w *world) startAttempt(p *process, e dispatch.StartAttempt) {
 	truth := w.jobs[e.Task.Ticket]
 	if truth.refused {
-		w.t.Fatalf("start of %v after the reply \"refused\"", e.Task)
+		w.fatalf("start of %v after the reply \"refused\"", e.Task)
 	}
 	w.tries = append(w.tries, &attempt{owner: p, start: e})
 }
@@ -158,10 +168,10 @@
 		w.refused(truth)
 	case api.Complete:
 		if truth.failedAt > 0 {
-			w.t.Fatalf("the owner answers complete after another host answered failed")
+			w.fatalf("the owner answers complete after another host answered failed")
 		}
 		if w.now >= truth.minted+truth.ticket.Lifetime() {
-			w.t.Fatalf("the owner answers complete after the lifetime")
+			w.fatalf("the owner answers complete after the lifetime")
 		}
 	}
 	if r.peer == nil {
@@ -175,11 +185,11 @@
 func (w *world) refused(truth *jobTruth) {
 	truth.refused = true
 	if len(truth.starts) > 0 {
-		w.t.Fatalf("refused, but a task has started")
+		w.fatalf("refused, but a task has started")
 	}
 	for _, a := range w.tries {
 		if a.start.Task.Ticket == truth.ticket.ID() {
-			w.t.Fatalf("refused after an attempt")
+			w.fatalf("refused after an attempt")
 		}
 	}
 }
@@ -187,18 +197,19 @@
 // forwardReply checks what a host says about a ticket of another incarnation.
 func (w *world) forwardReply(p *process, e ReplyTo) {
 	r := w.requests[e.Waiter]
+	r.done = true
 	truth := w.jobs[r.id]
 	lifetimeOver := p.local(w.now) > p.seen[r.id]+truth.ticket.Lifetime()
 	if e.Reply.Reason != nil && e.Reply.Reason.Code == api.CodeOwnerLost {
 		if !truth.owner.dead && w.now <= truth.minted+truth.ticket.Lifetime() {
-			w.t.Fatalf("failed before the lifetime of a live owner's ticket has ended")
+			w.fatalf("failed before the lifetime of a live owner's ticket has ended")
 		}
 		if truth.failedAt == 0 {
 			truth.failedAt = max(w.now, 1)
 		}
 	}
 	if e.Reply.Outcome == api.Unknown && lifetimeOver {
-		w.t.Fatalf("unknown after the lifetime")
+		w.fatalf("unknown after the lifetime")
 	}
 	w.toCaller(r.from, e.Waiter, p, e.Reply)
 }
@@ -208,7 +219,7 @@
 	req := e.Request
 	var slot int
 	if _, err := fmt.Sscanf(req.Ticket.Host, "h%d", &slot); err != nil {
-		w.t.Fatalf("host %q", req.Ticket.Host)
+		w.fatalf("host %q", req.Ticket.Host)
 	}
 	failed := func() { w.onForward(p, OwnerFailed{Waiter: req.Waiter, Reason: "lost"}) }
 	w.messages = append(w.messages, message{from: p, to: w.hosts[slot], lost: failed, deliver: func() {
@@ -274,14 +285,14 @@
 func (w *world) accept(c *caller, r *api.Reply) {
 	c.final = api.Complete
 	if c.truth.failedAt > 0 && c.truth.failedAt < w.now && !c.truth.owner.dead {
-		w.t.Fatalf("complete accepted after a host had answered failed")
+		w.fatalf("complete accepted after a host had answered failed")
 	}
 	if len(r.Tasks) != len(c.truth.job.Tasks) {
-		w.t.Fatalf("complete with %d of %d results", len(r.Tasks), len(c.truth.job.Tasks))
+		w.fatalf("complete with %d of %d results", len(r.Tasks), len(c.truth.job.Tasks))
 	}
 	for i, task := range r.Tasks {
 		if c.truth.starts[i] != 1 || string(task.Result) != string(c.truth.results[i]) {
-			w.t.Fatalf("task %d: result %s, want %s, %d starts", i, task.Result, c.truth.results[i], c.truth.starts[i])
+			w.fatalf("task %d: result %s, want %s, %d starts", i, task.Result, c.truth.results[i], c.truth.starts[i])
 		}
 	}
 }
--- /dev/null
+++ b/forward/probe_test.go
@@ -0,0 +1,65 @@
+package forward
+
+import (
+	"flag"
+	"fmt"
+	"runtime"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// probe takes the result of a rapid check that is expected to fail.
+type probe struct {
+	rapid.TB
+	failed  bool
+	message string
+}
+
+func (p *probe) Helper()             {}
+func (p *probe) Logf(string, ...any) {}
+func (p *probe) Log(...any)          {}
+func (p *probe) Failed() bool        { return p.failed }
+func (p *probe) Fail()               { p.failed = true }
+
+func (p *probe) Errorf(format string, args ...any) {
+	p.failed = true
+	if p.message == "" {
+		p.message = fmt.Sprintf(format, args...)
+	}
+}
+
+func (p *probe) Fatalf(format string, args ...any) {
+	p.Errorf(format, args...)
+	p.FailNow()
+}
+
+func (p *probe) FailNow() {
+	p.failed = true
+	runtime.Goexit()
+}
+
+// requireCaught fails the test if the check passes.
+func requireCaught(t *testing.T, check func(*rapid.T)) {
+	t.Helper()
+	defer setFlag("rapid.shrinktime", "0s")()
+	defer setFlag("rapid.checks", "30000")() // the rarest takes a few thousand
+	p := &probe{TB: t}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		rapid.Check(p, check)
+	}()
+	<-done
+	if !p.failed {
+		t.Fatal("the oracle did not notice that the mechanism is off")
+	}
+	t.Log(p.message)
+}
+
+// setFlag sets a flag and returns a function that restores it.
+func setFlag(name, value string) func() {
+	old := flag.Lookup(name).Value.String()
+	_ = flag.Set(name, value)
+	return func() { _ = flag.Set(name, old) }
+}
--- /dev/null
+++ b/forward/switches_test.go
@@ -0,0 +1,29 @@
+package forward
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// TestOracleNotices shows that each check of the oracle can fail: with one mechanism
+// switched off the same sequences must break it.
+func TestOracleNotices(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		off   switches
+		rules callerRules
+		check string // part of its message
+	}{
+		{"early verdict", switches{earlyVerdict: true}, callerRules{}, "before the lifetime of a live owner's ticket"},
+		{"early verdict, then complete", switches{earlyVerdict: true}, callerRules{}, "the owner answers complete after"},
+		{"silence is gone", switches{silenceIsGone: true}, callerRules{}, "the owner answers complete after"},
+		{"no verdict", switches{noVerdict: true}, callerRules{}, "unknown after the lifetime"},
+		{"keep answered", switches{keepAnswered: true}, callerRules{}, "and still kept"},
+		{"caller accepts late", switches{}, callerRules{acceptLate: true}, "complete accepted after"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			requireCaught(t, func(t *rapid.T) { runHosts(t, c.off, c.rules, c.check) })
+		})
+	}
+}
