Bound refusals and answers; free slots of dropped jobs

Cause and change: - Refusals were kept one by one without a limit. It counts an estimate of each record; room is made by dropping answers that a caller has fetched, oldest first. If that is not enough, new work is refused. - Found by the fuzzer with the new check of slots: after a pause beyond the lifetime of a ticket its job was dropped with attempts in flight, whose late outcomes then matched no job, so the endpoint's slots stayed in use for good. - A cancellation that overtakes its submission refuses the ticket. Asking for a ticket whose window ended without a submission is answered refused. - A ticket that was never minted is no longer accepted. - A drain that runs out of time can fail its open jobs, so callers get a reply.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -5,6 +5,7 @@
 
 	"sesameledge.dev/sesameledge/api"
 	"sesameledge.dev/sesameledge/place"
+	"sesameledge.dev/sesameledge/ticket"
 )
 
 // placeWaiting starts waiting tasks, job by job in queue order, until no endpoint can
@@ -71,6 +72,7 @@
 		Endpoint:  ep,
 		Payload:   j.specs[index].Payload,
 		Remaining: j.deadline - now,
+		Deadline:  j.deadline,
 	})
 	return true
 }
@@ -144,8 +146,7 @@
 
 func (s *State) taskCompleted(now time.Duration, j *job, t *task, ev AttemptEnded) {
 	t.result = ev.Result
-	j.bytes += int64(len(ev.Result))
-	s.bytes += int64(len(ev.Result))
+	s.addBytes(j, int64(len(ev.Result)))
 	j.open--
 	s.open--
 	s.teamOpen[j.team]--
@@ -176,7 +177,7 @@
 func (s *State) cancel(now time.Duration, ev Cancel) {
 	j, ok := s.jobs[ev.ID]
 	if !ok {
-		s.await(now, Await{ID: ev.ID, Waiter: ev.Waiter, NoWait: true})
+		s.cancelUnsubmitted(now, ev)
 		return
 	}
 	if !j.ended() {
@@ -185,6 +186,19 @@
 	s.reply(ev.Waiter, j.verdict)
 }
 
+// cancelUnsubmitted refuses a ticket whose cancellation arrives before its submission,
+// so that a cancellation that overtakes the submission still holds.
+func (s *State) cancelUnsubmitted(now time.Duration, ev Cancel) {
+	t, err := ticket.Parse(ev.ID)
+	minted, known := s.minted.mintedAt(t.Seq)
+	if _, refused := s.refused.reason(ev.ID); err != nil || refused || !known || now >= minted+t.Window {
+		s.await(now, Await{ID: ev.ID, Waiter: ev.Waiter, NoWait: true})
+		return
+	}
+	s.refuse(now, minted, Submit{ID: ev.ID, Ticket: t, Waiter: ev.Waiter},
+		api.Errorf(api.CodeCancelled, "", "the job was cancelled before it was submitted"))
+}
+
 // fail ends a job that cannot complete and drops its tasks at the endpoints.
 func (s *State) fail(now time.Duration, j *job, reason *api.Error) {
 	s.counters.JobsFailed++
@@ -197,9 +211,18 @@
 		}
 	}
 	s.end(j, verdict)
+	s.dropResults(j)
 	s.cancelInFlight(j)
 }
 
+// dropResults frees the results of a failed job, which reach no caller.
+func (s *State) dropResults(j *job) {
+	for i := range j.tasks {
+		s.addBytes(j, -int64(len(j.tasks[i].result)))
+		j.tasks[i].result = nil
+	}
+}
+
 func (s *State) end(j *job, verdict *api.Reply) {
 	j.verdict = verdict
 	j.waiting = nil
@@ -209,7 +232,13 @@
 		}
 	}
 	j.waiters = nil
+	for i := range j.specs {
+		s.addBytes(j, -int64(len(j.specs[i].Payload)))
+	}
 	j.specs = nil
+	if s.off.evictAny {
+		s.fetched = append(s.fetched, j)
+	}
 	if s.off.forgetJobs {
 		delete(s.jobs, j.id)
 	}
--- a/dispatch/event.go
+++ b/dispatch/event.go
@@ -56,6 +56,13 @@
 	Waiter WaiterID
 }
 
+// AnswerFetched says that a job's final reply was sent to a caller.
+type AnswerFetched struct {
+	ID ticket.ID
+	// Relayed means that a peer took the reply on behalf of its caller.
+	Relayed bool
+}
+
 // AttemptOutcome classifies how an attempt on an endpoint ended.
 type AttemptOutcome int
 
@@ -91,6 +98,9 @@
 // DrainStarted makes the reducer refuse new jobs.
 type DrainStarted struct{}
 
+// DrainTimedOut fails the jobs that are still open.
+type DrainTimedOut struct{}
+
 // Tick lets due deadlines and retries take effect.
 type Tick struct{}
 
@@ -99,10 +109,12 @@
 func (Cancel) isEvent()           {}
 func (WaiterTimeout) isEvent()    {}
 func (WaiterGone) isEvent()       {}
+func (AnswerFetched) isEvent()    {}
 func (AttemptEnded) isEvent()     {}
 func (EndpointsChanged) isEvent() {}
 func (PolicyChanged) isEvent()    {}
 func (DrainStarted) isEvent()     {}
+func (DrainTimedOut) isEvent()    {}
 func (Tick) isEvent()             {}
 
 // Effect is an output of the reducer, run by the shell.
@@ -117,6 +129,9 @@
 	Payload  json.RawMessage
 	// Remaining is the time until the job's deadline.
 	Remaining time.Duration
+	// Deadline is the job's deadline since process start. The shell shortens Remaining
+	// by it when it runs the effect after a pause.
+	Deadline time.Duration
 }
 
 // CancelAttempts asks an endpoint to drop tasks whose job has ended.
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -46,6 +46,7 @@
 	bytes    int64
 	waiters  []WaiterID
 	verdict  *api.Reply
+	fetch    fetchState
 }
 
 func (j *job) ended() bool { return j.verdict != nil }
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -11,6 +11,7 @@
 
 import (
 	"container/heap"
+	"sort"
 	"time"
 
 	"sesameledge.dev/sesameledge/api"
@@ -34,7 +35,8 @@
 	policy    *Policy
 	endpoints *place.Set
 	jobs      map[ticket.ID]*job
-	refused   map[ticket.ID]*api.Error
+	refused   refusals
+	fetched   []*job // ended jobs whose answer was fetched, oldest first
 	queue     []*job // accepted jobs with waiting tasks, in order
 	timers    timerHeap
 	draining  bool
@@ -58,6 +60,7 @@
 	Unknown       uint64 `json:"attempts_unknown"`
 	LateAnswers   uint64 `json:"late_answers"`
 	Cancelled     uint64 `json:"tasks_cancelled"`
+	Evicted       uint64 `json:"answers_evicted"`
 	Violations    uint64 `json:"invariant_violations"`
 }
 
@@ -69,7 +72,7 @@
 		policy:    (&Policy{}).withDefaults(),
 		endpoints: place.NewSet(place.Options{Zone: opts.Zone, Seed: opts.Seed}),
 		jobs:      make(map[ticket.ID]*job),
-		refused:   make(map[ticket.ID]*api.Error),
+		refused:   newRefusals(),
 		teamOpen:  make(map[string]int),
 	}
 }
@@ -81,7 +84,7 @@
 	for i := range out {
 		out[i] = s.mint.Next(window, maxDeadline)
 	}
-	s.minted.record(now, out[0].Seq)
+	s.minted.record(now, out[0].Seq, out[n-1].Seq)
 	return out
 }
 
@@ -101,6 +104,8 @@
 		s.waiterTimeout(now, ev)
 	case WaiterGone:
 		s.removeWaiter(ev.ID, ev.Waiter)
+	case AnswerFetched:
+		s.answerFetched(ev)
 	case AttemptEnded:
 		s.attemptEnded(now, ev)
 	case EndpointsChanged:
@@ -109,6 +114,8 @@
 		s.policy = ev.Policy.withDefaults()
 	case DrainStarted:
 		s.draining = true
+	case DrainTimedOut:
+		s.failOpenJobs(now)
 	case Tick:
 	}
 	s.placeWaiting(now)
@@ -147,13 +154,14 @@
 
 // expire runs the timers that are due.
 func (s *State) expire(now time.Duration) {
+	s.refused.sweep(now)
 	for len(s.timers) > 0 && s.timers[0].at <= now {
 		t := heap.Pop(&s.timers).(timer)
 		switch t.kind {
 		case timerDeadline:
 			s.deadline(now, t.id)
 		case timerExpiry:
-			s.drop(t.id)
+			s.drop(now, t.id)
 		case timerRetry:
 		}
 	}
@@ -165,14 +173,34 @@
 	}
 }
 
-// drop forgets a job whose ticket's life has ended.
-func (s *State) drop(id ticket.ID) {
-	if s.off.keepRecords {
+// drop forgets a job whose ticket's lifetime has ended. Attempts may still be in flight
+// after a pause of this process; nothing else would free their slots then.
+func (s *State) drop(now time.Duration, id ticket.ID) {
+	j, ok := s.jobs[id]
+	if !ok || s.off.keepRecords {
 		return
 	}
-	delete(s.refused, id)
-	if j, ok := s.jobs[id]; ok {
-		s.bytes -= j.bytes
-		delete(s.jobs, id)
+	for i := range j.tasks {
+		if t := &j.tasks[i]; t.state == taskInFlight && !s.off.leakSlots {
+			s.endpoints.Ended(now, t.endpoint.ID, place.Sample{Kind: j.kindName, Failed: true, Load: -1})
+		}
+	}
+	s.addBytes(j, -j.bytes)
+	delete(s.jobs, id)
+}
+
+// failOpenJobs ends the jobs that are still open when a drain runs out of time, so that
+// their callers get a final reply before the process ends.
+func (s *State) failOpenJobs(now time.Duration) {
+	open := make([]*job, 0, len(s.jobs))
+	for _, j := range s.jobs {
+		if !j.ended() {
+			open = append(open, j)
+		}
+	}
+	// Map order is random; the reducer must be deterministic.
+	sort.Slice(open, func(a, b int) bool { return open[a].id < open[b].id })
+	for _, j := range open {
+		s.fail(now, j, api.Errorf(api.CodeDraining, "", "the host shut down before the job ended"))
 	}
 }
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -12,13 +12,17 @@
 		return
 	}
 	minted, known := s.minted.mintedAt(ev.Ticket.Seq)
+	if ev.Ticket.Seq > s.minted.last {
+		s.reply(ev.Waiter, notMintedReply(ev.ID))
+		return
+	}
 	if !known || lifeEnded(now, minted, ev.Ticket) {
 		s.reply(ev.Waiter, lifeEndedReply(ev.ID))
 		return
 	}
 	kind, refusal := s.admit(now, minted, ev)
 	if refusal != nil {
-		s.refuse(minted, ev, refusal)
+		s.refuse(now, minted, ev, refusal)
 		return
 	}
 	s.accept(now, minted, ev, kind)
@@ -26,7 +30,7 @@
 
 // answerKnown handles a ticket that was submitted before.
 func (s *State) answerKnown(now time.Duration, ev Submit) bool {
-	if reason, ok := s.refused[ev.ID]; ok {
+	if reason, ok := s.refused.reason(ev.ID); ok {
 		s.reply(ev.Waiter, refusedReply(ev.ID, reason))
 		return true
 	}
@@ -62,7 +66,7 @@
 	switch {
 	case s.draining:
 		return kind, api.Errorf(api.CodeDraining, "", "this host is shutting down")
-	case now > minted+ev.Ticket.Window:
+	case now >= minted+ev.Ticket.Window:
 		return kind, api.Errorf(api.CodeTicketExpired, "ticket", "the ticket was not submitted within %v", ev.Ticket.Window)
 	case deadline > ev.Ticket.MaxDeadline:
 		return kind, api.Errorf(api.CodeDeadlineTooLong, "deadline_ms", "the ticket allows deadlines up to %v", ev.Ticket.MaxDeadline)
@@ -72,20 +76,25 @@
 		return kind, api.Errorf(api.CodeNoEndpoint, "kind", "no endpoint of group %s is available", kind.Group)
 	case team.MaxTasks > 0 && s.teamOpen[job.Team]+n > team.MaxTasks:
 		return kind, api.Errorf(api.CodeQuota, "team", "team %s has %d open tasks of %d", job.Team, s.teamOpen[job.Team], team.MaxTasks)
-	case s.open+n > s.policy.MaxTasks || s.bytes > s.policy.MaxBytes:
+	case s.open+n > s.policy.MaxTasks:
 		return kind, api.Errorf(api.CodeOverloaded, "", "this host has %d open tasks", s.open)
+	case ev.Ticket.Seq <= s.refused.closed:
+		return kind, api.Errorf(api.CodeOverloaded, "ticket", "this host has withdrawn older tickets under load; take a new ticket")
+	case !s.room(jobCost(job.Tasks)):
+		return kind, api.Errorf(api.CodeOverloaded, "", "this host holds %d bytes of jobs and answers", s.bytes)
 	}
 	return kind, nil
 }
 
 // refuse records the refusal, because a ticket that was answered "not run" must never
-// start later.
-func (s *State) refuse(minted time.Duration, ev Submit, reason *api.Error) {
+// start later. A ticket whose window has ended, or that is below the bound, needs no
+// record.
+func (s *State) refuse(now, minted time.Duration, ev Submit, reason *api.Error) {
 	s.counters.JobsRefused++
-	if !s.off.forgetRefusals {
-		s.refused[ev.ID] = reason
+	windowEnd := minted + ev.Ticket.Window
+	if now < windowEnd && ev.Ticket.Seq > s.refused.closed && !s.off.forgetRefusals {
+		s.refused.add(ev.ID, refusal{reason: reason, seq: ev.Ticket.Seq, until: windowEnd})
 	}
-	s.setTimer(minted+ev.Ticket.Lifetime(), timerExpiry, ev.ID)
 	s.reply(ev.Waiter, refusedReply(ev.ID, reason))
 }
 
@@ -105,20 +114,19 @@
 	}
 	for i := range j.waiting {
 		j.waiting[i] = i
-		j.bytes += int64(len(j.specs[i].Payload))
 	}
 	s.jobs[j.id] = j
 	s.queue = append(s.queue, j)
 	s.open += j.open
 	s.teamOpen[j.team] += j.open
-	s.bytes += j.bytes
+	s.addBytes(j, jobCost(j.specs))
 	s.setTimer(j.deadline, timerDeadline, j.id)
 	s.setTimer(j.expires, timerExpiry, j.id)
 	s.wait(now, j, ev.Waiter, ev.NoWait)
 }
 
 func (s *State) await(now time.Duration, ev Await) {
-	if reason, ok := s.refused[ev.ID]; ok {
+	if reason, ok := s.refused.reason(ev.ID); ok {
 		s.reply(ev.Waiter, refusedReply(ev.ID, reason))
 		return
 	}
@@ -168,9 +176,15 @@
 		return api.Refusal(api.Errorf(api.CodeBadTicket, "ticket", "%v", err))
 	}
 	minted, known := s.minted.mintedAt(t.Seq)
-	if !known || lifeEnded(now, minted, t) {
+	switch {
+	case t.Seq > s.minted.last:
+		return notMintedReply(id)
+	case !known || lifeEnded(now, minted, t):
 		return lifeEndedReply(id)
 	}
+	if now >= minted+t.Window {
+		return refusedReply(id, api.Errorf(api.CodeTicketExpired, "ticket", "no job was submitted with this ticket within %v", t.Window))
+	}
 	return &api.Reply{Schema: api.Schema, Ticket: id, Outcome: api.Unknown,
 		Reason: api.Errorf(api.CodeTicketNotFound, "ticket", "no job has been submitted with this ticket yet")}
 }
@@ -187,6 +201,13 @@
 		Reason: api.Errorf(api.CodeAnswerExpired, "ticket", "the ticket's life has ended; the job may have run and its answer is no longer kept")}
 }
 
+// notMintedReply answers for a ticket that this host has not minted. It is no refusal,
+// because the host may still mint the ticket and run its job.
+func notMintedReply(id ticket.ID) *api.Reply {
+	return &api.Reply{Schema: api.Schema, Ticket: id, Outcome: api.Unknown,
+		Reason: api.Errorf(api.CodeBadTicket, "ticket", "this host has not minted the ticket")}
+}
+
 func refusedReply(id ticket.ID, reason *api.Error) *api.Reply {
 	r := api.Refusal(reason)
 	r.Ticket = id
--- a/dispatch/switches.go
+++ b/dispatch/switches.go
@@ -14,4 +14,7 @@
 	falseNotRun    bool // tasks of a failed job are always said not to have run
 	keepRecords    bool // records outlast the lifetime of their ticket
 	silentEnd      bool // waiting requests get no reply at the verdict
+	forgetHalf     bool // too many refusals are forgotten without a bound
+	evictAny       bool // answers are evicted although nobody has fetched them
+	leakSlots      bool // dropped jobs keep their slots
 }
--- a/dispatch/switches_test.go
+++ b/dispatch/switches_test.go
@@ -26,6 +26,9 @@
 		{"false not run", switches{falseNotRun: true}, "said not to have run"},
 		{"keep records", switches{keepRecords: true}, "live tickets"},
 		{"silent end", switches{silentEnd: true}, "no reply after the deadline"},
+		{"forget half of the refusals", switches{forgetHalf: true}, "after the reply \"refused\""},
+		{"evict any answer", switches{evictAny: true}, "nobody has fetched it"},
+		{"leak slots", switches{leakSlots: true}, "slots in use"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			requireCaught(t, func(t *rapid.T) { runMachine(t, c.off, c.check) })
--- a/dispatch/timer.go
+++ b/dispatch/timer.go
@@ -54,6 +54,7 @@
 // mintLog remembers when the tickets of this incarnation were minted.
 type mintLog struct {
 	entries []mintEntry // ascending
+	last    uint64      // highest sequence number minted
 }
 
 type mintEntry struct {
@@ -61,7 +62,8 @@
 	at       time.Duration
 }
 
-func (m *mintLog) record(now time.Duration, firstSeq uint64) {
+func (m *mintLog) record(now time.Duration, firstSeq, lastSeq uint64) {
+	m.last = lastSeq
 	if n := len(m.entries); n > 0 && now-m.entries[n-1].at < mintResolution {
 		return
 	}
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -42,7 +42,7 @@
 		Draining:  s.draining,
 		OpenTasks: s.open,
 		Bytes:     s.bytes,
-		Refused:   len(s.refused),
+		Refused:   len(s.refused.tickets),
 		TeamOpen:  make(map[string]int, len(s.teamOpen)),
 		Counters:  s.counters,
 		Endpoints: s.endpoints.View(),
