--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -90,6 +90,7 @@
 		Zone:        s.Zone,
 		Seed:        binary.LittleEndian.Uint64(seed[8:]),
 	}))
+	d.logs.redirectStandardLog()
 	d.loop.run = d.runEffect
 	d.metrics = d.newMetrics()
 	return d, nil
--- a/daemon/logs.go
+++ b/daemon/logs.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	stdlog "log"
 	"sync/atomic"
 
 	"github.com/go-kit/log"
@@ -63,3 +64,10 @@
 	}
 	return l.next.Log(keyvals...)
 }
+
+// redirectStandardLog sends what the standard library logs, such as surplus answers on a
+// connection, to the backend part at debug level. It changes the whole process.
+func (l *logs) redirectStandardLog() {
+	stdlog.SetFlags(0)
+	stdlog.SetOutput(log.NewStdlibAdapter(level.Debug(l.backend)))
+}
