Add the load and experiment tool

Placement and limits need figures before they can be changed on purpose. The tool starts a deployment as separate processes, submits a seeded schedule in an open loop (response time counts from the scheduled arrival) and reports response time over ideal, messages, goodput and fairness as table, JSON and plots, next to an omniscient reference computed for the same arrivals in virtual time.

The stand-in's refusals now echo task and attempt. Without them the client could not accept a refusal as proof, and the job failed with an unknown outcome.

Delays between availability zones are not modelled yet.

--- a/Makefile
+++ b/Makefile
@@ -36,3 +36,8 @@
 # Starts a small deployment, runs two jobs and checks them. KEEP=1 leaves it running.
 demo: build
 	bin/demo --bin bin $(if $(KEEP),--keep)
+
+.PHONY: bench
+# Measures dispatch policies. BENCH passes arguments, see bin/bench --help.
+bench: build
+	bin/bench --bin bin $(BENCH)
--- /dev/null
+++ b/standin/bench/run.go
@@ -0,0 +1,122 @@
+package main
+
+import (
+	"context"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"sesameledge.dev/sesameledge/daemon"
+	"sesameledge.dev/sesameledge/standin/testbed"
+)
+
+// experiment is one scenario on one deployment.
+type experiment struct {
+	args args
+	dep  deployment
+	sc   scenario
+}
+
+// startTimeout bounds the start of a deployment.
+const startTimeout = 60 * time.Second
+
+// measure runs the scenario under one policy in a deployment of its own. It also returns
+// the summary of the omniscient reference for the same arrivals.
+func (e *experiment) measure(ctx context.Context, p namedPolicy) (own, reference *summary, err error) {
+	dir, err := os.MkdirTemp("", "sesameledge-bench-")
+	if err != nil {
+		return nil, nil, err
+	}
+	defer func() {
+		if err == nil {
+			_ = os.RemoveAll(dir)
+		}
+	}()
+	before := loadAverage()
+	bed, err := e.startBed(ctx, dir, p)
+	if err != nil {
+		return nil, nil, errors.Wrapf(err, "starting the deployment (logs in %s)", dir)
+	}
+	defer bed.Stop()
+	o, err := e.drive(ctx, bed)
+	if err != nil {
+		return nil, nil, err
+	}
+	own = o.summarise()
+	reference = o.withReference().summarise()
+	for _, s := range []*summary{own, reference} {
+		s.Deployment, s.Scenario, s.Seed = e.dep.name, e.sc.name, e.args.Seed
+		s.Hosts, s.Minions, s.LengthS = e.args.Hosts, e.args.Minions, e.args.Length.Seconds()
+		s.LoadAverage = before + " -> " + loadAverage()
+	}
+	own.Policy, reference.Policy = p.label, "reference"
+	return own, reference, nil
+}
+
+func (e *experiment) startBed(ctx context.Context, dir string, p namedPolicy) (*testbed.Bed, error) {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	return testbed.Start(ctx, testbed.Spec{
+		BinDir: e.args.Bin, Dir: dir, Zones: e.dep.zones,
+		Hosts: e.args.Hosts, Minions: e.args.Minions, Group: e.dep.group,
+		Spread: e.sc.spread, Seed: e.args.Seed, Config: e.dep.config(p.settings),
+	})
+}
+
+// drive submits the schedule to a running deployment and collects what happened.
+func (e *experiment) drive(ctx context.Context, bed *testbed.Bed) (*observation, error) {
+	views, err := bed.MinionViews(ctx)
+	if err != nil {
+		return nil, err
+	}
+	o := &observation{dep: &e.dep, speeds: make(map[string]float64), slots: views[0].Host.Slots, length: e.args.Length, warmUp: e.args.WarmUp}
+	var speeds []float64
+	for _, v := range views {
+		o.speeds[v.Host.ID] = v.Speed
+		speeds = append(speeds, v.Speed)
+	}
+	if e.args.Load > 0 {
+		e.sc.load = e.args.Load
+	}
+	o.schedule = newSchedule(&e.dep, &e.sc, e.args.Hosts, o.capacity(), e.args.Length, e.args.Seed)
+	for i := range o.schedule {
+		o.ideals = append(o.ideals, idealResponse(speeds, o.slots, o.schedule[i].runsMS))
+	}
+	start := time.Now()
+	faults := make(chan error, 1)
+	go func() { faults <- runFaults(ctx, bed, start, e.args.Length, e.sc.faults) }()
+	o.results = newGeneratorLoad(&e.dep, &e.sc, bed).run(ctx, start, o.schedule)
+	if err := <-faults; err != nil {
+		return nil, errors.Wrap(err, "running the faults")
+	}
+	return o, o.collect(ctx, bed)
+}
+
+// collect reads the message counts of the minions and the daemons.
+func (o *observation) collect(ctx context.Context, bed *testbed.Bed) error {
+	starts, err := bed.Starts(ctx)
+	if err != nil {
+		return err
+	}
+	o.messages.Totals = starts.Totals
+	for _, h := range bed.Hosts {
+		var st daemon.Status
+		if err := testbed.GetJSON(ctx, h.OperatorsURL()+"/v1/status", &st); err != nil {
+			return err
+		}
+		o.messages.Forwarded += st.Forward.Forwarded
+	}
+	return nil
+}
+
+// loadAverage returns the load average of the machine over one minute.
+func loadAverage() string {
+	text, err := os.ReadFile("/proc/loadavg")
+	if err != nil {
+		return "unknown"
+	}
+	one, _, _ := strings.Cut(string(text), " ")
+	return one
+}
--- /dev/null
+++ b/standin/bench/schedule_test.go
@@ -0,0 +1,31 @@
+package main
+
+import (
+	"math"
+	"reflect"
+	"testing"
+	"time"
+)
+
+// Guards against policies being compared on different arrivals, and against a rate that
+// misses the share of capacity asked for.
+func TestScheduleIsSeededAndMeetsTheLoad(t *testing.T) {
+	for _, name := range []string{"steady", "bursts"} {
+		sc, err := scenarioNamed(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		const capacity, length = 400.0, 400 * time.Second
+		a := newSchedule(&deployments[0], &sc, 7, capacity, length, 3)
+		if !reflect.DeepEqual(a, newSchedule(&deployments[0], &sc, 7, capacity, length, 3)) {
+			t.Errorf("%s: the same seed gave two schedules", name)
+		}
+		work := 0.0
+		for i := range a {
+			work += a[i].work()
+		}
+		if load := work / (capacity * length.Seconds()); math.Abs(load-sc.load) > 0.05*sc.load {
+			t.Errorf("%s: the schedule asks for %.3f of the capacity, not %.3f", name, load, sc.load)
+		}
+	}
+}
--- a/standin/minionsim/serve.go
+++ b/standin/minionsim/serve.go
@@ -81,7 +81,7 @@
 	fault, delay := s.faults.draw()
 	// Refuses before reading the body, so that a client waiting for 100 Continue keeps it.
 	if reason := s.refusal(now, deadline, fault); reason != "" {
-		s.refuseTask(w, reason)
+		s.refuseTask(w, r, reason)
 		return
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, simhttp.MaxBody))
@@ -94,7 +94,7 @@
 	select {
 	case <-t.start:
 	case reason := <-t.refused:
-		s.refuseTask(w, reason)
+		s.refuseTask(w, r, reason)
 		return
 	case <-s.process.ended:
 		panic(http.ErrAbortHandler)
@@ -115,9 +115,13 @@
 	return ""
 }
 
-func (s *service) refuseTask(w http.ResponseWriter, reason string) {
+// refuseTask proves that the task does not run. The answer echoes task and attempt like
+// any other; without them a client cannot tell whom the proof is about.
+func (s *service) refuseTask(w http.ResponseWriter, r *http.Request, reason string) {
 	s.ledger.count(func(t *Totals) { t.Refused++ })
 	s.setLoad(w.Header())
+	w.Header().Set(backend.HeaderTask, r.Header.Get(backend.HeaderTask))
+	w.Header().Set(backend.HeaderAttempt, r.Header.Get(backend.HeaderAttempt))
 	w.Header().Set(backend.HeaderNotRun, reason)
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
