Select baselines of placement by configuration

policy.placement names random, round_robin, least_outstanding or two_choices, so that measurements compare the product's own policy with them in the same deployment.

--- a/config/config.go
+++ b/config/config.go
@@ -5,10 +5,12 @@
 package config
 
 import (
+	"slices"
 	"sort"
 	"time"
 
 	"sesameledge.dev/sesameledge/finding"
+	"sesameledge.dev/sesameledge/place"
 	"sesameledge.dev/sesameledge/strictyaml"
 )
 
@@ -49,6 +51,9 @@
 	MaxTasks    int           `yaml:"max_tasks" json:"max_tasks"` // open tasks on one entry host
 	MaxAttempts int           `yaml:"max_attempts" json:"max_attempts"`
 	RetryDelay  time.Duration `yaml:"retry_delay" json:"retry_delay"`
+	// Placement is adaptive (the default) or a baseline: random, round_robin,
+	// least_outstanding, two_choices.
+	Placement string `yaml:"placement" json:"placement,omitempty"`
 }
 
 // Parse decodes and checks the text of a configuration. Every problem is added to list
@@ -119,6 +124,9 @@
 	if c.Policy.RetryDelay < 0 {
 		report("policy.retry_delay", "must not be negative")
 	}
+	if name := place.Placement(c.Policy.Placement); name != "" && !slices.Contains(place.Placements, name) {
+		report("policy.placement", "must be one of %v", place.Placements)
+	}
 	switch c.LogLevel {
 	case "", "debug", "info", "warn", "error":
 	default:
--- a/core/core.go
+++ b/core/core.go
@@ -9,6 +9,7 @@
 	"sesameledge.dev/sesameledge/config"
 	"sesameledge.dev/sesameledge/dispatch"
 	"sesameledge.dev/sesameledge/forward"
+	"sesameledge.dev/sesameledge/place"
 	"sesameledge.dev/sesameledge/ticket"
 )
 
@@ -118,6 +119,7 @@
 		MaxTasks:    c.Policy.MaxTasks,
 		MaxAttempts: c.Policy.MaxAttempts,
 		RetryDelay:  c.Policy.RetryDelay,
+		Place:       place.Policy{Placement: place.Placement(c.Policy.Placement)},
 	}
 	for name, k := range c.Kinds {
 		p.Kinds[name] = dispatch.Kind{
--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"sesameledge.dev/sesameledge/place"
+)
 
 // Kind is the policy of a job kind.
 type Kind struct {
@@ -27,6 +31,7 @@
 	RetryDelay time.Duration
 	// MaxBytes bounds the payloads and results held; 0 means DefaultMaxBytes.
 	MaxBytes int64
+	Place    place.Policy // choice of endpoints
 }
 
 // Defaults of Policy.
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -106,6 +106,7 @@
 		s.endpoints.Update(ev.Endpoints)
 	case PolicyChanged:
 		s.policy = ev.Policy.withDefaults()
+		s.endpoints.SetPolicy(s.policy.Place)
 	case DrainStarted:
 		s.draining = true
 	case Tick:
--- a/place/place.go
+++ b/place/place.go
@@ -48,10 +48,12 @@
 // Set holds the endpoints and what was learned about them. It is not safe for
 // concurrent use.
 type Set struct {
-	opts      Options
-	rng       *rand.Rand
-	endpoints map[EndpointID]*state
-	groups    map[string][]*state
+	opts       Options
+	policy     Policy
+	rng        *rand.Rand
+	endpoints  map[EndpointID]*state
+	groups     map[string][]*state
+	lastInTurn map[string]EndpointID // by group, for RoundRobin
 }
 
 type state struct {
@@ -61,12 +63,15 @@
 
 // NewSet returns an empty Set.
 func NewSet(opts Options) *Set {
-	return &Set{
-		opts:      opts,
-		rng:       rand.New(rand.NewPCG(opts.Seed, opts.Seed^0x9e3779b97f4a7c15)),
-		endpoints: make(map[EndpointID]*state),
-		groups:    make(map[string][]*state),
+	s := &Set{
+		opts:       opts,
+		rng:        rand.New(rand.NewPCG(opts.Seed, opts.Seed^0x9e3779b97f4a7c15)),
+		endpoints:  make(map[EndpointID]*state),
+		groups:     make(map[string][]*state),
+		lastInTurn: make(map[string]EndpointID),
 	}
+	s.SetPolicy(Policy{})
+	return s
 }
 
 // Update replaces the list of endpoints. What was learned about an endpoint is kept
@@ -91,7 +96,15 @@
 
 // Pick returns the endpoint for a task, or false if none can take it now. It avoids the
 // endpoint that refused the task last, unless there is no other.
-func (s *Set) Pick(_ time.Duration, task Task, avoid EndpointID) (Endpoint, bool) {
+func (s *Set) Pick(now time.Duration, task Task, avoid EndpointID) (Endpoint, bool) {
+	if s.policy.Placement == Adaptive {
+		return s.adaptive(now, task, avoid)
+	}
+	return s.baseline(task.Group, avoid)
+}
+
+// adaptive prefers the local availability zone and draws two candidates.
+func (s *Set) adaptive(_ time.Duration, task Task, avoid EndpointID) (Endpoint, bool) {
 	var local, remote, last []*state
 	for _, st := range s.groups[task.Group] {
 		switch {
@@ -112,16 +125,6 @@
 	return Endpoint{}, false
 }
 
-// lessLoaded draws two candidates and returns the one with fewer outstanding tasks.
-func (s *Set) lessLoaded(candidates []*state) *state {
-	a := candidates[s.rng.IntN(len(candidates))]
-	b := candidates[s.rng.IntN(len(candidates))]
-	if b.outstanding < a.outstanding {
-		return b
-	}
-	return a
-}
-
 // Started records that an attempt was handed to the endpoint.
 func (s *Set) Started(id EndpointID) {
 	if st, ok := s.endpoints[id]; ok {
--- /dev/null
+++ b/place/policy.go
@@ -0,0 +1,29 @@
+package place
+
+// Placement names a way to choose the endpoint of a task.
+type Placement string
+
+// The placements. All but Adaptive are baselines for measurements.
+const (
+	Adaptive         Placement = "adaptive"
+	Random           Placement = "random"
+	RoundRobin       Placement = "round_robin"
+	LeastOutstanding Placement = "least_outstanding"
+	TwoChoices       Placement = "two_choices"
+)
+
+// Placements lists the valid values of Policy.Placement.
+var Placements = []Placement{Adaptive, Random, RoundRobin, LeastOutstanding, TwoChoices}
+
+// Policy is what configuration sets for placement. The zero value is valid.
+type Policy struct {
+	Placement Placement // empty means Adaptive
+}
+
+// SetPolicy replaces the policy. What was learned is kept.
+func (s *Set) SetPolicy(p Policy) {
+	if p.Placement == "" {
+		p.Placement = Adaptive
+	}
+	s.policy = p
+}
