Learn speeds, hold tasks back, and limit admission

Random choice among endpoints that differ tenfold in speed makes short jobs late. Package place now learns run times per endpoint and kind (median of the latest deviations, shortened after a change), estimates where a task ends first from its own tasks and the load in replies, holds tasks back when the best endpoint has no room, ejects endpoints that fail far more often than their group, and pauses those that refuse. Package limit adds quotas split over the entry hosts, weighted shares, bounded queues per team, early refusal and a retry budget.

--- a/config/config.go
+++ b/config/config.go
@@ -54,6 +54,26 @@
 	// Placement is adaptive (the default) or a baseline: random, round_robin,
 	// least_outstanding, two_choices.
 	Placement string `yaml:"placement" json:"placement,omitempty"`
+	// MessageWeight, from 0 to 1, trades response time (0) against wasted messages (1).
+	// Absent means DefaultMessageWeight.
+	MessageWeight *float64 `yaml:"message_weight" json:"message_weight,omitempty"`
+	// MaxWait bounds the waiting work of a team on one host by the time to do it.
+	MaxWait time.Duration `yaml:"max_wait" json:"max_wait,omitempty"`
+	// RetryShare bounds refused attempts relative to first attempts.
+	RetryShare float64 `yaml:"retry_share" json:"retry_share,omitempty"`
+	// MaxEjected bounds the ejected share of a group's endpoints.
+	MaxEjected float64 `yaml:"max_ejected" json:"max_ejected,omitempty"`
+}
+
+// DefaultMessageWeight weighs response time and wasted messages alike.
+const DefaultMessageWeight = 0.5
+
+// Weight returns MessageWeight or its default.
+func (p *Policy) Weight() float64 {
+	if p.MessageWeight == nil {
+		return DefaultMessageWeight
+	}
+	return *p.MessageWeight
 }
 
 // Parse decodes and checks the text of a configuration. Every problem is added to list
@@ -127,6 +147,7 @@
 	if name := place.Placement(c.Policy.Placement); name != "" && !slices.Contains(place.Placements, name) {
 		report("policy.placement", "must be one of %v", place.Placements)
 	}
+	c.checkShares(report)
 	switch c.LogLevel {
 	case "", "debug", "info", "warn", "error":
 	default:
@@ -134,6 +155,21 @@
 	}
 }
 
+func (c *Config) checkShares(report report) {
+	if w := c.Policy.Weight(); w < 0 || w > 1 {
+		report("policy.message_weight", "must be between 0 and 1")
+	}
+	if c.Policy.MaxWait < 0 {
+		report("policy.max_wait", "must not be negative")
+	}
+	if s := c.Policy.RetryShare; s < 0 || s > 1 {
+		report("policy.retry_share", "must be between 0 and 1")
+	}
+	if s := c.Policy.MaxEjected; s < 0 || s > 1 {
+		report("policy.max_ejected", "must be between 0 and 1")
+	}
+}
+
 func sortedKeys[V any](m map[string]V) []string {
 	keys := make([]string, 0, len(m))
 	for k := range m {
--- a/core/core.go
+++ b/core/core.go
@@ -9,6 +9,7 @@
 	"sesameledge.dev/sesameledge/config"
 	"sesameledge.dev/sesameledge/dispatch"
 	"sesameledge.dev/sesameledge/forward"
+	"sesameledge.dev/sesameledge/limit"
 	"sesameledge.dev/sesameledge/place"
 	"sesameledge.dev/sesameledge/ticket"
 )
@@ -111,6 +112,10 @@
 	s.dispatch(now, dispatch.PolicyChanged{Policy: dispatchPolicy(s.Config.Current())})
 }
 
+// deadlineUse is the part of its deadline that a job may be expected to take: all of it
+// if messages don't matter, and half of it if they matter most.
+func deadlineUse(messageWeight float64) float64 { return 1 - messageWeight/2 }
+
 // dispatchPolicy translates configuration into the dispatcher's policy.
 func dispatchPolicy(c *config.Config) *dispatch.Policy {
 	p := &dispatch.Policy{
@@ -119,7 +124,16 @@
 		MaxTasks:    c.Policy.MaxTasks,
 		MaxAttempts: c.Policy.MaxAttempts,
 		RetryDelay:  c.Policy.RetryDelay,
-		Place:       place.Policy{Placement: place.Placement(c.Policy.Placement)},
+		Place: place.Policy{
+			Placement:     place.Placement(c.Policy.Placement),
+			MessageWeight: c.Policy.Weight(),
+			MaxEjected:    c.Policy.MaxEjected,
+		},
+		Limit: limit.Policy{
+			MaxWait:     c.Policy.MaxWait,
+			DeadlineUse: deadlineUse(c.Policy.Weight()),
+			RetryShare:  c.Policy.RetryShare,
+		},
 	}
 	for name, k := range c.Kinds {
 		p.Kinds[name] = dispatch.Kind{
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -56,7 +56,7 @@
 			level.Debug(d.logs.platform).Log("msg", "host list cannot be read", "err", err)
 		case version == 0 || reply.Version != version:
 			version = reply.Version
-			d.loop.send(dispatch.EndpointsChanged{Endpoints: endpoints(reply.Hosts)})
+			d.loop.send(dispatch.EndpointsChanged{Endpoints: endpoints(reply.Hosts), EntryHosts: entryHosts(reply.Hosts)})
 			d.learnPeers(reply.Hosts)
 		}
 		sleep(ctx, d.settings.Platform.HostsEvery)
@@ -73,6 +73,17 @@
 	return out
 }
 
+// entryHosts counts the live entry hosts of the platform's list.
+func entryHosts(hosts []platform.Host) int {
+	n := 0
+	for i := range hosts {
+		if hosts[i].Kind == platform.KindEntry && hosts[i].State == platform.HostLive {
+			n++
+		}
+	}
+	return n
+}
+
 // learnPeers takes the peer addresses of entry hosts from the platform's list.
 func (d *Daemon) learnPeers(hosts []platform.Host) {
 	d.mu.Lock()
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"sesameledge.dev/sesameledge/api"
@@ -8,42 +9,70 @@
 )
 
 // placeWaiting starts waiting tasks, job by job in queue order, until no endpoint can
-// take more. Jobs of a group without room do not hold up jobs of other groups.
+// take more. Jobs of a group without room do not hold up jobs of other groups. Jobs of
+// teams that are over their share come last.
 func (s *State) placeWaiting(now time.Duration) {
+	if len(s.queue) == 0 {
+		return
+	}
+	s.endpoints.BeginRound()
 	full := make(map[string]bool)
-	kept := s.queue[:0]
-	for _, j := range s.queue {
-		if j.ended() {
-			continue
-		}
-		if !full[j.kind.Group] && !s.placeJob(now, j) {
-			full[j.kind.Group] = true
-		}
-		if len(j.waiting) > 0 && !j.ended() {
-			kept = append(kept, j)
+	over := make(map[string]bool)
+	for team := range s.teamOpen {
+		over[team] = s.limiter.OverShare(now, team)
+	}
+	for _, last := range []bool{false, true} {
+		for _, j := range s.queue {
+			if !j.ended() && over[j.team] == last && !full[j.kind.Group] && !s.placeJob(now, j) {
+				full[j.kind.Group] = true
+			}
 		}
 	}
-	clear(s.queue[len(kept):])
-	s.queue = kept
+	s.queue = slices.DeleteFunc(s.queue, func(j *job) bool { return j.ended() || len(j.waiting) == 0 })
+	if len(s.queue) > 0 && !s.polling {
+		s.polling = true
+		s.setTimer(now+pollDelay, timerRetry, "")
+	}
 }
 
-// placeJob starts the job's waiting tasks and reports whether all found an endpoint.
+// placeJob starts the job's waiting tasks and reports whether the group may have room
+// for more.
 func (s *State) placeJob(now time.Duration, j *job) bool {
-	for len(j.waiting) > 0 {
-		index := j.waiting[0]
-		info := place.Task{Kind: j.kindName, Group: j.kind.Group, Run: time.Duration(j.specs[index].RunMS) * time.Millisecond}
-		ep, ok := s.endpoints.Pick(now, info, j.tasks[index].avoid)
-		if !ok {
+	held := j.waiting[:0]
+	for i, index := range j.waiting {
+		t := &j.tasks[index]
+		info := placeTask(j.kindName, j.kind, &j.specs[index])
+		info.Ends = j.ends
+		ep, choice := s.endpoints.Pick(now, info, t.avoid)
+		if choice == place.Full {
+			j.waiting = append(held, j.waiting[i:]...)
 			return false
 		}
-		j.waiting = j.waiting[1:]
+		if choice == place.Hold || (t.attempt > 0 && !s.limiter.Retry()) {
+			held = append(held, index)
+			continue
+		}
 		if !s.start(now, j, index, ep) {
 			return true
 		}
+		s.noteStart(now, j, t)
 	}
+	j.waiting = held
 	return true
 }
 
+// noteStart records a started task for later choices.
+func (s *State) noteStart(now time.Duration, j *job, t *task) {
+	if t.attempt == 1 {
+		s.limiter.FirstAttempt()
+	}
+	s.limiter.Started(now, j.team, j.kind.Group, j.taskWork())
+	s.limiter.Waiting(j.team, -j.taskWork())
+	if cost := s.endpoints.LastCost(); cost > 0 {
+		j.ends = max(j.ends, now+cost)
+	}
+}
+
 // start hands a task to an endpoint. It is the only place that does so, and it checks
 // the at-most-once invariants first.
 func (s *State) start(now time.Duration, j *job, index int, ep place.Endpoint) bool {
@@ -97,11 +126,13 @@
 	}
 	j.inFlight--
 	s.endpoints.Ended(now, t.endpoint.ID, place.Sample{
-		Kind:    j.kindName,
-		Failed:  ev.Outcome == AttemptFailed || ev.Outcome == AttemptUnknown,
-		Refused: ev.Outcome == AttemptNotStarted,
-		Service: ev.Service,
-		Load:    ev.Load,
+		Kind:      j.kindName,
+		Failed:    ev.Outcome == AttemptFailed || ev.Outcome == AttemptUnknown,
+		Refused:   ev.Outcome == AttemptNotStarted,
+		Cancelled: j.ended(),
+		Run:       j.declaredRun(ev.Task.Index),
+		Service:   ev.Service,
+		Load:      ev.Load,
 	})
 	s.settle(now, j, t, ev)
 }
@@ -163,9 +194,10 @@
 	}
 	t.avoid = t.endpoint.ID
 	if len(j.waiting) == 0 {
-		s.queue = append(s.queue, j)
+		s.enqueue(j)
 	}
 	j.waiting = append(j.waiting, ev.Task.Index)
+	s.limiter.Waiting(j.team, j.taskWork())
 }
 
 func (s *State) cancel(now time.Duration, ev Cancel) {
@@ -191,6 +223,7 @@
 
 func (s *State) end(j *job, verdict *api.Reply) {
 	j.verdict = verdict
+	s.limiter.Waiting(j.team, -j.waitingWork())
 	j.waiting = nil
 	for _, w := range j.waiters {
 		s.reply(w, verdict)
--- a/dispatch/event.go
+++ b/dispatch/event.go
@@ -83,7 +83,10 @@
 }
 
 // EndpointsChanged replaces the list of endpoints.
-type EndpointsChanged struct{ Endpoints []place.Endpoint }
+type EndpointsChanged struct {
+	Endpoints  []place.Endpoint
+	EntryHosts int // live entry hosts that share the endpoints; 0 if unknown
+}
 
 // PolicyChanged replaces the policy that configuration sets.
 type PolicyChanged struct{ Policy *Policy }
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -40,8 +40,11 @@
 	expires  time.Duration // absolute; the record is dropped then
 	tasks    []task
 	specs    []api.Task
-	waiting  []int // indexes of tasks to place, in order
-	open     int   // tasks without a result
+	estimate place.Estimate
+	key      time.Duration // orders the queue
+	ends     time.Duration // expected end of the tasks placed so far; 0 if unknown
+	waiting  []int         // indexes of tasks to place, in order
+	open     int           // tasks without a result
 	inFlight int
 	bytes    int64
 	waiters  []WaiterID
--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"sesameledge.dev/sesameledge/limit"
 	"sesameledge.dev/sesameledge/place"
 )
 
@@ -17,7 +18,7 @@
 // Team is the policy of a team.
 type Team struct {
 	Weight   float64 // share of the slots relative to other teams
-	MaxTasks int     // open tasks on this host; 0 means no limit
+	MaxTasks int     // open tasks over all entry hosts; 0 means no limit
 }
 
 // Policy is what configuration sets for the dispatcher.
@@ -32,6 +33,7 @@
 	// MaxBytes bounds the payloads and results held; 0 means DefaultMaxBytes.
 	MaxBytes int64
 	Place    place.Policy // choice of endpoints
+	Limit    limit.Policy // admission; Teams is taken from the field above
 }
 
 // Defaults of Policy.
@@ -43,6 +45,16 @@
 	defaultDeadline    = 30 * time.Second
 )
 
+// limits returns the policy of the limiter.
+func (p *Policy) limits() limit.Policy {
+	out := p.Limit
+	out.Teams = make(map[string]limit.Team, len(p.Teams))
+	for name, t := range p.Teams {
+		out.Teams[name] = limit.Team(t)
+	}
+	return out
+}
+
 // withDefaults fills in what the policy leaves open.
 func (p *Policy) withDefaults() *Policy {
 	out := *p
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"sesameledge.dev/sesameledge/api"
+	"sesameledge.dev/sesameledge/limit"
 	"sesameledge.dev/sesameledge/place"
 	"sesameledge.dev/sesameledge/ticket"
 )
@@ -35,7 +36,9 @@
 	endpoints *place.Set
 	jobs      map[ticket.ID]*job
 	refused   map[ticket.ID]*api.Error
-	queue     []*job // accepted jobs with waiting tasks, in order
+	queue     []*job // accepted jobs with waiting tasks, by key
+	limiter   *limit.Limiter
+	polling   bool // a retry timer is set
 	timers    timerHeap
 	draining  bool
 	open      int // tasks of jobs without a verdict
@@ -67,6 +70,7 @@
 		mint:      ticket.Mint{Host: opts.Host, Incarnation: opts.Incarnation},
 		policy:    (&Policy{}).withDefaults(),
 		endpoints: place.NewSet(place.Options{Zone: opts.Zone, Seed: opts.Seed}),
+		limiter:   limit.New(),
 		jobs:      make(map[ticket.ID]*job),
 		refused:   make(map[ticket.ID]*api.Error),
 		teamOpen:  make(map[string]int),
@@ -104,9 +108,12 @@
 		s.attemptEnded(now, ev)
 	case EndpointsChanged:
 		s.endpoints.Update(ev.Endpoints)
+		s.endpoints.SetHosts(ev.EntryHosts)
+		s.limiter.SetHosts(ev.EntryHosts)
 	case PolicyChanged:
 		s.policy = ev.Policy.withDefaults()
 		s.endpoints.SetPolicy(s.policy.Place)
+		s.limiter.SetPolicy(s.policy.limits())
 	case DrainStarted:
 		s.draining = true
 	case Tick:
@@ -155,6 +162,7 @@
 		case timerExpiry:
 			s.drop(t.id)
 		case timerRetry:
+			s.polling = false
 		}
 	}
 }
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -53,8 +53,7 @@
 	if !ok {
 		return kind, api.Errorf(api.CodeUnknownKind, "kind", "the kind %q is not configured", job.Kind)
 	}
-	team, ok := s.policy.Teams[job.Team]
-	if !ok {
+	if _, ok := s.policy.Teams[job.Team]; !ok {
 		return kind, api.Errorf(api.CodeUnknownTeam, "team", "the team %q is not configured", job.Team)
 	}
 	n := len(job.Tasks)
@@ -70,12 +69,10 @@
 		return kind, api.Errorf(api.CodeTooManyTasks, "tasks", "jobs of kind %s have at most %d tasks", job.Kind, kind.MaxTasks)
 	case s.endpoints.Live(kind.Group) == 0:
 		return kind, api.Errorf(api.CodeNoEndpoint, "kind", "no endpoint of group %s is available", kind.Group)
-	case team.MaxTasks > 0 && s.teamOpen[job.Team]+n > team.MaxTasks:
-		return kind, api.Errorf(api.CodeQuota, "team", "team %s has %d open tasks of %d", job.Team, s.teamOpen[job.Team], team.MaxTasks)
 	case s.open+n > s.policy.MaxTasks || s.bytes > s.policy.MaxBytes:
 		return kind, api.Errorf(api.CodeOverloaded, "", "this host has %d open tasks", s.open)
 	}
-	return kind, nil
+	return kind, s.limits(now, job, kind, deadline)
 }
 
 // refuse records the refusal, because a ticket that was answered "not run" must never
@@ -105,8 +102,12 @@
 		j.waiting[i] = i
 		j.bytes += int64(len(j.specs[i].Payload))
 	}
+	j.sortWaiting()
+	j.estimate = s.endpoints.Estimate(placeTasks(ev.Job, kind))
+	j.key = queueKey(now, j.estimate, j.deadline)
 	s.jobs[j.id] = j
-	s.queue = append(s.queue, j)
+	s.enqueue(j)
+	s.limiter.Waiting(j.team, j.waitingWork())
 	s.open += j.open
 	s.teamOpen[j.team] += j.open
 	s.bytes += j.bytes
--- /dev/null
+++ b/limit/limit_test.go
@@ -0,0 +1,74 @@
+package limit
+
+import (
+	"testing"
+	"time"
+)
+
+func twoTeams() *Limiter {
+	l := New()
+	l.SetPolicy(Policy{Teams: map[string]Team{"a": {Weight: 2, MaxTasks: 70}, "b": {Weight: 1}}})
+	l.SetHosts(7)
+	l.SetCapacity("g", 70)
+	return l
+}
+
+// Guards against quotas that each host grants in full, and against refusals that do not
+// follow from the learned rate.
+func TestAdmit(t *testing.T) {
+	l := twoTeams()
+	base := Job{Team: "a", Group: "g", Tasks: 2, Work: time.Second, Ideal: 100 * time.Millisecond, Deadline: 3 * time.Second}
+	for _, c := range []struct {
+		name   string
+		change func(*Job)
+		want   Cause
+	}{
+		{"idle", func(*Job) {}, 0},
+		{"quota of this host used up", func(j *Job) { j.Open = 9 }, Quota},
+		{"work ahead for 2 s", func(j *Job) { j.Ahead = 20 * time.Second }, 0},
+		{"work ahead for 4 s", func(j *Job) { j.Ahead = 40 * time.Second }, TooLate},
+		{"longer than its deadline even when idle", func(j *Job) { j.Ideal = 4 * time.Second }, TooLate},
+		{"the team's own queue is full", func(j *Job) { j.Ahead, j.AheadOwn = 20*time.Second, 20*time.Second }, Overload},
+	} {
+		j := base
+		c.change(&j)
+		refusal, refused := l.Admit(0, j)
+		if refused != (c.want != 0) || refusal.Cause != c.want {
+			t.Errorf("%s: cause %d (%s), want %d", c.name, refusal.Cause, refusal.Message, c.want)
+		}
+	}
+}
+
+// Guards against a team that floods the host and keeps the slots, and against holding
+// back a team that is alone.
+func TestOverShareNeedsCompetition(t *testing.T) {
+	l := twoTeams()
+	l.Started(time.Second, "b", "g", 10*time.Second)
+	l.Waiting("b", time.Second)
+	if l.OverShare(time.Second, "b") {
+		t.Error("a team without competition is over its share")
+	}
+	l.Waiting("a", time.Second)
+	if !l.OverShare(time.Second, "b") || l.OverShare(time.Second, "a") {
+		t.Error("the team that got everything goes on before the one that waits")
+	}
+	l.Waiting("a", -time.Second)
+	if l.OverShare(time.Second, "b") {
+		t.Error("a team stays over its share after the competition ended")
+	}
+}
+
+// Guards against refusals that multiply messages without bound.
+func TestRetryBudget(t *testing.T) {
+	l := New()
+	retries := 0
+	for range 10_000 {
+		l.FirstAttempt()
+		for l.Retry() {
+			retries++
+		}
+	}
+	if limit := maxRetryTokens + 10_000*DefaultRetryShare; float64(retries) > limit+1 {
+		t.Errorf("%d retries for 10000 first attempts, want at most %.0f", retries, limit)
+	}
+}
--- /dev/null
+++ b/place/adaptive.go
@@ -0,0 +1,161 @@
+package place
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// remoteCost is the time added for an endpoint in another availability zone: both
+	// ways of the delay between zones. It prefers the own zone and overflows as soon as
+	// that is slower.
+	remoteCost = 2 * time.Millisecond
+	// avoidFactor makes the endpoint that refused a task last the worst choice.
+	avoidFactor = 4
+	// tieJitter spreads the choice between endpoints that look alike, so that hosts with
+	// the same view do not all choose the same one.
+	tieJitter = 0.03
+	// maxHeld bounds the tasks held back in one round.
+	maxHeld = 64
+	// slackUse is the part of a task's slack that a slower endpoint may use up.
+	slackUse = 0.8
+)
+
+// choice is an endpoint with the estimated time until a task would end there.
+type choice struct {
+	st   *state
+	cost time.Duration
+}
+
+// adaptive estimates when the task would end at each endpoint, counting the tasks of
+// this and of other hosts. If the best endpoint has no room, the task is held back
+// rather than queued there or started at a slower one. If the task's job ends later
+// anyway, it goes to the slowest endpoint that is early enough, which keeps the fast
+// ones free for tasks that need them.
+func (s *Set) adaptive(now time.Duration, task Task, avoid EndpointID) (Endpoint, Choice) {
+	if s.held >= maxHeld {
+		return Endpoint{}, Full
+	}
+	run := s.model(task.Kind).predict(task.Run)
+	var best, spare choice
+	slack := time.Duration(slackUse * float64(task.Ends-now))
+	for _, st := range s.groups[task.Group] {
+		if st.Leaving || st.health.out(now) || st.health.paused(now) {
+			continue
+		}
+		cost := s.cost(now, st, task.Kind, run)
+		if st.ID == avoid {
+			cost *= avoidFactor
+		}
+		if best.st == nil || cost < best.cost {
+			best = choice{st: st, cost: cost}
+		}
+		if cost <= slack && cost > spare.cost && s.room(now, st) {
+			spare = choice{st: st, cost: cost}
+		}
+	}
+	switch {
+	case best.st == nil:
+		return Endpoint{}, Full
+	case spare.st != nil:
+		s.lastCost = spare.cost
+		return spare.st.Endpoint, Start
+	case s.room(now, best.st):
+		s.lastCost = best.cost
+		return best.st.Endpoint, Start
+	}
+	best.st.held++
+	s.held++
+	return Endpoint{}, Hold
+}
+
+// cost estimates the time until a task with this run time at the typical speed would end
+// at the endpoint.
+func (s *Set) cost(now time.Duration, st *state, kind string, run time.Duration) time.Duration {
+	others := st.others.estimate(now, s.averageOthers(st))
+	ahead := float64(st.outstanding+st.held) + others + 1 - float64(st.Slots)
+	excess := expectedExcess(ahead, math.Sqrt(others)/2)
+	wait := excess / float64(st.Slots) * st.speeds.any * float64(s.meanRun(st.Group))
+	cost := wait + st.speeds.slowness(kind)*float64(run)
+	cost *= 1 + tieJitter*s.rng.Float64()
+	if st.Zone != s.opts.Zone {
+		cost += float64(remoteCost)
+	}
+	return time.Duration(cost)
+}
+
+// room reports whether this host may start one more task at the endpoint. It may use its
+// share of the slots at any time, and beyond it the slots that the other hosts leave
+// idle.
+func (s *Set) room(now time.Duration, st *state) bool {
+	own := st.outstanding
+	if st.health.allowed > 0 && own >= st.health.allowed {
+		return false
+	}
+	if own < max(1, st.Slots/max(s.hosts, 1)) {
+		return true
+	}
+	limit := st.Slots + s.policy.overcommit()
+	return own < limit && float64(own)+st.others.estimate(now, s.averageOthers(st)) <= float64(limit)-0.5
+}
+
+// averageOthers is the expected load of other hosts at an endpoint without a report.
+func (s *Set) averageOthers(st *state) float64 {
+	return s.means[st.Group].others.center
+}
+
+// meanRun is the mean run time of the group's tasks at the typical speed.
+func (s *Set) meanRun(group string) time.Duration {
+	if m := s.means[group]; m.run.n > 0 {
+		return time.Duration(m.run.center)
+	}
+	return defaultRun
+}
+
+func (s *Set) model(kind string) *kindModel {
+	k := s.kinds[kind]
+	if k == nil {
+		k = new(kindModel)
+		s.kinds[kind] = k
+	}
+	return k
+}
+
+// learn takes what an ended attempt says about its endpoint.
+func (s *Set) learn(now time.Duration, st *state, sample Sample) {
+	if sample.Load >= 0 {
+		st.others.report(now, sample.Load, st.outstanding)
+		s.means[st.Group].others.add(float64(max(sample.Load-st.outstanding, 0)))
+	}
+	switch {
+	case sample.Cancelled:
+	case sample.Refused:
+		st.health.refused(now)
+	case sample.Failed:
+		st.health.failed()
+		s.considerEjecting(now, st)
+	default:
+		st.health.succeeded()
+		s.learnSpeed(now, st, sample)
+	}
+}
+
+// learnSpeed takes the run time of a completed task. What the task waited in the
+// endpoint's queue is estimated from the load that the answer reported.
+func (s *Set) learnSpeed(now time.Duration, st *state, sample Sample) {
+	if sample.Service <= 0 || st.Slots <= 0 {
+		return
+	}
+	took := sample.Service
+	if queued := sample.Load + 1 - st.Slots; queued > 0 {
+		took = time.Duration(float64(took) / (1 + float64(queued)/float64(st.Slots)))
+	}
+	k := s.model(sample.Kind)
+	typical := k.predict(sample.Run)
+	if k.plain.n > 0 {
+		st.speeds.learn(now, sample.Kind, math.Log(float64(took)/float64(typical)))
+	}
+	slow := math.Log(st.speeds.any)
+	k.learn(took, sample.Run, slow)
+	s.means[st.Group].run.add(float64(took) / st.speeds.any)
+}
--- /dev/null
+++ b/place/eject.go
@@ -0,0 +1,94 @@
+package place
+
+import "time"
+
+const (
+	// failureMemory is how many attempts the failure rate of an endpoint covers.
+	failureMemory = 8
+	// ejectRate is the failure rate beyond that of the group at which an endpoint is
+	// ejected. An endpoint that fails fast looks idle and would attract every task.
+	ejectRate = 0.3
+	// ejectFor is the first time out; it doubles up to maxEjectFor on relapse.
+	ejectFor    = 2 * time.Second
+	maxEjectFor = 30 * time.Second
+	// DefaultMaxEjected bounds the ejected share of a group's endpoints.
+	DefaultMaxEjected = 0.3
+	// refusalPause is the pause after a refusal; it doubles up to maxRefusalPause while
+	// refusals go on.
+	refusalPause    = 20 * time.Millisecond
+	maxRefusalPause = time.Second
+)
+
+// health decides whether an endpoint is ejected and how it returns.
+type health struct {
+	rate         float64 // decayed share of failed attempts
+	ejectedUntil time.Duration
+	lastEject    time.Duration
+	allowed      int // outstanding tasks while it returns; 0 means no limit
+	refusals     int // in a row
+	pausedUntil  time.Duration
+}
+
+// succeeded widens the return of an endpoint.
+func (h *health) succeeded() {
+	h.rate -= h.rate / failureMemory
+	h.refusals = 0
+	if h.allowed > 0 {
+		h.allowed *= 2
+	}
+	if h.allowed > maxReturning {
+		h.allowed = 0
+	}
+}
+
+// maxReturning ends the gradual return of an ejected endpoint.
+const maxReturning = 64
+
+func (h *health) failed() { h.rate += (1 - h.rate) / failureMemory }
+
+// refused pauses the endpoint: it is busy, leaving, or gone.
+func (h *health) refused(now time.Duration) {
+	h.pausedUntil = now + min(refusalPause<<min(h.refusals, 10), maxRefusalPause)
+	h.refusals++
+}
+
+// eject takes the endpoint out. It returns with one task at a time.
+func (h *health) eject(now time.Duration) {
+	if h.lastEject > 0 && now < h.ejectedUntil+maxEjectFor {
+		h.lastEject = min(2*h.lastEject, maxEjectFor)
+	} else {
+		h.lastEject = ejectFor
+	}
+	h.ejectedUntil = now + h.lastEject
+	h.allowed = 1
+	h.rate = 0
+}
+
+func (h *health) out(now time.Duration) bool { return now < h.ejectedUntil }
+
+func (h *health) paused(now time.Duration) bool { return now < h.pausedUntil }
+
+// considerEjecting ejects the endpoint if it fails far more often than its group and the
+// ejected share stays within its bound.
+func (s *Set) considerEjecting(now time.Duration, st *state) {
+	g := s.groups[st.Group]
+	if st.health.rate < ejectRate || st.health.out(now) {
+		return
+	}
+	out, rest, sum := 0, 0, 0.0
+	for _, other := range g {
+		switch {
+		case other.health.out(now):
+			out++
+		case other != st:
+			rest++
+			sum += other.health.rate
+		}
+	}
+	if rest == 0 || st.health.rate < ejectRate+sum/float64(rest) {
+		return
+	}
+	if float64(out+1) <= s.policy.MaxEjected*float64(len(g)) {
+		st.health.eject(now)
+	}
+}
--- a/place/place.go
+++ b/place/place.go
@@ -28,15 +28,22 @@
 	Kind  string
 	Group string
 	Run   time.Duration // declared run time; a hint
+	// Ends is when the task's job is expected to end because of its other tasks, on the
+	// clock of now; 0 if unknown.
+	Ends time.Duration
 }
 
 // Sample is what one ended attempt says about its endpoint.
 type Sample struct {
 	Kind    string
-	Failed  bool          // the task ran and failed, or its outcome is unknown
-	Refused bool          // the endpoint proved that it did not run the task
-	Service time.Duration // time from start to answer
-	Load    int           // running plus queued tasks that the answer reported; -1 if unknown
+	Failed  bool // the task ran and failed, or its outcome is unknown
+	Refused bool // the endpoint proved that it did not run the task
+	// Cancelled means that the job had ended before; the answer says nothing about the
+	// endpoint's speed or health.
+	Cancelled bool
+	Run       time.Duration // declared run time; 0 if unknown
+	Service   time.Duration // time from start to answer
+	Load      int           // running plus queued tasks that the answer reported; -1 if unknown
 }
 
 // Options configures a Set.
@@ -54,11 +61,20 @@
 	endpoints  map[EndpointID]*state
 	groups     map[string][]*state
 	lastInTurn map[string]EndpointID // by group, for RoundRobin
+	kinds      map[string]*kindModel
+	means      map[string]*groupMeans
+	hosts      int           // live entry hosts
+	held       int           // tasks held back in this round
+	lastCost   time.Duration // of the task placed last
 }
 
 type state struct {
 	Endpoint
 	outstanding int
+	held        int // tasks that this round holds back for it
+	others      othersLoad
+	speeds      speeds
+	health      health
 }
 
 // NewSet returns an empty Set.
@@ -69,6 +85,8 @@
 		endpoints:  make(map[EndpointID]*state),
 		groups:     make(map[string][]*state),
 		lastInTurn: make(map[string]EndpointID),
+		kinds:      make(map[string]*kindModel),
+		means:      make(map[string]*groupMeans),
 	}
 	s.SetPolicy(Policy{})
 	return s
@@ -82,11 +100,14 @@
 	for _, ep := range list {
 		st, ok := s.endpoints[ep.ID]
 		if !ok || st.Identity != ep.Identity {
-			st = &state{}
+			st = &state{speeds: newSpeeds()}
 		}
 		st.Endpoint = ep
 		next[ep.ID] = st
 		groups[ep.Group] = append(groups[ep.Group], st)
+		if s.means[ep.Group] == nil {
+			s.means[ep.Group] = new(groupMeans)
+		}
 	}
 	for _, members := range groups {
 		sort.Slice(members, func(i, j int) bool { return members[i].ID < members[j].ID })
@@ -94,37 +115,51 @@
 	s.endpoints, s.groups = next, groups
 }
 
-// Pick returns the endpoint for a task, or false if none can take it now. It avoids the
-// endpoint that refused the task last, unless there is no other.
-func (s *Set) Pick(now time.Duration, task Task, avoid EndpointID) (Endpoint, bool) {
-	if s.policy.Placement == Adaptive {
-		return s.adaptive(now, task, avoid)
+// Choice says what to do with a task.
+type Choice int
+
+// The choices.
+const (
+	// Start means that the task goes to the endpoint returned.
+	Start Choice = iota + 1
+	// Hold means that waiting for a better endpoint ends the task sooner than any that
+	// has room. Another task may still be placed.
+	Hold
+	// Full means that nothing of the group can be placed now.
+	Full
+)
+
+// BeginRound starts a round of Pick calls over the waiting tasks in their order. Tasks
+// held back in a round count as waiting for their endpoint until the round ends.
+func (s *Set) BeginRound() {
+	if s.held == 0 {
+		return
+	}
+	s.held = 0
+	for _, st := range s.endpoints {
+		st.held = 0
 	}
-	return s.baseline(task.Group, avoid)
 }
 
-// adaptive prefers the local availability zone and draws two candidates.
-func (s *Set) adaptive(_ time.Duration, task Task, avoid EndpointID) (Endpoint, bool) {
-	var local, remote, last []*state
-	for _, st := range s.groups[task.Group] {
-		switch {
-		case st.Leaving || st.outstanding >= st.Slots:
-		case st.ID == avoid:
-			last = append(last, st)
-		case st.Zone == s.opts.Zone:
-			local = append(local, st)
-		default:
-			remote = append(remote, st)
-		}
+// Pick chooses the endpoint for a task. It avoids the endpoint that refused the task
+// last, unless there is no other.
+func (s *Set) Pick(now time.Duration, task Task, avoid EndpointID) (Endpoint, Choice) {
+	if s.policy.Placement == Adaptive {
+		return s.adaptive(now, task, avoid)
 	}
-	for _, candidates := range [][]*state{local, remote, last} {
-		if len(candidates) > 0 {
-			return s.lessLoaded(candidates).Endpoint, true
-		}
+	if ep, ok := s.baseline(task.Group, avoid); ok {
+		return ep, Start
 	}
-	return Endpoint{}, false
+	return Endpoint{}, Full
 }
 
+// LastCost returns the estimated time until the task that Pick placed last ends; 0 if
+// the placement does not estimate it.
+func (s *Set) LastCost() time.Duration { return s.lastCost }
+
+// SetHosts sets the number of live entry hosts that share the endpoints.
+func (s *Set) SetHosts(n int) { s.hosts = n }
+
 // Started records that an attempt was handed to the endpoint.
 func (s *Set) Started(id EndpointID) {
 	if st, ok := s.endpoints[id]; ok {
@@ -134,10 +169,13 @@
 
 // Ended records how an attempt on the endpoint ended. Attempts on an endpoint that has
 // been replaced since are ignored.
-func (s *Set) Ended(_ time.Duration, id EndpointID, _ Sample) {
-	if st, ok := s.endpoints[id]; ok && st.outstanding > 0 {
-		st.outstanding--
+func (s *Set) Ended(now time.Duration, id EndpointID, sample Sample) {
+	st, ok := s.endpoints[id]
+	if !ok || st.outstanding == 0 {
+		return
 	}
+	st.outstanding--
+	s.learn(now, st, sample)
 }
 
 // Live returns the number of endpoints of a group that take new work.
@@ -154,14 +192,25 @@
 // EndpointView is one endpoint in a state dump.
 type EndpointView struct {
 	Endpoint
-	Outstanding int `json:"outstanding"`
+	Outstanding int     `json:"outstanding"`
+	Others      float64 `json:"others"`          // last estimate of other hosts' tasks
+	Slowness    float64 `json:"slowness"`        // run time relative to the typical endpoint
+	FailureRate float64 `json:"failure_rate"`    // decayed
+	LastEject   float64 `json:"last_ejection_s"` // length of the last ejection in seconds; 0 if none
 }
 
 // View returns the endpoints for a state dump, ordered by identifier.
 func (s *Set) View() []EndpointView {
 	out := make([]EndpointView, 0, len(s.endpoints))
 	for _, st := range s.endpoints {
-		out = append(out, EndpointView{Endpoint: st.Endpoint, Outstanding: st.outstanding})
+		out = append(out, EndpointView{
+			Endpoint:    st.Endpoint,
+			Outstanding: st.outstanding,
+			Others:      st.others.value,
+			Slowness:    st.speeds.any,
+			FailureRate: st.health.rate,
+			LastEject:   st.health.lastEject.Seconds(),
+		})
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
 	return out
--- /dev/null
+++ b/place/place_test.go
@@ -0,0 +1,210 @@
+package place
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const group = "g"
+
+func newTestSet(n int) *Set {
+	s := NewSet(Options{Zone: "a", Seed: 1})
+	s.SetHosts(1)
+	list := make([]Endpoint, n)
+	for i := range list {
+		list[i] = Endpoint{ID: EndpointID(fmt.Sprintf("m%02d", i)), Group: group, Zone: "a", Slots: 8, Identity: "1"}
+	}
+	s.Update(list)
+	return s
+}
+
+// finish reports an attempt that took the given time at an endpoint without queue.
+func finish(s *Set, now time.Duration, id EndpointID, run, took time.Duration) {
+	s.Started(id)
+	s.Ended(now, id, Sample{Kind: "k", Run: run, Service: took, Load: s.endpoints[id].outstanding - 1})
+}
+
+// Guards against speeds that follow single stragglers, and against speeds that stay at
+// an old value after a minion was slowed down.
+func TestSpeedIsRobustAndFollowsChanges(t *testing.T) {
+	s := newTestSet(4)
+	rng := rand.New(rand.NewPCG(1, 1))
+	now := time.Duration(0)
+	speed := []float64{1, 1, 1, 4}
+	round := func(rounds int) {
+		for range rounds {
+			for i, v := range speed {
+				now += 10 * time.Millisecond
+				run := time.Duration(50+rng.IntN(250)) * time.Millisecond
+				took := time.Duration(float64(run) / v)
+				if rng.IntN(20) == 0 {
+					took *= 20
+				}
+				finish(s, now, EndpointID(fmt.Sprintf("m%02d", i)), run, took)
+			}
+		}
+	}
+	round(60)
+	ratio := func() float64 { return s.endpoints["m00"].speeds.any / s.endpoints["m03"].speeds.any }
+	if r := ratio(); r < 3.5 || r > 4.5 {
+		t.Errorf("the fast endpoint was learned as %.2f times faster, not 4", r)
+	}
+	speed[3] = 0.5
+	round(14)
+	if r := ratio(); r > 0.7 {
+		t.Errorf("14 tasks after it became half as fast, the endpoint counts as %.2f times faster", r)
+	}
+}
+
+// Guards against trusting declared run times that say nothing.
+func TestDeclaredRunTimesAreUsedOnlyIfTheyPredict(t *testing.T) {
+	for _, reliable := range []bool{true, false} {
+		s := newTestSet(1)
+		rng := rand.New(rand.NewPCG(2, 2))
+		for i := range 200 {
+			run := time.Duration(100+rng.IntN(100)) * time.Millisecond
+			declared := run
+			if !reliable {
+				declared = time.Duration(1+rng.IntN(5000)) * time.Millisecond
+			}
+			finish(s, time.Duration(i)*time.Second/10, "m00", declared, run)
+		}
+		long := s.model("k").predict(5 * time.Second)
+		if reliable != (long > time.Second) {
+			t.Errorf("reliable %v: a task declared as 5 s is expected to take %v", reliable, long)
+		}
+	}
+}
+
+// Guards against an endpoint that fails every task at once and therefore always looks
+// idle, and against ejecting more than the bounded share.
+func TestFailingEndpointsAreEjectedWithinTheBound(t *testing.T) {
+	s := newTestSet(10)
+	failing := func(id EndpointID) bool { return id < "m05" }
+	now, failures := time.Duration(0), 0
+	for range 2000 {
+		now += time.Millisecond
+		s.BeginRound()
+		ep, choice := s.Pick(now, Task{Kind: "k", Group: group, Run: 100 * time.Millisecond}, "")
+		if choice != Start {
+			t.Fatalf("no endpoint at %v: choice %d", now, choice)
+		}
+		s.Started(ep.ID)
+		failed := failing(ep.ID)
+		if failed {
+			failures++
+		}
+		s.Ended(now, ep.ID, Sample{Kind: "k", Failed: failed, Service: 100 * time.Millisecond, Load: 0})
+		out := 0
+		for _, st := range s.endpoints {
+			if st.health.out(now) {
+				out++
+			}
+		}
+		if out > 3 {
+			t.Fatalf("%d of 10 endpoints are ejected at once", out)
+		}
+	}
+	one := newTestSet(10)
+	failures = 0
+	for i := range 1000 {
+		now = time.Duration(i) * time.Millisecond
+		ep, _ := one.Pick(now, Task{Kind: "k", Group: group}, "")
+		one.Started(ep.ID)
+		if ep.ID == "m00" {
+			failures++
+		}
+		one.Ended(now, ep.ID, Sample{Kind: "k", Failed: ep.ID == "m00", Service: 100 * time.Millisecond, Load: 0})
+	}
+	if failures > 10 {
+		t.Errorf("the one failing endpoint of 10 got %d of 1000 tasks", failures)
+	}
+}
+
+// Guards against filling a minion beyond its slots while other hosts use it, and against
+// a host that gets nothing because the others fill the minions.
+func TestSharesAreLentAndKept(t *testing.T) {
+	s := newTestSet(1)
+	s.SetHosts(7)
+	s.SetPolicy(Policy{MessageWeight: 1})
+	place := func(now time.Duration) int {
+		s.BeginRound()
+		for n := 0; ; n++ {
+			ep, choice := s.Pick(now, Task{Kind: "k", Group: group, Run: time.Second}, "")
+			if choice != Start {
+				return n
+			}
+			s.Started(ep.ID)
+		}
+	}
+	if n := place(time.Second); n != 8 {
+		t.Errorf("%d tasks were started at an idle minion with 8 slots", n)
+	}
+	for range 8 {
+		s.Ended(2*time.Second, "m00", Sample{Kind: "k", Load: 16, Service: time.Second})
+	}
+	if n := place(2 * time.Second); n != 1 {
+		t.Errorf("%d tasks were started at a full minion, want the share of 1", n)
+	}
+}
+
+// Guards against work for a leaving endpoint, counts that go wrong, and placements that
+// are not reproducible from the seed.
+func TestPickKeepsItsInvariants(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		policy := Policy{Placement: rapid.SampledFrom(Placements).Draw(rt, "placement"), MessageWeight: rapid.Float64Range(0, 1).Draw(rt, "weight")}
+		a, b := newTestSet(4), newTestSet(4)
+		a.SetPolicy(policy)
+		b.SetPolicy(policy)
+		list := []Endpoint{}
+		for _, st := range a.groups[group] {
+			list = append(list, st.Endpoint)
+		}
+		list[0].Leaving = true
+		a.Update(list)
+		b.Update(list)
+		var running []EndpointID
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 200).Draw(rt, "steps") {
+			now += time.Duration(rapid.IntRange(0, 50).Draw(rt, "ms")) * time.Millisecond
+			if len(running) > 0 && rapid.Bool().Draw(rt, "end") {
+				sample := Sample{Kind: "k", Failed: rapid.Bool().Draw(rt, "failed"), Refused: rapid.Bool().Draw(rt, "refused"),
+					Service: time.Duration(rapid.IntRange(0, 3000).Draw(rt, "took")) * time.Millisecond, Load: rapid.IntRange(-1, 70).Draw(rt, "load")}
+				a.Ended(now, running[0], sample)
+				b.Ended(now, running[0], sample)
+				running = running[1:]
+				continue
+			}
+			task := Task{Kind: "k", Group: group, Run: time.Duration(rapid.IntRange(0, 5000).Draw(rt, "run")) * time.Millisecond}
+			a.BeginRound()
+			b.BeginRound()
+			ep, choice := a.Pick(now, task, "m01")
+			if ep2, choice2 := b.Pick(now, task, "m01"); ep2.ID != ep.ID || choice != choice2 {
+				rt.Fatalf("the same history led to %v/%d and %v/%d", ep.ID, choice, ep2.ID, choice2)
+			}
+			if choice != Start {
+				continue
+			}
+			if ep.ID == "m00" {
+				rt.Fatal("a leaving endpoint got a task")
+			}
+			a.Started(ep.ID)
+			b.Started(ep.ID)
+			running = append(running, ep.ID)
+			if n := a.endpoints[ep.ID].outstanding; n > ep.Slots+maxOvercommit {
+				rt.Fatalf("endpoint %s has %d outstanding tasks", ep.ID, n)
+			}
+		}
+		total := 0
+		for _, st := range a.endpoints {
+			total += st.outstanding
+		}
+		if total != len(running) {
+			rt.Fatalf("%d tasks are outstanding, counted %d", len(running), total)
+		}
+	})
+}
