Estimate the wait for a full endpoint by the host's own turn-over

Hosts hold tasks back for the same fast endpoints without seeing each other's queues, so each expected a short wait and slow endpoints idled. A host now counts on slots of a full endpoint only at the rate at which its own tasks there end.

--- a/place/adaptive.go
+++ b/place/adaptive.go
@@ -72,10 +72,11 @@
 // cost estimates the time until a task with this run time at the typical speed would end
 // at the endpoint.
 func (s *Set) cost(now time.Duration, st *state, kind string, run time.Duration) time.Duration {
-	others := st.others.estimate(now, s.averageOthers(st))
-	ahead := float64(st.outstanding+st.held) + others + 1 - float64(st.Slots)
-	excess := expectedExcess(ahead, math.Sqrt(others)/2)
-	wait := excess / float64(st.Slots) * st.speeds.any * float64(s.meanRun(st.Group))
+	service := st.speeds.any * float64(s.meanRun(st.Group))
+	wait := s.waitForRoom(st, service)
+	if s.room(now, st) {
+		wait = s.waitInQueue(now, st, service)
+	}
 	cost := wait + st.speeds.slowness(kind)*float64(run)
 	cost *= 1 + tieJitter*s.rng.Float64()
 	if st.Zone != s.opts.Zone {
@@ -84,6 +85,20 @@
 	return time.Duration(cost)
 }
 
+// waitInQueue estimates how long a task started now waits for a slot at the endpoint.
+func (s *Set) waitInQueue(now time.Duration, st *state, service float64) float64 {
+	others := st.others.estimate(now, s.averageOthers(st))
+	ahead := float64(st.outstanding) + others + 1 - float64(st.Slots)
+	return expectedExcess(ahead, math.Sqrt(others)/2) / float64(st.Slots) * service
+}
+
+// waitForRoom estimates how long a held task waits until this host may start it. Other
+// hosts hold tasks back too, so this host gets slots only as its own tasks there end.
+func (s *Set) waitForRoom(st *state, service float64) float64 {
+	own := max(float64(st.outstanding), float64(st.Slots)/float64(max(s.hosts, 1)))
+	return service * float64(st.held+1) / own
+}
+
 // room reports whether this host may start one more task at the endpoint. It may use its
 // share of the slots at any time, and beyond it the slots that the other hosts leave
 // idle.
