--- a/Makefile
+++ b/Makefile
@@ -44,3 +44,8 @@
 fuzz:
 	@echo "seed $(SEED)"
 	go test -timeout 30m -run Fuzz ./dispatch ./forward -rapid.seed=$(SEED) -rapid.checks=$(FUZZ_CHECKS) -rapid.steps=80
+
+.PHONY: bench
+# Measures dispatch policies. BENCH passes arguments, see bin/bench --help.
+bench: build
+	bin/bench --bin bin $(BENCH)
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"sesameledge.dev/sesameledge/api"
+	"sesameledge.dev/sesameledge/limit"
 	"sesameledge.dev/sesameledge/place"
 	"sesameledge.dev/sesameledge/ticket"
 )
@@ -37,7 +38,9 @@
 	jobs      map[ticket.ID]*job
 	refused   refusals
 	fetched   []*job // ended jobs whose answer was fetched, oldest first
-	queue     []*job // accepted jobs with waiting tasks, in order
+	queue     []*job // accepted jobs with waiting tasks, by key
+	limiter   *limit.Limiter
+	polling   bool // a retry timer is set
 	timers    timerHeap
 	draining  bool
 	open      int // tasks of jobs without a verdict
@@ -71,6 +74,7 @@
 		mint:      ticket.Mint{Host: opts.Host, Incarnation: opts.Incarnation},
 		policy:    (&Policy{}).withDefaults(),
 		endpoints: place.NewSet(place.Options{Zone: opts.Zone, Seed: opts.Seed}),
+		limiter:   limit.New(),
 		jobs:      make(map[ticket.ID]*job),
 		refused:   newRefusals(),
 		teamOpen:  make(map[string]int),
@@ -110,8 +114,12 @@
 		s.attemptEnded(now, ev)
 	case EndpointsChanged:
 		s.endpoints.Update(ev.Endpoints)
+		s.endpoints.SetHosts(ev.EntryHosts)
+		s.limiter.SetHosts(ev.EntryHosts)
 	case PolicyChanged:
 		s.policy = ev.Policy.withDefaults()
+		s.endpoints.SetPolicy(s.policy.Place)
+		s.limiter.SetPolicy(s.policy.limits())
 	case DrainStarted:
 		s.draining = true
 	case DrainTimedOut:
@@ -163,6 +171,7 @@
 		case timerExpiry:
 			s.drop(now, t.id)
 		case timerRetry:
+			s.polling = false
 		}
 	}
 }
@@ -182,7 +191,7 @@
 	}
 	for i := range j.tasks {
 		if t := &j.tasks[i]; t.state == taskInFlight && !s.off.leakSlots {
-			s.endpoints.Ended(now, t.endpoint.ID, place.Sample{Kind: j.kindName, Failed: true, Load: -1})
+			s.endpoints.Ended(now, t.endpoint.ID, place.Sample{Kind: j.kindName, Failed: true, Cancelled: true, Load: -1})
 		}
 	}
 	s.addBytes(j, -j.bytes)
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -57,8 +57,7 @@
 	if !ok {
 		return kind, api.Errorf(api.CodeUnknownKind, "kind", "the kind %q is not configured", job.Kind)
 	}
-	team, ok := s.policy.Teams[job.Team]
-	if !ok {
+	if _, ok := s.policy.Teams[job.Team]; !ok {
 		return kind, api.Errorf(api.CodeUnknownTeam, "team", "the team %q is not configured", job.Team)
 	}
 	n := len(job.Tasks)
@@ -74,8 +73,6 @@
 		return kind, api.Errorf(api.CodeTooManyTasks, "tasks", "jobs of kind %s have at most %d tasks", job.Kind, kind.MaxTasks)
 	case s.endpoints.Live(kind.Group) == 0:
 		return kind, api.Errorf(api.CodeNoEndpoint, "kind", "no endpoint of group %s is available", kind.Group)
-	case team.MaxTasks > 0 && s.teamOpen[job.Team]+n > team.MaxTasks:
-		return kind, api.Errorf(api.CodeQuota, "team", "team %s has %d open tasks of %d", job.Team, s.teamOpen[job.Team], team.MaxTasks)
 	case s.open+n > s.policy.MaxTasks:
 		return kind, api.Errorf(api.CodeOverloaded, "", "this host has %d open tasks", s.open)
 	case ev.Ticket.Seq <= s.refused.closed:
@@ -83,7 +80,7 @@
 	case !s.room(jobCost(job.Tasks)):
 		return kind, api.Errorf(api.CodeOverloaded, "", "this host holds %d bytes of jobs and answers", s.bytes)
 	}
-	return kind, nil
+	return kind, s.limits(now, job, kind, deadline)
 }
 
 // refuse records the refusal, because a ticket that was answered "not run" must never
@@ -115,8 +112,12 @@
 	for i := range j.waiting {
 		j.waiting[i] = i
 	}
+	j.sortWaiting()
+	j.estimate = s.endpoints.Estimate(placeTasks(ev.Job, kind))
+	j.key = queueKey(now, j.estimate, j.deadline)
 	s.jobs[j.id] = j
-	s.queue = append(s.queue, j)
+	s.enqueue(j)
+	s.limiter.Waiting(j.team, j.waitingWork())
 	s.open += j.open
 	s.teamOpen[j.team] += j.open
 	s.addBytes(j, jobCost(j.specs))
