Lose no answer and cut off no request in a drain

Cause and change: - A draining host closed idle connections of callers, on which a request may have been on its way. Replies of a draining host now end their connection, idle ones stay open for 4 s, and package client closes its own after 2 s. - Answers that nobody fetched were lost with the process. They go to a peer with StoreAnswers, which answers for those tickets until their lifetime ends, and never with another job's result.

--- a/api/decode.go
+++ b/api/decode.go
@@ -9,6 +9,10 @@
 	"github.com/cockroachdb/errors"
 )
 
+// maxMillis bounds the durations of a request, a day in milliseconds. A larger number could
+// overflow when it is turned into nanoseconds.
+const maxMillis = 24 * 60 * 60 * 1000
+
 // Limits bounds what a submission may hold.
 type Limits struct {
 	BodyBytes int64
@@ -16,16 +20,14 @@
 	Tickets   int
 }
 
-// DecodeJob reads one job and checks its form. It returns an *Error on bad input.
+// DecodeJob reads one job and checks its form. On bad input it returns an *Error, and what
+// could be read of the job, at least its ticket, or nil.
 func DecodeJob(r io.Reader, lim Limits) (*Job, *Error) {
 	job := new(Job)
 	if err := decodeStrict(r, lim.BodyBytes, job); err != nil {
-		return nil, err
+		return job, err
 	}
-	if err := job.check(lim); err != nil {
-		return nil, err
-	}
-	return job, nil
+	return job, job.check(lim)
 }
 
 // DecodeTicketRequest reads a request for tickets. It returns an *Error on bad input.
@@ -40,8 +42,8 @@
 	if req.Count < 1 || req.Count > lim.Tickets {
 		return nil, Errorf(CodeInvalid, "count", "count must be between 1 and %d", lim.Tickets)
 	}
-	if req.MaxDeadlineMS < 0 {
-		return nil, Errorf(CodeInvalid, "max_deadline_ms", "max_deadline_ms must not be negative")
+	if req.MaxDeadlineMS < 0 || req.MaxDeadlineMS > maxMillis {
+		return nil, Errorf(CodeInvalid, "max_deadline_ms", "max_deadline_ms must be between 0 and %d", maxMillis)
 	}
 	return req, nil
 }
@@ -59,10 +61,10 @@
 		return Errorf(CodeMissing, "tasks", "a job needs at least one task")
 	case len(j.Tasks) > lim.Tasks:
 		return Errorf(CodeTooManyTasks, "tasks", "a job may have at most %d tasks, this one has %d", lim.Tasks, len(j.Tasks))
-	case j.DeadlineMS < 0:
-		return Errorf(CodeInvalid, "deadline_ms", "deadline_ms must not be negative")
-	case j.WaitMS != nil && *j.WaitMS < 0:
-		return Errorf(CodeInvalid, "wait_ms", "wait_ms must not be negative")
+	case j.DeadlineMS < 0 || j.DeadlineMS > maxMillis:
+		return Errorf(CodeInvalid, "deadline_ms", "deadline_ms must be between 0 and %d", maxMillis)
+	case j.WaitMS != nil && (*j.WaitMS < 0 || *j.WaitMS > maxMillis):
+		return Errorf(CodeInvalid, "wait_ms", "wait_ms must be between 0 and %d", maxMillis)
 	case j.Ticket != "" && j.Key != "":
 		return Errorf(CodeInvalid, "key", "a job carries a ticket or a key, not both")
 	case j.Key != "" && j.KeyEpoch == nil:
@@ -73,6 +75,9 @@
 		if t.RunMS < 0 || t.Cores < 0 || t.MemoryMB < 0 || t.Accelerators < 0 {
 			return Errorf(CodeInvalid, "tasks", "task %d declares a negative run time or size", i)
 		}
+		if t.RunMS > maxMillis {
+			return Errorf(CodeInvalid, "tasks", "task %d declares a run time above %d ms", i, maxMillis)
+		}
 	}
 	return nil
 }
--- a/api/error.go
+++ b/api/error.go
@@ -39,6 +39,7 @@
 	CodeTaskLost        Code = "task_outcome_unknown"
 	CodeOwnerLost       Code = "owner_lost"
 	CodeOwnerAway       Code = "owner_unreachable"
+	CodeOwnerNotReached Code = "owner_not_reached"
 	CodeAnswerExpired   Code = "answer_expired"
 	CodeInternal        Code = "internal_invariant"
 )
@@ -69,12 +70,31 @@
 	case Complete, Failed:
 		return http.StatusOK
 	case Unknown:
-		return http.StatusAccepted
+		return r.unknownStatus()
 	}
 	if r.Reason == nil {
 		return http.StatusServiceUnavailable
 	}
-	switch r.Reason.Code {
+	return r.Reason.status()
+}
+
+// BadRequest reports whether the request itself was bad, so that asking again is no use.
+func (r *Reply) BadRequest() bool { return r.HTTPStatus() >= 400 && r.HTTPStatus() < 500 }
+
+// unknownStatus is an error only if the request itself was bad; asking again is no use then.
+func (r *Reply) unknownStatus() int {
+	if r.Reason != nil {
+		switch r.Reason.Code {
+		case CodeMalformed, CodeUnknownField, CodeSchema, CodeBodyTooLarge, CodeTooManyTasks, CodeInvalid, CodeMissing, CodeBadTicket, CodeTicketReused:
+			return r.Reason.status()
+		}
+	}
+	return http.StatusAccepted
+}
+
+// status maps the reason of a refusal to the status of its HTTP response.
+func (e *Error) status() int {
+	switch e.Code {
 	case CodeBodyTooLarge:
 		return http.StatusRequestEntityTooLarge
 	case CodeOverloaded, CodeQuota, CodeTooLate:
--- a/client/client.go
+++ b/client/client.go
@@ -9,7 +9,9 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -34,9 +36,19 @@
 const (
 	defaultBatch      = 32
 	defaultRetryDelay = 100 * time.Millisecond
+	// idleTimeout closes unused connections sooner than a draining host does, so that no
+	// request meets a connection that the host is closing.
+	idleTimeout = 2 * time.Second
+	// pollWait is how long one submission waits for the answer, unless the job says.
+	pollWait = 5 * time.Second
+	// silence is how long a host may take beyond the wait. After that the next host is
+	// asked; a paused host or a silent connection would otherwise hold a caller for good.
+	silence = 2 * time.Second
 	// windowMargin is how much of a ticket's submission window is left unused, so that a
 	// first submission does not arrive at its end.
 	windowMargin = 5 * time.Second
+	// maxJobWait is longer than any host waits for a job without a wait of its own.
+	maxJobWait = 24 * time.Hour
 	// maxReplyBytes bounds a reply.
 	maxReplyBytes = 256 << 20
 )
@@ -72,26 +84,63 @@
 	}
 	c := &Client{opts: opts, http: opts.HTTP}
 	if c.http == nil {
-		c.http = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}
+		c.http = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256, IdleConnTimeout: idleTimeout}}
 	}
 	return c
 }
 
 // Run submits a job under a new ticket and returns its final reply. It resubmits the
-// same ticket while replies are unknown or connections are lost. The error is the
-// context's error, or ErrNoHost if no ticket could be had.
+// same ticket while replies are unknown or connections are lost. If the ticket's owner
+// drains, or never received the submission, the job has not run and Run takes a new ticket. The error is the context's error,
+// or ErrNoHost if no ticket could be had.
 func (c *Client) Run(ctx context.Context, job api.Job) (*api.Reply, error) {
-	held, err := c.takeTicket(ctx)
-	if err != nil {
-		return nil, err
+	for range maxTickets {
+		held, err := c.takeTicket(ctx)
+		if err != nil {
+			return nil, err
+		}
+		reply, err := c.runTicket(ctx, job, held)
+		if err != nil || !movedOn(reply) {
+			return reply, err
+		}
+		c.dropTickets(held.id)
+		c.next()
 	}
+	return nil, errors.Mark(errors.New("every host that gave a ticket is shutting down"), ErrNoHost)
+}
+
+// maxTickets bounds the tickets that Run takes for one job.
+const maxTickets = 8
+
+// movedOn reports whether the owner refused because it no longer takes work.
+func movedOn(r *api.Reply) bool {
+	return r.Outcome == api.Refused &&
+		(ownerIs(r, api.CodeDraining) || ownerIs(r, api.CodeTicketExpired) || ownerIs(r, api.CodeOwnerNotReached))
+}
+
+// runTicket asks for the outcome of one ticket until it is final.
+func (c *Client) runTicket(ctx context.Context, job api.Job, held heldTicket) (*api.Reply, error) {
 	job.Schema = api.Schema
 	job.Ticket = held.id
+	if job.WaitMS == nil {
+		wait := pollWait.Milliseconds()
+		job.WaitMS = &wait
+	}
+	sent := 0
 	for {
-		reply, err := c.submitOnce(ctx, &job)
-		if err == nil && c.accept(reply, held) {
+		reply, n, err := c.submitOnce(ctx, &job)
+		sent += n
+		if err == nil && sent == 1 && ownerIs(reply, api.CodeOwnerNotReached) {
+			return neverSubmitted(held.id), nil
+		}
+		if err == nil && c.accept(reply, held, sent == 1) {
 			return reply, nil
 		}
+		if err == nil && (ownerIs(reply, api.CodeOwnerAway) || ownerIs(reply, api.CodeOwnerNotReached)) {
+			// Another host may reach the owner, or hold the answer that it handed over.
+			c.dropTickets(held.id)
+			c.next()
+		}
 		if time.Since(held.got) > held.life {
 			return lifetimeEnded(held.id), nil
 		}
@@ -101,13 +150,58 @@
 	}
 }
 
+func ownerIs(r *api.Reply, code api.Code) bool { return r.Reason != nil && r.Reason.Code == code }
+
+// neverSubmitted is the refusal of a ticket whose only submission did not reach its owner.
+func neverSubmitted(id ticket.ID) *api.Reply {
+	r := api.Refusal(api.Errorf(api.CodeOwnerNotReached, "ticket", "the owner of the ticket could not be reached; the job has not run"))
+	r.Ticket = id
+	return r
+}
+
 // accept reports whether a reply is final. "Complete" counts only within the ticket's
-// lifetime, because other hosts may say "failed" after it.
-func (c *Client) accept(r *api.Reply, held heldTicket) bool {
-	if r.Outcome == api.Complete {
+// lifetime, because other hosts may say "failed" after it. A refusal that does not name
+// the ticket, or a complaint about the request, comes from a host that could not read the
+// submission; it proves that the job did not run only if this was the only submission.
+func (c *Client) accept(r *api.Reply, held heldTicket, only bool) bool {
+	switch r.Outcome {
+	case api.Complete:
 		return time.Since(held.got) <= held.life
+	case api.Refused:
+		return only || r.Ticket == held.id
+	case api.Unknown:
+		if only && r.BadRequest() {
+			r.Outcome = api.Refused
+			return true
+		}
+	case api.Failed:
+		if ownerIs(r, api.CodeOwnerLost) {
+			c.dropTickets(held.id)
+		}
+		return true
+	}
+	return false
+}
+
+// dropTickets forgets the unused tickets of the process that minted id.
+func (c *Client) dropTickets(id ticket.ID) {
+	gone, err := ticket.Parse(id)
+	if err != nil {
+		return
 	}
-	return r.Outcome == api.Failed || r.Outcome == api.Refused
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tickets = slices.DeleteFunc(c.tickets, func(h heldTicket) bool {
+		t, err := ticket.Parse(h.id)
+		return err == nil && t.Incarnation == gone.Incarnation
+	})
+}
+
+// next makes the following requests start with another host.
+func (c *Client) next() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.first = (c.first + 1) % max(len(c.opts.Hosts), 1)
 }
 
 func lifetimeEnded(id ticket.ID) *api.Reply {
@@ -117,18 +211,21 @@
 
 // Submit sends a job once and returns the reply of the first host that answers.
 func (c *Client) Submit(ctx context.Context, job *api.Job) (*api.Reply, error) {
-	return c.submitOnce(ctx, job)
+	reply, _, err := c.submitOnce(ctx, job)
+	return reply, err
 }
 
 // Await asks for the answer of a job, waiting at most wait.
 func (c *Client) Await(ctx context.Context, id ticket.ID, wait time.Duration) (*api.Reply, error) {
 	query := fmt.Sprintf("?wait_ms=%d", wait.Milliseconds())
-	return c.jobRequest(ctx, http.MethodGet, "/v1/jobs/"+string(id)+query, nil)
+	reply, _, err := c.jobRequest(ctx, wait, http.MethodGet, "/v1/jobs/"+string(id)+query, nil)
+	return reply, err
 }
 
 // Cancel ends a job and returns its verdict.
 func (c *Client) Cancel(ctx context.Context, id ticket.ID) (*api.Reply, error) {
-	return c.jobRequest(ctx, http.MethodDelete, "/v1/jobs/"+string(id), nil)
+	reply, _, err := c.jobRequest(ctx, 0, http.MethodDelete, "/v1/jobs/"+string(id), nil)
+	return reply, err
 }
 
 // Tickets fetches n tickets for jobs with deadlines up to maxDeadline; 0 takes the host's
@@ -139,59 +236,87 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "encoding the request")
 	}
-	reply := new(api.TicketReply)
-	if err := c.request(ctx, http.MethodPost, "/v1/tickets", body, reply); err != nil {
-		return nil, err
-	}
-	if len(reply.Tickets) == 0 {
-		return nil, errors.New("the host returned no tickets")
-	}
-	return reply, nil
+	var reply *api.TicketReply
+	_, err = c.request(ctx, 0, http.MethodPost, "/v1/tickets", body, func(text []byte) error {
+		reply = new(api.TicketReply)
+		if err := json.Unmarshal(text, reply); err != nil || len(reply.Tickets) == 0 {
+			return errors.Newf("the host returned no tickets: %.200s", text)
+		}
+		return nil
+	})
+	return reply, err
 }
 
-func (c *Client) submitOnce(ctx context.Context, job *api.Job) (*api.Reply, error) {
+// submitOnce returns the reply and the number of hosts that may have received the job.
+func (c *Client) submitOnce(ctx context.Context, job *api.Job) (*api.Reply, int, error) {
 	body, err := json.Marshal(job)
 	if err != nil {
-		return nil, errors.Wrap(err, "encoding the job")
+		return nil, 0, errors.Wrap(err, "encoding the job")
 	}
-	return c.jobRequest(ctx, http.MethodPost, "/v1/jobs", body)
+	return c.jobRequest(ctx, jobWait(job), http.MethodPost, "/v1/jobs", body)
 }
 
-func (c *Client) jobRequest(ctx context.Context, method, path string, body []byte) (*api.Reply, error) {
-	reply := new(api.Reply)
-	if err := c.request(ctx, method, path, body, reply); err != nil {
-		return nil, err
-	}
-	if reply.Outcome == "" {
-		return nil, errors.New("the host's reply has no outcome")
+// jobWait is how long the host may wait for the job's answer.
+func jobWait(job *api.Job) time.Duration {
+	if job.WaitMS == nil {
+		return maxJobWait
 	}
-	return reply, nil
+	return time.Duration(*job.WaitMS) * time.Millisecond
 }
 
-// request tries each host once, beginning with the one that answered last.
-func (c *Client) request(ctx context.Context, method, path string, body []byte, into any) error {
+func (c *Client) jobRequest(ctx context.Context, wait time.Duration, method, path string, body []byte) (*api.Reply, int, error) {
+	var reply *api.Reply
+	sent, err := c.request(ctx, wait, method, path, body, func(text []byte) error {
+		reply = new(api.Reply)
+		if err := json.Unmarshal(text, reply); err != nil {
+			return errors.Wrap(err, "decoding the reply")
+		}
+		if reply.Outcome == "" {
+			return errors.New("the host's reply has no outcome")
+		}
+		return nil
+	})
+	return reply, sent, err
+}
+
+// request tries each host once, beginning with the one that answered last, until decode
+// takes a reply. A host may take wait and a margin. It returns the number of hosts that
+// may have received the request.
+func (c *Client) request(ctx context.Context, wait time.Duration, method, path string, body []byte, decode func([]byte) error) (int, error) {
 	c.mu.Lock()
 	first := c.first
 	c.mu.Unlock()
 	var lastErr error
+	sent := 0
 	for i := range c.opts.Hosts {
 		n := (first + i) % len(c.opts.Hosts)
-		err := c.requestTo(ctx, c.opts.Hosts[n], method, path, body, into)
+		limited, cancel := context.WithTimeout(ctx, wait+silence)
+		err := c.requestTo(limited, c.opts.Hosts[n], method, path, body, decode)
+		cancel()
+		if !notSent(err) {
+			sent++
+		}
 		if err == nil {
 			c.mu.Lock()
 			c.first = n
 			c.mu.Unlock()
-			return nil
+			return sent, nil
 		}
 		if ctx.Err() != nil {
-			return ctx.Err()
+			return sent, ctx.Err()
 		}
 		lastErr = err
 	}
-	return errors.Mark(errors.Wrap(lastErr, "no entry host answered"), ErrNoHost)
+	return sent, errors.Mark(errors.Wrap(lastErr, "no entry host answered"), ErrNoHost)
+}
+
+// notSent reports whether a request failed because no connection could be opened.
+func notSent(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
 }
 
-func (c *Client) requestTo(ctx context.Context, host, method, path string, body []byte, into any) error {
+func (c *Client) requestTo(ctx context.Context, host, method, path string, body []byte, decode func([]byte) error) error {
 	req, err := http.NewRequestWithContext(ctx, method, host+path, bytes.NewReader(body))
 	if err != nil {
 		return errors.Wrap(err, "building the request")
@@ -208,7 +333,7 @@
 	if err != nil {
 		return errors.Wrap(err, "reading the reply")
 	}
-	return errors.Wrap(json.Unmarshal(text, into), "decoding the reply")
+	return decode(text)
 }
 
 // takeTicket returns a held ticket, fetching a batch if none is left.
@@ -225,7 +350,7 @@
 	life := window + time.Duration(reply.MaxDeadlineMS)*time.Millisecond
 	c.mu.Lock()
 	for _, id := range reply.Tickets[1:] {
-		c.tickets = append(c.tickets, heldTicket{id: id, got: asked, useTill: asked.Add(window - windowMargin), life: life})
+		c.tickets = append(c.tickets, heldTicket{id: id, got: asked, useTill: asked.Add(window - min(windowMargin, window/4)), life: life})
 	}
 	c.mu.Unlock()
 	return heldTicket{id: reply.Tickets[0], got: asked, life: life}, nil
--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -33,6 +33,10 @@
 		writeReply(w, api.Refusal(refusal))
 		return
 	}
+	if d.refusing.Load() {
+		writeReply(w, api.Refusal(api.Errorf(api.CodeDraining, "", "this host is shutting down")))
+		return
+	}
 	maxDeadline := d.settings.Tickets.MaxDeadline
 	if req.MaxDeadlineMS > 0 {
 		maxDeadline = min(maxDeadline, time.Duration(req.MaxDeadlineMS)*time.Millisecond)
@@ -53,7 +57,7 @@
 func (d *Daemon) serveSubmit(w http.ResponseWriter, r *http.Request) {
 	job, refusal := api.DecodeJob(r.Body, d.apiLimits())
 	if refusal != nil {
-		writeReply(w, api.Refusal(refusal))
+		writeReply(w, badJobReply(job, refusal))
 		return
 	}
 	op := operation{kind: forward.Submit, job: job, wait: d.jobWait(job)}
@@ -71,6 +75,16 @@
 	d.performAndWrite(w, r, op)
 }
 
+// badJobReply answers a submission that this host cannot read or does not allow. With a
+// ticket that is no proof that the job has not run: another host may have other limits or
+// a newer version, and may have passed the job on to its owner.
+func badJobReply(job *api.Job, reason *api.Error) *api.Reply {
+	if job == nil || job.Ticket == "" {
+		return api.Refusal(reason)
+	}
+	return &api.Reply{Schema: api.Schema, Ticket: job.Ticket, Outcome: api.Unknown, Reason: reason}
+}
+
 // jobWait is how long a submission waits for its answer.
 func (d *Daemon) jobWait(job *api.Job) time.Duration {
 	if job.WaitMS != nil {
@@ -111,8 +125,13 @@
 }
 
 func (d *Daemon) performAndWrite(w http.ResponseWriter, r *http.Request, op operation) {
-	if reply := d.perform(r.Context(), op); reply != nil {
-		writeReply(w, reply)
+	reply := d.perform(r.Context(), op)
+	if reply == nil {
+		return
+	}
+	writeReply(w, reply)
+	if http.NewResponseController(w).Flush() == nil && r.Context().Err() == nil {
+		d.noteFetched(op, reply, false)
 	}
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -20,7 +20,6 @@
 
 	"sesameledge.dev/sesameledge/backend"
 	"sesameledge.dev/sesameledge/core"
-	"sesameledge.dev/sesameledge/dispatch"
 	"sesameledge.dev/sesameledge/peer"
 	"sesameledge.dev/sesameledge/peer/peerpb"
 	"sesameledge.dev/sesameledge/platform"
@@ -44,7 +43,9 @@
 	cancel      context.CancelFunc
 	draining    atomic.Bool
 	drainOnce   sync.Once
+	refusing    atomic.Bool // new work is refused
 	drained     chan struct{}
+	callerConns connCount
 	followers   sync.WaitGroup
 
 	callers    *http.Server
@@ -110,7 +111,7 @@
 		}
 		listeners = append(listeners, l)
 	}
-	d.callers = &http.Server{Handler: d.callersMux(), ReadHeaderTimeout: headerTimeout}
+	d.callers = &http.Server{Handler: d.closeWhileDraining(d.callersMux()), ConnState: d.callerConns.note, ReadHeaderTimeout: headerTimeout}
 	d.operators = &http.Server{Handler: d.operatorsMux(), ReadHeaderTimeout: headerTimeout}
 	d.peerServer = peer.NewServer(nil)
 	peerpb.RegisterPeerServer(d.peerServer, &peerServer{d: d})
@@ -130,8 +131,6 @@
 	headerTimeout = 10 * time.Second
 	// registerEvery is the pause between renewals in the platform's host list.
 	registerEvery = time.Second
-	// drainPoll is the pause between checks for open jobs.
-	drainPoll = 20 * time.Millisecond
 )
 
 func (d *Daemon) follow(f func(context.Context)) {
@@ -175,56 +174,3 @@
 	})
 	return ok
 }
-
-// Drain shuts the daemon down without cutting off a request: readiness fails first, then
-// new jobs are refused, running jobs end, open requests get their replies, and the peer
-// address is released last. It returns when all is closed.
-func (d *Daemon) Drain() {
-	d.drainOnce.Do(func() {
-		defer close(d.drained)
-		d.draining.Store(true)
-		level.Info(d.logs.daemon).Log("msg", "drain started")
-		ctx, cancel := context.WithTimeout(context.Background(), d.settings.Drain.Grace+d.settings.Drain.Timeout)
-		defer cancel()
-		sleep(ctx, d.settings.Drain.Grace)
-		d.loop.send(dispatch.DrainStarted{})
-		d.awaitOpenJobs(ctx)
-		d.shutdown(ctx)
-	})
-	<-d.drained
-}
-
-// Drained is closed when a drain has ended.
-func (d *Daemon) Drained() <-chan struct{} { return d.drained }
-
-func (d *Daemon) awaitOpenJobs(ctx context.Context) {
-	for {
-		open := 0
-		d.loop.query(func(_ time.Duration, s *core.State) { open = s.Dispatch.OpenJobs() })
-		if open == 0 || !sleep(ctx, drainPoll) {
-			return
-		}
-	}
-}
-
-func (d *Daemon) shutdown(ctx context.Context) {
-	_ = d.callers.Shutdown(ctx)
-	d.cancel()
-	d.followers.Wait()
-	stopped := make(chan struct{})
-	go func() {
-		d.peerServer.GracefulStop()
-		close(stopped)
-	}()
-	select {
-	case <-stopped:
-	case <-ctx.Done():
-		d.peerServer.Stop()
-	}
-	d.loop.close()
-	_ = d.operators.Close()
-	d.peers.Close()
-	d.backend.Close()
-	d.platform.Close()
-	level.Info(d.logs.daemon).Log("msg", "stopped")
-}
--- a/daemon/effects.go
+++ b/daemon/effects.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/go-kit/log/level"
+	"google.golang.org/grpc"
+	grpcpeer "google.golang.org/grpc/peer"
 
 	"sesameledge.dev/sesameledge/api"
 	"sesameledge.dev/sesameledge/core"
@@ -24,7 +26,7 @@
 func (d *Daemon) runEffect(e core.Effect) {
 	switch e := e.(type) {
 	case dispatch.StartAttempt:
-		go func() { d.loop.send(d.backend.Run(d.ctx, e)) }()
+		go func() { d.loop.send(d.runAttempt(e)) }()
 	case dispatch.CancelAttempts:
 		go d.cancelAttempts(e)
 	case dispatch.ReplyTo:
@@ -42,6 +44,17 @@
 	}
 }
 
+// runAttempt runs an attempt in what is left of its time. The process may have been paused
+// since the reducer decided on it.
+func (d *Daemon) runAttempt(e dispatch.StartAttempt) dispatch.AttemptEnded {
+	e.Remaining = min(e.Remaining, e.Deadline-d.loop.now())
+	if e.Remaining <= 0 {
+		return dispatch.AttemptEnded{Task: e.Task, Attempt: e.Attempt, Outcome: dispatch.AttemptNotStarted,
+			Reason: "the deadline passed before the attempt", Load: -1}
+	}
+	return d.backend.Run(d.ctx, e)
+}
+
 func (d *Daemon) cancelAttempts(e dispatch.CancelAttempts) {
 	ctx, cancel := context.WithTimeout(d.ctx, cancelTimeout)
 	defer cancel()
@@ -63,19 +76,25 @@
 	waiter := e.Request.Waiter
 	address, ok := d.peerAddress(e.Request.Ticket.Host)
 	if !ok {
-		return forward.OwnerFailed{Waiter: waiter, Reason: "host " + e.Request.Ticket.Host + " is not known"}
+		return forward.OwnerFailed{Waiter: waiter, Reason: "host " + e.Request.Ticket.Host + " is not known", NotSent: true}
 	}
 	ctx, cancel := context.WithTimeout(d.ctx, e.Wait+forwardMargin)
 	defer cancel()
-	reply, err := d.peers.Forward(ctx, address, &peerpb.ForwardRequest{
+	stub, err := d.peers.Peer(address)
+	if err != nil {
+		return forward.OwnerFailed{Waiter: waiter, Reason: "no connection to " + e.Request.Ticket.Host, NotSent: true}
+	}
+	// The address stays empty if no stream was opened, so that nothing was sent.
+	var reached grpcpeer.Peer
+	reply, err := stub.Forward(ctx, &peerpb.ForwardRequest{
 		Operation:   forwardOperation[e.Request.Operation],
 		Ticket:      string(e.Request.ID),
 		Incarnation: uint64(e.Request.Ticket.Incarnation),
 		Job:         e.Request.Job,
 		WaitMs:      e.Wait.Milliseconds(),
-	})
+	}, grpc.Peer(&reached))
 	if err != nil {
-		return forward.OwnerFailed{Waiter: waiter, Reason: "no answer from " + e.Request.Ticket.Host}
+		return forward.OwnerFailed{Waiter: waiter, Reason: "no answer from " + e.Request.Ticket.Host, NotSent: reached.Addr == nil}
 	}
 	if reply.WrongIncarnation {
 		return forward.OwnerReplaced{Waiter: waiter, Host: e.Request.Ticket.Host, Now: incarnation(reply.Incarnation)}
--- /dev/null
+++ b/daemon/handover.go
@@ -0,0 +1,131 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"sort"
+	"time"
+
+	"github.com/go-kit/log/level"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"sesameledge.dev/sesameledge/api"
+	"sesameledge.dev/sesameledge/core"
+	"sesameledge.dev/sesameledge/dispatch"
+	"sesameledge.dev/sesameledge/peer/peerpb"
+	"sesameledge.dev/sesameledge/ticket"
+)
+
+// handoverBytes bounds the answers in one message, well below peer.MaxMessageBytes.
+const handoverBytes = 8 << 20
+
+// handedAnswer is the encoded form of an answer in a StoredAnswer.
+type handedAnswer struct {
+	Digest uint64     `json:"digest,string"`
+	Reply  *api.Reply `json:"reply"`
+}
+
+// handOver gives the final replies that no caller has fetched to one peer.
+func (d *Daemon) handOver() {
+	var answers []dispatch.Answer
+	d.loop.query(func(now time.Duration, s *core.State) {
+		answers = append(s.Dispatch.Unfetched(now), s.Forward.Stored(now)...)
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), handoverTimeout)
+	defer cancel()
+	handed := 0
+	for _, batch := range encodeAnswers(answers) {
+		if d.storeAtPeer(ctx, batch) {
+			handed += len(batch.Answers)
+		}
+	}
+	if len(answers) > 0 {
+		level.Info(d.logs.daemon).Log("msg", "answers handed over", "answers", len(answers), "stored", handed)
+	}
+}
+
+// encodeAnswers splits the answers into messages. The time to keep an answer is cut by
+// the time limit of the handover, so that a peer never keeps it beyond the lifetime.
+func encodeAnswers(answers []dispatch.Answer) []*peerpb.StoreAnswersRequest {
+	var out []*peerpb.StoreAnswersRequest
+	size := handoverBytes
+	for _, a := range answers {
+		keep := a.Keep - handoverTimeout
+		body, err := json.Marshal(handedAnswer{Digest: a.Digest, Reply: a.Reply})
+		if err != nil || keep <= 0 {
+			continue
+		}
+		if size+len(body) > handoverBytes {
+			out = append(out, &peerpb.StoreAnswersRequest{})
+			size = 0
+		}
+		size += len(body)
+		last := out[len(out)-1]
+		last.Answers = append(last.Answers, &peerpb.StoredAnswer{Ticket: string(a.ID), Reply: body, KeepMs: keep.Milliseconds()})
+	}
+	return out
+}
+
+// storeAtPeer offers the answers to one peer after the other until one takes them.
+func (d *Daemon) storeAtPeer(ctx context.Context, req *peerpb.StoreAnswersRequest) bool {
+	for _, address := range d.peerAddresses() {
+		stub, err := d.peers.Peer(address)
+		if err == nil {
+			_, err = stub.StoreAnswers(ctx, req)
+		}
+		if err == nil {
+			return true
+		}
+		level.Debug(d.logs.daemon).Log("msg", "peer did not store answers", "peer", address, "err", err)
+	}
+	return false
+}
+
+// peerAddresses returns the peers' addresses, beginning with the host that follows this
+// one by name, so that hosts that drain together use different peers.
+func (d *Daemon) peerAddresses() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	own := d.settings.Host
+	names := make([]string, 0, len(d.addresses))
+	for name := range d.addresses {
+		if name != own {
+			names = append(names, name)
+		}
+	}
+	sort.Slice(names, func(i, j int) bool {
+		if after := names[i] > own; after != (names[j] > own) {
+			return after
+		}
+		return names[i] < names[j]
+	})
+	out := make([]string, len(names))
+	for i, name := range names {
+		out[i] = d.addresses[name]
+	}
+	return out
+}
+
+// StoreAnswers keeps the unfetched answers of a draining host. A draining host refuses.
+func (p *peerServer) StoreAnswers(_ context.Context, req *peerpb.StoreAnswersRequest) (*peerpb.StoreAnswersReply, error) {
+	if p.d.draining.Load() {
+		return nil, status.Error(codes.Unavailable, "this host is shutting down")
+	}
+	for _, stored := range req.Answers {
+		var have handedAnswer
+		if err := json.Unmarshal(stored.Reply, &have); err != nil || have.Reply == nil {
+			return nil, status.Error(codes.InvalidArgument, "an answer cannot be decoded")
+		}
+		a := dispatch.Answer{ID: ticket.ID(stored.Ticket), Digest: have.Digest, Reply: have.Reply,
+			Keep: time.Duration(stored.KeepMs) * time.Millisecond}
+		kept := false
+		p.d.loop.query(func(now time.Duration, s *core.State) {
+			kept = s.Forward.Store(now, a, int64(len(stored.Reply)))
+		})
+		if !kept {
+			return nil, status.Error(codes.ResourceExhausted, "no room for more answers")
+		}
+	}
+	return &peerpb.StoreAnswersReply{}, nil
+}
--- a/daemon/jobs.go
+++ b/daemon/jobs.go
@@ -100,6 +100,7 @@
 			return nil, api.Errorf(api.CodeMalformed, "", "the job cannot be encoded: %v", err)
 		}
 		req.Job = encoded
+		req.Digest = jobDigest(op.job)
 	}
 	return req, nil
 }
@@ -121,3 +122,10 @@
 	})
 	return out
 }
+
+// noteFetched records that the final reply of an own job was handed on.
+func (d *Daemon) noteFetched(op operation, reply *api.Reply, relayed bool) {
+	if reply.Final() && op.ticket.Incarnation == d.incarnation {
+		d.loop.send(dispatch.AnswerFetched{ID: op.id, Relayed: relayed})
+	}
+}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -32,6 +32,7 @@
 	Ticket    ticket.Ticket
 	Operation Operation
 	Job       []byte // JSON job for Submit
+	Digest    uint64 // of the job, for Submit
 	Wait      time.Duration
 	Waiter    dispatch.WaiterID
 }
@@ -46,6 +47,8 @@
 type OwnerFailed struct {
 	Waiter dispatch.WaiterID
 	Reason string
+	// NotSent means that the request provably did not reach the owner.
+	NotSent bool
 }
 
 // OwnerReplaced says that another incarnation answers at the owner's address.
@@ -107,6 +110,7 @@
 	gone     map[ticket.Incarnation]bool
 	goneList []ticket.Incarnation // by the time they were learned
 	waiting  map[dispatch.WaiterID]*pending
+	stored   store
 	counters Counters
 	effects  []Effect
 	off      switches
@@ -122,6 +126,7 @@
 	first   time.Duration // first sight of the ticket
 	until   time.Duration
 	retryAt time.Duration // 0 while a forwarded request is outstanding
+	arrived bool          // the request may have reached the owner
 	reason  string
 }
 
@@ -131,6 +136,8 @@
 	Failed     uint64 `json:"owner_failed"`
 	OwnersGone uint64 `json:"owners_gone"`
 	Verdicts   uint64 `json:"verdicts_for_lost_owners"`
+	Stored     uint64 `json:"answers_stored"`
+	FromStore  uint64 `json:"answers_from_store"`
 }
 
 // New returns an empty State.
@@ -139,6 +146,7 @@
 		seen:    make(map[ticket.ID]time.Duration),
 		gone:    make(map[ticket.Incarnation]bool),
 		waiting: make(map[dispatch.WaiterID]*pending),
+		stored:  store{answers: make(map[ticket.ID]storedAnswer)},
 	}
 }
 
@@ -160,6 +168,7 @@
 	}
 	s.retryDue(now)
 	s.forget(now)
+	s.stored.sweep(now)
 	return s.effects
 }
 
@@ -185,17 +194,22 @@
 		s.seen[req.ID] = now
 		s.order = append(s.order, seenEntry{id: req.ID, forget: now + req.Ticket.Lifetime() + keepSeen})
 	}
-	if reply := s.verdict(now, first, req); reply != nil {
+	if reply := s.storedReply(now, req); reply != nil {
 		s.reply(req.Waiter, reply)
 		return
 	}
 	p := &pending{req: req, first: first, until: now + req.Wait}
+	if reply := s.verdict(now, p); reply != nil {
+		s.reply(req.Waiter, reply)
+		return
+	}
 	s.waiting[req.Waiter] = p
 	s.send(now, p)
 }
 
 // verdict returns the final reply if the owner can no longer answer "complete".
-func (s *State) verdict(now, first time.Duration, req Request) *api.Reply {
+func (s *State) verdict(now time.Duration, p *pending) *api.Reply {
+	req := p.req
 	life := req.Ticket.Lifetime()
 	if s.off.earlyVerdict {
 		life /= 2
@@ -205,10 +219,10 @@
 		return nil
 	case s.gone[req.Ticket.Incarnation]:
 		s.counters.Verdicts++
-		return lost(req.ID, "the process that owned the job is gone; the job may have run")
-	case now > first+life:
+		return s.lost(p, "the process that owned the job is gone; the job may have run")
+	case now > p.first+life:
 		s.counters.Verdicts++
-		return lost(req.ID, "the owner of the job could not be reached within the ticket's lifetime; the job may have run")
+		return s.lost(p, "the owner of the job could not be reached within the ticket's lifetime; the job may have run")
 	}
 	return nil
 }
@@ -223,7 +237,11 @@
 // or would by now, keeps to that.
 func (s *State) ownerReplied(now time.Duration, ev OwnerReplied) {
 	p, ok := s.waiting[ev.Waiter]
-	if !ok || s.settle(now, p) {
+	if !ok {
+		return
+	}
+	p.arrived = true
+	if s.settle(now, p) {
 		return
 	}
 	s.answer(p, ev.Reply)
@@ -239,7 +257,10 @@
 
 // settle answers a pending request if the verdict is known by now.
 func (s *State) settle(now time.Duration, p *pending) bool {
-	r := s.verdict(now, p.first, p.req)
+	r := s.storedReply(now, p.req)
+	if r == nil {
+		r = s.verdict(now, p)
+	}
 	if r == nil {
 		return false
 	}
@@ -253,16 +274,21 @@
 	if ok && s.off.silenceIsGone {
 		s.markGone(p.req.Ticket.Incarnation)
 	}
-	if !ok || s.settle(now, p) {
+	if !ok {
+		return
+	}
+	p.arrived = p.arrived || !ev.NotSent
+	if s.settle(now, p) {
 		return
 	}
 	p.retryAt = now + retryDelay
 	p.reason = ev.Reason
-	if p.retryAt < p.until {
+	// A submission that has not left this host is better made at another one at once.
+	if p.retryAt < p.until && (p.arrived || p.req.Operation != Submit) {
 		return
 	}
 	s.answer(p, &api.Reply{Schema: api.Schema, Ticket: p.req.ID, Outcome: api.Unknown,
-		Reason: api.Errorf(api.CodeOwnerAway, "ticket", "the owner of the job cannot be reached now (%s); ask again", ev.Reason)})
+		Reason: api.Errorf(s.code(p, api.CodeOwnerAway), "ticket", "the owner of the job cannot be reached now (%s); ask again", ev.Reason)})
 }
 
 func (s *State) ownerReplaced(now time.Duration, ev OwnerReplaced) {
@@ -320,7 +346,16 @@
 	s.emit(ReplyTo{Waiter: w, Reply: r})
 }
 
-func lost(id ticket.ID, message string) *api.Reply {
-	return &api.Reply{Schema: api.Schema, Ticket: id, Outcome: api.Failed,
-		Reason: api.Errorf(api.CodeOwnerLost, "ticket", "%s", message)}
+// lost is the reply for a job whose owner can no longer answer "complete".
+func (s *State) lost(p *pending, message string) *api.Reply {
+	return &api.Reply{Schema: api.Schema, Ticket: p.req.ID, Outcome: api.Failed,
+		Reason: api.Errorf(s.code(p, api.CodeOwnerLost), "ticket", "%s", message)}
+}
+
+// code tells a caller that has submitted the ticket only once that the job has not run.
+func (s *State) code(p *pending, otherwise api.Code) api.Code {
+	if p.arrived && !s.off.notReached {
+		return otherwise
+	}
+	return api.CodeOwnerNotReached
 }
--- a/forward/fuzz_test.go
+++ b/forward/fuzz_test.go
@@ -29,7 +29,7 @@
 		"job": w.job, "request": w.request, "request2": w.request, "request3": w.request,
 		"deliver": w.deliver, "deliver2": w.deliver, "deliver3": w.deliver, "deliver4": w.deliver, "lose": w.lose,
 		"disconnect": w.disconnect, "run": w.run, "outcome": w.outcome, "serve": w.serve, "serve2": w.serve,
-		"kill": w.kill, "replace": w.replace, "pause": w.pause, "resume": w.resume,
+		"kill": w.kill, "drain": w.drain, "replace": w.replace, "pause": w.pause, "resume": w.resume,
 		"partition": w.partition, "heal": w.heal, "advance": w.advance, "jump": w.jump, "late": w.late,
 	} {
 		actions[name] = func(t *rapid.T) {
@@ -94,7 +94,11 @@
 }
 
 func (w *world) requestAt(c *caller, p *process, op Operation, wait time.Duration) {
-	c.open = w.newRequest(&request{id: c.id, from: c})
+	digest := uint64(1)
+	if op == Submit && c.truth.submitted && rapid.IntRange(0, 4).Draw(w.t, "reuse") == 0 {
+		digest = 2
+	}
+	c.open = w.newRequest(&request{id: c.id, from: c, digest: digest})
 	if p == c.truth.owner {
 		w.ask(p, op, c.id, c.truth.ticket, c.open, wait == 0)
 		return
@@ -102,7 +106,7 @@
 	if _, ok := p.seen[c.id]; !ok {
 		p.seen[c.id] = p.local(w.now)
 	}
-	w.onForward(p, Request{ID: c.id, Ticket: c.truth.ticket, Operation: op, Wait: wait, Waiter: c.open})
+	w.onForward(p, Request{ID: c.id, Ticket: c.truth.ticket, Operation: op, Wait: wait, Waiter: c.open, Digest: digest})
 }
 
 // disconnect loses a caller's connection. The host may or may not notice.
@@ -222,6 +226,23 @@
 	p.dead = true
 }
 
+// drain ends a process without open jobs and hands its answers to a peer.
+func (w *world) drain(t *rapid.T) {
+	p, q := w.process(t), w.process(t)
+	if !p.runs() || !q.runs() || p == q || p.dispatch.OpenJobs() > 0 {
+		t.Skip("cannot drain")
+	}
+	for _, a := range p.dispatch.Unfetched(p.local(w.now)) {
+		if !q.forward.Store(q.local(w.now), a, 1) {
+			t.Fatal("an answer was not stored")
+		}
+	}
+	for _, truth := range w.jobs {
+		truth.drained = truth.drained || truth.owner == p
+	}
+	p.dead = true
+}
+
 func (w *world) replace(t *rapid.T) {
 	p := w.process(t)
 	if !p.dead {
--- /dev/null
+++ b/forward/memory_test.go
@@ -0,0 +1,34 @@
+package forward
+
+import (
+	"testing"
+	"time"
+
+	"sesameledge.dev/sesameledge/dispatch"
+	"sesameledge.dev/sesameledge/ticket"
+)
+
+// TestMemoryBounds guards against callers that fill a host's memory with tickets of
+// other hosts, and against stored answers that push each other out.
+func TestMemoryBounds(t *testing.T) {
+	s := New()
+	for i := range maxSeen + 10 {
+		tk := ticket.Ticket{Host: "h", Incarnation: ticket.Incarnation(i), Window: time.Second, MaxDeadline: time.Second, Seq: 1}
+		w := dispatch.WaiterID(i + 1)
+		s.Apply(0, Request{ID: tk.ID(), Ticket: tk, Operation: Await, Waiter: w})
+		s.Apply(0, OwnerReplaced{Waiter: w, Now: 1 << 40})
+	}
+	if len(s.seen) > maxSeen || len(s.gone) > maxGone || len(s.waiting) != 0 {
+		t.Errorf("%d tickets, %d incarnations, %d requests kept", len(s.seen), len(s.gone), len(s.waiting))
+	}
+	if !s.Store(0, dispatch.Answer{ID: "a", Keep: time.Second}, MaxStoredBytes) {
+		t.Error("the first answer was refused")
+	}
+	if s.Store(0, dispatch.Answer{ID: "b", Keep: time.Second}, 1) {
+		t.Error("an answer was stored beyond the limit")
+	}
+	s.Apply(time.Second, Tick{})
+	if len(s.stored.answers) != 0 || s.stored.bytes != 0 {
+		t.Errorf("%d answers, %d bytes kept after their time", len(s.stored.answers), s.stored.bytes)
+	}
+}
--- a/forward/model_test.go
+++ b/forward/model_test.go
@@ -50,14 +50,16 @@
 
 // jobTruth is what is true about the job of a ticket.
 type jobTruth struct {
-	ticket   ticket.Ticket
-	job      *api.Job
-	minted   time.Duration
-	owner    *process
-	starts   map[int]int
-	results  map[int]json.RawMessage
-	refused  bool
-	failedAt time.Duration // when a host first answered "failed"; 0 for never
+	ticket    ticket.Ticket
+	job       *api.Job
+	minted    time.Duration
+	owner     *process
+	drained   bool // the owner has drained and handed its answers over
+	starts    map[int]int
+	results   map[int]json.RawMessage
+	refused   bool
+	submitted bool          // the owner has a submission, of the job with digest 1
+	failedAt  time.Duration // when a host first answered "failed"; 0 for never
 }
 
 // caller is one of the callers that share a ticket.
@@ -72,11 +74,13 @@
 // request is a request that a process has to answer: a caller's, or one forwarded by a
 // peer.
 type request struct {
-	id   ticket.ID
-	from *caller
-	peer *process
-	via  dispatch.WaiterID // the peer's request
-	done bool              // a forwarding host has replied
+	id     ticket.ID
+	from   *caller
+	peer   *process
+	via    dispatch.WaiterID // the peer's request
+	digest uint64            // of a submission
+	done   bool              // a forwarding host has replied
+	came   bool              // the owner has received it from the forwarding host
 }
 
 // message is in flight. deliver must not be nil; lost may be.
@@ -199,8 +203,15 @@
 	r := w.requests[e.Waiter]
 	r.done = true
 	truth := w.jobs[r.id]
+	if e.Reply.Outcome == api.Complete {
+		w.relayed(r, truth)
+	}
 	lifetimeOver := p.local(w.now) > p.seen[r.id]+truth.ticket.Lifetime()
-	if e.Reply.Reason != nil && e.Reply.Reason.Code == api.CodeOwnerLost {
+	if r.came && e.Reply.Reason != nil && e.Reply.Reason.Code == api.CodeOwnerNotReached {
+		w.fatalf("the owner is said not to have received a request that it has")
+	}
+	if e.Reply.Outcome == api.Failed && e.Reply.Reason != nil &&
+		(e.Reply.Reason.Code == api.CodeOwnerLost || e.Reply.Reason.Code == api.CodeOwnerNotReached) {
 		if !truth.owner.dead && w.now <= truth.minted+truth.ticket.Lifetime() {
 			w.fatalf("failed before the lifetime of a live owner's ticket has ended")
 		}
@@ -214,6 +225,16 @@
 	w.toCaller(r.from, e.Waiter, p, e.Reply)
 }
 
+// relayed checks an answer that a host passes on, or has kept for a drained owner.
+func (w *world) relayed(r *request, truth *jobTruth) {
+	if r.digest == 2 {
+		w.fatalf("a reused ticket got the answer of another job")
+	}
+	if truth.drained && w.now >= truth.minted+truth.ticket.Lifetime() {
+		w.fatalf("a stored answer is given after the lifetime")
+	}
+}
+
 // sendToOwner does what the shell does with the effect.
 func (w *world) sendToOwner(p *process, e SendToOwner) {
 	req := e.Request
@@ -221,14 +242,17 @@
 	if _, err := fmt.Sscanf(req.Ticket.Host, "h%d", &slot); err != nil {
 		w.fatalf("host %q", req.Ticket.Host)
 	}
-	failed := func() { w.onForward(p, OwnerFailed{Waiter: req.Waiter, Reason: "lost"}) }
+	failed := func() {
+		w.onForward(p, OwnerFailed{Waiter: req.Waiter, Reason: "lost", NotSent: w.hosts[slot].dead && !w.requests[req.Waiter].came})
+	}
 	w.messages = append(w.messages, message{from: p, to: w.hosts[slot], lost: failed, deliver: func() {
 		q := w.hosts[slot]
 		if q.inc != req.Ticket.Incarnation {
 			w.send(q, p, func() { w.onForward(p, OwnerReplaced{Waiter: req.Waiter, Now: q.inc}) }, failed)
 			return
 		}
-		id := w.newRequest(&request{id: req.ID, peer: p, via: req.Waiter})
+		w.requests[req.Waiter].came = true
+		id := w.newRequest(&request{id: req.ID, peer: p, via: req.Waiter, digest: req.Digest})
 		w.ask(q, req.Operation, req.ID, req.Ticket, id, e.Wait <= 0)
 	}})
 }
@@ -243,7 +267,8 @@
 func (w *world) ask(p *process, op Operation, id ticket.ID, t ticket.Ticket, waiter dispatch.WaiterID, noWait bool) {
 	switch op {
 	case Submit:
-		w.onDispatch(p, dispatch.Submit{ID: id, Ticket: t, Job: w.jobs[id].job, Digest: 1, Waiter: waiter, NoWait: noWait})
+		w.jobs[id].submitted = true
+		w.onDispatch(p, dispatch.Submit{ID: id, Ticket: t, Job: w.jobs[id].job, Digest: w.requests[waiter].digest, Waiter: waiter, NoWait: noWait})
 	case Cancel:
 		w.onDispatch(p, dispatch.Cancel{ID: id, Waiter: waiter})
 	default:
--- a/forward/switches.go
+++ b/forward/switches.go
@@ -7,4 +7,6 @@
 	silenceIsGone bool // an unreachable owner counts as gone
 	noVerdict     bool // "unknown" also after the lifetime
 	keepAnswered  bool // answered requests are not forgotten
+	notReached    bool // a request that may have arrived is said not to have
+	anyDigest     bool // stored answers go to any job with their ticket
 }
--- a/forward/switches_test.go
+++ b/forward/switches_test.go
@@ -21,6 +21,8 @@
 		{"silence is gone", switches{silenceIsGone: true}, callerRules{}, "the owner answers complete after"},
 		{"no verdict", switches{noVerdict: true}, callerRules{}, "unknown after the lifetime"},
 		{"keep answered", switches{keepAnswered: true}, callerRules{}, "and still kept"},
+		{"any digest", switches{anyDigest: true}, callerRules{}, "answer of another job"},
+		{"not reached", switches{notReached: true}, callerRules{}, "a request that it has"},
 		{"caller accepts late", switches{}, callerRules{acceptLate: true}, "complete accepted after"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
