Keep the poll of held tasks out of the timer heap

The fuzzer bounds the timers by the tickets, and the poll for held tasks broke that bound. The poll is now a time of its own in the state. Sums over teams no longer depend on map order, which could have made the reducer's choice differ between two runs of one history.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -29,9 +29,9 @@
 		}
 	}
 	s.queue = slices.DeleteFunc(s.queue, func(j *job) bool { return j.ended() || len(j.waiting) == 0 })
-	if len(s.queue) > 0 && !s.polling {
-		s.polling = true
-		s.setTimer(now+pollDelay, timerRetry, "")
+	s.pollAt = 0
+	if len(s.queue) > 0 {
+		s.pollAt = now + pollDelay
 	}
 }
 
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -38,7 +38,7 @@
 	refused   map[ticket.ID]*api.Error
 	queue     []*job // accepted jobs with waiting tasks, by key
 	limiter   *limit.Limiter
-	polling   bool // a retry timer is set
+	pollAt    time.Duration // when held tasks are looked at again; 0 for never
 	timers    timerHeap
 	draining  bool
 	open      int // tasks of jobs without a verdict
@@ -125,8 +125,11 @@
 
 // NextWake returns when the next deadline, retry or expiry is due.
 func (s *State) NextWake() (time.Duration, bool) {
-	if len(s.timers) == 0 {
-		return 0, false
+	switch {
+	case len(s.timers) == 0:
+		return s.pollAt, s.pollAt > 0
+	case s.pollAt > 0:
+		return min(s.pollAt, s.timers[0].at), true
 	}
 	return s.timers[0].at, true
 }
@@ -162,8 +165,6 @@
 			s.deadline(now, t.id)
 		case timerExpiry:
 			s.drop(t.id)
-		case timerRetry:
-			s.polling = false
 		}
 	}
 }
--- a/dispatch/timer.go
+++ b/dispatch/timer.go
@@ -13,7 +13,6 @@
 const (
 	timerDeadline timerKind = iota + 1
 	timerExpiry
-	timerRetry
 )
 
 type timer struct {
--- a/limit/fair.go
+++ b/limit/fair.go
@@ -1,6 +1,9 @@
 package limit
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // overShare is how far beyond its share a team may go before others go first. A margin
 // lets short jobs of a team that is slightly ahead pass long jobs of others.
@@ -8,9 +11,17 @@
 
 // Waiting adds work of a team to what waits on this host; a negative value removes it.
 func (l *Limiter) Waiting(team string, work time.Duration) {
+	if l.waiting[team] == 0 && work > 0 {
+		at, _ := slices.BinarySearch(l.active, team)
+		l.active = slices.Insert(l.active, at, team)
+	}
 	l.waiting[team] += work
-	if l.waiting[team] <= 0 {
-		delete(l.waiting, team)
+	if l.waiting[team] > 0 {
+		return
+	}
+	delete(l.waiting, team)
+	if at, ok := slices.BinarySearch(l.active, team); ok {
+		l.active = slices.Delete(l.active, at, at+1)
 	}
 }
 
@@ -24,7 +35,7 @@
 // of another team waits. Idle shares are lent: without competition no team is over.
 func (l *Limiter) OverShare(now time.Duration, team string) bool {
 	total, competition := l.used(now, team), false
-	for other := range l.waiting {
+	for _, other := range l.active {
 		if other != team {
 			competition = true
 			total += l.used(now, other)
@@ -44,7 +55,7 @@
 func (l *Limiter) share(team string) float64 {
 	own := l.weight(team)
 	sum := own
-	for other := range l.waiting {
+	for _, other := range l.active {
 		if other != team {
 			sum += l.weight(other)
 		}
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -74,6 +74,7 @@
 	rates    map[string]*rate         // by group: work started by this host
 	usage    map[string]*rate         // by team: work started by this host
 	waiting  map[string]time.Duration // by team: work that waits on this host
+	active   []string                 // teams with waiting work; sorted, so that sums don't depend on map order
 	retries  budget
 }
 
