Refuse at once what no endpoint could ever hold

Endpoints carry the size that the platform's list states, and a job with a task larger than every endpoint of its group is refused with the task's index. Unknown sizes and busy endpoints don't count against a task. Not measured; unit-tested.

--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -53,12 +53,23 @@
 }
 
 func placeTask(kindName string, kind Kind, spec *api.Task) place.Task {
-	return place.Task{Kind: kindName, Group: kind.Group, Run: time.Duration(spec.RunMS) * time.Millisecond}
+	return place.Task{
+		Kind:  kindName,
+		Group: kind.Group,
+		Run:   time.Duration(spec.RunMS) * time.Millisecond,
+		Size:  place.Size{Cores: spec.Cores, MemoryMB: spec.MemoryMB, Accelerators: spec.Accelerators},
+	}
 }
 
 // limits returns the reason to refuse a job because of load, or nil.
 func (s *State) limits(now time.Duration, job *api.Job, kind Kind, deadline time.Duration) *api.Error {
-	e := s.endpoints.Estimate(placeTasks(job, kind))
+	tasks := placeTasks(job, kind)
+	for i := range tasks {
+		if !s.endpoints.Fits(tasks[i]) {
+			return api.Errorf(api.CodeNeverFits, "tasks", "task %d is larger than any endpoint of group %s", i, kind.Group)
+		}
+	}
+	e := s.endpoints.Estimate(tasks)
 	s.limiter.SetCapacity(kind.Group, s.endpoints.Capacity(kind.Group))
 	j := limit.Job{
 		Team: job.Team, Group: kind.Group, Tasks: len(job.Tasks), Open: s.teamOpen[job.Team],
--- a/place/place.go
+++ b/place/place.go
@@ -21,6 +21,23 @@
 	Group    string     `json:"group"` // back-end group
 	Slots    int        `json:"slots"` // tasks that it runs at a time
 	Leaving  bool       `json:"leaving"`
+	Size     Size       `json:"size,omitzero"`
+}
+
+// Size is the size of an endpoint or the declared size of a task.
+type Size struct {
+	Cores        float64 `json:"cores,omitempty"`
+	MemoryMB     int64   `json:"memory_mb,omitempty"`
+	Accelerators int     `json:"accelerators,omitempty"`
+}
+
+// fits reports whether a task of this size fits an empty endpoint. An endpoint of
+// unknown size counts as large enough.
+func (t Size) fits(endpoint Size) bool {
+	if endpoint == (Size{}) {
+		return true
+	}
+	return t.Cores <= endpoint.Cores && t.MemoryMB <= endpoint.MemoryMB && t.Accelerators <= endpoint.Accelerators
 }
 
 // Task is what placement knows about a task.
@@ -28,6 +45,7 @@
 	Kind  string
 	Group string
 	Run   time.Duration // declared run time; a hint
+	Size  Size          // declared size
 	// Ends is when the task's job is expected to end because of its other tasks, on the
 	// clock of now; 0 if unknown.
 	Ends time.Duration
@@ -178,6 +196,18 @@
 	s.learn(now, st, sample)
 }
 
+// Fits reports whether some endpoint of the group, however busy, could hold the task. It
+// is true for a group without endpoints, of which nothing is known.
+func (s *Set) Fits(task Task) bool {
+	members := s.groups[task.Group]
+	for _, st := range members {
+		if task.Size.fits(st.Size) {
+			return true
+		}
+	}
+	return len(members) == 0
+}
+
 // Live returns the number of endpoints of a group that take new work.
 func (s *Set) Live(group string) int {
 	n := 0
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -208,3 +208,23 @@
 		}
 	})
 }
+
+// Guards against accepting a task that no endpoint could ever hold, and against refusing
+// one because sizes are unknown or because the large endpoint is busy.
+func TestFits(t *testing.T) {
+	s := NewSet(Options{})
+	task := Task{Group: group, Size: Size{Cores: 8}}
+	if !s.Fits(task) {
+		t.Error("a task is refused for its size although no endpoint is known")
+	}
+	small := Endpoint{ID: "small", Group: group, Size: Size{Cores: 4, MemoryMB: 100}}
+	s.Update([]Endpoint{small})
+	if s.Fits(task) {
+		t.Error("a task of 8 cores fits an endpoint of 4")
+	}
+	s.Update([]Endpoint{small, {ID: "large", Group: group, Size: Size{Cores: 64, MemoryMB: 100}}})
+	s.Started("large")
+	if !s.Fits(task) {
+		t.Error("a task of 8 cores does not fit a busy endpoint of 64")
+	}
+}
