--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/http/pprof"
 	"time"
 
 	"sesameledge.dev/sesameledge/api"
@@ -65,10 +66,19 @@
 		go d.Drain()
 		writeJSON(w, http.StatusAccepted, struct{}{})
 	})
+	profileRoutes(mux)
 	d.healthRoutes(mux)
 	return mux
 }
 
+// profileRoutes adds the runtime's profiles.
+func profileRoutes(mux *http.ServeMux) {
+	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	mux.HandleFunc("GET /debug/pprof/symbol", pprof.Symbol)
+	mux.HandleFunc("GET /debug/pprof/trace", pprof.Trace)
+}
+
 // healthRoutes adds the liveness and readiness pages, which the load balancer reads.
 func (d *Daemon) healthRoutes(mux *http.ServeMux) {
 	mux.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) {
