Run attempts on workers through the platform

Cause: a group with endpoints: worker had no way to run a task. A start's answer can be lost after it took effect, and a lease can lapse while its holder is paused.

Change: package worker starts tasks in batches under a lease of this incarnation, reads a task back by identity when the answer to its start was lost, and stops it by identity when the platform does not know it; the answer to that stop, or a refusal of the start, is the only proof that it did not start. Ends are read with a long poll for all tasks of a lease. The identity names the attempt, since a stop blocks an identity for ever.

The stand-in's test of idempotent starts no longer counts start messages in the pool; the test over HTTP counts them where they arrive now.

--- a/core/core.go
+++ b/core/core.go
@@ -122,6 +122,7 @@
 	for name, k := range c.Kinds {
 		p.Kinds[name] = dispatch.Kind{
 			Group:           k.Group,
+			Workers:         c.Groups[k.Group].Endpoints == "worker",
 			Idempotent:      k.Idempotent,
 			DefaultDeadline: k.DefaultDeadline,
 			MaxTasks:        k.MaxTasks,
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -26,6 +26,7 @@
 	"sesameledge.dev/sesameledge/platform"
 	"sesameledge.dev/sesameledge/settings"
 	"sesameledge.dev/sesameledge/ticket"
+	"sesameledge.dev/sesameledge/worker"
 )
 
 // Version is the version of this build.
@@ -39,6 +40,7 @@
 	loop        *loop
 	backend     *backend.Client
 	platform    *platform.Client
+	workers     *worker.Runner
 	peers       *peer.Client
 	ctx         context.Context
 	cancel      context.CancelFunc
@@ -91,6 +93,13 @@
 		Seed:        binary.LittleEndian.Uint64(seed[8:]),
 	}))
 	d.loop.run = d.runEffect
+	d.workers = worker.New(worker.Options{
+		Platform:     d.platform,
+		Incarnation:  inc.String(),
+		Report:       func(ev dispatch.AttemptEnded) { d.loop.send(ev) },
+		LeaseTTL:     s.Workers.LeaseTTL,
+		ResultGather: s.Workers.ResultGather,
+	})
 	d.metrics = d.newMetrics()
 	return d, nil
 }
@@ -120,6 +129,7 @@
 	d.follow(d.followConfig)
 	d.follow(d.followHosts)
 	d.follow(d.renewRegistration)
+	d.follow(d.workers.Run)
 	level.Info(d.logs.daemon).Log("msg", "started", "host", d.settings.Host, "zone", d.settings.Zone,
 		"incarnation", d.incarnation, "callers", listen.Callers, "peers", listen.Peers, "operators", listen.Operators)
 	return nil
--- a/daemon/effects.go
+++ b/daemon/effects.go
@@ -24,8 +24,16 @@
 func (d *Daemon) runEffect(e core.Effect) {
 	switch e := e.(type) {
 	case dispatch.StartAttempt:
+		if e.Endpoint.Worker {
+			d.workers.Start(e)
+			return
+		}
 		go func() { d.loop.send(d.backend.Run(d.ctx, e)) }()
 	case dispatch.CancelAttempts:
+		if e.Endpoint.Worker {
+			d.workers.Cancel(e)
+			return
+		}
 		go d.cancelAttempts(e)
 	case dispatch.ReplyTo:
 		d.loop.reply(e.Waiter, e.Reply)
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -17,6 +17,7 @@
 	m.Set("uptime_ms", expvar.Func(func() any { return d.loop.now().Milliseconds() }))
 	m.Set("reducer_queue", expvar.Func(func() any { return len(d.loop.inputs) }))
 	m.Set("backend", expvar.Func(func() any { return d.backend.Counters() }))
+	m.Set("worker", expvar.Func(func() any { return d.workers.Counters() }))
 	m.Set("dispatch", d.stateMetric(func(s *core.State) any { return s.Dispatch.Counters() }))
 	m.Set("forward", d.stateMetric(func(s *core.State) any { return s.Forward.Counters() }))
 	m.Set("open_jobs", d.stateMetric(func(s *core.State) any { return s.Dispatch.OpenJobs() }))
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -66,7 +66,7 @@
 func endpoints(hosts []platform.Host) []place.Endpoint {
 	var out []place.Endpoint
 	for i := range hosts {
-		if hosts[i].Kind == platform.KindMinion {
+		if hosts[i].Kind == platform.KindMinion || hosts[i].Kind == platform.KindWorker {
 			out = append(out, hosts[i].Endpoint())
 		}
 	}
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -31,8 +31,7 @@
 func (s *State) placeJob(now time.Duration, j *job) bool {
 	for len(j.waiting) > 0 {
 		index := j.waiting[0]
-		info := place.Task{Kind: j.kindName, Group: j.kind.Group, Run: time.Duration(j.specs[index].RunMS) * time.Millisecond}
-		ep, ok := s.endpoints.Pick(now, info, j.tasks[index].avoid)
+		ep, ok := s.placement(j.kind).Pick(now, j.placeTask(index), j.tasks[index].avoid)
 		if !ok {
 			return false
 		}
@@ -63,12 +62,13 @@
 	t.endpoint = ep
 	j.inFlight++
 	s.counters.Attempts++
-	s.endpoints.Started(ep.ID)
+	s.placement(j.kind).Started(ep.ID, j.placeTask(index))
 	s.emit(StartAttempt{
 		Task:      TaskRef{Ticket: j.id, Index: index},
 		Attempt:   t.attempt,
 		Kind:      j.kindName,
 		Endpoint:  ep,
+		Size:      j.placeTask(index).Size,
 		Payload:   j.specs[index].Payload,
 		Remaining: j.deadline - now,
 	})
@@ -96,9 +96,9 @@
 		return
 	}
 	j.inFlight--
-	s.endpoints.Ended(now, t.endpoint.ID, place.Sample{
+	s.placement(j.kind).Ended(now, t.endpoint.ID, j.placeTask(ev.Task.Index), place.Sample{
 		Kind:    j.kindName,
-		Failed:  ev.Outcome == AttemptFailed || ev.Outcome == AttemptUnknown,
+		Failed:  (ev.Outcome == AttemptFailed || ev.Outcome == AttemptUnknown) && !ev.Blameless,
 		Refused: ev.Outcome == AttemptNotStarted,
 		Service: ev.Service,
 		Load:    ev.Load,
--- a/dispatch/event.go
+++ b/dispatch/event.go
@@ -80,6 +80,9 @@
 	Reason  string
 	Service time.Duration
 	Load    int // load that the endpoint reported; -1 if none
+	// Blameless says that a failure tells nothing about the endpoint, because the task
+	// was ended from outside.
+	Blameless bool
 }
 
 // EndpointsChanged replaces the list of endpoints.
@@ -114,6 +117,7 @@
 	Attempt  int
 	Kind     string
 	Endpoint place.Endpoint
+	Size     place.Size // declared
 	Payload  json.RawMessage
 	// Remaining is the time until the job's deadline.
 	Remaining time.Duration
--- /dev/null
+++ b/dispatch/placement.go
@@ -0,0 +1,63 @@
+package dispatch
+
+import (
+	"time"
+
+	"sesameledge.dev/sesameledge/place"
+)
+
+// placement chooses endpoints for the tasks of one sort of group, minions or workers,
+// and is told of every attempt.
+type placement interface {
+	Update([]place.Endpoint)
+	Pick(now time.Duration, task place.Task, avoid place.EndpointID) (place.Endpoint, bool)
+	Started(place.EndpointID, place.Task)
+	Ended(time.Duration, place.EndpointID, place.Task, place.Sample)
+	Live(group string) int
+	View() []place.EndpointView
+	Len() int
+}
+
+// minionSet adapts place.Set, which needs no task to account for an attempt.
+type minionSet struct{ *place.Set }
+
+// Started implements placement.
+func (m minionSet) Started(id place.EndpointID, _ place.Task) { m.Set.Started(id) }
+
+// Ended implements placement.
+func (m minionSet) Ended(now time.Duration, id place.EndpointID, _ place.Task, s place.Sample) {
+	m.Set.Ended(now, id, s)
+}
+
+// placement returns what places the tasks of a kind.
+func (s *State) placement(k Kind) placement {
+	if k.Workers {
+		return s.workers
+	}
+	return s.minions
+}
+
+func (s *State) updateEndpoints(list []place.Endpoint) {
+	var minions, workers []place.Endpoint
+	for _, ep := range list {
+		if ep.Worker {
+			workers = append(workers, ep)
+			continue
+		}
+		minions = append(minions, ep)
+	}
+	s.minions.Update(minions)
+	s.workers.Update(workers)
+}
+
+// placeTask describes a task to placement. The declared values are gone once the job has
+// ended; placement knows an attempt by its job and index then.
+func (j *job) placeTask(index int) place.Task {
+	t := place.Task{Kind: j.kindName, Group: j.kind.Group, Job: string(j.id), Index: index}
+	if index < len(j.specs) {
+		spec := &j.specs[index]
+		t.Run = time.Duration(spec.RunMS) * time.Millisecond
+		t.Size = place.Size{Cores: spec.Cores, MemoryMB: spec.MemoryMB, Accelerators: spec.Accelerators}
+	}
+	return t
+}
--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -5,6 +5,7 @@
 // Kind is the policy of a job kind.
 type Kind struct {
 	Group           string        // back-end group that runs the kind
+	Workers         bool          // the group's endpoints are workers
 	Idempotent      bool          // recorded for callers; tasks start at most once either way
 	DefaultDeadline time.Duration // deadline of a job that names none
 	MaxTasks        int           // 0 means no limit of its own
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -28,21 +28,22 @@
 
 // State is the dispatcher's state. It is not safe for concurrent use.
 type State struct {
-	opts      Options
-	mint      ticket.Mint
-	minted    mintLog
-	policy    *Policy
-	endpoints *place.Set
-	jobs      map[ticket.ID]*job
-	refused   map[ticket.ID]*api.Error
-	queue     []*job // accepted jobs with waiting tasks, in order
-	timers    timerHeap
-	draining  bool
-	open      int // tasks of jobs without a verdict
-	teamOpen  map[string]int
-	bytes     int64
-	counters  Counters
-	effects   []Effect
+	opts     Options
+	mint     ticket.Mint
+	minted   mintLog
+	policy   *Policy
+	minions  placement
+	workers  placement
+	jobs     map[ticket.ID]*job
+	refused  map[ticket.ID]*api.Error
+	queue    []*job // accepted jobs with waiting tasks, in order
+	timers   timerHeap
+	draining bool
+	open     int // tasks of jobs without a verdict
+	teamOpen map[string]int
+	bytes    int64
+	counters Counters
+	effects  []Effect
 }
 
 // Counters counts what the reducer did since the process started.
@@ -63,13 +64,14 @@
 // New returns an empty State with an empty policy.
 func New(opts Options) *State {
 	return &State{
-		opts:      opts,
-		mint:      ticket.Mint{Host: opts.Host, Incarnation: opts.Incarnation},
-		policy:    (&Policy{}).withDefaults(),
-		endpoints: place.NewSet(place.Options{Zone: opts.Zone, Seed: opts.Seed}),
-		jobs:      make(map[ticket.ID]*job),
-		refused:   make(map[ticket.ID]*api.Error),
-		teamOpen:  make(map[string]int),
+		opts:     opts,
+		mint:     ticket.Mint{Host: opts.Host, Incarnation: opts.Incarnation},
+		policy:   (&Policy{}).withDefaults(),
+		minions:  minionSet{place.NewSet(place.Options{Zone: opts.Zone, Seed: opts.Seed})},
+		workers:  minionSet{place.NewSet(place.Options{Zone: opts.Zone, Seed: opts.Seed})},
+		jobs:     make(map[ticket.ID]*job),
+		refused:  make(map[ticket.ID]*api.Error),
+		teamOpen: make(map[string]int),
 	}
 }
 
@@ -103,7 +105,7 @@
 	case AttemptEnded:
 		s.attemptEnded(now, ev)
 	case EndpointsChanged:
-		s.endpoints.Update(ev.Endpoints)
+		s.updateEndpoints(ev.Endpoints)
 	case PolicyChanged:
 		s.policy = ev.Policy.withDefaults()
 	case DrainStarted:
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -68,7 +68,7 @@
 		return kind, api.Errorf(api.CodeDeadlineTooLong, "deadline_ms", "the ticket allows deadlines up to %v", ev.Ticket.MaxDeadline)
 	case kind.MaxTasks > 0 && n > kind.MaxTasks:
 		return kind, api.Errorf(api.CodeTooManyTasks, "tasks", "jobs of kind %s have at most %d tasks", job.Kind, kind.MaxTasks)
-	case s.endpoints.Live(kind.Group) == 0:
+	case s.placement(kind).Live(kind.Group) == 0:
 		return kind, api.Errorf(api.CodeNoEndpoint, "kind", "no endpoint of group %s is available", kind.Group)
 	case team.MaxTasks > 0 && s.teamOpen[job.Team]+n > team.MaxTasks:
 		return kind, api.Errorf(api.CodeQuota, "team", "team %s has %d open tasks of %d", job.Team, s.teamOpen[job.Team], team.MaxTasks)
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -45,7 +45,7 @@
 		Refused:   len(s.refused),
 		TeamOpen:  make(map[string]int, len(s.teamOpen)),
 		Counters:  s.counters,
-		Endpoints: s.endpoints.View(),
+		Endpoints: append(s.minions.View(), s.workers.View()...),
 	}
 	for team, n := range s.teamOpen {
 		v.TeamOpen[team] = n
@@ -82,4 +82,4 @@
 func (s *State) OpenTasks() int { return s.open }
 
 // Endpoints returns the number of endpoints known.
-func (s *State) Endpoints() int { return s.endpoints.Len() }
+func (s *State) Endpoints() int { return s.minions.Len() + s.workers.Len() }
--- a/place/place.go
+++ b/place/place.go
@@ -19,8 +19,18 @@
 	Identity string     `json:"identity"` // differs for a new process on the same address
 	Zone     string     `json:"zone"`
 	Group    string     `json:"group"` // back-end group
-	Slots    int        `json:"slots"` // tasks that it runs at a time
+	Slots    int        `json:"slots"` // tasks that a minion runs at a time
 	Leaving  bool       `json:"leaving"`
+	Worker   bool       `json:"worker,omitempty"`  // false for a minion
+	Capacity Size       `json:"capacity,omitzero"` // of a worker
+	Rack     string     `json:"rack,omitempty"`    // of a worker
+}
+
+// Size is an amount of a worker's resources.
+type Size struct {
+	Cores        float64 `json:"cores"`
+	MemoryMB     int64   `json:"memory_mb"` // mebibytes
+	Accelerators int     `json:"accelerators,omitempty"`
 }
 
 // Task is what placement knows about a task.
@@ -28,6 +38,9 @@
 	Kind  string
 	Group string
 	Run   time.Duration // declared run time; a hint
+	Job   string        // identity of the task's job
+	Index int           // of the task in its job
+	Size  Size          // declared size; matters on workers only
 }
 
 // Sample is what one ended attempt says about its endpoint.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -27,6 +27,7 @@
 	Tickets  Tickets  `yaml:"tickets"`
 	Limits   Limits   `yaml:"limits"`
 	Backend  Backend  `yaml:"backend"`
+	Workers  Workers  `yaml:"workers"`
 	Drain    Drain    `yaml:"drain"`
 	Log      Log      `yaml:"log"`
 	TLS      TLS      `yaml:"tls"`
@@ -76,6 +77,12 @@
 	ProveIdleAfter time.Duration `yaml:"prove_idle_after"` // idle time after which the body is held back
 }
 
+// Workers sets how tasks run on workers of the platform.
+type Workers struct {
+	LeaseTTL     time.Duration `yaml:"lease_ttl"`     // tasks stop if the lease was not renewed for so long
+	ResultGather time.Duration `yaml:"result_gather"` // pause between reads of results, to read more at once
+}
+
 // Drain sets a graceful shutdown.
 type Drain struct {
 	Grace   time.Duration `yaml:"grace"`   // not ready but still accepting, for the load balancer
@@ -122,6 +129,11 @@
 			IdleTimeout:    30 * time.Second,
 			ProveIdleAfter: time.Second,
 		},
+		Workers: Workers{
+			// Outlasts short outages of the platform; most tasks end by themselves sooner.
+			LeaseTTL:     30 * time.Second,
+			ResultGather: 10 * time.Millisecond,
+		},
 		Drain: Drain{Grace: 2 * time.Second, Timeout: 60 * time.Second},
 		Log:   Log{Format: "logfmt", Level: "info"},
 	}
@@ -165,6 +177,8 @@
 	c.positive("tickets.window", s.Tickets.Window)
 	c.positive("tickets.max_deadline", s.Tickets.MaxDeadline)
 	c.positive("backend.dial_timeout", s.Backend.DialTimeout)
+	c.positive("workers.lease_ttl", s.Workers.LeaseTTL)
+	c.require(s.Workers.ResultGather >= 0, "workers.result_gather", "must not be negative")
 	c.positive("drain.timeout", s.Drain.Timeout)
 	c.require(s.Tickets.Window+s.Tickets.MaxDeadline <= 24*time.Hour, "tickets", "window and max_deadline together must not exceed 24h")
 	c.require(s.Limits.BodyBytes > 0, "limits.body_bytes", "must be positive")
--- a/standin/platformsim/sim.go
+++ b/standin/platformsim/sim.go
@@ -20,9 +20,11 @@
 	hosts   *hostList
 	faults  map[Service]*faultSwitch
 	workers *workerPool
-	server  *simhttp.Server
-	ctx     context.Context // ends at Stop
-	cancel  context.CancelFunc
+	// messages counts the requests to the worker interface.
+	messages messageCounts
+	server   *simhttp.Server
+	ctx      context.Context // ends at Stop
+	cancel   context.CancelFunc
 }
 
 // New returns a Sim that is not started.
@@ -34,14 +36,15 @@
 		faults[service] = newFaultSwitch(cfg.Seed, uint64(n))
 	}
 	return &Sim{
-		cfg:     cfg,
-		log:     newLogStore(cfg.Retention),
-		sync:    newSyncer(cfg.AppendRate, cfg.SyncTime),
-		hosts:   newHostList(cfg.HostLag, cfg.HostTTL),
-		faults:  faults,
-		workers: newWorkerPool(cfg.Workers, cfg.UsageLag),
-		ctx:     ctx,
-		cancel:  cancel,
+		cfg:      cfg,
+		log:      newLogStore(cfg.Retention),
+		sync:     newSyncer(cfg.AppendRate, cfg.SyncTime),
+		hosts:    newHostList(cfg.HostLag, cfg.HostTTL),
+		faults:   faults,
+		workers:  newWorkerPool(cfg.Workers, cfg.UsageLag),
+		messages: newMessageCounts(),
+		ctx:      ctx,
+		cancel:   cancel,
 	}
 }
 
@@ -85,6 +88,7 @@
 	handle(ServiceHosts, "POST "+platform.PathHosts+"/{id}/state", s.serveHostState)
 	s.workerRoutes(handle)
 	mux.HandleFunc("GET "+pathTasksAdmin, s.serveTaskTotals)
+	mux.HandleFunc("POST "+pathWorkersAdmin, s.serveWorkerFault)
 	mux.HandleFunc("GET /admin/faults", s.serveFaults)
 	mux.HandleFunc("POST /admin/faults", s.serveSetFaults)
 	return mux
--- a/standin/platformsim/usage.go
+++ b/standin/platformsim/usage.go
@@ -3,6 +3,8 @@
 import (
 	"sort"
 	"time"
+
+	"sesameledge.dev/sesameledge/platform"
 )
 
 // samplePeriod is the least time between two usage samples of a worker.
@@ -11,17 +13,27 @@
 // sample is the usage of a worker at a time.
 type sample struct {
 	at    time.Time
-	usage Usage
+	usage platform.Usage
 }
 
 // usage sums up the use of the running tasks. A throttled task uses fewer cores.
-func (w *worker) usage() Usage {
-	u := Usage{Worker: w.host.ID, Accelerators: w.accelerators()}
+func (w *worker) usage() platform.Usage {
+	u := platform.Usage{Worker: w.host.ID, Accelerators: w.accelerators()}
 	for id, t := range w.running {
-		cores := t.request.Payload.Cores * t.view.Speed
+		cores := t.payload.Cores * t.view.Speed
 		u.Cores += cores
-		u.MemoryMB += t.request.Payload.MemoryMB
-		u.Tasks = append(u.Tasks, TaskUsage{Task: id, Cores: cores, MemoryMB: t.request.Payload.MemoryMB})
+		u.MemoryMB += t.payload.MemoryMB
+		u.Tasks = append(u.Tasks, platform.TaskUsage{
+			Task:             id,
+			Lease:            t.view.Lease,
+			Label:            t.request.Label,
+			Speed:            t.view.Speed,
+			Cores:            cores,
+			MemoryMB:         t.payload.MemoryMB,
+			Accelerators:     t.request.Accelerators,
+			DeclaredCores:    t.request.Cores,
+			DeclaredMemoryMB: t.request.MemoryMB,
+		})
 	}
 	sort.Slice(u.Tasks, func(i, j int) bool { return u.Tasks[i].Task < u.Tasks[j].Task })
 	return u
@@ -50,10 +62,10 @@
 
 // usages returns the latest usage of each worker that is at least as old as the lag, in
 // the configured order. A worker without such a sample is left out.
-func (p *workerPool) usages(now time.Time) []Usage {
+func (p *workerPool) usages(now time.Time) []platform.Usage {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	all := make([]Usage, 0, len(p.order))
+	all := make([]platform.Usage, 0, len(p.order))
 	for _, id := range p.order {
 		if s, ok := p.workers[id].served(now, p.usageLag); ok {
 			s.usage.AgeMS = now.Sub(s.at).Milliseconds()
--- /dev/null
+++ b/worker/fake_test.go
@@ -0,0 +1,179 @@
+package worker
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"sesameledge.dev/sesameledge/platform"
+)
+
+var errNoAnswer = errors.New("no answer")
+
+// fakePlatform runs tasks in memory. Its faults lose messages and answers.
+type fakePlatform struct {
+	mu       sync.Mutex
+	random   *rand.Rand
+	lostCall float64       // share of messages that never arrive
+	lostBack float64       // share of answers that are lost after the effect
+	late     float64       // share of the lost starts that arrive late
+	lateBy   time.Duration // how late
+	refuse   platform.Refusal
+	runs     time.Duration
+	tasks    map[string]*platform.TaskView
+	ended    map[string][]platform.TaskView // by lease
+	lapsed   map[string]bool
+	starts   map[string]int // by task name, that is the identity without the attempt
+	messages int
+}
+
+func newFake(seed uint64) *fakePlatform {
+	return &fakePlatform{
+		random: rand.New(rand.NewPCG(seed, 1)),
+		runs:   5 * time.Millisecond,
+		tasks:  make(map[string]*platform.TaskView),
+		ended:  make(map[string][]platform.TaskView),
+		lapsed: make(map[string]bool),
+		starts: make(map[string]int),
+	}
+}
+
+// message applies the faults around an operation.
+func (f *fakePlatform) message(act func()) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.messages++
+	if f.random.Float64() < f.lostCall {
+		return errNoAnswer
+	}
+	act()
+	if f.random.Float64() < f.lostBack {
+		return errNoAnswer
+	}
+	return nil
+}
+
+func (f *fakePlatform) RenewLease(_ context.Context, lease string, _ time.Duration) (err error) {
+	lost := f.message(func() {
+		if f.lapsed[lease] {
+			err = platform.ErrLeaseLapsed
+		}
+	})
+	return errors.Join(lost, err)
+}
+
+func (f *fakePlatform) StartTasks(_ context.Context, batch platform.StartBatch) (out []platform.TaskAnswer, err error) {
+	arrived := false
+	err = f.message(func() {
+		arrived = true
+		for _, t := range batch.Tasks {
+			out = append(out, f.start(batch.Lease, t))
+		}
+	})
+	if !arrived && f.late > 0 {
+		time.AfterFunc(f.lateBy, func() {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			for _, t := range batch.Tasks {
+				if f.random.Float64() < f.late {
+					f.start(batch.Lease, t)
+				}
+			}
+		})
+	}
+	return out, err
+}
+
+func (f *fakePlatform) start(lease string, t platform.TaskStart) platform.TaskAnswer {
+	if v := f.tasks[t.Task]; v != nil {
+		return platform.TaskAnswer{Task: *v}
+	}
+	if f.lapsed[lease] {
+		return platform.TaskAnswer{Refused: platform.RefusedLease}
+	}
+	if f.refuse != "" {
+		return platform.TaskAnswer{Refused: f.refuse}
+	}
+	v := &platform.TaskView{Task: t.Task, Worker: t.Worker, Lease: lease, State: platform.TaskRunning, Started: true}
+	f.tasks[t.Task] = v
+	f.starts[taskName(t.Task)]++
+	time.AfterFunc(f.runs, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.end(v, platform.TaskDone)
+	})
+	return platform.TaskAnswer{Task: *v}
+}
+
+func (f *fakePlatform) end(v *platform.TaskView, state platform.TaskState) {
+	if v.State == platform.TaskRunning {
+		v.State = state
+		f.ended[v.Lease] = append(f.ended[v.Lease], *v)
+	}
+}
+
+func (f *fakePlatform) ReadTasks(_ context.Context, tasks []platform.TaskID) (out []platform.TaskAnswer, err error) {
+	err = f.message(func() {
+		for _, t := range tasks {
+			if v := f.tasks[t.Task]; v != nil {
+				out = append(out, platform.TaskAnswer{Task: *v})
+				continue
+			}
+			out = append(out, platform.TaskAnswer{Refused: platform.RefusedTask})
+		}
+	})
+	return out, err
+}
+
+func (f *fakePlatform) StopTasks(_ context.Context, tasks []platform.TaskID) (out []platform.TaskAnswer, err error) {
+	err = f.message(func() {
+		for _, t := range tasks {
+			v := f.tasks[t.Task]
+			if v == nil {
+				v = &platform.TaskView{Task: t.Task, Worker: t.Worker, State: platform.TaskStopped}
+				f.tasks[t.Task] = v
+			}
+			f.end(v, platform.TaskStopped)
+			out = append(out, platform.TaskAnswer{Task: *v})
+		}
+	})
+	return out, err
+}
+
+func (f *fakePlatform) EndedTasks(ctx context.Context, lease string, after int, wait time.Duration) (*platform.EndedReply, error) {
+	reply := new(platform.EndedReply)
+	err := f.message(func() {})
+	for end := time.Now().Add(wait); err == nil; {
+		f.mu.Lock()
+		reply.Tasks = f.ended[lease][after:]
+		reply.Next, reply.Lapsed = len(f.ended[lease]), f.lapsed[lease]
+		f.mu.Unlock()
+		if len(reply.Tasks) > 0 || reply.Lapsed || time.Now().After(end) {
+			break
+		}
+		if !sleep(ctx, time.Millisecond) {
+			return nil, ctx.Err()
+		}
+	}
+	return reply, err
+}
+
+// lapse ends a lease and its tasks, as after a pause of its holder.
+func (f *fakePlatform) lapse(lease string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lapsed[lease] = true
+	for _, v := range f.tasks {
+		if v.Lease == lease {
+			f.end(v, platform.TaskLapsed)
+		}
+	}
+}
+
+func (f *fakePlatform) startsOf(name string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.starts[name]
+}
