Place tasks on workers by size

Cause: tasks of worker groups were placed by a count of slots; declared sizes, which are off by several times, and accelerators played no part.

Change: package fit accounts for this host's tasks from start to end with their declared size times a correction learned for the kind from usage reports, adds what other hosts run according to the reports, and keeps a tenth of the cores and a fifth of the memory free. Accelerators are packed, jobs are spread over racks, the own zone comes first. A task that finds no room for 200 ms gets one worker kept free. Workers that fail the tasks of three jobs in a row are left out for a while, at most a quarter of them, and return with one task at a time. A job with a task that no worker could ever hold is refused with no_endpoint_can_run_it. The platform's usage report now carries label, lease and declared size of each task, and up to 4 jobs of a worker group may wait without holding up the queue.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -98,6 +98,7 @@
 		Platform:     d.platform,
 		Incarnation:  inc.String(),
 		Report:       func(ev dispatch.AttemptEnded) { d.loop.send(ev) },
+		ReportUsage:  func(ev dispatch.UsageReported) { d.loop.send(ev) },
 		LeaseTTL:     s.Workers.LeaseTTL,
 		ResultGather: s.Workers.ResultGather,
 	})
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -10,14 +10,14 @@
 // placeWaiting starts waiting tasks, job by job in queue order, until no endpoint can
 // take more. Jobs of a group without room do not hold up jobs of other groups.
 func (s *State) placeWaiting(now time.Duration) {
-	full := make(map[string]bool)
+	blocked := make(map[string]int)
 	kept := s.queue[:0]
 	for _, j := range s.queue {
 		if j.ended() {
 			continue
 		}
-		if !full[j.kind.Group] && !s.placeJob(now, j) {
-			full[j.kind.Group] = true
+		if blocked[j.kind.Group] < j.kind.mayBlock() && !s.placeJob(now, j) {
+			blocked[j.kind.Group]++
 		}
 		if len(j.waiting) > 0 && !j.ended() {
 			kept = append(kept, j)
@@ -97,11 +97,12 @@
 	}
 	j.inFlight--
 	s.placement(j.kind).Ended(now, t.endpoint.ID, j.placeTask(ev.Task.Index), place.Sample{
-		Kind:    j.kindName,
-		Failed:  (ev.Outcome == AttemptFailed || ev.Outcome == AttemptUnknown) && !ev.Blameless,
-		Refused: ev.Outcome == AttemptNotStarted,
-		Service: ev.Service,
-		Load:    ev.Load,
+		Kind:      j.kindName,
+		Failed:    (ev.Outcome == AttemptFailed || ev.Outcome == AttemptUnknown) && !ev.Blameless,
+		Refused:   ev.Outcome == AttemptNotStarted && !ev.Blameless,
+		Blameless: ev.Blameless,
+		Service:   ev.Service,
+		Load:      ev.Load,
 	})
 	s.settle(now, j, t, ev)
 }
--- a/dispatch/event.go
+++ b/dispatch/event.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"sesameledge.dev/sesameledge/api"
+	"sesameledge.dev/sesameledge/fit"
 	"sesameledge.dev/sesameledge/place"
 	"sesameledge.dev/sesameledge/ticket"
 )
@@ -88,6 +89,9 @@
 // EndpointsChanged replaces the list of endpoints.
 type EndpointsChanged struct{ Endpoints []place.Endpoint }
 
+// UsageReported carries the usage of workers as the platform reports it.
+type UsageReported struct{ Workers []fit.Usage }
+
 // PolicyChanged replaces the policy that configuration sets.
 type PolicyChanged struct{ Policy *Policy }
 
@@ -104,6 +108,7 @@
 func (WaiterGone) isEvent()       {}
 func (AttemptEnded) isEvent()     {}
 func (EndpointsChanged) isEvent() {}
+func (UsageReported) isEvent()    {}
 func (PolicyChanged) isEvent()    {}
 func (DrainStarted) isEvent()     {}
 func (Tick) isEvent()             {}
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -1,8 +1,10 @@
 package dispatch
 
 import (
+	"fmt"
 	"time"
 
+	"sesameledge.dev/sesameledge/api"
 	"sesameledge.dev/sesameledge/place"
 )
 
@@ -50,6 +52,37 @@
 	s.workers.Update(workers)
 }
 
+// maxBlockedWorkerJobs is how many jobs of a worker group may wait for room before the
+// rest of the queue is not tried. Tasks of workers differ in size, so a job behind a
+// large task may fit; package fit keeps room for the task that waits longest.
+const maxBlockedWorkerJobs = 4
+
+// mayBlock is how many jobs of the group have to find no endpoint for it to count as full.
+func (k Kind) mayBlock() int {
+	if k.Workers {
+		return maxBlockedWorkerJobs
+	}
+	return 1
+}
+
+// neverFits returns the refusal of a job with a task that no worker could ever hold.
+func (s *State) neverFits(kind Kind, tasks []api.Task) *api.Error {
+	if !kind.Workers {
+		return nil
+	}
+	for i := range tasks {
+		if size := declaredSize(&tasks[i]); !s.workers.CanEverHold(kind.Group, size) {
+			return api.Errorf(api.CodeNeverFits, fmt.Sprintf("tasks[%d]", i),
+				"no worker of group %s has %g cores, %d MB and %d accelerators", kind.Group, size.Cores, size.MemoryMB, size.Accelerators)
+		}
+	}
+	return nil
+}
+
+func declaredSize(t *api.Task) place.Size {
+	return place.Size{Cores: t.Cores, MemoryMB: t.MemoryMB, Accelerators: t.Accelerators}
+}
+
 // placeTask describes a task to placement. The declared values are gone once the job has
 // ended; placement knows an attempt by its job and index then.
 func (j *job) placeTask(index int) place.Task {
@@ -57,7 +90,7 @@
 	if index < len(j.specs) {
 		spec := &j.specs[index]
 		t.Run = time.Duration(spec.RunMS) * time.Millisecond
-		t.Size = place.Size{Cores: spec.Cores, MemoryMB: spec.MemoryMB, Accelerators: spec.Accelerators}
+		t.Size = declaredSize(spec)
 	}
 	return t
 }
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"sesameledge.dev/sesameledge/api"
+	"sesameledge.dev/sesameledge/fit"
 	"sesameledge.dev/sesameledge/place"
 	"sesameledge.dev/sesameledge/ticket"
 )
@@ -33,7 +34,7 @@
 	minted   mintLog
 	policy   *Policy
 	minions  placement
-	workers  placement
+	workers  *fit.Set
 	jobs     map[ticket.ID]*job
 	refused  map[ticket.ID]*api.Error
 	queue    []*job // accepted jobs with waiting tasks, in order
@@ -68,7 +69,7 @@
 		mint:     ticket.Mint{Host: opts.Host, Incarnation: opts.Incarnation},
 		policy:   (&Policy{}).withDefaults(),
 		minions:  minionSet{place.NewSet(place.Options{Zone: opts.Zone, Seed: opts.Seed})},
-		workers:  minionSet{place.NewSet(place.Options{Zone: opts.Zone, Seed: opts.Seed})},
+		workers:  fit.New(fit.Options{Zone: opts.Zone, Seed: opts.Seed}),
 		jobs:     make(map[ticket.ID]*job),
 		refused:  make(map[ticket.ID]*api.Error),
 		teamOpen: make(map[string]int),
@@ -108,6 +109,8 @@
 		s.updateEndpoints(ev.Endpoints)
 	case PolicyChanged:
 		s.policy = ev.Policy.withDefaults()
+	case UsageReported:
+		s.workers.Report(now, ev.Workers)
 	case DrainStarted:
 		s.draining = true
 	case Tick:
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -75,7 +75,7 @@
 	case s.open+n > s.policy.MaxTasks || s.bytes > s.policy.MaxBytes:
 		return kind, api.Errorf(api.CodeOverloaded, "", "this host has %d open tasks", s.open)
 	}
-	return kind, nil
+	return kind, s.neverFits(kind, job.Tasks)
 }
 
 // refuse records the refusal, because a ticket that was answered "not run" must never
--- /dev/null
+++ b/fit/set_test.go
@@ -0,0 +1,209 @@
+package fit
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"sesameledge.dev/sesameledge/place"
+)
+
+// makeWorkers returns n workers of 16 cores and 32 GB in racks of 4, in one zone.
+func makeWorkers(n, accelerators int) []place.Endpoint {
+	var list []place.Endpoint
+	for i := range n {
+		list = append(list, place.Endpoint{
+			ID: place.EndpointID(fmt.Sprintf("w%02d", i)), Zone: "z", Group: "g", Worker: true, Rack: fmt.Sprintf("r%d", i/4),
+			Capacity: place.Size{Cores: 16, MemoryMB: 32 << 10, Accelerators: accelerators},
+		})
+	}
+	return list
+}
+
+func newTestSet(n, accelerators int) *Set {
+	s := New(Options{Zone: "z", Seed: 1})
+	s.Update(makeWorkers(n, accelerators))
+	return s
+}
+
+func testTask(job string, index int, cores float64, accelerators int) place.Task {
+	return place.Task{Kind: "k", Group: "g", Job: job, Index: index, Size: place.Size{Cores: cores, MemoryMB: 100, Accelerators: accelerators}}
+}
+
+// run starts a task and returns its worker, or "".
+func run(s *Set, now time.Duration, task place.Task) place.EndpointID {
+	ep, ok := s.Pick(now, task, "")
+	if !ok {
+		return ""
+	}
+	s.Started(ep.ID, task)
+	return ep.ID
+}
+
+// Guards against a large task that small ones overtake for ever.
+func TestLargeTaskDoesNotStarve(t *testing.T) {
+	s := newTestSet(8, 0)
+	type running struct {
+		task place.Task
+		on   place.EndpointID
+		end  time.Duration
+	}
+	var open []running
+	large := testTask("large", 0, 14, 0)
+	small := 0
+	for now := time.Duration(0); now < 5*time.Second; now += 10 * time.Millisecond {
+		kept := open[:0]
+		for _, r := range open {
+			if r.end <= now {
+				s.Ended(now, r.on, r.task, place.Sample{})
+				continue
+			}
+			kept = append(kept, r)
+		}
+		open = kept
+		if now > time.Second && run(s, now, large) != "" {
+			t.Logf("placed after %v", now-time.Second)
+			return
+		}
+		for {
+			task := testTask("small", small, 1, 0)
+			on := run(s, now, task)
+			if on == "" {
+				break
+			}
+			small++
+			open = append(open, running{task, on, now + 300*time.Millisecond + time.Duration(small%50)*10*time.Millisecond})
+		}
+	}
+	t.Error("the large task was not placed within 4 s")
+}
+
+// Guards against accelerator tasks that are scattered, so that no worker can hold one
+// that needs several.
+func TestAcceleratorsArePacked(t *testing.T) {
+	s := newTestSet(8, 4)
+	used := make(map[place.EndpointID]int)
+	for i := range 8 {
+		used[run(s, 0, testTask(fmt.Sprint("job", i), 0, 1, 1))]++
+	}
+	if len(used) != 2 {
+		t.Errorf("8 tasks with an accelerator each are on %v", used)
+	}
+	for i := range 6 {
+		if run(s, 0, testTask(fmt.Sprint("wide", i), 0, 1, 4)) == "" {
+			t.Errorf("no room for task %d that needs 4 accelerators", i)
+		}
+	}
+	if on := run(s, 0, testTask("more", 0, 1, 1)); on != "" {
+		t.Errorf("a 33rd accelerator was used on %s", on)
+	}
+}
+
+// Guards against a job that lies in one rack.
+func TestJobIsSpreadOverRacks(t *testing.T) {
+	s := newTestSet(16, 0)
+	racks := make(map[string]int)
+	for i := range 32 {
+		racks[s.workers[run(s, 0, testTask("job", i, 1, 0))].Rack]++
+	}
+	for rack, n := range racks {
+		if n > 12 {
+			t.Errorf("rack %s has %d of 32 tasks", rack, n)
+		}
+	}
+	if len(racks) != 4 {
+		t.Errorf("the job uses %d of 4 racks", len(racks))
+	}
+}
+
+// Guards against starts on a worker that fails everything, an exclusion of most of the
+// group, and a return at full load.
+func TestFailingWorkersAreExcludedAndReturnSlowly(t *testing.T) {
+	s := newTestSet(8, 0)
+	failing := map[place.EndpointID]bool{"w00": true, "w01": true, "w02": true}
+	lost := 0
+	attempt := func(now time.Duration, n int, bad map[place.EndpointID]bool) place.EndpointID {
+		task := testTask(fmt.Sprint("job", n), 0, 1, 0)
+		on := run(s, now, task)
+		s.Ended(now, on, task, place.Sample{Failed: bad[on]})
+		return on
+	}
+	for n := range 2000 {
+		if failing[attempt(time.Second, n, failing)] {
+			lost++
+		}
+	}
+	excluded := 0
+	for id, w := range s.workers {
+		if !w.health.excluded(time.Second) {
+			continue
+		}
+		excluded++
+		if !failing[id] {
+			t.Errorf("healthy worker %s is excluded", id)
+		}
+	}
+	if excluded != 2 {
+		t.Errorf("%d of 8 workers are excluded; want 2, a quarter", excluded)
+	}
+	t.Logf("%d of 2000 jobs were lost with 3 of 8 workers failing; at most 2 may be excluded", lost)
+	now := time.Second + firstExclusion
+	for n := range 12 {
+		if s.workers["w00"].ownTasks > 1 {
+			t.Fatal("a returning worker has more than one task before it succeeded")
+		}
+		run(s, now, testTask("return", n, 1, 0))
+	}
+}
+
+// Guards against a refusal for good because of a momentary shortage, and a job that
+// waits although no worker could ever hold it.
+func TestCanEverHold(t *testing.T) {
+	s := newTestSet(2, 1)
+	fits, huge := place.Size{Cores: 16, MemoryMB: 32 << 10, Accelerators: 1}, place.Size{Cores: 17}
+	for i := range 100 {
+		run(s, 0, testTask("fill", i, 1, 0))
+	}
+	s.Update(nil)
+	if !s.CanEverHold("g", fits) || s.CanEverHold("g", huge) {
+		t.Error("wrong answer after the workers filled up and left the list")
+	}
+}
+
+// Guards against a zone preference that leaves other zones idle, or does not prefer.
+func TestOwnZoneFirstWithOverflow(t *testing.T) {
+	s := New(Options{Zone: "z", Seed: 1})
+	list := makeWorkers(8, 0)
+	for i := range 4 {
+		list[i].Zone = "other"
+	}
+	s.Update(list)
+	for i := range 112 {
+		on := run(s, 0, testTask(fmt.Sprint("job", i), 0, 1, 0))
+		if want := i < 56; (s.workers[on] != nil && s.workers[on].Zone == "z") != want {
+			t.Fatalf("task %d is on %q", i, on)
+		}
+	}
+}
+
+// Guards against a correction that does not follow what tasks use.
+func TestSizesAreCorrected(t *testing.T) {
+	s := newTestSet(1, 0)
+	report := []Usage{{Worker: "w00"}}
+	for i := range 100 {
+		report[0].Tasks = []TaskUsage{{ID: fmt.Sprint(i), Own: true, Kind: "k", Speed: 1,
+			Declared: place.Size{Cores: 1, MemoryMB: 100}, Used: place.Size{Cores: 4, MemoryMB: 25}}}
+		s.Report(0, report)
+	}
+	cores, memory := s.Correction("k")
+	if cores < 3.7 || cores > 4.5 || memory < 0.2 || memory > 0.5 {
+		t.Errorf("corrections %.2f and %.2f; want about 4 and 0.25", cores, memory)
+	}
+	n := 0
+	for run(s, 0, testTask("job", n, 1, 0)) != "" {
+		n++
+	}
+	if n < 3 || n > 4 {
+		t.Errorf("%d tasks that use 4 cores were placed on 16 cores", n)
+	}
+}
--- a/place/place.go
+++ b/place/place.go
@@ -50,6 +50,8 @@
 	Refused bool          // the endpoint proved that it did not run the task
 	Service time.Duration // time from start to answer
 	Load    int           // running plus queued tasks that the answer reported; -1 if unknown
+	// Blameless says that the end tells nothing about the endpoint.
+	Blameless bool
 }
 
 // Options configures a Set.
--- a/worker/counters.go
+++ b/worker/counters.go
@@ -14,6 +14,7 @@
 	ReadMessages  uint64 `json:"read_messages"`
 	StopMessages  uint64 `json:"stop_messages"`
 	LeaseMessages uint64 `json:"lease_messages"`
+	UsageMessages uint64 `json:"usage_messages"`
 	LostAnswers   uint64 `json:"lost_answers"` // starts whose answer was lost
 	Lapses        uint64 `json:"lapses"`       // leases that lapsed
 	Mismatched    uint64 `json:"mismatched"`   // answers about another task, which were dropped
@@ -24,9 +25,9 @@
 }
 
 type counters struct {
-	tasks, starts, polls, reads, stops, leases  atomic.Uint64
-	lost, lapses, mismatched                    atomic.Uint64
-	completed, failed, notStarted, unknownCount atomic.Uint64
+	tasks, starts, polls, reads, stops, leases, usages atomic.Uint64
+	lost, lapses, mismatched                           atomic.Uint64
+	completed, failed, notStarted, unknownCount        atomic.Uint64
 }
 
 func (c *counters) outcome(o dispatch.AttemptOutcome) {
@@ -52,6 +53,7 @@
 		ReadMessages:  c.reads.Load(),
 		StopMessages:  c.stops.Load(),
 		LeaseMessages: c.leases.Load(),
+		UsageMessages: c.usages.Load(),
 		LostAnswers:   c.lost.Load(),
 		Lapses:        c.lapses.Load(),
 		Mismatched:    c.mismatched.Load(),
--- a/worker/fake_test.go
+++ b/worker/fake_test.go
@@ -177,3 +177,5 @@
 	defer f.mu.Unlock()
 	return f.starts[name]
 }
+
+func (f *fakePlatform) Usage(context.Context) ([]platform.Usage, error) { return nil, errNoAnswer }
--- a/worker/options.go
+++ b/worker/options.go
@@ -17,7 +17,9 @@
 	// A start that was delayed on its way gets this long to arrive before it is blocked.
 	DefaultConfirmDelay = 100 * time.Millisecond
 	DefaultMaxBatch     = 500
-	DefaultPollWait     = 5 * time.Second
+	// The reports lag by about 2 s, so reading them more often shows little that is new.
+	DefaultUsageEvery = time.Second
+	DefaultPollWait   = 5 * time.Second
 	// DefaultGiveUp is how long after a job's deadline its tasks are still looked up. The
 	// lease of a task has lapsed by then unless this process renews it.
 	DefaultGiveUp = 60 * time.Second
@@ -40,6 +42,10 @@
 	// Report gets the end of each attempt. It may block, and is never called from Start
 	// or Cancel.
 	Report func(dispatch.AttemptEnded)
+	// ReportUsage gets each usage report; nil for none. It may block.
+	ReportUsage func(dispatch.UsageReported)
+	// UsageEvery is the pause between reads of the usage.
+	UsageEvery time.Duration
 	// LeaseTTL is how long tasks go on after the last renewal; a third of it is the
 	// renewal interval.
 	LeaseTTL time.Duration
@@ -71,6 +77,7 @@
 	setDefault(&o.StartGather, DefaultStartGather)
 	setDefault(&o.ResultGather, DefaultResultGather)
 	setDefault(&o.ConfirmDelay, DefaultConfirmDelay)
+	setDefault(&o.UsageEvery, DefaultUsageEvery)
 	setDefault(&o.MaxBatch, DefaultMaxBatch)
 	setDefault(&o.PollWait, DefaultPollWait)
 	setDefault(&o.GiveUp, DefaultGiveUp)
--- a/worker/runner.go
+++ b/worker/runner.go
@@ -25,6 +25,7 @@
 	StartTasks(ctx context.Context, batch platform.StartBatch) ([]platform.TaskAnswer, error)
 	ReadTasks(ctx context.Context, tasks []platform.TaskID) ([]platform.TaskAnswer, error)
 	StopTasks(ctx context.Context, tasks []platform.TaskID) ([]platform.TaskAnswer, error)
+	Usage(ctx context.Context) ([]platform.Usage, error)
 	EndedTasks(ctx context.Context, lease string, after int, wait time.Duration) (*platform.EndedReply, error)
 }
 
@@ -63,6 +64,7 @@
 func (r *Runner) Run(ctx context.Context) {
 	r.running.Go(func() { r.startLoop(ctx) })
 	r.running.Go(func() { r.resolveLoop(ctx) })
+	r.running.Go(func() { r.usageLoop(ctx) })
 	r.running.Wait()
 }
 
--- /dev/null
+++ b/worker/usage.go
@@ -0,0 +1,76 @@
+package worker
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"time"
+
+	"sesameledge.dev/sesameledge/dispatch"
+	"sesameledge.dev/sesameledge/fit"
+	"sesameledge.dev/sesameledge/place"
+	"sesameledge.dev/sesameledge/platform"
+)
+
+// usageIdle is how long usage is still read after the last attempt.
+const usageIdle = 10 * time.Second
+
+// usageLoop reads the usage of the workers while there are attempts.
+func (r *Runner) usageLoop(ctx context.Context) {
+	if r.opts.ReportUsage == nil {
+		return
+	}
+	var busy time.Time
+	for sleep(ctx, r.opts.UsageEvery) {
+		r.mu.Lock()
+		if len(r.attempts) > 0 {
+			busy = time.Now()
+		}
+		r.mu.Unlock()
+		if time.Since(busy) > usageIdle {
+			continue
+		}
+		r.counters.usages.Add(1)
+		if usage, err := r.opts.Platform.Usage(ctx); err == nil {
+			r.opts.ReportUsage(dispatch.UsageReported{Workers: r.convert(usage)})
+		}
+	}
+}
+
+// convert translates a report into the form that placement uses.
+func (r *Runner) convert(usage []platform.Usage) []fit.Usage {
+	out := make([]fit.Usage, len(usage))
+	for i, u := range usage {
+		out[i] = fit.Usage{Worker: place.EndpointID(u.Worker), Age: time.Duration(u.AgeMS) * time.Millisecond}
+		out[i].Tasks = make([]fit.TaskUsage, len(u.Tasks))
+		for n := range u.Tasks {
+			out[i].Tasks[n] = r.convertTask(&u.Tasks[n])
+		}
+	}
+	return out
+}
+
+func (r *Runner) convertTask(t *platform.TaskUsage) fit.TaskUsage {
+	out := fit.TaskUsage{
+		ID:       t.Task,
+		Own:      strings.HasPrefix(t.Lease, r.opts.Incarnation+"/"),
+		Kind:     t.Label,
+		Speed:    t.Speed,
+		Declared: place.Size{Cores: t.DeclaredCores, MemoryMB: t.DeclaredMemoryMB, Accelerators: t.Accelerators},
+		Used:     place.Size{Cores: t.Cores, MemoryMB: t.MemoryMB, Accelerators: t.Accelerators},
+	}
+	if out.Own {
+		out.Job, out.Index = splitIdentity(t.Task)
+	}
+	return out
+}
+
+// splitIdentity returns the ticket and the index in an identity.
+func splitIdentity(id string) (job string, index int) {
+	parts := strings.Split(id, "/")
+	if len(parts) != 3 {
+		return "", 0
+	}
+	index, _ = strconv.Atoi(parts[1])
+	return parts[0], index
+}
