--- a/dispatch/event.go
+++ b/dispatch/event.go
@@ -87,7 +87,10 @@
 }
 
 // EndpointsChanged replaces the list of endpoints.
-type EndpointsChanged struct{ Endpoints []place.Endpoint }
+type EndpointsChanged struct {
+	Endpoints  []place.Endpoint
+	EntryHosts int // live entry hosts that share the endpoints; 0 if unknown
+}
 
 // UsageReported carries the usage of workers as the platform reports it.
 type UsageReported struct{ Workers []fit.Usage }
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -5,19 +5,20 @@
 	"time"
 
 	"sesameledge.dev/sesameledge/api"
+	"sesameledge.dev/sesameledge/fit"
 	"sesameledge.dev/sesameledge/place"
 )
 
 // placement chooses endpoints for the tasks of one sort of group, minions or workers,
 // and is told of every attempt.
 type placement interface {
-	Update([]place.Endpoint)
-	Pick(now time.Duration, task place.Task, avoid place.EndpointID) (place.Endpoint, bool)
+	Pick(now time.Duration, task place.Task, avoid place.EndpointID) (place.Endpoint, place.Choice)
 	Started(place.EndpointID, place.Task)
 	Ended(time.Duration, place.EndpointID, place.Task, place.Sample)
+	// Live is the number of a group's endpoints that take new work.
 	Live(group string) int
-	View() []place.EndpointView
-	Len() int
+	// Capacity is how many tasks of the usual size a group runs at a time.
+	Capacity(group string) float64
 }
 
 // minionSet adapts place.Set, which needs no task to account for an attempt.
@@ -31,12 +32,26 @@
 	m.Set.Ended(now, id, s)
 }
 
+// workerSet is fit.Set; the run times of its kinds are predicted by place.Set.
+type workerSet struct {
+	*fit.Set
+	estimates *place.Set
+}
+
+// Ended implements placement.
+func (w workerSet) Ended(now time.Duration, id place.EndpointID, t place.Task, s place.Sample) {
+	w.Set.Ended(now, id, t, s)
+	if !s.Failed && !s.Refused && !s.Blameless && !s.Cancelled {
+		w.estimates.LearnRun(s.Kind, s.Run, s.Service)
+	}
+}
+
 // placement returns what places the tasks of a kind.
 func (s *State) placement(k Kind) placement {
 	if k.Workers {
-		return s.workers
+		return workerSet{s.workers, s.endpoints}
 	}
-	return s.minions
+	return minionSet{s.endpoints}
 }
 
 func (s *State) updateEndpoints(list []place.Endpoint) {
@@ -48,7 +63,7 @@
 		}
 		minions = append(minions, ep)
 	}
-	s.minions.Update(minions)
+	s.endpoints.Update(minions)
 	s.workers.Update(workers)
 }
 
@@ -86,11 +101,11 @@
 // placeTask describes a task to placement. The declared values are gone once the job has
 // ended; placement knows an attempt by its job and index then.
 func (j *job) placeTask(index int) place.Task {
-	t := place.Task{Kind: j.kindName, Group: j.kind.Group, Job: string(j.id), Index: index}
-	if index < len(j.specs) {
-		spec := &j.specs[index]
-		t.Run = time.Duration(spec.RunMS) * time.Millisecond
-		t.Size = declaredSize(spec)
+	t := place.Task{Kind: j.kindName, Group: j.kind.Group}
+	if j.specs != nil {
+		t = placeTask(j.kindName, j.kind, &j.specs[index])
+		t.Size = declaredSize(&j.specs[index])
 	}
+	t.Ends, t.Job, t.Index = j.ends, string(j.id), index
 	return t
 }
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -15,6 +15,7 @@
 
 	"sesameledge.dev/sesameledge/api"
 	"sesameledge.dev/sesameledge/fit"
+	"sesameledge.dev/sesameledge/limit"
 	"sesameledge.dev/sesameledge/place"
 	"sesameledge.dev/sesameledge/ticket"
 )
@@ -29,22 +30,25 @@
 
 // State is the dispatcher's state. It is not safe for concurrent use.
 type State struct {
-	opts     Options
-	mint     ticket.Mint
-	minted   mintLog
-	policy   *Policy
-	minions  placement
-	workers  *fit.Set
-	jobs     map[ticket.ID]*job
-	refused  map[ticket.ID]*api.Error
-	queue    []*job // accepted jobs with waiting tasks, in order
-	timers   timerHeap
-	draining bool
-	open     int // tasks of jobs without a verdict
-	teamOpen map[string]int
-	bytes    int64
-	counters Counters
-	effects  []Effect
+	opts      Options
+	mint      ticket.Mint
+	minted    mintLog
+	policy    *Policy
+	endpoints *place.Set // minions
+	workers   *fit.Set
+	jobs      map[ticket.ID]*job
+	refused   map[ticket.ID]*api.Error
+	queue     []*job // accepted jobs with waiting tasks, by key
+	limiter   *limit.Limiter
+	polling   bool // a retry timer is set
+	timers    timerHeap
+	draining  bool
+	open      int // tasks of jobs without a verdict
+	teamOpen  map[string]int
+	bytes     int64
+	counters  Counters
+	effects   []Effect
+	off       switches
 }
 
 // Counters counts what the reducer did since the process started.
@@ -65,14 +69,15 @@
 // New returns an empty State with an empty policy.
 func New(opts Options) *State {
 	return &State{
-		opts:     opts,
-		mint:     ticket.Mint{Host: opts.Host, Incarnation: opts.Incarnation},
-		policy:   (&Policy{}).withDefaults(),
-		minions:  minionSet{place.NewSet(place.Options{Zone: opts.Zone, Seed: opts.Seed})},
-		workers:  fit.New(fit.Options{Zone: opts.Zone, Seed: opts.Seed}),
-		jobs:     make(map[ticket.ID]*job),
-		refused:  make(map[ticket.ID]*api.Error),
-		teamOpen: make(map[string]int),
+		opts:      opts,
+		mint:      ticket.Mint{Host: opts.Host, Incarnation: opts.Incarnation},
+		policy:    (&Policy{}).withDefaults(),
+		endpoints: place.NewSet(place.Options{Zone: opts.Zone, Seed: opts.Seed}),
+		workers:   fit.New(fit.Options{Zone: opts.Zone, Seed: opts.Seed}),
+		limiter:   limit.New(),
+		jobs:      make(map[ticket.ID]*job),
+		refused:   make(map[ticket.ID]*api.Error),
+		teamOpen:  make(map[string]int),
 	}
 }
 
@@ -107,8 +112,12 @@
 		s.attemptEnded(now, ev)
 	case EndpointsChanged:
 		s.updateEndpoints(ev.Endpoints)
+		s.endpoints.SetHosts(ev.EntryHosts)
+		s.limiter.SetHosts(ev.EntryHosts)
 	case PolicyChanged:
 		s.policy = ev.Policy.withDefaults()
+		s.endpoints.SetPolicy(s.policy.Place)
+		s.limiter.SetPolicy(s.policy.limits())
 	case UsageReported:
 		s.workers.Report(now, ev.Workers)
 	case DrainStarted:
@@ -159,6 +168,7 @@
 		case timerExpiry:
 			s.drop(t.id)
 		case timerRetry:
+			s.polling = false
 		}
 	}
 }
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -12,7 +12,7 @@
 		return
 	}
 	minted, known := s.minted.mintedAt(ev.Ticket.Seq)
-	if !known || now > minted+ev.Ticket.Lifetime() {
+	if !known || lifeEnded(now, minted, ev.Ticket) {
 		s.reply(ev.Waiter, lifeEndedReply(ev.ID))
 		return
 	}
@@ -53,8 +53,7 @@
 	if !ok {
 		return kind, api.Errorf(api.CodeUnknownKind, "kind", "the kind %q is not configured", job.Kind)
 	}
-	team, ok := s.policy.Teams[job.Team]
-	if !ok {
+	if _, ok := s.policy.Teams[job.Team]; !ok {
 		return kind, api.Errorf(api.CodeUnknownTeam, "team", "the team %q is not configured", job.Team)
 	}
 	n := len(job.Tasks)
@@ -70,12 +69,13 @@
 		return kind, api.Errorf(api.CodeTooManyTasks, "tasks", "jobs of kind %s have at most %d tasks", job.Kind, kind.MaxTasks)
 	case s.placement(kind).Live(kind.Group) == 0:
 		return kind, api.Errorf(api.CodeNoEndpoint, "kind", "no endpoint of group %s is available", kind.Group)
-	case team.MaxTasks > 0 && s.teamOpen[job.Team]+n > team.MaxTasks:
-		return kind, api.Errorf(api.CodeQuota, "team", "team %s has %d open tasks of %d", job.Team, s.teamOpen[job.Team], team.MaxTasks)
 	case s.open+n > s.policy.MaxTasks || s.bytes > s.policy.MaxBytes:
 		return kind, api.Errorf(api.CodeOverloaded, "", "this host has %d open tasks", s.open)
 	}
-	return kind, s.neverFits(kind, job.Tasks)
+	if refusal := s.neverFits(kind, job.Tasks); refusal != nil {
+		return kind, refusal
+	}
+	return kind, s.limits(now, job, kind, deadline)
 }
 
 // refuse records the refusal, because a ticket that was answered "not run" must never
@@ -105,8 +105,12 @@
 		j.waiting[i] = i
 		j.bytes += int64(len(j.specs[i].Payload))
 	}
+	j.sortWaiting()
+	j.estimate = s.endpoints.Estimate(placeTasks(ev.Job, kind))
+	j.key = queueKey(now, j.estimate, j.deadline)
 	s.jobs[j.id] = j
-	s.queue = append(s.queue, j)
+	s.enqueue(j)
+	s.limiter.Waiting(j.team, j.waitingWork())
 	s.open += j.open
 	s.teamOpen[j.team] += j.open
 	s.bytes += j.bytes
@@ -166,13 +170,19 @@
 		return api.Refusal(api.Errorf(api.CodeBadTicket, "ticket", "%v", err))
 	}
 	minted, known := s.minted.mintedAt(t.Seq)
-	if !known || now > minted+t.Lifetime() {
+	if !known || lifeEnded(now, minted, t) {
 		return lifeEndedReply(id)
 	}
 	return &api.Reply{Schema: api.Schema, Ticket: id, Outcome: api.Unknown,
 		Reason: api.Errorf(api.CodeTicketNotFound, "ticket", "no job has been submitted with this ticket yet")}
 }
 
+// lifeEnded reports whether the owner may have dropped its record of the ticket. It has
+// to agree with the expiry timers: at the very end of the lifetime the record is gone.
+func lifeEnded(now, minted time.Duration, t ticket.Ticket) bool {
+	return now >= minted+t.Lifetime()
+}
+
 // lifeEndedReply answers after the ticket's life, when the job's record is gone.
 func lifeEndedReply(id ticket.ID) *api.Reply {
 	return &api.Reply{Schema: api.Schema, Ticket: id, Outcome: api.Failed,
--- a/fit/health.go
+++ b/fit/health.go
@@ -46,6 +46,7 @@
 	switch {
 	case sample.Refused:
 		w.pauseUntil = s.now + refusalPause
+	case sample.Failed && sample.Cancelled:
 	case sample.Failed:
 		g.failing += failureMemory * (1 - g.failing)
 		if job == h.failedJob {
--- a/fit/options.go
+++ b/fit/options.go
@@ -23,6 +23,10 @@
 	// choices is how many random candidates are compared by load. Taking the best of all
 	// would make every entry host choose the same worker from the same report.
 	choices = 8
+	// taskMemory is how many tasks the average size of a task covers.
+	taskMemory = 200
+	// minTaskCores bounds that average from below.
+	minTaskCores = 0.05
 	// acceleratorRackSlack is by how many tasks a rack may lead the least used one for
 	// the sake of packing accelerators.
 	acceleratorRackSlack = 4
--- a/fit/oracle_test.go
+++ b/fit/oracle_test.go
@@ -61,8 +61,8 @@
 		},
 	}
 	o.next++
-	ep, ok := o.set.Pick(o.now, task, "")
-	if !ok {
+	ep, choice := o.set.Pick(o.now, task, "")
+	if choice != place.Start {
 		o.checkNoRoom(task)
 		return
 	}
--- a/fit/pick.go
+++ b/fit/pick.go
@@ -7,21 +7,21 @@
 	"sesameledge.dev/sesameledge/place"
 )
 
-// Pick returns the worker for a task, or false if none can take it now. It prefers this
-// host's availability zone, and avoids the worker that refused the task last unless there
+// Pick returns the worker for a task, or place.Full if none can take it now; smaller
+// tasks may still find room. It prefers this host's availability zone, and avoids the worker that refused the task last unless there
 // is no other.
-func (s *Set) Pick(now time.Duration, task place.Task, avoid place.EndpointID) (place.Endpoint, bool) {
+func (s *Set) Pick(now time.Duration, task place.Task, avoid place.EndpointID) (place.Endpoint, place.Choice) {
 	s.now = now
 	g := s.group(task.Group)
 	s.expireWaits(g)
 	local, remote, last := s.candidates(g, task, avoid)
 	for _, list := range [][]*worker{local, remote, last} {
 		if len(list) > 0 {
-			return s.best(g, task, list).Endpoint, true
+			return s.best(g, task, list).Endpoint, place.Start
 		}
 	}
 	s.wait(g, task)
-	return place.Endpoint{}, false
+	return place.Endpoint{}, place.Full
 }
 
 // candidates returns workers that can take the task. It starts at a random one, so that
--- a/fit/set.go
+++ b/fit/set.go
@@ -47,10 +47,11 @@
 	racks   map[string]int // workers by rack
 	// shapes are the capacities seen in the group, with the time of the last sight. They
 	// outlive a worker that left the list, which may be momentary.
-	shapes  map[place.Size]time.Duration
-	waiting map[taskKey]*hold
-	holder  *hold   // the one of waiting that a worker is kept free for
-	failing float64 // moving average of the share of attempts that failed
+	shapes    map[place.Size]time.Duration
+	waiting   map[taskKey]*hold
+	holder    *hold   // the one of waiting that a worker is kept free for
+	failing   float64 // moving average of the share of attempts that failed
+	taskCores float64 // moving average of the cores reserved for a task
 }
 
 type taskKey struct {
@@ -116,7 +117,7 @@
 func (s *Set) group(name string) *group {
 	g := s.groups[name]
 	if g == nil {
-		g = &group{racks: make(map[string]int), shapes: make(map[place.Size]time.Duration), waiting: make(map[taskKey]*hold)}
+		g = &group{racks: make(map[string]int), shapes: make(map[place.Size]time.Duration), waiting: make(map[taskKey]*hold), taskCores: undeclaredCores}
 		s.groups[name] = g
 	}
 	return g
@@ -160,6 +161,8 @@
 	}
 	t := &openTask{worker: id, identity: w.Identity, load: s.need(w, task)}
 	s.open[key] = t
+	g := s.group(task.Group)
+	g.taskCores += (t.load.cores - g.taskCores) / taskMemory
 	w.own.add(t.load)
 	w.ownTasks++
 	j := s.jobs[task.Job]
@@ -169,7 +172,7 @@
 	}
 	j.total++
 	j.racks[w.Rack]++
-	s.group(task.Group).endWait(key)
+	g.endWait(key)
 }
 
 // Ended records how an attempt on the worker ended.
@@ -219,6 +222,17 @@
 	return n
 }
 
+// Capacity returns how many tasks of the usual size the group's workers run at a time.
+func (s *Set) Capacity(name string) float64 {
+	g, cores := s.group(name), 0.0
+	for _, w := range g.workers {
+		if !w.Leaving {
+			cores += s.usable(w).cores
+		}
+	}
+	return cores / max(g.taskCores, minTaskCores)
+}
+
 // CanEverHold reports whether some worker of the group, also one that left the list a
 // while ago, is as large as the task declares. Momentary load does not matter.
 func (s *Set) CanEverHold(name string, size place.Size) bool {
--- a/fit/set_test.go
+++ b/fit/set_test.go
@@ -32,8 +32,8 @@
 
 // run starts a task and returns its worker, or "".
 func run(s *Set, now time.Duration, task place.Task) place.EndpointID {
-	ep, ok := s.Pick(now, task, "")
-	if !ok {
+	ep, choice := s.Pick(now, task, "")
+	if choice != place.Start {
 		return ""
 	}
 	s.Started(ep.ID, task)
