--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"sesameledge.dev/sesameledge/api"
+	"sesameledge.dev/sesameledge/fit"
 	"sesameledge.dev/sesameledge/limit"
 	"sesameledge.dev/sesameledge/place"
 	"sesameledge.dev/sesameledge/ticket"
@@ -34,7 +35,8 @@
 	mint      ticket.Mint
 	minted    mintLog
 	policy    *Policy
-	endpoints *place.Set
+	endpoints *place.Set // minions
+	workers   *fit.Set
 	jobs      map[ticket.ID]*job
 	refused   refusals
 	fetched   []*job // ended jobs whose answer was fetched, oldest first
@@ -74,6 +76,7 @@
 		mint:      ticket.Mint{Host: opts.Host, Incarnation: opts.Incarnation},
 		policy:    (&Policy{}).withDefaults(),
 		endpoints: place.NewSet(place.Options{Zone: opts.Zone, Seed: opts.Seed}),
+		workers:   fit.New(fit.Options{Zone: opts.Zone, Seed: opts.Seed}),
 		limiter:   limit.New(),
 		jobs:      make(map[ticket.ID]*job),
 		refused:   newRefusals(),
@@ -113,13 +116,15 @@
 	case AttemptEnded:
 		s.attemptEnded(now, ev)
 	case EndpointsChanged:
-		s.endpoints.Update(ev.Endpoints)
+		s.updateEndpoints(ev.Endpoints)
 		s.endpoints.SetHosts(ev.EntryHosts)
 		s.limiter.SetHosts(ev.EntryHosts)
 	case PolicyChanged:
 		s.policy = ev.Policy.withDefaults()
 		s.endpoints.SetPolicy(s.policy.Place)
 		s.limiter.SetPolicy(s.policy.limits())
+	case UsageReported:
+		s.workers.Report(now, ev.Workers)
 	case DrainStarted:
 		s.draining = true
 	case DrainTimedOut:
--- a/place/place.go
+++ b/place/place.go
@@ -19,15 +19,17 @@
 	Identity string     `json:"identity"` // differs for a new process on the same address
 	Zone     string     `json:"zone"`
 	Group    string     `json:"group"` // back-end group
-	Slots    int        `json:"slots"` // tasks that it runs at a time
+	Slots    int        `json:"slots"` // tasks that a minion runs at a time
 	Leaving  bool       `json:"leaving"`
-	Size     Size       `json:"size,omitzero"`
+	Worker   bool       `json:"worker,omitempty"`  // false for a minion
+	Capacity Size       `json:"capacity,omitzero"` // zero if unknown
+	Rack     string     `json:"rack,omitempty"`    // of a worker
 }
 
 // Size is the size of an endpoint or the declared size of a task.
 type Size struct {
-	Cores        float64 `json:"cores,omitempty"`
-	MemoryMB     int64   `json:"memory_mb,omitempty"`
+	Cores        float64 `json:"cores"`
+	MemoryMB     int64   `json:"memory_mb"` // mebibytes
 	Accelerators int     `json:"accelerators,omitempty"`
 }
 
@@ -45,6 +47,8 @@
 	Kind  string
 	Group string
 	Run   time.Duration // declared run time; a hint
+	Job   string        // identity of the task's job
+	Index int           // of the task in its job
 	Size  Size          // declared size
 	// Ends is when the task's job is expected to end because of its other tasks, on the
 	// clock of now; 0 if unknown.
@@ -62,6 +66,9 @@
 	Run       time.Duration // declared run time; 0 if unknown
 	Service   time.Duration // time from start to answer
 	Load      int           // running plus queued tasks that the answer reported; -1 if unknown
+	// Blameless says that the task was ended from outside; the end tells nothing about
+	// the endpoint.
+	Blameless bool
 }
 
 // Options configures a Set.
@@ -201,7 +208,7 @@
 func (s *Set) Fits(task Task) bool {
 	members := s.groups[task.Group]
 	for _, st := range members {
-		if task.Size.fits(st.Size) {
+		if task.Size.fits(st.Capacity) {
 			return true
 		}
 	}
