--- a/api/error.go
+++ b/api/error.go
@@ -41,6 +41,8 @@
 	CodeOwnerAway       Code = "owner_unreachable"
 	CodeAnswerExpired   Code = "answer_expired"
 	CodeInternal        Code = "internal_invariant"
+	CodeUnauthorized    Code = "unauthorized"
+	CodeNotFound        Code = "not_found"
 )
 
 // Error is a coded error about one field.
--- a/command/config.go
+++ b/command/config.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"encoding/json"
 	"fmt"
 	"net/http"
 	"os"
-	"strings"
 	"time"
 
 	"sesameledge.dev/sesameledge/config"
@@ -19,9 +17,10 @@
 type ConfigCmd struct {
 	Validate *ConfigValidateCmd `arg:"subcommand:validate" help:"check a configuration file"`
 	Publish  *ConfigPublishCmd  `arg:"subcommand:publish" help:"publish a configuration file"`
-	Show     *ConfigShowCmd     `arg:"subcommand:show" help:"print the configuration in force"`
+	Rollback *ConfigRollbackCmd `arg:"subcommand:rollback" help:"publish the text of an earlier revision again"`
+	Show     *ConfigShowCmd     `arg:"subcommand:show" help:"print the configuration in force or a revision"`
 	History  *ConfigHistoryCmd  `arg:"subcommand:history" help:"list the revisions"`
-	Diff     *ConfigDiffCmd     `arg:"subcommand:diff" help:"compare a file with the configuration in force"`
+	Diff     *ConfigDiffCmd     `arg:"subcommand:diff" help:"compare a file or a revision with the configuration in force"`
 }
 
 // ConfigValidateCmd checks a configuration file.
@@ -29,23 +28,19 @@
 	File string `arg:"positional,required"`
 }
 
-// ConfigPublishCmd publishes a configuration file.
-type ConfigPublishCmd struct {
-	File   string  `arg:"positional,required"`
-	Base   *uint64 `arg:"--base" help:"revision that the change is based on; default is the one in force"`
-	Author string  `arg:"--author,env:USER" help:"who publishes"`
-	Reason string  `arg:"--reason,required" help:"why"`
+// ConfigShowCmd prints the configuration in force or a revision.
+type ConfigShowCmd struct {
+	Revision uint64 `arg:"--revision" help:"number of the revision; default is the one in force"`
 }
 
-// ConfigShowCmd prints the configuration in force.
-type ConfigShowCmd struct{}
-
 // ConfigHistoryCmd lists the revisions.
 type ConfigHistoryCmd struct{}
 
-// ConfigDiffCmd compares a file with the configuration in force.
+// ConfigDiffCmd compares a file, or the text of a revision, with another revision.
 type ConfigDiffCmd struct {
-	File string `arg:"positional,required"`
+	File     string `arg:"positional" help:"file to compare; default is the revision --to"`
+	Revision uint64 `arg:"--revision" help:"revision to compare with; default is the one in force"`
+	To       uint64 `arg:"--to" help:"revision to compare instead of a file"`
 }
 
 // readConfig reads a file and reports every problem in it.
@@ -70,109 +65,96 @@
 	return nil
 }
 
-func (c *ConfigPublishCmd) run(ctx context.Context, a *Args, env Env) error {
-	operator, err := a.operator()
-	if err != nil {
-		return err
-	}
-	text, err := readConfig(c.File)
+func (c *ConfigShowCmd) run(ctx context.Context, a *Args, env Env) error {
+	shown, err := a.config(ctx, c.Revision, false)
 	if err != nil {
 		return err
 	}
-	base, err := c.base(ctx, operator)
-	if err != nil {
-		return err
+	if a.JSON {
+		return printJSON(env.Out, shown)
 	}
-	rec := config.Record{
-		Schema: config.Schema,
-		ID:     rand.Text(),
-		Base:   base,
-		Author: c.Author,
-		Reason: c.Reason,
-		Time:   time.Now().UTC(),
-		Text:   text,
+	if shown.Problem != "" {
+		fmt.Fprintf(env.Err, "revision %d is the latest but %d is in force: %s\n", shown.Revision, shown.InForce, shown.Problem)
 	}
-	return publish(ctx, operator, &rec, a, env)
-}
-
-func (c *ConfigPublishCmd) base(ctx context.Context, operator string) (uint64, error) {
-	if c.Base != nil {
-		return *c.Base, nil
-	}
-	var current daemon.ConfigReply
-	err := getJSON(ctx, operator+"/v1/config", &current)
-	return current.Revision, err
+	fmt.Fprintf(env.Out, "# revision %d\n%s", shown.Shown, shown.Text)
+	return nil
 }
 
-func publish(ctx context.Context, operator string, rec *config.Record, a *Args, env Env) error {
-	status, text, err := call(ctx, http.MethodPost, operator+"/v1/config", rec)
+func (c *ConfigHistoryCmd) run(ctx context.Context, a *Args, env Env) error {
+	reply, err := a.config(ctx, 0, true)
 	if err != nil {
 		return err
 	}
-	if status != http.StatusOK && status != http.StatusConflict {
-		return exitWith(ExitFailed, "not published: %s", strings.TrimSpace(string(text)))
-	}
-	var reply daemon.PublishReply
-	if err := json.Unmarshal(text, &reply); err != nil {
-		return err
-	}
 	if a.JSON {
-		return printJSON(env.Out, reply)
+		return printJSON(env.Out, reply.History)
 	}
-	if !reply.Accepted {
-		return exitWith(ExitConflict, "not accepted: %s", reply.Reason)
+	rows := make([][]string, 0, len(reply.History))
+	for _, r := range reply.History {
+		rows = append(rows, []string{fmt.Sprint(r.Number), r.Time.Format(time.RFC3339), fmt.Sprint(r.Schema), r.Author, r.Reason})
 	}
-	fmt.Fprintf(env.Out, "published revision %d\n", reply.Revision)
-	return nil
+	return table(env.Out, "revision time schema author reason", rows)
 }
 
-func (c *ConfigShowCmd) run(ctx context.Context, a *Args, env Env) error {
-	current, err := currentConfig(ctx, a, "")
+func (c *ConfigDiffCmd) run(ctx context.Context, a *Args, env Env) error {
+	newText, err := c.newText(ctx, a)
 	if err != nil {
 		return err
 	}
-	if a.JSON {
-		return printJSON(env.Out, current)
+	old, err := a.config(ctx, c.Revision, false)
+	if err != nil {
+		return err
+	}
+	for _, line := range config.Diff(old.Text, newText) {
+		fmt.Fprintln(env.Out, line)
 	}
-	fmt.Fprintf(env.Out, "# revision %d\n%s", current.Revision, current.Text)
 	return nil
 }
 
-func (c *ConfigHistoryCmd) run(ctx context.Context, a *Args, env Env) error {
-	current, err := currentConfig(ctx, a, "?history")
-	if err != nil {
-		return err
+func (c *ConfigDiffCmd) newText(ctx context.Context, a *Args) (string, error) {
+	if (c.File == "") == (c.To == 0) {
+		return "", exitWith(ExitUsage, "give a file or --to, not both")
 	}
-	if a.JSON {
-		return printJSON(env.Out, current.History)
+	if c.File != "" {
+		return readConfig(c.File)
 	}
-	var rows [][]string
-	for _, r := range current.History {
-		rows = append(rows, []string{fmt.Sprint(r.Number), r.Record.Time.Format(time.RFC3339), r.Record.Author, r.Record.Reason})
+	reply, err := a.config(ctx, c.To, false)
+	if err != nil {
+		return "", err
 	}
-	return table(env.Out, "revision time author reason", rows)
+	return reply.Text, nil
 }
 
-func currentConfig(ctx context.Context, a *Args, query string) (*daemon.ConfigReply, error) {
+// config reads a revision from the first operators' address; 0 means the one in force.
+func (a *Args) config(ctx context.Context, revision uint64, history bool) (*daemon.ConfigReply, error) {
 	operator, err := a.operator()
 	if err != nil {
 		return nil, err
 	}
+	url := operator + "/v1/config?"
+	if revision > 0 {
+		url += fmt.Sprintf("revision=%d&", revision)
+	}
+	if history {
+		url += "history"
+	}
+	status, text, err := call(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, err
+	}
+	if status != http.StatusOK {
+		return nil, exitWith(ExitFailed, "%s", message(text))
+	}
 	reply := new(daemon.ConfigReply)
-	return reply, getJSON(ctx, operator+"/v1/config"+query, reply)
+	return reply, json.Unmarshal(text, reply)
 }
 
-func (c *ConfigDiffCmd) run(ctx context.Context, a *Args, env Env) error {
-	text, err := readConfig(c.File)
-	if err != nil {
-		return err
+// message returns the sentence of a coded error, or the text itself.
+func message(text []byte) string {
+	var coded struct {
+		Message string `json:"message"`
 	}
-	current, err := currentConfig(ctx, a, "")
-	if err != nil {
-		return err
+	if json.Unmarshal(text, &coded) == nil && coded.Message != "" {
+		return coded.Message
 	}
-	for _, line := range config.Diff(current.Text, text) {
-		fmt.Fprintln(env.Out, line)
-	}
-	return nil
+	return string(text)
 }
--- /dev/null
+++ b/config/check.go
@@ -0,0 +1,93 @@
+package config
+
+import (
+	"math"
+	"time"
+
+	"sesameledge.dev/sesameledge/ticket"
+)
+
+// Upper limits of values. They catch mistyped units and digits.
+const (
+	maxWeight     = 1e6
+	maxTasksLimit = 100_000_000
+	maxDeadline   = 24 * time.Hour // a ticket carries no longer deadline
+	maxAttempts   = 1000
+	maxRetryDelay = time.Minute
+)
+
+const nameRule = "must be 1 to 63 lower-case letters, digits or hyphens"
+
+// report records a finding about a field.
+type report func(field, format string, args ...any)
+
+func (c *Config) check(report report) {
+	if c.Schema < 1 || c.Schema > Schema {
+		report("schema", "must be between 1 and %d", Schema)
+	}
+	if len(c.Teams) == 0 {
+		report("teams", "at least one team is required")
+	}
+	for _, name := range sortedKeys(c.Teams) {
+		checkTeam("teams."+name, name, c.Teams[name], report)
+	}
+	for _, name := range sortedKeys(c.Kinds) {
+		c.checkKind("kinds."+name, name, c.Kinds[name], report)
+	}
+	for _, name := range sortedKeys(c.Groups) {
+		c.checkGroup("groups."+name, name, c.Groups[name], report)
+	}
+	c.checkPolicy(report)
+	switch c.LogLevel {
+	case "", "debug", "info", "warn", "error":
+	default:
+		report("log_level", "must be debug, info, warn or error")
+	}
+}
+
+func checkTeam(field, name string, t Team, report report) {
+	checkName(field, name, report)
+	// The negated form also catches NaN.
+	if !(t.Weight > 0 && t.Weight <= maxWeight) || math.IsInf(t.Weight, 0) {
+		report(field+".weight", "must be a positive number up to %g", float64(maxWeight))
+	}
+	checkCount(field+".max_tasks", t.MaxTasks, maxTasksLimit, report)
+}
+
+func (c *Config) checkKind(field, name string, k Kind, report report) {
+	checkName(field, name, report)
+	if _, ok := c.Groups[k.Group]; !ok {
+		report(field+".group", "group %q is not defined", k.Group)
+	}
+	if k.DefaultDeadline <= 0 || k.DefaultDeadline > maxDeadline {
+		report(field+".default_deadline", "must be a positive duration up to %v", maxDeadline)
+	}
+	checkCount(field+".max_tasks", k.MaxTasks, maxTasksLimit, report)
+}
+
+func (c *Config) checkGroup(field, name string, g Group, report report) {
+	checkName(field, name, report)
+	if g.Endpoints != "minion" && g.Endpoints != "worker" {
+		report(field+".endpoints", "must be minion or worker")
+	}
+}
+
+func (c *Config) checkPolicy(report report) {
+	checkCount("policy.max_tasks", c.Policy.MaxTasks, maxTasksLimit, report)
+	checkCount("policy.max_attempts", c.Policy.MaxAttempts, maxAttempts, report)
+	if d := c.Policy.RetryDelay; d < 0 || d > maxRetryDelay {
+		report("policy.retry_delay", "must be a duration from 0s to %v", maxRetryDelay)
+	}
+}
+
+func checkName(field, name string, report report) {
+	if !ticket.ValidHost(name) {
+		report(field, "the name %s", nameRule)
+	}
+}
+
+func checkCount(field string, n, limit int, report report) {
+	if n < 0 || n > limit {
+		report(field, "must be a whole number from 0 to %d", limit)
+	}
+}
--- a/config/config.go
+++ b/config/config.go
@@ -65,67 +65,6 @@
 	return c
 }
 
-type report func(field, format string, args ...any)
-
-func (c *Config) check(report report) {
-	if c.Schema < 1 || c.Schema > Schema {
-		report("schema", "must be between 1 and %d", Schema)
-	}
-	if len(c.Teams) == 0 {
-		report("teams", "at least one team is required")
-	}
-	for _, name := range sortedKeys(c.Teams) {
-		c.checkTeam("teams."+name, c.Teams[name], report)
-	}
-	for _, name := range sortedKeys(c.Kinds) {
-		c.checkKind("kinds."+name, c.Kinds[name], report)
-	}
-	for _, name := range sortedKeys(c.Groups) {
-		if e := c.Groups[name].Endpoints; e != "minion" && e != "worker" {
-			report("groups."+name+".endpoints", "must be minion or worker")
-		}
-	}
-	c.checkPolicy(report)
-}
-
-func (c *Config) checkTeam(field string, t Team, report report) {
-	if t.Weight <= 0 {
-		report(field+".weight", "must be positive")
-	}
-	if t.MaxTasks < 0 {
-		report(field+".max_tasks", "must not be negative")
-	}
-}
-
-func (c *Config) checkKind(field string, k Kind, report report) {
-	if _, ok := c.Groups[k.Group]; !ok {
-		report(field+".group", "group %q is not defined", k.Group)
-	}
-	if k.DefaultDeadline <= 0 {
-		report(field+".default_deadline", "must be a positive duration")
-	}
-	if k.MaxTasks < 0 {
-		report(field+".max_tasks", "must not be negative")
-	}
-}
-
-func (c *Config) checkPolicy(report report) {
-	if c.Policy.MaxTasks < 0 {
-		report("policy.max_tasks", "must not be negative")
-	}
-	if c.Policy.MaxAttempts < 0 {
-		report("policy.max_attempts", "must not be negative")
-	}
-	if c.Policy.RetryDelay < 0 {
-		report("policy.retry_delay", "must not be negative")
-	}
-	switch c.LogLevel {
-	case "", "debug", "info", "warn", "error":
-	default:
-		report("log_level", "must be debug, info, warn or error")
-	}
-}
-
 func sortedKeys[V any](m map[string]V) []string {
 	keys := make([]string, 0, len(m))
 	for k := range m {
--- a/core/core.go
+++ b/core/core.go
@@ -18,24 +18,9 @@
 // Effect is a dispatch.Effect, a forward.Effect or an effect of this package.
 type Effect any
 
-// ConfigRecord is one record of the config stream.
-type ConfigRecord struct {
-	Offset uint64
-	Data   []byte
-}
-
 // Tick lets everything that is due take effect.
 type Tick struct{}
 
-// ConfigInForce says that a new revision took effect.
-type ConfigInForce struct {
-	Revision uint64
-	Config   *config.Config
-}
-
-// ConfigRejected says that a record of the stream was not accepted.
-type ConfigRejected struct{ Outcome config.Outcome }
-
 // Options configures a State.
 type Options struct {
 	Host        string
@@ -49,6 +34,7 @@
 	Dispatch *dispatch.State
 	Forward  *forward.State
 	Config   *config.Fold
+	source   ConfigSource
 	effects  []Effect
 }
 
@@ -70,8 +56,8 @@
 		s.dispatch(now, ev)
 	case forward.Event:
 		s.forward(now, ev)
-	case ConfigRecord:
-		s.configRecord(now, ev)
+	case configEvent:
+		s.configEvent(now, ev)
 	case Tick:
 		s.dispatch(now, dispatch.Tick{})
 		s.forward(now, forward.Tick{})
@@ -99,36 +85,3 @@
 		s.effects = append(s.effects, e)
 	}
 }
-
-func (s *State) configRecord(now time.Duration, ev ConfigRecord) {
-	o := s.Config.Apply(ev.Offset, ev.Data)
-	if !o.Accepted {
-		s.effects = append(s.effects, ConfigRejected{Outcome: o})
-		return
-	}
-	s.effects = append(s.effects, ConfigInForce{Revision: o.Revision, Config: s.Config.Current()})
-	s.dispatch(now, dispatch.PolicyChanged{Policy: dispatchPolicy(s.Config.Current())})
-}
-
-// dispatchPolicy translates configuration into the dispatcher's policy.
-func dispatchPolicy(c *config.Config) *dispatch.Policy {
-	p := &dispatch.Policy{
-		Kinds:       make(map[string]dispatch.Kind, len(c.Kinds)),
-		Teams:       make(map[string]dispatch.Team, len(c.Teams)),
-		MaxTasks:    c.Policy.MaxTasks,
-		MaxAttempts: c.Policy.MaxAttempts,
-		RetryDelay:  c.Policy.RetryDelay,
-	}
-	for name, k := range c.Kinds {
-		p.Kinds[name] = dispatch.Kind{
-			Group:           k.Group,
-			Idempotent:      k.Idempotent,
-			DefaultDeadline: k.DefaultDeadline,
-			MaxTasks:        k.MaxTasks,
-		}
-	}
-	for name, t := range c.Teams {
-		p.Teams[name] = dispatch.Team{Weight: t.Weight, MaxTasks: t.MaxTasks}
-	}
-	return p
-}
--- /dev/null
+++ b/daemon/config_follow.go
@@ -0,0 +1,80 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"sesameledge.dev/sesameledge/core"
+	"sesameledge.dev/sesameledge/platform"
+)
+
+// snapshotDelay spreads the hosts that find a snapshot due. With a delay well above the
+// time in which hosts read a record, one or two of them append it.
+const snapshotDelay = 10 * time.Second
+
+// newConfigLog returns the follower of the config stream.
+func (d *Daemon) newConfigLog() *streamFollower {
+	var due atomic.Bool
+	return &streamFollower{
+		client: d.platform,
+		stream: platform.StreamConfig,
+		logger: d.logs.platform,
+		next: func() (next uint64, known bool) {
+			d.loop.query(func(_ time.Duration, s *core.State) { next = s.Config.Next() })
+			return next, true
+		},
+		truncated: func(first uint64) {
+			level.Info(d.logs.config).Log("msg", "the log no longer keeps the next records; looking for a snapshot", "first", first)
+			d.loop.send(core.ConfigTruncated{First: first})
+		},
+		records: func(records []platform.Record) {
+			for _, r := range records {
+				d.loop.send(core.ConfigRecord{Offset: r.Offset, Data: r.Data})
+			}
+		},
+		replied: func(first, _ uint64) {
+			if d.snapshotDue(first) && due.CompareAndSwap(false, true) {
+				d.follow(func(ctx context.Context) {
+					defer due.Store(false)
+					d.snapshotLater(ctx, first)
+				})
+			}
+		},
+	}
+}
+
+func (d *Daemon) snapshotDue(first uint64) (due bool) {
+	d.loop.query(func(_ time.Duration, s *core.State) {
+		due = s.Config.SnapshotDue(first, d.settings.Platform.SnapshotEvery)
+	})
+	return due
+}
+
+// snapshotLater appends a snapshot after a random delay, unless another host has done so
+// by then. An append whose answer was lost needs no care: a second snapshot of the same
+// state has no effect, and one that is missing is due again.
+func (d *Daemon) snapshotLater(ctx context.Context, first uint64) {
+	if !sleep(ctx, rand.N(snapshotDelay)) || !d.snapshotDue(first) {
+		return
+	}
+	var data []byte
+	var err error
+	var next uint64
+	d.loop.query(func(_ time.Duration, s *core.State) {
+		data, err = s.Config.Snapshot()
+		next = s.Config.Next()
+	})
+	if err == nil {
+		_, err = d.platform.Append(ctx, platform.StreamConfig, fmt.Sprintf("snapshot-%d", next), data)
+	}
+	if err != nil {
+		level.Warn(d.logs.config).Log("msg", "a snapshot was not confirmed; it is tried again while due", "err", err)
+		return
+	}
+	level.Info(d.logs.config).Log("msg", "snapshot appended", "next", next, "bytes", len(data))
+}
--- /dev/null
+++ b/daemon/config_http.go
@@ -0,0 +1,99 @@
+package daemon
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"sesameledge.dev/sesameledge/api"
+	"sesameledge.dev/sesameledge/config"
+	"sesameledge.dev/sesameledge/core"
+)
+
+// ConfigReply answers GET /v1/config. Revision is the latest one, on which a publication
+// must be based; Text is that of Shown.
+type ConfigReply struct {
+	Revision uint64           `json:"revision"`
+	InForce  uint64           `json:"in_force"`
+	Problem  string           `json:"problem,omitempty"` // why the latest revision is not in force
+	Shown    uint64           `json:"shown"`
+	Text     string           `json:"text"`
+	History  []config.Summary `json:"history,omitempty"`
+}
+
+// ConfigView describes the configuration in a state dump.
+type ConfigView struct {
+	Latest   uint64            `json:"latest"`
+	InForce  uint64            `json:"in_force"`
+	Problem  string            `json:"problem,omitempty"`
+	Source   core.ConfigSource `json:"source"` // log, snapshot, or peer and its name
+	Next     uint64            `json:"next_offset"`
+	Seeking  bool              `json:"seeking_snapshot"`
+	Readable bool              `json:"log_readable"`
+	History  []config.Summary  `json:"history"`
+}
+
+// configView returns the configuration's part of a state dump.
+func (d *Daemon) configView() ConfigView {
+	v := ConfigView{Readable: d.configLog.readable()}
+	d.loop.query(func(_ time.Duration, s *core.State) {
+		v.Latest, v.InForce, v.Problem = s.Config.Revision(), s.Config.InForce(), s.Config.Problem()
+		v.Source = s.ConfigSource()
+		v.Next, v.Seeking = s.Config.Next(), s.Config.Seeking()
+		v.History = s.Config.History()
+	})
+	return v
+}
+
+// serveConfig answers with the configuration in force, with that of ?revision=N, with the
+// revisions if ?history is given, or with the outcome of the publication ?id=ID.
+func (d *Daemon) serveConfig(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	if id := query.Get("id"); id != "" {
+		d.serveOutcome(w, id)
+		return
+	}
+	revision := uint64(0)
+	if text := query.Get("revision"); text != "" {
+		n, err := strconv.ParseUint(text, 10, 64)
+		if err != nil || n == 0 {
+			writeJSON(w, http.StatusBadRequest, api.Errorf(api.CodeInvalid, "revision", "revision must be a positive whole number"))
+			return
+		}
+		revision = n
+	}
+	reply, err := d.configReply(revision, query.Has("history"))
+	if err != nil {
+		writeJSON(w, http.StatusNotFound, api.Errorf(api.CodeNotFound, "revision", "%v", err))
+		return
+	}
+	writeJSON(w, http.StatusOK, reply)
+}
+
+// configReply shows a revision; 0 means the one in force.
+func (d *Daemon) configReply(revision uint64, history bool) (reply ConfigReply, err error) {
+	d.loop.query(func(_ time.Duration, s *core.State) {
+		reply.Revision, reply.InForce, reply.Problem = s.Config.Revision(), s.Config.InForce(), s.Config.Problem()
+		if history {
+			reply.History = s.Config.History()
+		}
+		if revision == 0 && reply.InForce == 0 {
+			return
+		}
+		reply.Shown = reply.InForce
+		if revision > 0 {
+			reply.Shown = revision
+		}
+		reply.Text, err = s.Config.Text(reply.Shown)
+	})
+	return reply, err
+}
+
+func (d *Daemon) serveOutcome(w http.ResponseWriter, id string) {
+	o, ok := d.outcomeOf(id)
+	if !ok {
+		writeJSON(w, http.StatusNotFound, PublishReply{ID: id, Reason: "this host has not read a record with this identity lately"})
+		return
+	}
+	writeJSON(w, http.StatusOK, publishReply(o))
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -52,6 +52,11 @@
 	peerServer *grpc.Server
 	metrics    *expvar.Map
 
+	publications publications
+	configLog    *streamFollower
+	configPulls  chan string   // hosts that showed a higher revision
+	latest       atomic.Uint64 // latest accepted revision
+
 	mu        sync.Mutex
 	addresses map[string]string // peer address by host name
 }
@@ -91,6 +96,8 @@
 		Seed:        binary.LittleEndian.Uint64(seed[8:]),
 	}))
 	d.loop.run = d.runEffect
+	d.configLog = d.newConfigLog()
+	d.configPulls = make(chan string, 1)
 	d.metrics = d.newMetrics()
 	return d, nil
 }
@@ -117,7 +124,8 @@
 	go func() { _ = d.callers.Serve(listeners[0]) }()
 	go func() { _ = d.peerServer.Serve(listeners[1]) }()
 	go func() { _ = d.operators.Serve(listeners[2]) }()
-	d.follow(d.followConfig)
+	d.follow(d.configLog.follow)
+	d.follow(d.pullConfig)
 	d.follow(d.followHosts)
 	d.follow(d.renewRegistration)
 	level.Info(d.logs.daemon).Log("msg", "started", "host", d.settings.Host, "zone", d.settings.Zone,
@@ -170,7 +178,7 @@
 	}
 	ok := false
 	d.loop.query(func(_ time.Duration, s *core.State) {
-		ok = s.Config.Revision() > 0 && s.Dispatch.Endpoints() > 0
+		ok = s.Config.InForce() > 0 && s.Dispatch.Endpoints() > 0
 	})
 	return ok
 }
--- a/daemon/effects.go
+++ b/daemon/effects.go
@@ -35,10 +35,8 @@
 		go func() { d.loop.send(d.forwardToOwner(e)) }()
 	case forward.ReplyTo:
 		d.loop.reply(e.Waiter, e.Reply)
-	case core.ConfigInForce:
-		d.configInForce(e)
-	case core.ConfigRejected:
-		level.Warn(d.logs.config).Log("msg", "record rejected", "id", e.Outcome.ID, "reason", e.Outcome.Reason)
+	default:
+		d.runConfigEffect(e)
 	}
 }
 
@@ -50,13 +48,6 @@
 	}
 }
 
-func (d *Daemon) configInForce(e core.ConfigInForce) {
-	level.Info(d.logs.config).Log("msg", "revision in force", "revision", e.Revision)
-	if e.Config.LogLevel != "" {
-		d.logs.setLevel(e.Config.LogLevel)
-	}
-}
-
 // forwardToOwner sends a request to the host that the ticket names and returns what the
 // reducer has to know.
 func (d *Daemon) forwardToOwner(e forward.SendToOwner) forward.Event {
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -22,7 +22,8 @@
 	m.Set("open_jobs", d.stateMetric(func(s *core.State) any { return s.Dispatch.OpenJobs() }))
 	m.Set("open_tasks", d.stateMetric(func(s *core.State) any { return s.Dispatch.OpenTasks() }))
 	m.Set("endpoints", d.stateMetric(func(s *core.State) any { return s.Dispatch.Endpoints() }))
-	m.Set("config_revision", d.stateMetric(func(s *core.State) any { return s.Config.Revision() }))
+	m.Set("config_revision", d.stateMetric(func(s *core.State) any { return s.Config.InForce() }))
+	m.Set("config_latest", d.stateMetric(func(s *core.State) any { return s.Config.Revision() }))
 	return m
 }
 
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -1,13 +1,10 @@
 package daemon
 
 import (
-	"encoding/json"
 	"io"
 	"net/http"
 	"time"
 
-	"sesameledge.dev/sesameledge/api"
-	"sesameledge.dev/sesameledge/config"
 	"sesameledge.dev/sesameledge/core"
 	"sesameledge.dev/sesameledge/dispatch"
 	"sesameledge.dev/sesameledge/forward"
@@ -22,7 +19,8 @@
 	UptimeMS    int64             `json:"uptime_ms"`
 	Ready       bool              `json:"ready"`
 	Draining    bool              `json:"draining"`
-	Revision    uint64            `json:"config_revision"`
+	Revision    uint64            `json:"config_revision"` // in force
+	Latest      uint64            `json:"config_latest"`   // accepted; higher while this build cannot apply it
 	OpenJobs    int               `json:"open_jobs"`
 	OpenTasks   int               `json:"open_tasks"`
 	Endpoints   int               `json:"endpoints"`
@@ -32,23 +30,9 @@
 
 // Dump is the state of a daemon on request.
 type Dump struct {
-	Status   Status            `json:"status"`
-	Dispatch dispatch.View     `json:"dispatch"`
-	History  []config.Revision `json:"config_history"`
-}
-
-// ConfigReply answers GET /v1/config.
-type ConfigReply struct {
-	Revision uint64            `json:"revision"`
-	Text     string            `json:"text"`
-	History  []config.Revision `json:"history,omitempty"`
-}
-
-// PublishReply answers POST /v1/config.
-type PublishReply struct {
-	Accepted bool   `json:"accepted"`
-	Revision uint64 `json:"revision"`
-	Reason   string `json:"reason,omitempty"`
+	Status   Status        `json:"status"`
+	Dispatch dispatch.View `json:"dispatch"`
+	Config   ConfigView    `json:"config"`
 }
 
 // operatorsMux serves the operators' interface.
@@ -94,7 +78,7 @@
 		Draining:    d.draining.Load(),
 	}
 	d.loop.query(func(_ time.Duration, s *core.State) {
-		st.Revision = s.Config.Revision()
+		st.Revision, st.Latest = s.Config.InForce(), s.Config.Revision()
 		st.OpenJobs = s.Dispatch.OpenJobs()
 		st.OpenTasks = s.Dispatch.OpenTasks()
 		st.Endpoints = s.Dispatch.Endpoints()
@@ -105,46 +89,9 @@
 }
 
 func (d *Daemon) serveDump(w http.ResponseWriter, _ *http.Request) {
-	dump := Dump{Status: d.status()}
+	dump := Dump{Status: d.status(), Config: d.configView()}
 	d.loop.query(func(now time.Duration, s *core.State) {
 		dump.Dispatch = s.Dispatch.View(now)
-		dump.History = s.Config.History()
 	})
 	writeJSON(w, http.StatusOK, dump)
 }
-
-func (d *Daemon) serveConfig(w http.ResponseWriter, r *http.Request) {
-	var reply ConfigReply
-	d.loop.query(func(_ time.Duration, s *core.State) {
-		history := s.Config.History()
-		if n := len(history); n > 0 {
-			reply.Revision = history[n-1].Number
-			reply.Text = history[n-1].Record.Text
-		}
-		if r.URL.Query().Has("history") {
-			reply.History = history
-		}
-	})
-	writeJSON(w, http.StatusOK, reply)
-}
-
-// servePublish appends a configuration record and waits until the fold has judged it.
-func (d *Daemon) servePublish(w http.ResponseWriter, r *http.Request) {
-	var rec config.Record
-	dec := json.NewDecoder(io.LimitReader(r.Body, d.settings.Limits.BodyBytes))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(&rec); err != nil || rec.ID == "" {
-		writeJSON(w, http.StatusBadRequest, api.Errorf(api.CodeMalformed, "", "the body is not a configuration record with an id"))
-		return
-	}
-	outcome, err := d.publish(r.Context(), &rec)
-	if err != nil {
-		writeJSON(w, http.StatusServiceUnavailable, api.Errorf(api.CodeLogUnavailable, "", "%v", err))
-		return
-	}
-	status := http.StatusOK
-	if !outcome.Accepted {
-		status = http.StatusConflict
-	}
-	writeJSON(w, status, PublishReply{Accepted: outcome.Accepted, Revision: outcome.Revision, Reason: outcome.Reason})
-}
--- /dev/null
+++ b/daemon/publish.go
@@ -0,0 +1,192 @@
+package daemon
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log/level"
+
+	"sesameledge.dev/sesameledge/api"
+	"sesameledge.dev/sesameledge/config"
+	"sesameledge.dev/sesameledge/core"
+	"sesameledge.dev/sesameledge/finding"
+	"sesameledge.dev/sesameledge/platform"
+)
+
+// publishTimeout bounds the wait for the fold to judge a publication. It is longer than
+// the platform's queue of appends under a burst of a few hundred publications.
+const publishTimeout = 5 * time.Second
+
+// PublishReply answers POST /v1/config and GET /v1/config?id=. Known is false if it is not
+// known yet whether the record is in the log: look the identity up before publishing the
+// change again under another one.
+type PublishReply struct {
+	ID       string            `json:"id"`
+	Known    bool              `json:"known"`
+	Accepted bool              `json:"accepted"`
+	Revision uint64            `json:"revision"`
+	Reason   string            `json:"reason,omitempty"`
+	Winner   *config.Winner    `json:"winner,omitempty"`
+	Findings []finding.Finding `json:"findings,omitempty"`
+}
+
+// publications are the publications whose outcome a request waits for. The reducer's
+// goroutine delivers outcomes, so that none is missed when the fold's memory of outcomes
+// is short.
+type publications struct {
+	mu      sync.Mutex
+	waiting map[string][]chan config.Outcome
+}
+
+// wait registers for the outcome of a publication. The channel holds one outcome.
+func (p *publications) wait(id string) (<-chan config.Outcome, func()) {
+	ch := make(chan config.Outcome, 1)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.waiting == nil {
+		p.waiting = make(map[string][]chan config.Outcome)
+	}
+	p.waiting[id] = append(p.waiting[id], ch)
+	return ch, func() { p.drop(id, ch) }
+}
+
+func (p *publications) drop(id string, ch chan config.Outcome) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	kept := p.waiting[id][:0]
+	for _, c := range p.waiting[id] {
+		if c != ch {
+			kept = append(kept, c)
+		}
+	}
+	p.waiting[id] = kept
+	if len(kept) == 0 {
+		delete(p.waiting, id)
+	}
+}
+
+func (p *publications) judged(o config.Outcome) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, ch := range p.waiting[o.ID] {
+		ch <- o
+	}
+	delete(p.waiting, o.ID)
+}
+
+// servePublish checks a publication, appends it, and waits until the fold has judged it.
+func (d *Daemon) servePublish(w http.ResponseWriter, r *http.Request) {
+	if !d.mayPublish(r) {
+		w.Header().Set("WWW-Authenticate", "Bearer")
+		writeJSON(w, http.StatusUnauthorized, api.Errorf(api.CodeUnauthorized, "", "publishing needs a bearer token that this host accepts"))
+		return
+	}
+	data, err := io.ReadAll(io.LimitReader(r.Body, config.MaxRecordBytes+1))
+	if err != nil {
+		writeJSON(w, http.StatusBadRequest, api.Errorf(api.CodeMalformed, "", "the body could not be read: %v", err))
+		return
+	}
+	rec, refusal := checkPublication(data)
+	if refusal != nil {
+		writeJSON(w, http.StatusBadRequest, refusal)
+		return
+	}
+	outcome, err := d.publish(r.Context(), rec)
+	switch {
+	case errors.Is(err, errOutcomeUnknown):
+		writeJSON(w, http.StatusAccepted, PublishReply{ID: rec.ID, Reason: err.Error()})
+	case err != nil:
+		writeJSON(w, http.StatusServiceUnavailable, api.Errorf(api.CodeLogUnavailable, "", "not published: %v", err))
+	case !outcome.Accepted:
+		writeJSON(w, http.StatusConflict, publishReply(outcome))
+	default:
+		writeJSON(w, http.StatusOK, publishReply(outcome))
+	}
+}
+
+func publishReply(o config.Outcome) PublishReply {
+	return PublishReply{ID: o.ID, Known: true, Accepted: o.Accepted, Revision: o.Revision, Reason: o.Reason, Winner: o.Winner}
+}
+
+// mayPublish compares the request's bearer token with those of the settings. Without
+// tokens in the settings, whoever reaches the operators' address may publish.
+func (d *Daemon) mayPublish(r *http.Request) bool {
+	tokens := d.settings.Operators.PublishTokens
+	if len(tokens) == 0 {
+		return true
+	}
+	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	got := sha256.Sum256([]byte(token))
+	match := 0
+	// Hashes of equal length, and no early end, keep the time independent of the token.
+	for _, t := range tokens {
+		want := sha256.Sum256([]byte(t))
+		match |= subtle.ConstantTimeCompare(got[:], want[:])
+	}
+	return ok && match == 1
+}
+
+// checkPublication validates a record as a whole before it is appended. A record of a
+// schema version that this build does not know must go through a newer host.
+func checkPublication(data []byte) (*config.Record, any) {
+	rec, err := config.DecodeRecord(data)
+	if err != nil {
+		return nil, api.Errorf(api.CodeMalformed, "", "%v", err)
+	}
+	if rec.Schema > config.Schema {
+		return nil, api.Errorf(api.CodeSchema, "schema", "this host can check schema 1 to %d only; publish through a newer host", config.Schema)
+	}
+	var list finding.List
+	config.Parse("", []byte(rec.Text), &list)
+	if !list.Empty() {
+		return nil, PublishReply{ID: rec.ID, Known: true, Reason: "not published: the configuration has findings", Findings: list.Findings()}
+	}
+	return rec, nil
+}
+
+// errOutcomeUnknown means that the record may be in the log or may still get there.
+var errOutcomeUnknown = errors.New("it is not known yet whether the record was published; look its identity up before publishing again")
+
+// publish appends a record and waits for the fold's judgement. A record whose identity
+// the fold has seen is not appended again, and an append whose answer was lost is found
+// by its identity when the follower reads it.
+func (d *Daemon) publish(ctx context.Context, rec *config.Record) (config.Outcome, error) {
+	data, err := rec.Encode()
+	if err != nil {
+		return config.Outcome{}, errors.Wrap(err, "encoding the record")
+	}
+	judged, stop := d.publications.wait(rec.ID)
+	defer stop()
+	if o, ok := d.outcomeOf(rec.ID); ok {
+		return o, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
+	defer cancel()
+	_, err = d.platform.Append(ctx, platform.StreamConfig, rec.ID, data)
+	if err != nil && !errors.Is(err, platform.ErrAmbiguous) {
+		return config.Outcome{}, err
+	}
+	if err != nil {
+		level.Warn(d.logs.config).Log("msg", "the answer to an append was lost; looking for the record in the log", "id", rec.ID, "err", err)
+	}
+	select {
+	case o := <-judged:
+		return o, nil
+	case <-ctx.Done():
+		return config.Outcome{}, errOutcomeUnknown
+	}
+}
+
+func (d *Daemon) outcomeOf(id string) (config.Outcome, bool) {
+	var o config.Outcome
+	var ok bool
+	d.loop.query(func(_ time.Duration, s *core.State) { o, ok = s.Config.OutcomeOf(id) })
+	return o, ok
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -30,6 +30,18 @@
 	Drain    Drain    `yaml:"drain"`
 	Log      Log      `yaml:"log"`
 	TLS      TLS      `yaml:"tls"`
+
+	Operators Operators `yaml:"operators"`
+}
+
+// minTokenBytes keeps tokens from being guessed.
+const minTokenBytes = 16
+
+// Operators says who may publish configuration.
+type Operators struct {
+	// PublishTokens are the bearer tokens accepted. None means that whoever reaches the
+	// operators' address may publish.
+	PublishTokens []string `yaml:"publish_tokens"`
 }
 
 // Listen holds the three addresses of a daemon, each IP:port.
@@ -41,11 +53,13 @@
 
 // Platform says where the platform's services are.
 type Platform struct {
-	URL          string        `yaml:"url"`           // http://IP:port
-	HostsEvery   time.Duration `yaml:"hosts_every"`   // pause between reads of the host list
-	Timeout      time.Duration `yaml:"timeout"`       // limit of one request
-	ClaimWindow  uint64        `yaml:"claim_window"`  // claims stream offsets for which a key is recognised
-	AppendsEvery time.Duration `yaml:"appends_every"` // least pause between appends of claims
+	URL        string        `yaml:"url"`         // http://IP:port
+	HostsEvery time.Duration `yaml:"hosts_every"` // pause between reads of the host list
+	Timeout    time.Duration `yaml:"timeout"`     // limit of one request
+	// SnapshotEvery is the number of records in the config stream after which a host
+	// appends a snapshot. It must be well below the number that the log retains.
+	SnapshotEvery uint64        `yaml:"snapshot_every"`
+	AppendsEvery  time.Duration `yaml:"appends_every"` // least pause between appends of claims
 }
 
 // Peer is another entry host.
@@ -109,10 +123,10 @@
 func Defaults() Settings {
 	return Settings{
 		Platform: Platform{
-			HostsEvery:   500 * time.Millisecond,
-			Timeout:      2 * time.Second,
-			ClaimWindow:  100_000,
-			AppendsEvery: 25 * time.Millisecond,
+			HostsEvery:    500 * time.Millisecond,
+			Timeout:       2 * time.Second,
+			SnapshotEvery: 1000,
+			AppendsEvery:  25 * time.Millisecond,
 		},
 		Tickets: Tickets{Window: 30 * time.Second, MaxDeadline: 60 * time.Second},
 		Limits:  Limits{BodyBytes: 8 << 20, Tasks: 4096, Tickets: 1024},
@@ -162,6 +176,8 @@
 	c.peers(s)
 	c.positive("platform.hosts_every", s.Platform.HostsEvery)
 	c.positive("platform.timeout", s.Platform.Timeout)
+	c.positive("platform.appends_every", s.Platform.AppendsEvery)
+	c.require(s.Platform.SnapshotEvery > 0, "platform.snapshot_every", "must be positive")
 	c.positive("tickets.window", s.Tickets.Window)
 	c.positive("tickets.max_deadline", s.Tickets.MaxDeadline)
 	c.positive("backend.dial_timeout", s.Backend.DialTimeout)
@@ -173,6 +189,9 @@
 	c.require(s.Backend.Connections > 0, "backend.connections", "must be positive")
 	c.require(s.Log.Format == "logfmt" || s.Log.Format == "json", "log.format", "must be logfmt or json")
 	c.require(validLevel(s.Log.Level), "log.level", "must be debug, info, warn or error")
+	for i, token := range s.Operators.PublishTokens {
+		c.require(len(token) >= minTokenBytes, fmt.Sprintf("operators.publish_tokens[%d]", i), "must have at least 16 bytes")
+	}
 	c.keyPair("tls.callers", s.TLS.Callers)
 	c.keyPair("tls.peers", s.TLS.Peers)
 	c.keyPair("tls.operators", s.TLS.Operators)
--- a/strictyaml/decode.go
+++ b/strictyaml/decode.go
@@ -21,7 +21,8 @@
 }
 
 // Place returns the place of a field such as "listen.peers" or "peers[2].zone". For a
-// field that the text does not have it returns the place of the nearest parent.
+// field that the text does not have it returns the place of the nearest parent, at last
+// that of the text's first value.
 func (d *Document) Place(field string) finding.Place {
 	for {
 		if p, ok := d.places[field]; ok {
@@ -29,10 +30,14 @@
 		}
 		cut := strings.LastIndexAny(field, ".[")
 		if cut < 0 {
-			return finding.Place{File: d.file}
+			break
 		}
 		field = field[:cut]
 	}
+	if p, ok := d.places[""]; ok {
+		return p
+	}
+	return finding.Place{File: d.file}
 }
 
 // Readable reports whether the text was YAML with content. If not, checks of single
@@ -46,7 +51,8 @@
 	doc := &Document{file: file, places: make(map[string]finding.Place)}
 	var root yaml.Node
 	if err := yaml.Unmarshal(text, &root); err != nil {
-		list.Add(finding.Place{File: file}, "", "%s", strings.TrimPrefix(err.Error(), "yaml: "))
+		place, message := syntaxError(file, err)
+		list.Add(place, "", "%s", message)
 		return doc
 	}
 	if len(root.Content) == 0 {
@@ -58,6 +64,18 @@
 	return doc
 }
 
+// syntaxError separates the line from the message of an error such as
+// "yaml: line 3: mapping values are not allowed in this context". The parser names no
+// column.
+func syntaxError(file string, err error) (finding.Place, string) {
+	message := strings.TrimPrefix(err.Error(), "yaml: ")
+	place := finding.Place{File: file}
+	if n, err := fmt.Sscanf(message, "line %d:", &place.Line); n == 1 && err == nil {
+		_, message, _ = strings.Cut(message, ": ")
+	}
+	return place, message
+}
+
 type decoder struct {
 	doc  *Document
 	list *finding.List
