--- a/daemon/config_follow.go
+++ b/daemon/config_follow.go
@@ -13,10 +13,6 @@
 	"sesameledge.dev/sesameledge/platform"
 )
 
-// snapshotDelay spreads the hosts that find a snapshot due. With a delay well above the
-// time in which hosts read a record, one or two of them append it.
-const snapshotDelay = 10 * time.Second
-
 // newConfigLog returns the follower of the config stream.
 func (d *Daemon) newConfigLog() *streamFollower {
 	var due atomic.Bool
@@ -59,7 +55,7 @@
 // by then. An append whose answer was lost needs no care: a second snapshot of the same
 // state has no effect, and one that is missing is due again.
 func (d *Daemon) snapshotLater(ctx context.Context, first uint64) {
-	if !sleep(ctx, rand.N(snapshotDelay)) || !d.snapshotDue(first) {
+	if !sleep(ctx, rand.N(d.settings.Platform.SnapshotDelay)) || !d.snapshotDue(first) {
 		return
 	}
 	var data []byte
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -58,7 +58,10 @@
 	Timeout    time.Duration `yaml:"timeout"`     // limit of one request
 	// SnapshotEvery is the number of records in the config stream after which a host
 	// appends a snapshot. It must be well below the number that the log retains.
-	SnapshotEvery uint64        `yaml:"snapshot_every"`
+	SnapshotEvery uint64 `yaml:"snapshot_every"`
+	// SnapshotDelay bounds the random delay before a host appends a snapshot that is due.
+	// Well above the time in which hosts read a record, one or two of them append it.
+	SnapshotDelay time.Duration `yaml:"snapshot_delay"`
 	AppendsEvery  time.Duration `yaml:"appends_every"` // least pause between appends of claims
 }
 
@@ -126,6 +129,7 @@
 			HostsEvery:    500 * time.Millisecond,
 			Timeout:       2 * time.Second,
 			SnapshotEvery: 1000,
+			SnapshotDelay: 10 * time.Second,
 			AppendsEvery:  25 * time.Millisecond,
 		},
 		Tickets: Tickets{Window: 30 * time.Second, MaxDeadline: 60 * time.Second},
@@ -177,6 +181,7 @@
 	c.positive("platform.hosts_every", s.Platform.HostsEvery)
 	c.positive("platform.timeout", s.Platform.Timeout)
 	c.positive("platform.appends_every", s.Platform.AppendsEvery)
+	c.positive("platform.snapshot_delay", s.Platform.SnapshotDelay)
 	c.require(s.Platform.SnapshotEvery > 0, "platform.snapshot_every", "must be positive")
 	c.positive("tickets.window", s.Tickets.Window)
 	c.positive("tickets.max_deadline", s.Tickets.MaxDeadline)
--- /dev/null
+++ b/standin/configproof/follow_test.go
@@ -0,0 +1,122 @@
+package configproof
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"sesameledge.dev/sesameledge/daemon"
+	"sesameledge.dev/sesameledge/settings"
+	"sesameledge.dev/sesameledge/standin/platformsim"
+	"sesameledge.dev/sesameledge/standin/proxysim"
+)
+
+// Guards against a host that cannot find a revision after the log has dropped the
+// records before it, or that stays behind for good after a partition of that length.
+func TestHostsStartAndResumeAfterTruncation(t *testing.T) {
+	s := newSite(t, 3, platformsim.Config{Retention: 30}, func(s *settings.Settings) {
+		s.Platform.SnapshotEvery, s.Platform.SnapshotDelay = 10, 50*time.Millisecond
+	})
+	s.start(0, 1)
+	s.publishNext(0)
+	s.awaitInForce(1, 1)
+	s.cut(1, true)
+	var last uint64
+	for range 80 {
+		last = s.publishNext(0)
+	}
+	s.start(2)
+	s.awaitInForce(2, last)
+	if v := s.view(2); v.Source != "snapshot" && v.Source != "log" {
+		t.Errorf("the new host has its configuration from %q", v.Source)
+	}
+	s.stop(0)
+	s.stop(2)
+	s.cut(1, false)
+	s.awaitInForce(1, last)
+}
+
+// Guards against a host that has no configuration while the log is unavailable, or that
+// does not say that it came from a peer. An outage may refuse requests or hang.
+func TestHostStartsDuringAnOutage(t *testing.T) {
+	s := newSite(t, 3, platformsim.Config{}, nil)
+	s.start(0, 1)
+	s.publishNext(0)
+	s.awaitInForce(1, 1)
+	for _, o := range []platformsim.Outage{platformsim.OutageUnavailable, platformsim.OutageHang} {
+		s.outage(o)
+		s.start(2)
+		took := s.awaitInForce(2, 1)
+		v := s.view(2)
+		t.Logf("outage %s: configuration after %v from %q", o, took, v.Source)
+		if took > inForceWithin || !strings.HasPrefix(string(v.Source), "peer host-") || v.Readable {
+			t.Errorf("outage %s: after %v %+v", o, took, v)
+		}
+		s.outage(platformsim.OutageOff)
+		s.stop(2)
+	}
+}
+
+// Guards against a host that gets a revision late, or never, because it alone cannot
+// reach the platform: cut off, or connected by connections that have gone silent.
+func TestRevisionReachesHostWithoutPlatform(t *testing.T) {
+	s := newSite(t, 4, platformsim.Config{}, nil)
+	s.start(0, 1, 2, 3)
+	for n := range 4 {
+		s.awaitInForce(n, s.publishIfNone())
+	}
+	s.cut(1, true)
+	must(t, s.proxy.SetFault(proxysim.FaultRequest{Route: "platform-2", BlackHole: true}))
+	for range 2 {
+		revision := s.publishNext(0)
+		for n := range 4 {
+			if took := s.awaitInForce(n, revision); took > inForceWithin {
+				t.Errorf("revision %d is in force on host %d after %v", revision, n, took)
+			}
+		}
+	}
+	if v := s.view(1); !strings.HasPrefix(string(v.Source), "peer ") {
+		t.Errorf("the host that is cut off has its configuration from %q", v.Source)
+	}
+}
+
+func (s *site) publishIfNone() uint64 {
+	if n := s.view(0).Latest; n > 0 {
+		return n
+	}
+	return s.publishNext(0)
+}
+
+// Guards against a busy loop on a log that answers at once, whatever it answers.
+func TestReadsAreBounded(t *testing.T) {
+	const period = 1500 * time.Millisecond
+	for name, answer := range map[string]struct {
+		status int
+		body   string
+	}{
+		"refused":   {http.StatusServiceUnavailable, `{}`},
+		"empty":     {http.StatusOK, `{"first":0,"next":0,"records":[]}`},
+		"truncated": {http.StatusGone, `{"first":5,"next":9,"records":[]}`},
+	} {
+		var reads atomic.Int64
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.Method == http.MethodGet && strings.HasPrefix(r.URL.Path, "/v1/streams/config/") {
+				reads.Add(1)
+			}
+			w.WriteHeader(answer.status)
+			_, _ = w.Write([]byte(answer.body))
+		}))
+		d, err := daemon.New(newSettings(t, 0, server.URL, nil), httptest.NewRecorder())
+		must(t, err)
+		must(t, d.Start())
+		time.Sleep(period)
+		d.Drain()
+		server.Close()
+		if n := reads.Load(); n < 2 || n > 12 {
+			t.Errorf("%s: %d reads in %v", name, n, period)
+		}
+	}
+}
