--- a/config/check.go
+++ b/config/check.go
@@ -2,8 +2,10 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
+	"sesameledge.dev/sesameledge/place"
 	"sesameledge.dev/sesameledge/ticket"
 )
 
@@ -75,8 +77,26 @@
 func (c *Config) checkPolicy(report report) {
 	checkCount("policy.max_tasks", c.Policy.MaxTasks, maxTasksLimit, report)
 	checkCount("policy.max_attempts", c.Policy.MaxAttempts, maxAttempts, report)
-	if d := c.Policy.RetryDelay; d < 0 || d > maxRetryDelay {
-		report("policy.retry_delay", "must be a duration from 0s to %v", maxRetryDelay)
+	checkDuration("policy.retry_delay", c.Policy.RetryDelay, maxRetryDelay, report)
+	checkDuration("policy.max_wait", c.Policy.MaxWait, maxDeadline, report)
+	if name := place.Placement(c.Policy.Placement); name != "" && !slices.Contains(place.Placements, name) {
+		report("policy.placement", "must be one of %v", place.Placements)
+	}
+	checkShare("policy.message_weight", c.Policy.Weight(), report)
+	checkShare("policy.retry_share", c.Policy.RetryShare, report)
+	checkShare("policy.max_ejected", c.Policy.MaxEjected, report)
+}
+
+func checkDuration(field string, d, limit time.Duration, report report) {
+	if d < 0 || d > limit {
+		report(field, "must be a duration from 0s to %v", limit)
+	}
+}
+
+func checkShare(field string, s float64, report report) {
+	// The negated form also catches NaN.
+	if !(s >= 0 && s <= 1) {
+		report(field, "must be between 0 and 1")
 	}
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -95,6 +95,7 @@
 		Zone:        s.Zone,
 		Seed:        binary.LittleEndian.Uint64(seed[8:]),
 	}))
+	d.logs.redirectStandardLog()
 	d.loop.run = d.runEffect
 	d.configLog = d.newConfigLog()
 	d.configPulls = make(chan string, 1)
