--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -38,7 +38,7 @@
 	refused   map[ticket.ID]*api.Error
 	queue     []*job // accepted jobs with waiting tasks, by key
 	limiter   *limit.Limiter
-	polling   bool // a retry timer is set
+	pollAt    time.Duration // when held tasks are looked at again; 0 for never
 	timers    timerHeap
 	draining  bool
 	open      int // tasks of jobs without a verdict
@@ -125,8 +125,11 @@
 
 // NextWake returns when the next deadline, retry or expiry is due.
 func (s *State) NextWake() (time.Duration, bool) {
-	if len(s.timers) == 0 {
-		return 0, false
+	switch {
+	case len(s.timers) == 0:
+		return s.pollAt, s.pollAt > 0
+	case s.pollAt > 0:
+		return min(s.pollAt, s.timers[0].at), true
 	}
 	return s.timers[0].at, true
 }
@@ -162,20 +165,21 @@
 			s.deadline(now, t.id)
 		case timerExpiry:
 			s.drop(t.id)
-		case timerRetry:
-			s.polling = false
 		}
 	}
 }
 
 func (s *State) deadline(now time.Duration, id ticket.ID) {
-	if j, ok := s.jobs[id]; ok && !j.ended() {
+	if j, ok := s.jobs[id]; ok && !j.ended() && !s.off.lateComplete {
 		s.fail(now, j, api.Errorf(api.CodeDeadline, "deadline_ms", "the job did not end within its deadline"))
 	}
 }
 
 // drop forgets a job whose ticket's life has ended.
 func (s *State) drop(id ticket.ID) {
+	if s.off.keepRecords {
+		return
+	}
 	delete(s.refused, id)
 	if j, ok := s.jobs[id]; ok {
 		s.bytes -= j.bytes
