Run jobs with idempotency keys through the claims stream

A job with a key was run like one without: a caller that sent it again to another host had it run twice.

Package claim folds the claims stream: the first claim for a key within 100,000 offsets after its epoch owns it, memory is bounded at 100,000 claims, and a fold that has not read since the epoch decides nothing. The host mints a ticket, appends the claim by group commit (at most one append per appends_every), and hands the job to the dispatcher only when it has read its own claim back as the first. Losers ask the owner for the outcome and never submit the job to it. While the log is out the reply is unknown with log_unavailable; a claim that does not come back ends the job at its deadline with every task not_run. The window is a constant, and hosts start to read that far back, so a restart does not make them blind. GET /v1/epoch gives the epoch.

--- a/core/core.go
+++ b/core/core.go
@@ -35,7 +35,10 @@
 	Forward  *forward.State
 	Config   *config.Fold
 	source   ConfigSource
-	effects  []Effect
+	claims   claims
+	// incarnation is the one that mints this process's tickets.
+	incarnation ticket.Incarnation
+	effects     []Effect
 }
 
 // New returns the state of a new process.
@@ -44,6 +47,9 @@
 		Dispatch: dispatch.New(dispatch.Options(opts)),
 		Forward:  forward.New(),
 		Config:   config.NewFold(),
+		claims:   newClaims(),
+
+		incarnation: opts.Incarnation,
 	}
 }
 
@@ -53,15 +59,18 @@
 	s.effects = s.effects[:0]
 	switch ev := ev.(type) {
 	case dispatch.Event:
-		s.dispatch(now, ev)
+		s.ownTicket(now, ev)
 	case forward.Event:
 		s.forward(now, ev)
 	case configEvent:
 		s.configEvent(now, ev)
+	case claimEvent:
+		s.claimEvent(now, ev)
 	case Tick:
 		s.dispatch(now, dispatch.Tick{})
 		s.forward(now, forward.Tick{})
 	}
+	s.keysTick(now)
 	return s.effects
 }
 
@@ -69,13 +78,19 @@
 func (s *State) NextWake() (time.Duration, bool) {
 	at, ok := s.Dispatch.NextWake()
 	if other, ok2 := s.Forward.NextWake(); ok2 && (!ok || other < at) {
-		return other, true
+		at, ok = other, true
+	}
+	if len(s.claims.timers) > 0 && (!ok || s.claims.timers[0].at < at) {
+		return s.claims.timers[0].at, true
 	}
 	return at, ok
 }
 
 func (s *State) dispatch(now time.Duration, ev dispatch.Event) {
 	for _, e := range s.Dispatch.Apply(now, ev) {
+		if r, ok := e.(dispatch.ReplyTo); ok {
+			delete(s.claims.waiters, r.Waiter)
+		}
 		s.effects = append(s.effects, e)
 	}
 }
--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -18,6 +18,7 @@
 	mux.HandleFunc("POST /v1/jobs", d.serveSubmit)
 	mux.HandleFunc("GET /v1/jobs/{ticket}", d.serveAwait)
 	mux.HandleFunc("DELETE /v1/jobs/{ticket}", d.serveCancel)
+	mux.HandleFunc("GET /v1/epoch", d.serveEpoch)
 	d.healthRoutes(mux)
 	return mux
 }
@@ -56,6 +57,10 @@
 		writeReply(w, api.Refusal(refusal))
 		return
 	}
+	if job.Key != "" {
+		d.serveKeyed(w, r, job)
+		return
+	}
 	op := operation{kind: forward.Submit, job: job, wait: d.jobWait(job)}
 	if job.Ticket == "" {
 		op.ticket = d.mint(1, d.settings.Tickets.MaxDeadline)[0]
--- a/daemon/config_follow.go
+++ b/daemon/config_follow.go
@@ -24,7 +24,7 @@
 			d.loop.query(func(_ time.Duration, s *core.State) { next = s.Config.Next() })
 			return next, true
 		},
-		truncated: func(first uint64) {
+		truncated: func(first, _ uint64) {
 			level.Info(d.logs.config).Log("msg", "the log no longer keeps the next records; looking for a snapshot", "first", first)
 			d.loop.send(core.ConfigTruncated{First: first})
 		},
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"google.golang.org/grpc"
 
 	"sesameledge.dev/sesameledge/backend"
+	"sesameledge.dev/sesameledge/claim"
 	"sesameledge.dev/sesameledge/core"
 	"sesameledge.dev/sesameledge/dispatch"
 	"sesameledge.dev/sesameledge/peer"
@@ -56,6 +57,8 @@
 	configLog    *streamFollower
 	configPulls  chan string   // hosts that showed a higher revision
 	latest       atomic.Uint64 // latest accepted revision
+	claimsLog    *streamFollower
+	claimQueue   chan claim.Claim
 
 	mu        sync.Mutex
 	addresses map[string]string // peer address by host name
@@ -99,6 +102,8 @@
 	d.loop.run = d.runEffect
 	d.configLog = d.newConfigLog()
 	d.configPulls = make(chan string, 1)
+	d.claimsLog = d.newClaimsLog()
+	d.claimQueue = make(chan claim.Claim, claimQueue)
 	d.metrics = d.newMetrics()
 	return d, nil
 }
@@ -127,6 +132,8 @@
 	go func() { _ = d.operators.Serve(listeners[2]) }()
 	d.follow(d.configLog.follow)
 	d.follow(d.pullConfig)
+	d.follow(d.claimsLog.follow)
+	d.follow(d.commitClaims)
 	d.follow(d.followHosts)
 	d.follow(d.renewRegistration)
 	level.Info(d.logs.daemon).Log("msg", "started", "host", d.settings.Host, "zone", d.settings.Zone,
@@ -192,6 +199,7 @@
 		defer close(d.drained)
 		d.draining.Store(true)
 		level.Info(d.logs.daemon).Log("msg", "drain started")
+		d.loop.send(core.KeysDraining{})
 		ctx, cancel := context.WithTimeout(context.Background(), d.settings.Drain.Grace+d.settings.Drain.Timeout)
 		defer cancel()
 		sleep(ctx, d.settings.Drain.Grace)
--- a/daemon/effects.go
+++ b/daemon/effects.go
@@ -36,7 +36,7 @@
 	case forward.ReplyTo:
 		d.loop.reply(e.Waiter, e.Reply)
 	default:
-		d.runConfigEffect(e)
+		d.runLogEffect(e)
 	}
 }
 
--- a/daemon/follower.go
+++ b/daemon/follower.go
@@ -34,7 +34,7 @@
 	// next returns the offset to read, or false if the position is to be set by start.
 	next      func() (uint64, bool)
 	start     func(first, next uint64)
-	truncated func(first uint64)
+	truncated func(first, next uint64)
 	records   func([]platform.Record)
 	replied   func(first, next uint64)
 
@@ -97,7 +97,7 @@
 	case !known:
 		f.start(reply.First, reply.Next)
 	case gone != nil:
-		f.truncated(gone.First)
+		f.truncated(gone.First, gone.Next)
 	default:
 		f.records(reply.Records)
 	}
--- a/daemon/config_effects.go
+++ b/daemon/log_effects.go
@@ -6,8 +6,8 @@
 	"sesameledge.dev/sesameledge/core"
 )
 
-// runConfigEffect runs the effects of configuration events.
-func (d *Daemon) runConfigEffect(e core.Effect) {
+// runLogEffect runs the effects of the log's streams: configuration and claims.
+func (d *Daemon) runLogEffect(e core.Effect) {
 	switch e := e.(type) {
 	case core.ConfigInForce:
 		d.latest.Store(max(d.latest.Load(), e.Revision))
@@ -24,6 +24,8 @@
 		if !e.Outcome.Accepted {
 			level.Warn(d.logs.config).Log("msg", "record rejected", "id", e.Outcome.ID, "reason", e.Outcome.Reason)
 		}
+	case core.AppendClaim:
+		d.queueClaim(e.Claim)
 	case core.ConfigFetchFailed:
 		level.Warn(d.logs.config).Log("msg", "a peer's configuration cannot be used", "peer", e.Peer, "err", e.Err)
 	}
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -34,6 +34,7 @@
 	Status   Status        `json:"status"`
 	Dispatch dispatch.View `json:"dispatch"`
 	Config   ConfigView    `json:"config"`
+	Keys     core.KeysView `json:"keys"`
 }
 
 // operatorsMux serves the operators' interface.
@@ -102,6 +103,7 @@
 	dump := Dump{Status: d.status(), Config: d.configView()}
 	d.loop.query(func(now time.Duration, s *core.State) {
 		dump.Dispatch = s.Dispatch.View(now)
+		dump.Keys = s.Keys()
 	})
 	writeJSON(w, http.StatusOK, dump)
 }
