--- a/config/snapshot.go
+++ b/config/snapshot.go
@@ -170,6 +170,9 @@
 	}
 }
 
+// SnapshotAt returns the offset after which the newest snapshot in the log continues.
+func (f *Fold) SnapshotAt() uint64 { return f.snapshotAt }
+
 // SnapshotDue reports whether a host should append a snapshot. first is the oldest offset
 // that the log keeps. It is due when the number of records since the newest snapshot has
 // reached every, or when truncation has begun and that snapshot lies in the older half of
--- a/core/config.go
+++ b/core/config.go
@@ -67,7 +67,16 @@
 // ConfigSource returns where the configuration in force came from.
 func (s *State) ConfigSource() ConfigSource { return s.source }
 
+// SnapshotDue reports whether this host should append a snapshot of the configuration.
+// first is the oldest offset that the log keeps. A snapshot is also due when none has been
+// seen for the time age, since a log may drop records by their age.
+func (s *State) SnapshotDue(now time.Duration, first, every uint64, age time.Duration) bool {
+	old := now-s.snapshotSeen >= age && s.Config.Revision() > 0 && !s.Config.Seeking()
+	return old || s.Config.SnapshotDue(first, every)
+}
+
 func (s *State) configEvent(now time.Duration, ev configEvent) {
+	snapshotAt := s.Config.SnapshotAt()
 	inForce, latest := s.Config.InForce(), s.Config.Revision()
 	source := FromLog
 	switch ev := ev.(type) {
@@ -87,6 +96,9 @@
 			s.effects = append(s.effects, ConfigFetchFailed{Peer: ev.Peer, Err: err})
 		}
 	}
+	if s.Config.SnapshotAt() != snapshotAt {
+		s.snapshotSeen = now
+	}
 	s.configChanged(now, inForce, latest, source)
 }
 
--- a/core/core.go
+++ b/core/core.go
@@ -35,7 +35,9 @@
 	Forward  *forward.State
 	Config   *config.Fold
 	source   ConfigSource
-	claims   claims
+	// snapshotSeen is when the newest snapshot in the log was read.
+	snapshotSeen time.Duration
+	claims       claims
 	// incarnation is the one that mints this process's tickets.
 	incarnation ticket.Incarnation
 	effects     []Effect
--- a/daemon/config_follow.go
+++ b/daemon/config_follow.go
@@ -45,8 +45,9 @@
 }
 
 func (d *Daemon) snapshotDue(first uint64) (due bool) {
-	d.loop.query(func(_ time.Duration, s *core.State) {
-		due = s.Config.SnapshotDue(first, d.settings.Platform.SnapshotEvery)
+	p := &d.settings.Platform
+	d.loop.query(func(now time.Duration, s *core.State) {
+		due = s.SnapshotDue(now, first, p.SnapshotEvery, p.SnapshotAge)
 	})
 	return due
 }
--- a/daemon/config_peers.go
+++ b/daemon/config_peers.go
@@ -60,7 +60,7 @@
 }
 
 // pullConfig fetches configuration from peers: at start if the log does not answer soon,
-// regularly while the log cannot be read, and from a peer that shows a higher revision.
+// regularly while the log cannot tell, and from a peer that shows a higher revision.
 func (d *Daemon) pullConfig(ctx context.Context) {
 	pause := startGrace
 	for {
@@ -72,7 +72,7 @@
 		case host := <-d.configPulls:
 			d.pullFromHinted(ctx, host)
 		case <-timer.C:
-			if !d.configLog.readable() {
+			if d.needsPeers() {
 				d.pullFromSome(ctx)
 			}
 		}
@@ -81,6 +81,14 @@
 	}
 }
 
+// needsPeers reports whether the log cannot tell the configuration: it cannot be read, or
+// it has dropped records and no snapshot has been found yet.
+func (d *Daemon) needsPeers() bool {
+	seeking := false
+	d.loop.query(func(_ time.Duration, s *core.State) { seeking = s.Config.Seeking() })
+	return seeking || !d.configLog.readable()
+}
+
 func (d *Daemon) pullFromHinted(ctx context.Context, host string) {
 	before := d.latestRevision()
 	if d.configLog.readable() && (!sleep(ctx, hintGrace) || d.latestRevision() > before) {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -62,7 +62,10 @@
 	// SnapshotDelay bounds the random delay before a host appends a snapshot that is due.
 	// Well above the time in which hosts read a record, one or two of them append it.
 	SnapshotDelay time.Duration `yaml:"snapshot_delay"`
-	AppendsEvery  time.Duration `yaml:"appends_every"` // least pause between appends of claims
+	// SnapshotAge is the time after which a host appends a snapshot even if few records
+	// came. It must be well below the time for which the log retains records.
+	SnapshotAge  time.Duration `yaml:"snapshot_age"`
+	AppendsEvery time.Duration `yaml:"appends_every"` // least pause between appends of claims
 }
 
 // Peer is another entry host.
@@ -130,6 +133,7 @@
 			Timeout:       2 * time.Second,
 			SnapshotEvery: 1000,
 			SnapshotDelay: 10 * time.Second,
+			SnapshotAge:   time.Hour,
 			AppendsEvery:  25 * time.Millisecond,
 		},
 		Tickets: Tickets{Window: 30 * time.Second, MaxDeadline: 60 * time.Second},
@@ -182,6 +186,7 @@
 	c.positive("platform.timeout", s.Platform.Timeout)
 	c.positive("platform.appends_every", s.Platform.AppendsEvery)
 	c.positive("platform.snapshot_delay", s.Platform.SnapshotDelay)
+	c.positive("platform.snapshot_age", s.Platform.SnapshotAge)
 	c.require(s.Platform.SnapshotEvery > 0, "platform.snapshot_every", "must be positive")
 	c.positive("tickets.window", s.Tickets.Window)
 	c.positive("tickets.max_deadline", s.Tickets.MaxDeadline)
--- /dev/null
+++ b/standin/configbench/main.go
@@ -0,0 +1,111 @@
+// Command configbench measures configuration on a deployment of separate processes on
+// loopback: racing operators, the time from a publication until it is in force on every
+// host, one host without the platform, and restarts during an outage of the log.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/alexflint/go-arg"
+	"github.com/cockroachdb/errors"
+
+	"sesameledge.dev/sesameledge/settings"
+	"sesameledge.dev/sesameledge/standin/proxysim"
+	"sesameledge.dev/sesameledge/standin/testbed"
+)
+
+type args struct {
+	Bin       string        `default:"bin" help:"directory of the built programs"`
+	Hosts     int           `default:"7" help:"entry hosts"`
+	Operators int           `default:"8" help:"operators who race each other"`
+	Publishes int           `default:"3000" help:"publications of the racing operators, accepted or not"`
+	Single    int           `default:"200" help:"publications one after the other, for each measurement of spreading"`
+	Lost      float64       `default:"0.05" help:"share of the platform's answers to appends that are lost while operators race"`
+	Timeout   time.Duration `default:"3m" help:"limit for the whole run"`
+}
+
+const benchConfig = `schema: 1
+teams:
+  association: {weight: 1}
+kinds:
+  price-check: {group: demo, idempotent: true, default_deadline: 10s}
+groups:
+  demo: {endpoints: minion}
+`
+
+// bench is a running deployment. The last host reaches the platform through a proxy.
+type bench struct {
+	args  args
+	bed   *testbed.Bed
+	proxy *proxysim.Proxy
+}
+
+func main() {
+	var a args
+	arg.MustParse(&a)
+	ctx, cancel := context.WithTimeout(context.Background(), a.Timeout)
+	defer cancel()
+	if err := run(ctx, a); err != nil {
+		fmt.Fprintln(os.Stderr, "configbench:", err)
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context, a args) error {
+	dir, err := os.MkdirTemp("", "sesameledge-configbench-")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	b := &bench{args: a}
+	if b.bed, err = testbed.Start(ctx, b.spec(dir)); err != nil {
+		return err
+	}
+	defer b.bed.Stop()
+	defer b.proxy.Stop()
+	for _, step := range []func(context.Context) error{b.race, b.spread, b.spreadOverPeers, b.restarts} {
+		if err := step(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (b *bench) spec(dir string) testbed.Spec {
+	return testbed.Spec{
+		BinDir: b.args.Bin, Dir: dir, Zones: []string{"ernakulam", "malabar", "tvm-south"},
+		Hosts: b.args.Hosts, Minions: 1, Group: "demo", Seed: 1, Config: benchConfig,
+		Adjust: func(n int, s *settings.Settings) {
+			if n != b.args.Hosts-1 {
+				return
+			}
+			target := strings.TrimPrefix(s.Platform.URL, "http://")
+			b.proxy = proxysim.New(proxysim.Config{Routes: []proxysim.RouteConfig{{Name: "platform", Target: target}}})
+			if err := b.proxy.Start(); err != nil {
+				panic(err)
+			}
+			s.Platform.URL = "http://" + b.proxy.Views()[0].Listen
+		},
+	}
+}
+
+// settled waits until every host has the revision in force.
+func (b *bench) settled(ctx context.Context, revision uint64) error {
+	for _, h := range b.bed.Hosts {
+		for {
+			st, err := status(ctx, h)
+			if err == nil && st.Revision >= revision {
+				break
+			}
+			if ctx.Err() != nil {
+				return errors.Newf("host %s does not get revision %d", h.Settings.Host, revision)
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	return nil
+}
--- a/standin/configproof/follow_test.go
+++ b/standin/configproof/follow_test.go
@@ -39,6 +39,34 @@
 	s.awaitInForce(1, last)
 }
 
+// Guards against a host without configuration because the log has dropped the records and
+// nobody has appended a snapshot yet, and against a log that drops the last snapshot by
+// its age.
+func TestSnapshotsThatAreMissingOrOld(t *testing.T) {
+	s := newSite(t, 3, platformsim.Config{Retention: 10}, func(s *settings.Settings) {
+		s.Platform.SnapshotDelay = time.Hour
+		if s.Host == "host-2" {
+			s.Platform.SnapshotDelay, s.Platform.SnapshotAge = 10*time.Millisecond, 100*time.Millisecond
+		}
+	})
+	s.start(0)
+	var last uint64
+	for range 30 {
+		last = s.publishNext(0)
+	}
+	s.start(1)
+	if took := s.awaitInForce(1, last); took > inForceWithin {
+		t.Errorf("without a snapshot in the log the configuration came after %v", took)
+	}
+	s.start(2)
+	s.awaitInForce(2, last)
+	for deadline := time.Now().Add(5 * time.Second); s.view(0).Next < last+3; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("an old snapshot is not renewed")
+		}
+	}
+}
+
 // Guards against a host that has no configuration while the log is unavailable, or that
 // does not say that it came from a peer. An outage may refuse requests or hang.
 func TestHostStartsDuringAnOutage(t *testing.T) {
