--- a/dispatch/fuzz_test.go
+++ b/dispatch/fuzz_test.go
@@ -18,6 +18,9 @@
 	rapid.Check(t, func(t *rapid.T) { runMachine(t, switches{}, "") })
 }
 
+// maxModelBytes holds about 20 jobs.
+const maxModelBytes = 32 << 10
+
 func runMachine(t *rapid.T, off switches, only string) {
 	m := newModel(t, off, only)
 	m.policy(t)
@@ -40,9 +43,11 @@
 		"run":       act(m.run),
 		"outcome":   act(m.outcome),
 		"outcome2":  act(m.outcome),
+		"serve":     act(m.serve),
 		"crossed":   act(m.crossed),
 		"advance":   act(m.advance),
 		"pause":     act(m.pause),
+		"fetch":     act(m.fetch),
 		"policy":    act(m.policy),
 		"endpoints": act(m.endpoints),
 		"drain":     act(m.drain),
@@ -51,7 +56,7 @@
 
 func (m *model) mint(t *rapid.T) {
 	window := time.Duration(rapid.IntRange(1, 4).Draw(t, "window")) * time.Second
-	longest := time.Duration(rapid.IntRange(1, 8).Draw(t, "longest")) * time.Second
+	longest := time.Duration(rapid.IntRange(2, 8).Draw(t, "longest")) * time.Second
 	for _, tk := range m.s.Mint(m.now, rapid.IntRange(1, 2).Draw(t, "count"), window, longest) {
 		mt := &modelTicket{id: tk.ID(), ticket: tk, minted: m.now}
 		m.tickets = append(m.tickets, mt)
@@ -89,9 +94,9 @@
 }
 
 func (m *model) drawJob(t *rapid.T, variant int) *api.Job {
-	job := &api.Job{Schema: 1, Team: rapid.SampledFrom([]string{"t1", "t2", "none"}).Draw(t, "team"),
-		Kind:       rapid.SampledFrom([]string{"k1", "k1", "k2", "none"}).Draw(t, "kind"),
-		DeadlineMS: int64(rapid.IntRange(1, 9000).Draw(t, "deadline"))}
+	job := &api.Job{Schema: 1, Team: rapid.SampledFrom([]string{"t1", "t1", "t1", "t2", "none"}).Draw(t, "team"),
+		Kind:       rapid.SampledFrom([]string{"k1", "k1", "k1", "k1", "k2", "none"}).Draw(t, "kind"),
+		DeadlineMS: int64(rapid.SampledFrom([]int{1, 100, 2000, 3000, 5000, 8000, 9000}).Draw(t, "deadline"))}
 	for i := range rapid.IntRange(1, 4).Draw(t, "tasks") {
 		job.Tasks = append(job.Tasks, api.Task{Payload: json.RawMessage(fmt.Sprintf("[%d,%d]", variant, i))})
 	}
@@ -104,25 +109,26 @@
 	return m.nextID
 }
 
-// submitted draws a ticket that was submitted.
-func (m *model) submitted(t *rapid.T) *modelTicket {
-	tk := m.pick(t)
-	if tk.job == nil {
-		t.Skip("not submitted")
-	}
-	return tk
-}
-
 func (m *model) await(t *rapid.T) {
-	tk := m.submitted(t)
+	tk := m.pick(t)
 	m.apply(Await{ID: tk.id, Waiter: m.waiter(tk), NoWait: rapid.Bool().Draw(t, "no wait")})
 }
 
 func (m *model) cancel(t *rapid.T) {
-	tk := m.submitted(t)
+	tk := m.pick(t)
 	m.apply(Cancel{ID: tk.id, Waiter: m.waiter(tk)})
 }
 
+// fetch reports that a caller or a peer has taken the final reply.
+func (m *model) fetch(t *rapid.T) {
+	tk := m.pick(t)
+	if tk.final == "" {
+		t.Skip("no final reply")
+	}
+	tk.fetched = true
+	m.apply(AnswerFetched{ID: tk.id, Relayed: rapid.Bool().Draw(t, "relayed")})
+}
+
 // pending draws a request without a reply.
 func (m *model) pending(t *rapid.T) (WaiterID, *modelWaiter) {
 	var open []WaiterID
@@ -166,6 +172,10 @@
 	if a.ran || a.refused {
 		t.Skip("ran or refused")
 	}
+	m.runAttempt(a)
+}
+
+func (m *model) runAttempt(a *modelAttempt) {
 	a.ran = true
 	mt := m.task(a.start.Task)
 	mt.starts++
@@ -177,7 +187,23 @@
 
 // outcome reports how an attempt ended, or reports it once more.
 func (m *model) outcome(t *rapid.T) {
-	a := m.attempt(t)
+	m.end(t, m.attempt(t))
+}
+
+// serve runs all open attempts and reports them, most of them as completed.
+func (m *model) serve(t *rapid.T) {
+	tries := m.tries
+	for _, a := range tries {
+		if !a.ran && !a.refused {
+			m.runAttempt(a)
+		}
+		if a.ended == nil {
+			m.end(t, a)
+		}
+	}
+}
+
+func (m *model) end(t *rapid.T, a *modelAttempt) {
 	if a.ended != nil {
 		m.apply(*a.ended)
 		return
@@ -237,13 +263,9 @@
 	case 0:
 		m.submit(t)
 	case 1:
-		if len(m.tries) > 0 {
-			m.outcome(t)
-		}
+		m.serve(t)
 	case 2:
-		if m.pick(t).job != nil {
-			m.await(t)
-		}
+		m.await(t)
 	}
 }
 
@@ -252,6 +274,7 @@
 		Kinds:       map[string]Kind{"k1": {Group: "g1"}, "k2": {Group: "g2", MaxTasks: 3}},
 		Teams:       map[string]Team{"t1": {Weight: 1}, "t2": {Weight: 1, MaxTasks: 3}},
 		MaxTasks:    rapid.IntRange(2, 12).Draw(t, "max tasks"),
+		MaxBytes:    rapid.SampledFrom([]int64{2500, 2500, maxModelBytes}).Draw(t, "max bytes"),
 		MaxAttempts: rapid.IntRange(1, 3).Draw(t, "max attempts"),
 	}
 	if rapid.IntRange(0, 4).Draw(t, "drop") == 0 {
@@ -262,12 +285,12 @@
 
 func (m *model) endpoints(t *rapid.T) {
 	var list []place.Endpoint
-	for i := range rapid.IntRange(0, 4).Draw(t, "endpoints") {
+	for i := range rapid.SampledFrom([]int{0, 1, 2, 3, 4, 4, 4, 4}).Draw(t, "endpoints") {
 		list = append(list, place.Endpoint{
 			ID: place.EndpointID(fmt.Sprintf("m-%d", i)), Address: "127.0.0.1:1", Zone: "a",
 			Identity: rapid.SampledFrom([]string{"x", "y"}).Draw(t, "identity"),
-			Group:    rapid.SampledFrom([]string{"g1", "g2"}).Draw(t, "group"),
-			Slots:    rapid.IntRange(1, 3).Draw(t, "slots"),
+			Group:    rapid.SampledFrom([]string{"g1", "g1", "g1", "g2"}).Draw(t, "group"),
+			Slots:    rapid.IntRange(1, 6).Draw(t, "slots"),
 			Leaving:  rapid.IntRange(0, 5).Draw(t, "leaving") == 0,
 		})
 	}
