--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"google.golang.org/grpc"
 
 	"sesameledge.dev/sesameledge/backend"
+	"sesameledge.dev/sesameledge/claim"
 	"sesameledge.dev/sesameledge/core"
 	"sesameledge.dev/sesameledge/dispatch"
 	"sesameledge.dev/sesameledge/peer"
@@ -54,6 +55,13 @@
 	peerServer *grpc.Server
 	metrics    *expvar.Map
 
+	publications publications
+	configLog    *streamFollower
+	configPulls  chan string   // hosts that showed a higher revision
+	latest       atomic.Uint64 // latest accepted revision
+	claimsLog    *streamFollower
+	claimQueue   chan claim.Claim
+
 	mu        sync.Mutex
 	addresses map[string]string // peer address by host name
 }
@@ -102,6 +110,10 @@
 		LeaseTTL:     s.Workers.LeaseTTL,
 		ResultGather: s.Workers.ResultGather,
 	})
+	d.configLog = d.newConfigLog()
+	d.configPulls = make(chan string, 1)
+	d.claimsLog = d.newClaimsLog()
+	d.claimQueue = make(chan claim.Claim, claimQueue)
 	d.metrics = d.newMetrics()
 	return d, nil
 }
@@ -128,7 +140,10 @@
 	go func() { _ = d.callers.Serve(listeners[0]) }()
 	go func() { _ = d.peerServer.Serve(listeners[1]) }()
 	go func() { _ = d.operators.Serve(listeners[2]) }()
-	d.follow(d.followConfig)
+	d.follow(d.configLog.follow)
+	d.follow(d.pullConfig)
+	d.follow(d.claimsLog.follow)
+	d.follow(d.commitClaims)
 	d.follow(d.followHosts)
 	d.follow(d.renewRegistration)
 	d.follow(d.workers.Run)
@@ -182,7 +197,7 @@
 	}
 	ok := false
 	d.loop.query(func(_ time.Duration, s *core.State) {
-		ok = s.Config.Revision() > 0 && s.Dispatch.Endpoints() > 0
+		ok = s.Config.InForce() > 0 && s.Dispatch.Endpoints() > 0
 	})
 	return ok
 }
@@ -195,6 +210,7 @@
 		defer close(d.drained)
 		d.draining.Store(true)
 		level.Info(d.logs.daemon).Log("msg", "drain started")
+		d.loop.send(core.KeysDraining{})
 		ctx, cancel := context.WithTimeout(context.Background(), d.settings.Drain.Grace+d.settings.Drain.Timeout)
 		defer cancel()
 		sleep(ctx, d.settings.Drain.Grace)
