Eject an endpoint that fails fast at its first failure

Three minions of 50 that failed every task at once looked idle, and each of the seven hosts lost three jobs per minion and return before it ejected one. A failure in less than a quarter of the expected run time now ejects at once, a relapse doubles the time out, and only short jobs try an ejected endpoint again.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -42,7 +42,7 @@
 	for i, index := range j.waiting {
 		t := &j.tasks[index]
 		info := placeTask(j.kindName, j.kind, &j.specs[index])
-		info.Ends = j.ends
+		info.Ends, info.JobTasks = j.ends, len(j.tasks)
 		ep, choice := s.endpoints.Pick(now, info, t.avoid)
 		if choice == place.Full {
 			j.waiting = append(held, j.waiting[i:]...)
--- a/limit/fair.go
+++ b/limit/fair.go
@@ -27,8 +27,8 @@
 
 // Started records that a task of this work was started.
 func (l *Limiter) Started(now time.Duration, team, group string, work time.Duration) {
-	rateOf(l.rates, group).add(now, work.Seconds())
-	rateOf(l.usage, team).add(now, work.Seconds())
+	rateOf(l.rates, group, rateMemory).add(now, work.Seconds())
+	rateOf(l.usage, team, usageMemory).add(now, work.Seconds())
 }
 
 // OverShare reports whether the team got more than its weighted share lately while work
--- a/place/adaptive.go
+++ b/place/adaptive.go
@@ -40,7 +40,7 @@
 	var best, spare choice
 	slack := time.Duration(slackUse * float64(task.Ends-now))
 	for _, st := range s.groups[task.Group] {
-		if st.Leaving || st.health.out(now) || st.health.paused(now) {
+		if st.Leaving || st.health.out(now) || st.health.paused(now) || !st.health.mayProbe(now, task.JobTasks) {
 			continue
 		}
 		cost := s.cost(now, st, task.Kind, run)
@@ -147,7 +147,8 @@
 	case sample.Refused:
 		st.health.refused(now)
 	case sample.Failed:
-		st.health.failed()
+		expected := st.speeds.slowness(sample.Kind) * float64(s.model(sample.Kind).predict(sample.Run))
+		st.health.failed(float64(sample.Service) < fastFailure*expected)
 		s.considerEjecting(now, st)
 	default:
 		st.health.succeeded()
--- a/place/eject.go
+++ b/place/eject.go
@@ -8,9 +8,18 @@
 	// ejectRate is the failure rate beyond that of the group at which an endpoint is
 	// ejected. An endpoint that fails fast looks idle and would attract every task.
 	ejectRate = 0.3
+	// A failure in less than fastFailure of the expected run time counts fastFailureWeight
+	// times. One such failure ejects, because an endpoint that fails fast fails a job of
+	// every host with each task that it gets.
+	fastFailure       = 0.25
+	fastFailureWeight = 3
 	// ejectFor is the first time out; it doubles up to maxEjectFor on relapse.
-	ejectFor    = 2 * time.Second
-	maxEjectFor = 30 * time.Second
+	ejectFor    = 5 * time.Second
+	maxEjectFor = time.Minute
+	// probeTasks bounds the size of the jobs that try an ejected endpoint again, since a
+	// failure fails the whole job. After probePatience any job may.
+	probeTasks    = 4
+	probePatience = 5 * time.Second
 	// DefaultMaxEjected bounds the ejected share of a group's endpoints.
 	DefaultMaxEjected = 0.3
 	// refusalPause is the pause after a refusal; it doubles up to maxRefusalPause while
@@ -24,8 +33,9 @@
 	rate         float64 // decayed share of failed attempts
 	ejectedUntil time.Duration
 	lastEject    time.Duration
-	allowed      int // outstanding tasks while it returns; 0 means no limit
-	refusals     int // in a row
+	probing      bool // no success since the last ejection
+	allowed      int  // outstanding tasks while it returns; 0 means no limit
+	refusals     int  // in a row
 	pausedUntil  time.Duration
 }
 
@@ -33,6 +43,7 @@
 func (h *health) succeeded() {
 	h.rate -= h.rate / failureMemory
 	h.refusals = 0
+	h.probing = false
 	if h.allowed > 0 {
 		h.allowed *= 2
 	}
@@ -44,7 +55,18 @@
 // maxReturning ends the gradual return of an ejected endpoint.
 const maxReturning = 64
 
-func (h *health) failed() { h.rate += (1 - h.rate) / failureMemory }
+func (h *health) failed(fast bool) {
+	weight := 1.0
+	if fast {
+		weight = fastFailureWeight
+	}
+	h.rate += (1 - h.rate) * weight / failureMemory
+}
+
+// mayProbe reports whether a job of this many tasks may try an endpoint that failed.
+func (h *health) mayProbe(now time.Duration, tasks int) bool {
+	return !h.probing || tasks <= probeTasks || now > h.ejectedUntil+probePatience
+}
 
 // refused pauses the endpoint: it is busy, leaving, or gone.
 func (h *health) refused(now time.Duration) {
@@ -61,7 +83,9 @@
 	}
 	h.ejectedUntil = now + h.lastEject
 	h.allowed = 1
-	h.rate = 0
+	h.probing = true
+	// The next failure ejects again.
+	h.rate = ejectRate - 1.0/failureMemory/2
 }
 
 func (h *health) out(now time.Duration) bool { return now < h.ejectedUntil }
--- a/place/place.go
+++ b/place/place.go
@@ -46,6 +46,8 @@
 	Group string
 	Run   time.Duration // declared run time; a hint
 	Size  Size          // declared size
+	// JobTasks is the number of tasks of the job.
+	JobTasks int
 	// Ends is when the task's job is expected to end because of its other tasks, on the
 	// clock of now; 0 if unknown.
 	Ends time.Duration
--- a/standin/bench/run.go
+++ b/standin/bench/run.go
@@ -19,8 +19,11 @@
 	sc   scenario
 }
 
-// startTimeout bounds the start of a deployment.
-const startTimeout = 60 * time.Second
+const (
+	// startTimeout bounds one start of a deployment, which takes about 2 s.
+	startTimeout = 20 * time.Second
+	startTries   = 3
+)
 
 // measure runs the scenario under one policy in a deployment of its own. It also returns
 // the summary of the omniscient reference for the same arrivals.
@@ -55,14 +58,22 @@
 	return own, reference, nil
 }
 
-func (e *experiment) startBed(ctx context.Context, dir string, p namedPolicy) (*testbed.Bed, error) {
-	ctx, cancel := context.WithTimeout(ctx, startTimeout)
-	defer cancel()
-	return testbed.Start(ctx, testbed.Spec{
-		BinDir: e.args.Bin, Dir: dir, Zones: e.dep.zones,
-		Hosts: e.args.Hosts, Minions: e.args.Minions, Group: e.dep.group,
-		Spread: e.sc.spread, Seed: e.args.Seed, Config: e.dep.config(p.settings),
-	})
+// startBed starts the deployment. It tries again, because another process of the machine
+// may take one of the free ports that were found.
+func (e *experiment) startBed(ctx context.Context, dir string, p namedPolicy) (bed *testbed.Bed, err error) {
+	for range startTries {
+		limited, cancel := context.WithTimeout(ctx, startTimeout)
+		bed, err = testbed.Start(limited, testbed.Spec{
+			BinDir: e.args.Bin, Dir: dir, Zones: e.dep.zones,
+			Hosts: e.args.Hosts, Minions: e.args.Minions, Group: e.dep.group,
+			Spread: e.sc.spread, Seed: e.args.Seed, Config: e.dep.config(p.settings),
+		})
+		cancel()
+		if err == nil {
+			return bed, nil
+		}
+	}
+	return nil, err
 }
 
 // drive submits the schedule to a running deployment and collects what happened.
