--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -106,6 +106,6 @@
 		t = placeTask(j.kindName, j.kind, &j.specs[index])
 		t.Size = declaredSize(&j.specs[index])
 	}
-	t.Ends, t.Job, t.Index = j.ends, string(j.id), index
+	t.Ends, t.Job, t.Index, t.JobTasks = j.ends, string(j.id), index, len(j.tasks)
 	return t
 }
--- a/place/place.go
+++ b/place/place.go
@@ -50,6 +50,8 @@
 	Job   string        // identity of the task's job
 	Index int           // of the task in its job
 	Size  Size          // declared size
+	// JobTasks is the number of tasks of the job.
+	JobTasks int
 	// Ends is when the task's job is expected to end because of its other tasks, on the
 	// clock of now; 0 if unknown.
 	Ends time.Duration
