Add the membership reducer

Entry hosts need a view of each other that survives lost messages, zone partitions and restarts at the same address, and that costs the same at any number of hosts. Heartbeats of all members in each message would grow with their number, so a host calls one member of its zone and one contact in another zone a second; a failed call makes a member of the same zone suspect, and only the member itself raises its heartbeat and so refutes. Changes travel as rumors; each message also carries a random part of the view. A replaced incarnation is remembered and stays out. Leaving marks of endpoints travel the same way.

--- /dev/null
+++ b/member/endpoint.go
@@ -0,0 +1,179 @@
+package member
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"sesameledge.dev/sesameledge/place"
+)
+
+const (
+	// keepMark is how long a mark outlives the last list that names its endpoint with the
+	// marked identity. The list lags, so that it may show an old identity again.
+	keepMark = 10 * time.Minute
+	// maxMarks bounds the marks remembered.
+	maxMarks = 20_000
+	// markSubset is how many random marks a message carries if there is room.
+	markSubset = 4
+)
+
+// endpointView combines the platform's list of endpoints with the marks. Without a new
+// list the last one stays in force.
+type endpointView struct {
+	list    []place.Endpoint
+	marks   map[Mark]*markState
+	order   []Mark // keys of marks, in order of arrival
+	dirty   bool
+	emitted []place.Endpoint
+}
+
+type markState struct {
+	sends int
+	kept  time.Duration // arrival, or the last list that names it
+}
+
+func newEndpointView() endpointView {
+	return endpointView{marks: make(map[Mark]*markState)}
+}
+
+// hostList takes over the platform's list. About members that were heard the list is
+// only a hint, because it lags.
+func (s *State) hostList(now time.Duration, ev HostList) {
+	for _, name := range s.names {
+		s.peers[name].listed = nil
+	}
+	for _, l := range ev.Entries {
+		s.listEntry(now, l)
+	}
+	s.unlistedRemote(now)
+	s.eps.list = slices.Clone(ev.Endpoints)
+	s.eps.dirty = true
+	for _, ep := range ev.Endpoints {
+		m := Mark{Endpoint: ep.ID, Identity: ep.Identity}
+		if ep.Leaving {
+			s.mark(now, m)
+		}
+		if st, ok := s.eps.marks[m]; ok {
+			st.kept = now
+		}
+	}
+	s.forgetMarks(now)
+}
+
+func (s *State) listEntry(now time.Duration, l Listed) {
+	p := s.ensure(l.Host)
+	if p == nil {
+		return
+	}
+	p.listed = &l
+	switch {
+	case p.Incarnation == 0 && l.Incarnation != 0:
+		st := Live
+		if l.Leaving {
+			st = Leaving
+		}
+		p.Zone, p.Address, p.Incarnation = l.Zone, l.Address, l.Incarnation
+		s.byInc[l.Incarnation] = l.Host
+		s.setStatus(now, p, st)
+	case p.Incarnation == l.Incarnation && l.Leaving && p.Status == Live:
+		s.setStatus(now, p, Leaving)
+	case p.Incarnation == 0:
+		p.Zone, p.Address = l.Zone, l.Address
+	}
+}
+
+// hint returns another address that the list names for the host, or "". The list may lag
+// or be ahead; a call to that address tells.
+func (p *peer) hint() string {
+	if l := p.listed; l != nil && l.Address != p.Address && !p.hasRetired(l.Incarnation) {
+		return l.Address
+	}
+	return ""
+}
+
+// unlistedRemote drops members of other zones that the list no longer names and that
+// were not heard lately. Nothing else tells about them if their whole zone is lost.
+func (s *State) unlistedRemote(now time.Duration) {
+	for _, name := range s.names {
+		p := s.peers[name]
+		silent := p.heard < 0 || now-p.heard > contactRetry
+		if p.listed == nil && silent && p.Zone != s.opts.Zone && p.Status != Gone && p.Status != Unknown && now-p.changed > contactRetry {
+			s.setStatus(now, p, Gone)
+		}
+	}
+}
+
+// mark records that an endpoint is leaving and passes the mark on.
+func (s *State) mark(now time.Duration, m Mark) {
+	if m.Endpoint == "" || s.eps.marks[m] != nil || len(s.eps.marks) >= maxMarks {
+		return
+	}
+	s.counters.Marks++
+	s.eps.marks[m] = &markState{sends: s.rumorSends(), kept: now}
+	s.eps.order = append(s.eps.order, m)
+	s.eps.dirty = true
+}
+
+func (s *State) forgetMarks(now time.Duration) {
+	s.eps.order = slices.DeleteFunc(s.eps.order, func(m Mark) bool {
+		if now-s.eps.marks[m].kept <= keepMark {
+			return false
+		}
+		delete(s.eps.marks, m)
+		return true
+	})
+}
+
+// emitEndpoints sends the list to the dispatcher if it changed.
+func (s *State) emitEndpoints() {
+	if !s.eps.dirty {
+		return
+	}
+	s.eps.dirty = false
+	next := slices.Clone(s.eps.list)
+	for i := range next {
+		m := Mark{Endpoint: next[i].ID, Identity: next[i].Identity}
+		next[i].Leaving = next[i].Leaving || s.eps.marks[m] != nil
+	}
+	if s.eps.emitted != nil && slices.Equal(next, s.eps.emitted) {
+		return
+	}
+	s.eps.emitted = next
+	s.emit(EndpointsChanged{Endpoints: slices.Clone(next)})
+}
+
+func (s *State) addMarkRumors(b *builder) {
+	if s.faults.noMarkRumor {
+		return
+	}
+	var due []Mark
+	for _, m := range s.eps.order {
+		if s.eps.marks[m].sends > 0 {
+			due = append(due, m)
+		}
+	}
+	sort.SliceStable(due, func(i, j int) bool { return s.eps.marks[due[i]].sends > s.eps.marks[due[j]].sends })
+	limit := b.left - markBytes
+	if s.faults.noBound {
+		limit = 0
+	}
+	for _, m := range due {
+		if b.left <= limit {
+			return
+		}
+		if b.mark(m) {
+			s.eps.marks[m].sends--
+		}
+	}
+}
+
+// addMarkSubset adds random marks, so that a mark reaches a host that missed its rumor.
+func (s *State) addMarkSubset(b *builder) {
+	if s.faults.noMarkRumor || len(s.eps.order) == 0 {
+		return
+	}
+	for range markSubset {
+		b.mark(s.eps.order[s.rng.IntN(len(s.eps.order))])
+	}
+}
--- /dev/null
+++ b/peer/gossip.go
@@ -0,0 +1,97 @@
+package peer
+
+import (
+	"context"
+
+	"sesameledge.dev/sesameledge/member"
+	"sesameledge.dev/sesameledge/peer/peerpb"
+	"sesameledge.dev/sesameledge/place"
+	"sesameledge.dev/sesameledge/ticket"
+)
+
+// Gossip sends a gossip message to a peer and returns its answer.
+func (c *Client) Gossip(ctx context.Context, address string, m *member.Message) (*member.Message, error) {
+	stub, err := c.Peer(address)
+	if err != nil {
+		return nil, err
+	}
+	reply, err := stub.Gossip(ctx, EncodeGossip(m))
+	if err != nil {
+		return nil, err
+	}
+	return DecodeGossip(reply), nil
+}
+
+var stateOf = map[member.Status]peerpb.MemberState{
+	member.Live:    peerpb.MemberState_MEMBER_STATE_LIVE,
+	member.Leaving: peerpb.MemberState_MEMBER_STATE_LEAVING,
+	member.Suspect: peerpb.MemberState_MEMBER_STATE_SUSPECT,
+	member.Gone:    peerpb.MemberState_MEMBER_STATE_GONE,
+}
+
+// statusOf maps a state. One of a newer version maps to Unknown, which the reducer
+// ignores.
+var statusOf = map[peerpb.MemberState]member.Status{
+	peerpb.MemberState_MEMBER_STATE_LIVE:    member.Live,
+	peerpb.MemberState_MEMBER_STATE_LEAVING: member.Leaving,
+	peerpb.MemberState_MEMBER_STATE_SUSPECT: member.Suspect,
+	peerpb.MemberState_MEMBER_STATE_GONE:    member.Gone,
+}
+
+// EncodeGossip translates a message of the member reducer to its wire form.
+func EncodeGossip(m *member.Message) *peerpb.GossipMessage {
+	out := &peerpb.GossipMessage{From: encodeRecord(&m.From)}
+	for i := range m.Members {
+		out.Members = append(out.Members, encodeRecord(&m.Members[i]))
+	}
+	for _, mark := range m.Marks {
+		out.Marks = append(out.Marks, &peerpb.EndpointMark{Endpoint: string(mark.Endpoint), Identity: mark.Identity, Leaving: true})
+	}
+	for _, inc := range m.Wanted {
+		out.Wanted = append(out.Wanted, uint64(inc))
+	}
+	return out
+}
+
+// DecodeGossip translates a message from its wire form.
+func DecodeGossip(m *peerpb.GossipMessage) *member.Message {
+	out := &member.Message{From: decodeRecord(m.GetFrom())}
+	for _, r := range m.GetMembers() {
+		out.Members = append(out.Members, decodeRecord(r))
+	}
+	for _, mark := range m.GetMarks() {
+		if mark.GetLeaving() {
+			out.Marks = append(out.Marks, member.Mark{Endpoint: place.EndpointID(mark.GetEndpoint()), Identity: mark.GetIdentity()})
+		}
+	}
+	for _, inc := range m.GetWanted() {
+		out.Wanted = append(out.Wanted, ticket.Incarnation(inc))
+	}
+	return out
+}
+
+func encodeRecord(r *member.Record) *peerpb.Member {
+	return &peerpb.Member{
+		Host:           r.Host,
+		Zone:           r.Zone,
+		PeerAddress:    r.Address,
+		Incarnation:    uint64(r.Incarnation),
+		State:          stateOf[r.Status],
+		Heartbeat:      r.Heartbeat,
+		ConfigRevision: r.ConfigRevision,
+		ConfigSchema:   r.ConfigSchema,
+	}
+}
+
+func decodeRecord(r *peerpb.Member) member.Record {
+	return member.Record{
+		Host:           r.GetHost(),
+		Zone:           r.GetZone(),
+		Address:        r.GetPeerAddress(),
+		Incarnation:    ticket.Incarnation(r.GetIncarnation()),
+		Status:         statusOf[r.GetState()],
+		Heartbeat:      r.GetHeartbeat(),
+		ConfigRevision: r.GetConfigRevision(),
+		ConfigSchema:   r.GetConfigSchema(),
+	}
+}
