--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -6,6 +6,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/binary"
+	"expvar"
 	"io"
 	"net"
 	"net/http"
@@ -49,6 +50,7 @@
 	callers    *http.Server
 	operators  *http.Server
 	peerServer *grpc.Server
+	metrics    *expvar.Map
 
 	mu        sync.Mutex
 	addresses map[string]string // peer address by host name
@@ -88,7 +90,9 @@
 		Zone:        s.Zone,
 		Seed:        binary.LittleEndian.Uint64(seed[8:]),
 	}))
+	d.logs.redirectStandardLog()
 	d.loop.run = d.runEffect
+	d.metrics = d.newMetrics()
 	return d, nil
 }
 
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -2,9 +2,9 @@
 
 import (
 	"encoding/json"
-	"expvar"
 	"io"
 	"net/http"
+	"net/http/pprof"
 	"time"
 
 	"sesameledge.dev/sesameledge/api"
@@ -59,17 +59,26 @@
 		writeJSON(w, http.StatusOK, d.status())
 	})
 	mux.HandleFunc("GET /debug/state", d.serveDump)
-	mux.Handle("GET /debug/vars", expvar.Handler())
+	mux.HandleFunc("GET /debug/vars", d.serveVars)
 	mux.HandleFunc("GET /v1/config", d.serveConfig)
 	mux.HandleFunc("POST /v1/config", d.servePublish)
 	mux.HandleFunc("POST /v1/drain", func(w http.ResponseWriter, _ *http.Request) {
 		go d.Drain()
 		writeJSON(w, http.StatusAccepted, struct{}{})
 	})
+	profileRoutes(mux)
 	d.healthRoutes(mux)
 	return mux
 }
 
+// profileRoutes adds the runtime's profiles.
+func profileRoutes(mux *http.ServeMux) {
+	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	mux.HandleFunc("GET /debug/pprof/symbol", pprof.Symbol)
+	mux.HandleFunc("GET /debug/pprof/trace", pprof.Trace)
+}
+
 // healthRoutes adds the liveness and readiness pages, which the load balancer reads.
 func (d *Daemon) healthRoutes(mux *http.ServeMux) {
 	mux.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) {
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"sesameledge.dev/sesameledge/api"
+	"sesameledge.dev/sesameledge/limit"
 	"sesameledge.dev/sesameledge/place"
 	"sesameledge.dev/sesameledge/ticket"
 )
@@ -35,7 +36,9 @@
 	endpoints *place.Set
 	jobs      map[ticket.ID]*job
 	refused   map[ticket.ID]*api.Error
-	queue     []*job // accepted jobs with waiting tasks, in order
+	queue     []*job // accepted jobs with waiting tasks, by key
+	limiter   *limit.Limiter
+	pollAt    time.Duration // when held tasks are looked at again; 0 for never
 	timers    timerHeap
 	draining  bool
 	open      int // tasks of jobs without a verdict
@@ -43,6 +46,7 @@
 	bytes     int64
 	counters  Counters
 	effects   []Effect
+	off       switches
 }
 
 // Counters counts what the reducer did since the process started.
@@ -67,6 +71,7 @@
 		mint:      ticket.Mint{Host: opts.Host, Incarnation: opts.Incarnation},
 		policy:    (&Policy{}).withDefaults(),
 		endpoints: place.NewSet(place.Options{Zone: opts.Zone, Seed: opts.Seed}),
+		limiter:   limit.New(),
 		jobs:      make(map[ticket.ID]*job),
 		refused:   make(map[ticket.ID]*api.Error),
 		teamOpen:  make(map[string]int),
@@ -104,8 +109,12 @@
 		s.attemptEnded(now, ev)
 	case EndpointsChanged:
 		s.endpoints.Update(ev.Endpoints)
+		s.endpoints.SetHosts(ev.EntryHosts)
+		s.limiter.SetHosts(ev.EntryHosts)
 	case PolicyChanged:
 		s.policy = ev.Policy.withDefaults()
+		s.endpoints.SetPolicy(s.policy.Place)
+		s.limiter.SetPolicy(s.policy.limits())
 	case DrainStarted:
 		s.draining = true
 	case Tick:
@@ -116,8 +125,11 @@
 
 // NextWake returns when the next deadline, retry or expiry is due.
 func (s *State) NextWake() (time.Duration, bool) {
-	if len(s.timers) == 0 {
-		return 0, false
+	switch {
+	case len(s.timers) == 0:
+		return s.pollAt, s.pollAt > 0
+	case s.pollAt > 0:
+		return min(s.pollAt, s.timers[0].at), true
 	}
 	return s.timers[0].at, true
 }
@@ -153,19 +165,21 @@
 			s.deadline(now, t.id)
 		case timerExpiry:
 			s.drop(t.id)
-		case timerRetry:
 		}
 	}
 }
 
 func (s *State) deadline(now time.Duration, id ticket.ID) {
-	if j, ok := s.jobs[id]; ok && !j.ended() {
+	if j, ok := s.jobs[id]; ok && !j.ended() && !s.off.lateComplete {
 		s.fail(now, j, api.Errorf(api.CodeDeadline, "deadline_ms", "the job did not end within its deadline"))
 	}
 }
 
 // drop forgets a job whose ticket's life has ended.
 func (s *State) drop(id ticket.ID) {
+	if s.off.keepRecords {
+		return
+	}
 	delete(s.refused, id)
 	if j, ok := s.jobs[id]; ok {
 		s.bytes -= j.bytes
--- a/standin/platformsim/sim.go
+++ b/standin/platformsim/sim.go
@@ -14,26 +14,34 @@
 
 // Sim is one stand-in of the platform.
 type Sim struct {
-	cfg    Config
-	log    *logStore
-	sync   *syncer
-	hosts  *hostList
-	server *simhttp.Server
-	ctx    context.Context // ends at Stop
-	cancel context.CancelFunc
+	cfg     Config
+	log     *logStore
+	sync    *syncer
+	hosts   *hostList
+	faults  map[Service]*faultSwitch
+	workers *workerPool
+	server  *simhttp.Server
+	ctx     context.Context // ends at Stop
+	cancel  context.CancelFunc
 }
 
 // New returns a Sim that is not started.
 func New(cfg Config) *Sim {
 	cfg = cfg.withDefaults()
 	ctx, cancel := context.WithCancel(context.Background())
+	faults := make(map[Service]*faultSwitch, len(services))
+	for n, service := range services {
+		faults[service] = newFaultSwitch(cfg.Seed, uint64(n))
+	}
 	return &Sim{
-		cfg:    cfg,
-		log:    newLogStore(cfg.Retention),
-		sync:   newSyncer(cfg.AppendRate, cfg.SyncTime),
-		hosts:  newHostList(cfg.HostLag, cfg.HostTTL),
-		ctx:    ctx,
-		cancel: cancel,
+		cfg:     cfg,
+		log:     newLogStore(cfg.Retention),
+		sync:    newSyncer(cfg.AppendRate, cfg.SyncTime),
+		hosts:   newHostList(cfg.HostLag, cfg.HostTTL),
+		faults:  faults,
+		workers: newWorkerPool(cfg.Workers, cfg.UsageLag),
+		ctx:     ctx,
+		cancel:  cancel,
 	}
 }
 
@@ -45,7 +53,9 @@
 		return err
 	}
 	s.server = simhttp.Serve(ln, s.routes())
+	s.renewWorkers(time.Now())
 	go s.sweep()
+	go s.workers.run(s.ctx)
 	return nil
 }
 
@@ -65,11 +75,18 @@
 
 func (s *Sim) routes() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST "+platform.PathRecords, s.serveAppend)
-	mux.HandleFunc("GET "+platform.PathRecords, s.serveRead)
-	mux.HandleFunc("GET "+platform.PathHosts, s.serveHosts)
-	mux.HandleFunc("POST "+platform.PathHosts, s.serveRegister)
-	mux.HandleFunc("POST "+platform.PathHosts+"/{id}/state", s.serveHostState)
+	handle := func(service Service, pattern string, handler http.HandlerFunc) {
+		mux.HandleFunc(pattern, s.withFaults(service, handler))
+	}
+	handle(ServiceLog, "POST "+platform.PathRecords, s.serveAppend)
+	handle(ServiceLog, "GET "+platform.PathRecords, s.serveRead)
+	handle(ServiceHosts, "GET "+platform.PathHosts, s.serveHosts)
+	handle(ServiceHosts, "POST "+platform.PathHosts, s.serveRegister)
+	handle(ServiceHosts, "POST "+platform.PathHosts+"/{id}/state", s.serveHostState)
+	s.workerRoutes(handle)
+	mux.HandleFunc("GET "+pathTasksAdmin, s.serveTaskTotals)
+	mux.HandleFunc("GET /admin/faults", s.serveFaults)
+	mux.HandleFunc("POST /admin/faults", s.serveSetFaults)
 	return mux
 }
 
@@ -81,7 +98,17 @@
 		case <-s.ctx.Done():
 			return
 		case now := <-ticker.C:
+			s.renewWorkers(now)
 			s.hosts.expire(now)
 		}
 	}
 }
+
+// renewWorkers keeps the workers in the host list. They are reached through the
+// platform, so its address is theirs.
+func (s *Sim) renewWorkers(now time.Time) {
+	for _, host := range s.cfg.Workers {
+		host.Address = s.Addr()
+		s.hosts.register(now, host)
+	}
+}
