Put the membership reducer between the platform's list and the dispatcher

The shell sent the platform's list straight to the dispatcher, so that a leaving endpoint kept getting work for as long as the list lagged. The list is now an event of the membership reducer, which merges it with marks of peers and with refusals of this host. Backend reports the endpoint and whether it refused because it leaves (dispatch.AttemptEnded.Endpoint and Leaving); the mark is applied before the refused task is offered again. The dispatcher's number of entry hosts comes from the members' states. Peer addresses come from the reducer; for a replaced incarnation that is the address where it was seen, because only an answer from there proves that it is gone. GET /v1/hosts shows the view.

--- a/backend/attempt.go
+++ b/backend/attempt.go
@@ -170,11 +170,13 @@
 
 func (at *attempt) ended(outcome dispatch.AttemptOutcome, reason Reason) dispatch.AttemptEnded {
 	out := dispatch.AttemptEnded{
-		Task:    at.start.Task,
-		Attempt: at.start.Attempt,
-		Outcome: outcome,
-		Reason:  string(reason),
-		Load:    -1,
+		Task:     at.start.Task,
+		Attempt:  at.start.Attempt,
+		Outcome:  outcome,
+		Reason:   string(reason),
+		Load:     -1,
+		Endpoint: at.start.Endpoint,
+		Leaving:  reason == ReasonLeaving,
 	}
 	if at.conn != nil {
 		out.Service = time.Since(at.gotAt)
--- a/core/core.go
+++ b/core/core.go
@@ -10,14 +10,16 @@
 	"sesameledge.dev/sesameledge/dispatch"
 	"sesameledge.dev/sesameledge/forward"
 	"sesameledge.dev/sesameledge/limit"
+	"sesameledge.dev/sesameledge/member"
 	"sesameledge.dev/sesameledge/place"
 	"sesameledge.dev/sesameledge/ticket"
 )
 
-// Event is a dispatch.Event, a forward.Event or an event of this package.
+// Event is a dispatch.Event, a forward.Event, a member.Event or an event of this package.
 type Event any
 
-// Effect is a dispatch.Effect, a forward.Effect or an effect of this package.
+// Effect is a dispatch.Effect, a forward.Effect, a member.Effect or an effect of this
+// package.
 type Effect any
 
 // ConfigRecord is one record of the config stream.
@@ -44,6 +46,7 @@
 	Incarnation ticket.Incarnation
 	Zone        string
 	Seed        uint64
+	Member      member.Options // host, zone, incarnation and seed are taken from above
 }
 
 // State is the state of a daemon process. It is not safe for concurrent use.
@@ -51,15 +54,17 @@
 	Dispatch *dispatch.State
 	Forward  *forward.State
 	Config   *config.Fold
+	Member   *member.State
 	effects  []Effect
 }
 
 // New returns the state of a new process.
 func New(opts Options) *State {
 	return &State{
-		Dispatch: dispatch.New(dispatch.Options(opts)),
+		Dispatch: dispatch.New(dispatch.Options{Host: opts.Host, Incarnation: opts.Incarnation, Zone: opts.Zone, Seed: opts.Seed}),
 		Forward:  forward.New(),
 		Config:   config.NewFold(),
+		Member:   newMember(opts),
 	}
 }
 
@@ -69,25 +74,32 @@
 	s.effects = s.effects[:0]
 	switch ev := ev.(type) {
 	case dispatch.Event:
+		// The endpoint's mark comes first, so that a refused task is not offered to it again.
+		s.observe(now, ev)
 		s.dispatch(now, ev)
 	case forward.Event:
 		s.forward(now, ev)
+	case member.Event:
+		s.member(now, ev)
 	case ConfigRecord:
 		s.configRecord(now, ev)
 	case Tick:
 		s.dispatch(now, dispatch.Tick{})
 		s.forward(now, forward.Tick{})
+		s.member(now, member.Tick{})
 	}
 	return s.effects
 }
 
 // NextWake returns when a Tick is due next.
 func (s *State) NextWake() (time.Duration, bool) {
-	at, ok := s.Dispatch.NextWake()
-	if other, ok2 := s.Forward.NextWake(); ok2 && (!ok || other < at) {
-		return other, true
+	at := s.Member.NextWake()
+	for _, next := range []func() (time.Duration, bool){s.Dispatch.NextWake, s.Forward.NextWake} {
+		if other, ok := next(); ok {
+			at = min(at, other)
+		}
 	}
-	return at, ok
+	return at, true
 }
 
 func (s *State) dispatch(now time.Duration, ev dispatch.Event) {
@@ -110,6 +122,7 @@
 	}
 	s.effects = append(s.effects, ConfigInForce{Revision: o.Revision, Config: s.Config.Current()})
 	s.dispatch(now, dispatch.PolicyChanged{Policy: dispatchPolicy(s.Config.Current())})
+	s.member(now, member.ConfigChanged{Revision: o.Revision})
 }
 
 // deadlineUse is the part of its deadline that a job may be expected to take: all of it
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -51,9 +51,6 @@
 	operators  *http.Server
 	peerServer *grpc.Server
 	metrics    *expvar.Map
-
-	mu        sync.Mutex
-	addresses map[string]string // peer address by host name
 }
 
 // New returns a daemon that is not listening yet. Logs go to w.
@@ -73,7 +70,6 @@
 		ctx:         ctx,
 		cancel:      cancel,
 		drained:     make(chan struct{}),
-		addresses:   make(map[string]string),
 	}
 	d.backend = backend.New(backend.Options{
 		ConnsPerMinion: s.Backend.Connections,
@@ -81,14 +77,12 @@
 		IdleTimeout:    s.Backend.IdleTimeout,
 		ProveIdleAfter: s.Backend.ProveIdleAfter,
 	})
-	for _, p := range s.Peers {
-		d.addresses[p.Host] = p.Address
-	}
 	d.loop = newLoop(core.New(core.Options{
 		Host:        s.Host,
 		Incarnation: inc,
 		Zone:        s.Zone,
 		Seed:        binary.LittleEndian.Uint64(seed[8:]),
+		Member:      memberOptions(s),
 	}))
 	d.logs.redirectStandardLog()
 	d.loop.run = d.runEffect
--- a/daemon/effects.go
+++ b/daemon/effects.go
@@ -61,7 +61,7 @@
 // reducer has to know.
 func (d *Daemon) forwardToOwner(e forward.SendToOwner) forward.Event {
 	waiter := e.Request.Waiter
-	address, ok := d.peerAddress(e.Request.Ticket.Host)
+	address, ok := d.peerAddress(e.Request.Ticket.Host, e.Request.Ticket.Incarnation)
 	if !ok {
 		return forward.OwnerFailed{Waiter: waiter, Reason: "host " + e.Request.Ticket.Host + " is not known"}
 	}
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -58,6 +58,7 @@
 	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, _ *http.Request) {
 		writeJSON(w, http.StatusOK, d.status())
 	})
+	mux.HandleFunc("GET /v1/hosts", d.serveHosts)
 	mux.HandleFunc("GET /debug/state", d.serveDump)
 	mux.HandleFunc("GET /debug/vars", d.serveVars)
 	mux.HandleFunc("GET /v1/config", d.serveConfig)
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -9,9 +9,10 @@
 
 	"sesameledge.dev/sesameledge/config"
 	"sesameledge.dev/sesameledge/core"
-	"sesameledge.dev/sesameledge/dispatch"
+	"sesameledge.dev/sesameledge/member"
 	"sesameledge.dev/sesameledge/place"
 	"sesameledge.dev/sesameledge/platform"
+	"sesameledge.dev/sesameledge/ticket"
 )
 
 const (
@@ -56,8 +57,7 @@
 			level.Debug(d.logs.platform).Log("msg", "host list cannot be read", "err", err)
 		case version == 0 || reply.Version != version:
 			version = reply.Version
-			d.loop.send(dispatch.EndpointsChanged{Endpoints: endpoints(reply.Hosts), EntryHosts: entryHosts(reply.Hosts)})
-			d.learnPeers(reply.Hosts)
+			d.loop.send(member.HostList{Entries: entryHosts(reply.Hosts), Endpoints: endpoints(reply.Hosts)})
 		}
 		sleep(ctx, d.settings.Platform.HostsEvery)
 	}
@@ -73,33 +73,21 @@
 	return out
 }
 
-// entryHosts counts the live entry hosts of the platform's list.
-func entryHosts(hosts []platform.Host) int {
-	n := 0
-	for i := range hosts {
-		if hosts[i].Kind == platform.KindEntry && hosts[i].State == platform.HostLive {
-			n++
-		}
-	}
-	return n
-}
-
-// learnPeers takes the peer addresses of entry hosts from the platform's list.
-func (d *Daemon) learnPeers(hosts []platform.Host) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
+// entryHosts returns the entry hosts of the platform's list. An identity that is not an
+// incarnation, from another version, becomes 0.
+func entryHosts(hosts []platform.Host) []member.Listed {
+	var out []member.Listed
 	for _, h := range hosts {
-		if h.Kind == platform.KindEntry {
-			d.addresses[h.ID] = h.Address
+		if h.Kind != platform.KindEntry {
+			continue
+		}
+		inc, err := ticket.ParseIncarnation(h.Identity)
+		if err != nil {
+			inc = 0
 		}
+		out = append(out, member.Listed{Host: h.ID, Zone: h.Zone, Address: h.Address, Incarnation: inc, Leaving: h.State == platform.HostLeaving})
 	}
-}
-
-func (d *Daemon) peerAddress(host string) (string, bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	a, ok := d.addresses[host]
-	return a, ok
+	return out
 }
 
 // publish appends a record and waits for the fold's judgement. An append whose answer was
--- a/dispatch/event.go
+++ b/dispatch/event.go
@@ -80,6 +80,10 @@
 	Reason  string
 	Service time.Duration
 	Load    int // load that the endpoint reported; -1 if none
+	// Endpoint is where the attempt was made.
+	Endpoint place.Endpoint
+	// Leaving says that the endpoint refused the task because it is shutting down.
+	Leaving bool
 }
 
 // EndpointsChanged replaces the list of endpoints.
--- a/member/endpoint.go
+++ b/member/endpoint.go
@@ -26,6 +26,7 @@
 	order   []Mark // keys of marks, in order of arrival
 	dirty   bool
 	emitted []place.Endpoint
+	hosts   int // entry hosts in the last EndpointsChanged
 }
 
 type markState struct {
@@ -47,7 +48,7 @@
 		s.listEntry(now, l)
 	}
 	s.unlistedRemote(now)
-	s.eps.list = slices.Clone(ev.Endpoints)
+	s.eps.list = append([]place.Endpoint{}, ev.Endpoints...)
 	s.eps.dirty = true
 	for _, ep := range ev.Endpoints {
 		m := Mark{Endpoint: ep.ID, Identity: ep.Identity}
@@ -125,9 +126,11 @@
 	})
 }
 
-// emitEndpoints sends the list to the dispatcher if it changed.
+// emitEndpoints sends the list to the dispatcher if it or the number of entry hosts
+// changed.
 func (s *State) emitEndpoints() {
-	if !s.eps.dirty {
+	hosts := s.liveHosts()
+	if s.eps.list == nil || !s.eps.dirty && hosts == s.eps.hosts {
 		return
 	}
 	s.eps.dirty = false
@@ -136,11 +139,21 @@
 		m := Mark{Endpoint: next[i].ID, Identity: next[i].Identity}
 		next[i].Leaving = next[i].Leaving || s.eps.marks[m] != nil
 	}
-	if s.eps.emitted != nil && slices.Equal(next, s.eps.emitted) {
+	if s.eps.emitted != nil && hosts == s.eps.hosts && slices.Equal(next, s.eps.emitted) {
 		return
 	}
-	s.eps.emitted = next
-	s.emit(EndpointsChanged{Endpoints: slices.Clone(next)})
+	s.eps.emitted, s.eps.hosts = next, hosts
+	s.emit(EndpointsChanged{Endpoints: slices.Clone(next), EntryHosts: hosts})
+}
+
+// liveHosts is the number of entry hosts that take work, with this one. Suspects count,
+// so that one lost call does not change the shares.
+func (s *State) liveHosts() int {
+	n := s.live
+	if s.self.Status == Live {
+		n++
+	}
+	return n
 }
 
 func (s *State) addMarkRumors(b *builder) {
--- a/member/event.go
+++ b/member/event.go
@@ -94,7 +94,10 @@
 }
 
 // EndpointsChanged carries the new list of endpoints for the dispatcher.
-type EndpointsChanged struct{ Endpoints []place.Endpoint }
+type EndpointsChanged struct {
+	Endpoints  []place.Endpoint
+	EntryHosts int // live entry hosts that share the endpoints
+}
 
 // PeerAhead says that a peer has a higher configuration revision than this host.
 type PeerAhead struct {
@@ -152,7 +155,7 @@
 
 // NextWake returns when the next round or timeout is due.
 func (s *State) NextWake() time.Duration {
-	at := s.next
+	at := min(s.next, s.last+pauseGap/2)
 	if s.suspects == 0 {
 		return at
 	}
--- a/member/member.go
+++ b/member/member.go
@@ -163,6 +163,7 @@
 	peers    map[string]*peer
 	names    []string // keys of peers, sorted, for deterministic iteration
 	suspects int      // members that are suspect
+	live     int      // members that are live or suspect
 	byInc    map[ticket.Incarnation]string
 	wanted   []ticket.Incarnation
 	last     time.Duration // time of the last event
--- a/member/message.go
+++ b/member/message.go
@@ -190,7 +190,7 @@
 		if !p.full {
 			r = r.compact()
 		}
-		if p.Record.bytes() > MaxMessageBytes-s.self.bytes() {
+		if own := s.self.compact(); p.Record.bytes() > MaxMessageBytes-own.bytes() {
 			s.counters.Oversized++
 			p.sends = 0
 			continue
--- a/member/status.go
+++ b/member/status.go
@@ -31,6 +31,7 @@
 	if before == Suspect {
 		s.suspects--
 	}
+	s.live += usable(st) - usable(before)
 	p.changed = now
 	switch st {
 	case Suspect:
@@ -43,6 +44,14 @@
 	s.emit(StatusChanged{Record: p.Record, Before: before})
 }
 
+// usable is 1 for a status that counts as a live host.
+func usable(st Status) int {
+	if st == Live || st == Suspect {
+		return 1
+	}
+	return 0
+}
+
 func (s *State) callSucceeded(now time.Duration, ev CallSucceeded) {
 	if p := s.peers[ev.Host]; p != nil && p.Incarnation == ev.Incarnation {
 		p.heard, p.failed = now, -1
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -24,6 +24,7 @@
 	Listen   Listen   `yaml:"listen"`   // addresses of this process
 	Platform Platform `yaml:"platform"` // the platform's services
 	Peers    []Peer   `yaml:"peers"`    // entry hosts known at start
+	Gossip   Gossip   `yaml:"gossip"`
 	Tickets  Tickets  `yaml:"tickets"`
 	Limits   Limits   `yaml:"limits"`
 	Backend  Backend  `yaml:"backend"`
@@ -55,6 +56,12 @@
 	Address string `yaml:"address"` // peer address, IP:port
 }
 
+// Gossip sets the messages between entry hosts about membership.
+type Gossip struct {
+	Interval time.Duration `yaml:"interval"` // between calls to a peer
+	Contacts int           `yaml:"contacts"` // hosts called in each other availability zone
+}
+
 // Tickets sets the life of tickets.
 type Tickets struct {
 	Window      time.Duration `yaml:"window"`       // from minting to the first submission
@@ -114,6 +121,7 @@
 			ClaimWindow:  100_000,
 			AppendsEvery: 25 * time.Millisecond,
 		},
+		Gossip:  Gossip{Interval: time.Second, Contacts: 2},
 		Tickets: Tickets{Window: 30 * time.Second, MaxDeadline: 60 * time.Second},
 		Limits:  Limits{BodyBytes: 8 << 20, Tasks: 4096, Tickets: 1024},
 		Backend: Backend{
@@ -154,7 +162,7 @@
 func (s *Settings) check(doc *strictyaml.Document, list *finding.List) {
 	c := checker{doc: doc, list: list}
 	c.require(ticket.ValidHost(s.Host), "host", "must be 1 to 63 lower-case letters, digits or hyphens")
-	c.require(s.Zone != "", "zone", "is required")
+	c.require(s.Zone != "" && len(s.Zone) <= maxZone, "zone", "must be 1 to 63 characters")
 	c.address("listen.callers", s.Listen.Callers)
 	c.address("listen.peers", s.Listen.Peers)
 	c.address("listen.operators", s.Listen.Operators)
@@ -162,6 +170,8 @@
 	c.peers(s)
 	c.positive("platform.hosts_every", s.Platform.HostsEvery)
 	c.positive("platform.timeout", s.Platform.Timeout)
+	c.require(s.Gossip.Interval >= 100*time.Millisecond, "gossip.interval", "must be at least 100ms")
+	c.require(s.Gossip.Contacts > 0, "gossip.contacts", "must be positive")
 	c.positive("tickets.window", s.Tickets.Window)
 	c.positive("tickets.max_deadline", s.Tickets.MaxDeadline)
 	c.positive("backend.dial_timeout", s.Backend.DialTimeout)
@@ -178,6 +188,10 @@
 	c.keyPair("tls.operators", s.TLS.Operators)
 }
 
+// maxZone bounds the name of a zone in bytes, so that a gossip message holds a whole
+// record.
+const maxZone = 63
+
 type checker struct {
 	doc  *strictyaml.Document
 	list *finding.List
