--- a/core/config.go
+++ b/core/config.go
@@ -6,6 +6,7 @@
 	"sesameledge.dev/sesameledge/config"
 	"sesameledge.dev/sesameledge/dispatch"
 	"sesameledge.dev/sesameledge/limit"
+	"sesameledge.dev/sesameledge/member"
 	"sesameledge.dev/sesameledge/place"
 )
 
@@ -109,6 +110,7 @@
 		current := s.Config.Current()
 		s.effects = append(s.effects, ConfigInForce{Revision: s.Config.InForce(), Source: source, Config: current})
 		s.dispatch(now, dispatch.PolicyChanged{Policy: dispatchPolicy(current)})
+		s.member(now, member.ConfigChanged{Revision: s.Config.InForce()})
 	}
 	if s.Config.Revision() > latest && s.Config.InForce() < s.Config.Revision() {
 		s.effects = append(s.effects, ConfigNotApplied{
--- a/core/core.go
+++ b/core/core.go
@@ -9,13 +9,15 @@
 	"sesameledge.dev/sesameledge/config"
 	"sesameledge.dev/sesameledge/dispatch"
 	"sesameledge.dev/sesameledge/forward"
+	"sesameledge.dev/sesameledge/member"
 	"sesameledge.dev/sesameledge/ticket"
 )
 
-// Event is a dispatch.Event, a forward.Event or an event of this package.
+// Event is a dispatch.Event, a forward.Event, a member.Event or an event of this package.
 type Event any
 
-// Effect is a dispatch.Effect, a forward.Effect or an effect of this package.
+// Effect is a dispatch.Effect, a forward.Effect, a member.Effect or an effect of this
+// package.
 type Effect any
 
 // Tick lets everything that is due take effect.
@@ -27,6 +29,7 @@
 	Incarnation ticket.Incarnation
 	Zone        string
 	Seed        uint64
+	Member      member.Options // host, zone, incarnation and seed are taken from above
 }
 
 // State is the state of a daemon process. It is not safe for concurrent use.
@@ -34,6 +37,7 @@
 	Dispatch *dispatch.State
 	Forward  *forward.State
 	Config   *config.Fold
+	Member   *member.State
 	source   ConfigSource
 	// snapshotSeen is when the newest snapshot in the log was read.
 	snapshotSeen time.Duration
@@ -46,9 +50,10 @@
 // New returns the state of a new process.
 func New(opts Options) *State {
 	return &State{
-		Dispatch: dispatch.New(dispatch.Options(opts)),
+		Dispatch: dispatch.New(dispatch.Options{Host: opts.Host, Incarnation: opts.Incarnation, Zone: opts.Zone, Seed: opts.Seed}),
 		Forward:  forward.New(),
 		Config:   config.NewFold(),
+		Member:   newMember(opts),
 		claims:   newClaims(),
 
 		incarnation: opts.Incarnation,
@@ -61,9 +66,13 @@
 	s.effects = s.effects[:0]
 	switch ev := ev.(type) {
 	case dispatch.Event:
+		// The endpoint's mark comes first, so that a refused task is not offered to it again.
+		s.observe(now, ev)
 		s.ownTicket(now, ev)
 	case forward.Event:
 		s.forward(now, ev)
+	case member.Event:
+		s.member(now, ev)
 	case configEvent:
 		s.configEvent(now, ev)
 	case claimEvent:
@@ -71,6 +80,7 @@
 	case Tick:
 		s.dispatch(now, dispatch.Tick{})
 		s.forward(now, forward.Tick{})
+		s.member(now, member.Tick{})
 	}
 	s.keysTick(now)
 	return s.effects
@@ -78,14 +88,16 @@
 
 // NextWake returns when a Tick is due next.
 func (s *State) NextWake() (time.Duration, bool) {
-	at, ok := s.Dispatch.NextWake()
-	if other, ok2 := s.Forward.NextWake(); ok2 && (!ok || other < at) {
-		at, ok = other, true
+	at := s.Member.NextWake()
+	for _, next := range []func() (time.Duration, bool){s.Dispatch.NextWake, s.Forward.NextWake} {
+		if other, ok := next(); ok {
+			at = min(at, other)
+		}
 	}
-	if len(s.claims.timers) > 0 && (!ok || s.claims.timers[0].at < at) {
-		return s.claims.timers[0].at, true
+	if len(s.claims.timers) > 0 {
+		at = min(at, s.claims.timers[0].at)
 	}
-	return at, ok
+	return at, true
 }
 
 func (s *State) dispatch(now time.Duration, ev dispatch.Event) {
--- a/daemon/config_peers.go
+++ b/daemon/config_peers.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/go-kit/log/level"
 
 	"sesameledge.dev/sesameledge/core"
+	"sesameledge.dev/sesameledge/member"
 	"sesameledge.dev/sesameledge/peer/peerpb"
 )
 
@@ -94,28 +96,31 @@
 	if d.configLog.readable() && (!sleep(ctx, hintGrace) || d.latestRevision() > before) {
 		return
 	}
-	if address, ok := d.peerAddress(host); ok {
-		d.pullFrom(ctx, host, address)
+	for _, p := range d.otherHosts() {
+		if p.Host == host {
+			d.pullFrom(ctx, p.Host, p.Address)
+		}
 	}
 }
 
+// otherHosts returns the other entry hosts that are not known to be gone.
+func (d *Daemon) otherHosts() []member.View {
+	var members []member.View
+	d.loop.query(func(now time.Duration, s *core.State) { members = s.Member.Members(now) })
+	return slices.DeleteFunc(members, func(m member.View) bool {
+		return m.Self || m.Address == "" || m.Status == member.Gone
+	})
+}
+
 // pullFromSome asks a few peers at once, chosen at random.
 func (d *Daemon) pullFromSome(ctx context.Context) {
-	type known struct{ host, address string }
-	var peers []known
-	d.mu.Lock()
-	for host, address := range d.addresses {
-		if host != d.settings.Host {
-			peers = append(peers, known{host, address})
-		}
-	}
-	d.mu.Unlock()
+	peers := d.otherHosts()
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	done := make(chan struct{}, pullPeers)
 	asked := min(len(peers), pullPeers)
 	for _, p := range peers[:asked] {
 		go func() {
-			d.pullFrom(ctx, p.host, p.address)
+			d.pullFrom(ctx, p.Host, p.Address)
 			done <- struct{}{}
 		}()
 	}
--- a/daemon/effects.go
+++ b/daemon/effects.go
@@ -11,6 +11,7 @@
 	"sesameledge.dev/sesameledge/core"
 	"sesameledge.dev/sesameledge/dispatch"
 	"sesameledge.dev/sesameledge/forward"
+	"sesameledge.dev/sesameledge/member"
 	"sesameledge.dev/sesameledge/peer/peerpb"
 )
 
@@ -43,6 +44,8 @@
 		go func() { d.loop.send(d.forwardToOwner(e)) }()
 	case forward.ReplyTo:
 		d.loop.reply(e.Waiter, e.Reply)
+	case member.PeerAhead:
+		d.PeerShowsRevision(e.Host, e.Revision)
 	default:
 		d.runLogEffect(e)
 	}
@@ -60,7 +63,7 @@
 // reducer has to know.
 func (d *Daemon) forwardToOwner(e forward.SendToOwner) forward.Event {
 	waiter := e.Request.Waiter
-	address, ok := d.peerAddress(e.Request.Ticket.Host)
+	address, ok := d.peerAddress(e.Request.Ticket.Host, e.Request.Ticket.Incarnation)
 	if !ok {
 		return forward.OwnerFailed{Waiter: waiter, Reason: "host " + e.Request.Ticket.Host + " is not known"}
 	}
--- a/dispatch/event.go
+++ b/dispatch/event.go
@@ -91,6 +91,10 @@
 	// Blameless says that a failure tells nothing about the endpoint, because the task
 	// was ended from outside.
 	Blameless bool
+	// Endpoint is where the attempt was made.
+	Endpoint place.Endpoint
+	// Leaving says that the endpoint refused the task because it is shutting down.
+	Leaving bool
 }
 
 // EndpointsChanged replaces the list of endpoints.
