--- a/api/error.go
+++ b/api/error.go
@@ -42,6 +42,8 @@
 	CodeOwnerNotReached Code = "owner_not_reached"
 	CodeAnswerExpired   Code = "answer_expired"
 	CodeInternal        Code = "internal_invariant"
+	CodeUnauthorized    Code = "unauthorized"
+	CodeNotFound        Code = "not_found"
 )
 
 // Error is a coded error about one field.
--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -18,6 +18,7 @@
 	mux.HandleFunc("POST /v1/jobs", d.serveSubmit)
 	mux.HandleFunc("GET /v1/jobs/{ticket}", d.serveAwait)
 	mux.HandleFunc("DELETE /v1/jobs/{ticket}", d.serveCancel)
+	mux.HandleFunc("GET /v1/epoch", d.serveEpoch)
 	d.healthRoutes(mux)
 	return mux
 }
@@ -60,6 +61,10 @@
 		writeReply(w, badJobReply(job, refusal))
 		return
 	}
+	if job.Key != "" {
+		d.serveKeyed(w, r, job)
+		return
+	}
 	op := operation{kind: forward.Submit, job: job, wait: d.jobWait(job)}
 	if job.Ticket == "" {
 		op.ticket = d.mint(1, d.settings.Tickets.MaxDeadline)[0]
@@ -77,9 +82,9 @@
 
 // badJobReply answers a submission that this host cannot read or does not allow. With a
 // ticket that is no proof that the job has not run: another host may have other limits or
-// a newer version, and may have passed the job on to its owner.
+// a newer version, and may have passed the job on to its owner. The same holds for a key.
 func badJobReply(job *api.Job, reason *api.Error) *api.Reply {
-	if job == nil || job.Ticket == "" {
+	if job == nil || (job.Ticket == "" && job.Key == "") {
 		return api.Refusal(reason)
 	}
 	return &api.Reply{Schema: api.Schema, Ticket: job.Ticket, Outcome: api.Unknown, Reason: reason}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -19,12 +19,15 @@
 	"google.golang.org/grpc"
 
 	"sesameledge.dev/sesameledge/backend"
+	"sesameledge.dev/sesameledge/claim"
 	"sesameledge.dev/sesameledge/core"
+	"sesameledge.dev/sesameledge/dispatch"
 	"sesameledge.dev/sesameledge/peer"
 	"sesameledge.dev/sesameledge/peer/peerpb"
 	"sesameledge.dev/sesameledge/platform"
 	"sesameledge.dev/sesameledge/settings"
 	"sesameledge.dev/sesameledge/ticket"
+	"sesameledge.dev/sesameledge/worker"
 )
 
 // Version is the version of this build.
@@ -38,6 +41,7 @@
 	loop        *loop
 	backend     *backend.Client
 	platform    *platform.Client
+	workers     *worker.Runner
 	peers       *peer.Client
 	ctx         context.Context
 	cancel      context.CancelFunc
@@ -53,8 +57,12 @@
 	peerServer *grpc.Server
 	metrics    *expvar.Map
 
-	mu        sync.Mutex
-	addresses map[string]string // peer address by host name
+	publications publications
+	configLog    *streamFollower
+	configPulls  chan string   // hosts that showed a higher revision
+	latest       atomic.Uint64 // latest accepted revision
+	claimsLog    *streamFollower
+	claimQueue   chan claim.Claim
 }
 
 // New returns a daemon that is not listening yet. Logs go to w.
@@ -74,7 +82,6 @@
 		ctx:         ctx,
 		cancel:      cancel,
 		drained:     make(chan struct{}),
-		addresses:   make(map[string]string),
 	}
 	d.backend = backend.New(backend.Options{
 		ConnsPerMinion: s.Backend.Connections,
@@ -82,17 +89,27 @@
 		IdleTimeout:    s.Backend.IdleTimeout,
 		ProveIdleAfter: s.Backend.ProveIdleAfter,
 	})
-	for _, p := range s.Peers {
-		d.addresses[p.Host] = p.Address
-	}
 	d.loop = newLoop(core.New(core.Options{
 		Host:        s.Host,
 		Incarnation: inc,
 		Zone:        s.Zone,
 		Seed:        binary.LittleEndian.Uint64(seed[8:]),
+		Member:      memberOptions(s),
 	}))
 	d.logs.redirectStandardLog()
 	d.loop.run = d.runEffect
+	d.workers = worker.New(worker.Options{
+		Platform:     d.platform,
+		Incarnation:  inc.String(),
+		Report:       func(ev dispatch.AttemptEnded) { d.loop.send(ev) },
+		ReportUsage:  func(ev dispatch.UsageReported) { d.loop.send(ev) },
+		LeaseTTL:     s.Workers.LeaseTTL,
+		ResultGather: s.Workers.ResultGather,
+	})
+	d.configLog = d.newConfigLog()
+	d.configPulls = make(chan string, 1)
+	d.claimsLog = d.newClaimsLog()
+	d.claimQueue = make(chan claim.Claim, claimQueue)
 	d.metrics = d.newMetrics()
 	return d, nil
 }
@@ -119,9 +136,13 @@
 	go func() { _ = d.callers.Serve(listeners[0]) }()
 	go func() { _ = d.peerServer.Serve(listeners[1]) }()
 	go func() { _ = d.operators.Serve(listeners[2]) }()
-	d.follow(d.followConfig)
+	d.follow(d.configLog.follow)
+	d.follow(d.pullConfig)
+	d.follow(d.claimsLog.follow)
+	d.follow(d.commitClaims)
 	d.follow(d.followHosts)
 	d.follow(d.renewRegistration)
+	d.follow(d.workers.Run)
 	level.Info(d.logs.daemon).Log("msg", "started", "host", d.settings.Host, "zone", d.settings.Zone,
 		"incarnation", d.incarnation, "callers", listen.Callers, "peers", listen.Peers, "operators", listen.Operators)
 	return nil
@@ -170,7 +191,7 @@
 	}
 	ok := false
 	d.loop.query(func(_ time.Duration, s *core.State) {
-		ok = s.Config.Revision() > 0 && s.Dispatch.Endpoints() > 0
+		ok = s.Config.InForce() > 0 && s.Dispatch.Endpoints() > 0
 	})
 	return ok
 }
--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -36,6 +36,7 @@
 		started := time.Now()
 		d.draining.Store(true)
 		level.Info(d.logs.daemon).Log("msg", "drain started")
+		d.loop.send(core.KeysDraining{})
 		time.Sleep(d.settings.Drain.Grace)
 		d.refusing.Store(true)
 		d.loop.send(dispatch.DrainStarted{})
--- a/daemon/effects.go
+++ b/daemon/effects.go
@@ -13,6 +13,7 @@
 	"sesameledge.dev/sesameledge/core"
 	"sesameledge.dev/sesameledge/dispatch"
 	"sesameledge.dev/sesameledge/forward"
+	"sesameledge.dev/sesameledge/member"
 	"sesameledge.dev/sesameledge/peer/peerpb"
 )
 
@@ -26,8 +27,16 @@
 func (d *Daemon) runEffect(e core.Effect) {
 	switch e := e.(type) {
 	case dispatch.StartAttempt:
+		if e.Endpoint.Worker {
+			d.workers.Start(e)
+			return
+		}
 		go func() { d.loop.send(d.runAttempt(e)) }()
 	case dispatch.CancelAttempts:
+		if e.Endpoint.Worker {
+			d.workers.Cancel(e)
+			return
+		}
 		go d.cancelAttempts(e)
 	case dispatch.ReplyTo:
 		d.loop.reply(e.Waiter, e.Reply)
@@ -37,10 +46,10 @@
 		go func() { d.loop.send(d.forwardToOwner(e)) }()
 	case forward.ReplyTo:
 		d.loop.reply(e.Waiter, e.Reply)
-	case core.ConfigInForce:
-		d.configInForce(e)
-	case core.ConfigRejected:
-		level.Warn(d.logs.config).Log("msg", "record rejected", "id", e.Outcome.ID, "reason", e.Outcome.Reason)
+	case member.PeerAhead:
+		d.PeerShowsRevision(e.Host, e.Revision)
+	default:
+		d.runLogEffect(e)
 	}
 }
 
@@ -63,18 +72,11 @@
 	}
 }
 
-func (d *Daemon) configInForce(e core.ConfigInForce) {
-	level.Info(d.logs.config).Log("msg", "revision in force", "revision", e.Revision)
-	if e.Config.LogLevel != "" {
-		d.logs.setLevel(e.Config.LogLevel)
-	}
-}
-
 // forwardToOwner sends a request to the host that the ticket names and returns what the
 // reducer has to know.
 func (d *Daemon) forwardToOwner(e forward.SendToOwner) forward.Event {
 	waiter := e.Request.Waiter
-	address, ok := d.peerAddress(e.Request.Ticket.Host)
+	address, ok := d.peerAddress(e.Request.Ticket.Host, e.Request.Ticket.Incarnation)
 	if !ok {
 		return forward.OwnerFailed{Waiter: waiter, Reason: "host " + e.Request.Ticket.Host + " is not known", NotSent: true}
 	}
--- a/daemon/handover.go
+++ b/daemon/handover.go
@@ -13,6 +13,7 @@
 	"sesameledge.dev/sesameledge/api"
 	"sesameledge.dev/sesameledge/core"
 	"sesameledge.dev/sesameledge/dispatch"
+	"sesameledge.dev/sesameledge/member"
 	"sesameledge.dev/sesameledge/peer/peerpb"
 	"sesameledge.dev/sesameledge/ticket"
 )
@@ -82,27 +83,22 @@
 	return false
 }
 
-// peerAddresses returns the peers' addresses, beginning with the host that follows this
-// one by name, so that hosts that drain together use different peers.
+// peerAddresses returns the addresses of live peers, beginning with the host that follows
+// this one by name, so that hosts that drain together use different peers.
 func (d *Daemon) peerAddresses() []string {
-	d.mu.Lock()
-	defer d.mu.Unlock()
 	own := d.settings.Host
-	names := make([]string, 0, len(d.addresses))
-	for name := range d.addresses {
-		if name != own {
-			names = append(names, name)
-		}
-	}
-	sort.Slice(names, func(i, j int) bool {
-		if after := names[i] > own; after != (names[j] > own) {
-			return after
+	var peers []member.View
+	d.loop.query(func(now time.Duration, s *core.State) {
+		for _, m := range s.Member.Members(now) {
+			if m.Host != own && m.Status == member.Live {
+				peers = append(peers, m)
+			}
 		}
-		return names[i] < names[j]
 	})
-	out := make([]string, len(names))
-	for i, name := range names {
-		out[i] = d.addresses[name]
+	sort.SliceStable(peers, func(i, j int) bool { return peers[i].Host > own && peers[j].Host < own })
+	out := make([]string, len(peers))
+	for i, m := range peers {
+		out[i] = m.Address
 	}
 	return out
 }
--- a/dispatch/event.go
+++ b/dispatch/event.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"sesameledge.dev/sesameledge/api"
+	"sesameledge.dev/sesameledge/fit"
 	"sesameledge.dev/sesameledge/place"
 	"sesameledge.dev/sesameledge/ticket"
 )
@@ -87,6 +88,13 @@
 	Reason  string
 	Service time.Duration
 	Load    int // load that the endpoint reported; -1 if none
+	// Blameless says that a failure tells nothing about the endpoint, because the task
+	// was ended from outside.
+	Blameless bool
+	// Endpoint is where the attempt was made.
+	Endpoint place.Endpoint
+	// Leaving says that the endpoint refused the task because it is shutting down.
+	Leaving bool
 }
 
 // EndpointsChanged replaces the list of endpoints.
@@ -95,6 +103,9 @@
 	EntryHosts int // live entry hosts that share the endpoints; 0 if unknown
 }
 
+// UsageReported carries the usage of workers as the platform reports it.
+type UsageReported struct{ Workers []fit.Usage }
+
 // PolicyChanged replaces the policy that configuration sets.
 type PolicyChanged struct{ Policy *Policy }
 
@@ -115,6 +126,7 @@
 func (AnswerFetched) isEvent()    {}
 func (AttemptEnded) isEvent()     {}
 func (EndpointsChanged) isEvent() {}
+func (UsageReported) isEvent()    {}
 func (PolicyChanged) isEvent()    {}
 func (DrainStarted) isEvent()     {}
 func (DrainTimedOut) isEvent()    {}
@@ -129,6 +141,7 @@
 	Attempt  int
 	Kind     string
 	Endpoint place.Endpoint
+	Size     place.Size // declared
 	Payload  json.RawMessage
 	// Remaining is the time until the job's deadline.
 	Remaining time.Duration
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -71,7 +71,7 @@
 		return kind, api.Errorf(api.CodeDeadlineTooLong, "deadline_ms", "the ticket allows deadlines up to %v", ev.Ticket.MaxDeadline)
 	case kind.MaxTasks > 0 && n > kind.MaxTasks:
 		return kind, api.Errorf(api.CodeTooManyTasks, "tasks", "jobs of kind %s have at most %d tasks", job.Kind, kind.MaxTasks)
-	case s.endpoints.Live(kind.Group) == 0:
+	case s.placement(kind).Live(kind.Group) == 0:
 		return kind, api.Errorf(api.CodeNoEndpoint, "kind", "no endpoint of group %s is available", kind.Group)
 	case s.open+n > s.policy.MaxTasks:
 		return kind, api.Errorf(api.CodeOverloaded, "", "this host has %d open tasks", s.open)
@@ -80,6 +80,9 @@
 	case !s.room(jobCost(job.Tasks)):
 		return kind, api.Errorf(api.CodeOverloaded, "", "this host holds %d bytes of jobs and answers", s.bytes)
 	}
+	if refusal := s.neverFits(kind, job.Tasks); refusal != nil {
+		return kind, refusal
+	}
 	return kind, s.limits(now, job, kind, deadline)
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -24,12 +24,26 @@
 	Listen   Listen   `yaml:"listen"`   // addresses of this process
 	Platform Platform `yaml:"platform"` // the platform's services
 	Peers    []Peer   `yaml:"peers"`    // entry hosts known at start
+	Gossip   Gossip   `yaml:"gossip"`
 	Tickets  Tickets  `yaml:"tickets"`
 	Limits   Limits   `yaml:"limits"`
 	Backend  Backend  `yaml:"backend"`
+	Workers  Workers  `yaml:"workers"`
 	Drain    Drain    `yaml:"drain"`
 	Log      Log      `yaml:"log"`
 	TLS      TLS      `yaml:"tls"`
+
+	Operators Operators `yaml:"operators"`
+}
+
+// minTokenBytes keeps tokens from being guessed.
+const minTokenBytes = 16
+
+// Operators says who may publish configuration.
+type Operators struct {
+	// PublishTokens are the bearer tokens accepted. None means that whoever reaches the
+	// operators' address may publish.
+	PublishTokens []string `yaml:"publish_tokens"`
 }
 
 // Listen holds the three addresses of a daemon, each IP:port.
@@ -41,10 +55,18 @@
 
 // Platform says where the platform's services are.
 type Platform struct {
-	URL          string        `yaml:"url"`           // http://IP:port
-	HostsEvery   time.Duration `yaml:"hosts_every"`   // pause between reads of the host list
-	Timeout      time.Duration `yaml:"timeout"`       // limit of one request
-	ClaimWindow  uint64        `yaml:"claim_window"`  // claims stream offsets for which a key is recognised
+	URL        string        `yaml:"url"`         // http://IP:port
+	HostsEvery time.Duration `yaml:"hosts_every"` // pause between reads of the host list
+	Timeout    time.Duration `yaml:"timeout"`     // limit of one request
+	// SnapshotEvery is the number of records in the config stream after which a host
+	// appends a snapshot. It must be well below the number that the log retains.
+	SnapshotEvery uint64 `yaml:"snapshot_every"`
+	// SnapshotDelay bounds the random delay before a host appends a snapshot that is due.
+	// Well above the time in which hosts read a record, one or two of them append it.
+	SnapshotDelay time.Duration `yaml:"snapshot_delay"`
+	// SnapshotAge is the time after which a host appends a snapshot even if few records
+	// came. It must be well below the time for which the log retains records.
+	SnapshotAge  time.Duration `yaml:"snapshot_age"`
 	AppendsEvery time.Duration `yaml:"appends_every"` // least pause between appends of claims
 }
 
@@ -55,6 +77,12 @@
 	Address string `yaml:"address"` // peer address, IP:port
 }
 
+// Gossip sets the messages between entry hosts about membership.
+type Gossip struct {
+	Interval time.Duration `yaml:"interval"` // between calls to a peer
+	Contacts int           `yaml:"contacts"` // hosts called in each other availability zone
+}
+
 // Tickets sets the life of tickets.
 type Tickets struct {
 	Window      time.Duration `yaml:"window"`       // from minting to the first submission
@@ -76,6 +104,12 @@
 	ProveIdleAfter time.Duration `yaml:"prove_idle_after"` // idle time after which the body is held back
 }
 
+// Workers sets how tasks run on workers of the platform.
+type Workers struct {
+	LeaseTTL     time.Duration `yaml:"lease_ttl"`     // tasks stop if the lease was not renewed for so long
+	ResultGather time.Duration `yaml:"result_gather"` // pause between reads of results, to read more at once
+}
+
 // Drain sets a graceful shutdown.
 type Drain struct {
 	Grace   time.Duration `yaml:"grace"`   // not ready but still accepting, for the load balancer
@@ -109,11 +143,14 @@
 func Defaults() Settings {
 	return Settings{
 		Platform: Platform{
-			HostsEvery:   500 * time.Millisecond,
-			Timeout:      2 * time.Second,
-			ClaimWindow:  100_000,
-			AppendsEvery: 25 * time.Millisecond,
+			HostsEvery:    500 * time.Millisecond,
+			Timeout:       2 * time.Second,
+			SnapshotEvery: 1000,
+			SnapshotDelay: 10 * time.Second,
+			SnapshotAge:   time.Hour,
+			AppendsEvery:  25 * time.Millisecond,
 		},
+		Gossip:  Gossip{Interval: time.Second, Contacts: 2},
 		Tickets: Tickets{Window: 30 * time.Second, MaxDeadline: 60 * time.Second},
 		Limits:  Limits{BodyBytes: 8 << 20, Tasks: 4096, Tickets: 1024},
 		Backend: Backend{
@@ -122,6 +159,11 @@
 			IdleTimeout:    30 * time.Second,
 			ProveIdleAfter: time.Second,
 		},
+		Workers: Workers{
+			// Outlasts short outages of the platform; most tasks end by themselves sooner.
+			LeaseTTL:     30 * time.Second,
+			ResultGather: 10 * time.Millisecond,
+		},
 		Drain: Drain{Grace: 2 * time.Second, Timeout: 60 * time.Second},
 		Log:   Log{Format: "logfmt", Level: "info"},
 	}
@@ -154,7 +196,7 @@
 func (s *Settings) check(doc *strictyaml.Document, list *finding.List) {
 	c := checker{doc: doc, list: list}
 	c.require(ticket.ValidHost(s.Host), "host", "must be 1 to 63 lower-case letters, digits or hyphens")
-	c.require(s.Zone != "", "zone", "is required")
+	c.require(s.Zone != "" && len(s.Zone) <= maxZone, "zone", "must be 1 to 63 characters")
 	c.address("listen.callers", s.Listen.Callers)
 	c.address("listen.peers", s.Listen.Peers)
 	c.address("listen.operators", s.Listen.Operators)
@@ -162,9 +204,17 @@
 	c.peers(s)
 	c.positive("platform.hosts_every", s.Platform.HostsEvery)
 	c.positive("platform.timeout", s.Platform.Timeout)
+	c.positive("platform.appends_every", s.Platform.AppendsEvery)
+	c.positive("platform.snapshot_delay", s.Platform.SnapshotDelay)
+	c.positive("platform.snapshot_age", s.Platform.SnapshotAge)
+	c.require(s.Platform.SnapshotEvery > 0, "platform.snapshot_every", "must be positive")
+	c.require(s.Gossip.Interval >= 100*time.Millisecond, "gossip.interval", "must be at least 100ms")
+	c.require(s.Gossip.Contacts > 0, "gossip.contacts", "must be positive")
 	c.positive("tickets.window", s.Tickets.Window)
 	c.positive("tickets.max_deadline", s.Tickets.MaxDeadline)
 	c.positive("backend.dial_timeout", s.Backend.DialTimeout)
+	c.positive("workers.lease_ttl", s.Workers.LeaseTTL)
+	c.require(s.Workers.ResultGather >= 0, "workers.result_gather", "must not be negative")
 	c.positive("drain.timeout", s.Drain.Timeout)
 	c.require(s.Tickets.Window+s.Tickets.MaxDeadline <= 24*time.Hour, "tickets", "window and max_deadline together must not exceed 24h")
 	c.require(s.Limits.BodyBytes > 0, "limits.body_bytes", "must be positive")
@@ -173,11 +223,18 @@
 	c.require(s.Backend.Connections > 0, "backend.connections", "must be positive")
 	c.require(s.Log.Format == "logfmt" || s.Log.Format == "json", "log.format", "must be logfmt or json")
 	c.require(validLevel(s.Log.Level), "log.level", "must be debug, info, warn or error")
+	for i, token := range s.Operators.PublishTokens {
+		c.require(len(token) >= minTokenBytes, fmt.Sprintf("operators.publish_tokens[%d]", i), "must have at least 16 bytes")
+	}
 	c.keyPair("tls.callers", s.TLS.Callers)
 	c.keyPair("tls.peers", s.TLS.Peers)
 	c.keyPair("tls.operators", s.TLS.Operators)
 }
 
+// maxZone bounds the name of a zone in bytes, so that a gossip message holds a whole
+// record.
+const maxZone = 63
+
 type checker struct {
 	doc  *strictyaml.Document
 	list *finding.List
