--- a/Makefile
+++ b/Makefile
@@ -49,3 +49,9 @@
 fuzz:
 	@echo "seed $(SEED)"
 	go test -timeout 30m -run Fuzz ./dispatch ./forward -rapid.seed=$(SEED) -rapid.checks=$(FUZZ_CHECKS) -rapid.steps=80
+
+.PHONY: chaos
+# Disturbs deployments of real processes with a fresh seed, which it prints. CHAOS passes
+# arguments, see bin/chaos --help.
+chaos: build
+	bin/chaos --bin bin $(CHAOS)
