Fuzz the caller's change to a new ticket

The rule that a job moves to a new ticket when its only submission did not reach the owner was not part of the hosts' fuzzer. Its callers follow it now, and an attempt with the old ticket before or after that fails the run.

--- a/forward/fuzz_test.go
+++ b/forward/fuzz_test.go
@@ -94,11 +94,14 @@
 }
 
 func (w *world) requestAt(c *caller, p *process, op Operation, wait time.Duration) {
+	if op == Submit {
+		c.truth.sent++
+	}
 	digest := uint64(1)
 	if op == Submit && c.truth.submitted && rapid.IntRange(0, 4).Draw(w.t, "reuse") == 0 {
 		digest = 2
 	}
-	c.open = w.newRequest(&request{id: c.id, from: c, digest: digest})
+	c.open = w.newRequest(&request{id: c.id, from: c, digest: digest, submit: op == Submit})
 	if p == c.truth.owner {
 		w.ask(p, op, c.id, c.truth.ticket, c.open, wait == 0)
 		return
--- a/forward/model_test.go
+++ b/forward/model_test.go
@@ -58,6 +58,7 @@
 	starts    map[int]int
 	results   map[int]json.RawMessage
 	refused   bool
+	sent      int           // submissions by callers
 	submitted bool          // the owner has a submission, of the job with digest 1
 	failedAt  time.Duration // when a host first answered "failed"; 0 for never
 }
@@ -80,6 +81,7 @@
 	via    dispatch.WaiterID // the peer's request
 	digest uint64            // of a submission
 	done   bool              // a forwarding host has replied
+	submit bool              // a caller's submission
 	came   bool              // the owner has received it from the forwarding host
 }
 
@@ -296,6 +298,10 @@
 		return
 	}
 	c.open = 0
+	if r.Reason != nil && r.Reason.Code == api.CodeOwnerNotReached && w.requests[waiter].submit && c.truth.sent == 1 {
+		w.abandon(c.truth)
+		return
+	}
 	switch r.Outcome {
 	case api.Complete:
 		if w.now-c.asked <= c.truth.ticket.Lifetime() || w.rules.acceptLate {
@@ -306,6 +312,17 @@
 	}
 }
 
+// abandon takes a new ticket for a job whose only submission did not reach the owner. From
+// now on a start with the old ticket would be a second start of the job.
+func (w *world) abandon(truth *jobTruth) {
+	w.refused(truth)
+	for _, c := range w.callers {
+		if c.truth == truth {
+			c.final = api.Refused
+		}
+	}
+}
+
 // accept checks an answer that a caller takes as complete.
 func (w *world) accept(c *caller, r *api.Reply) {
 	c.final = api.Complete
--- a/forward/switches_test.go
+++ b/forward/switches_test.go
@@ -21,6 +21,7 @@
 		{"silence is gone", switches{silenceIsGone: true}, callerRules{}, "the owner answers complete after"},
 		{"no verdict", switches{noVerdict: true}, callerRules{}, "unknown after the lifetime"},
 		{"keep answered", switches{keepAnswered: true}, callerRules{}, "and still kept"},
+		{"not reached, then a new ticket", switches{notReached: true}, callerRules{}, "refused after an attempt"},
 		{"any digest", switches{anyDigest: true}, callerRules{}, "answer of another job"},
 		{"not reached", switches{notReached: true}, callerRules{}, "a request that it has"},
 		{"caller accepts late", switches{}, callerRules{acceptLate: true}, "complete accepted after"},
