Bound a job's tasks in flight by the weight of messages

Tasks no longer queue at a minion by intent. The weight now bounds the share of a job's tasks in flight and, as before, how much of its deadline an accepted job may be expected to take.

The stretch goal that orders the queue falls from 4 to 2.

--- a/core/core.go
+++ b/core/core.go
@@ -116,6 +116,18 @@
 // if messages don't matter, and half of it if they matter most.
 func deadlineUse(messageWeight float64) float64 { return 1 - messageWeight/2 }
 
+// leastWindow keeps the window above 0, which means no window.
+const leastWindow = 0.01
+
+// jobWindow is the share of a job's tasks that may be in flight at a time: all of them if
+// messages don't matter. The baselines have no window.
+func jobWindow(p config.Policy) float64 {
+	if name := place.Placement(p.Placement); name != "" && name != place.Adaptive {
+		return 0
+	}
+	return max(1-p.Weight(), leastWindow)
+}
+
 // dispatchPolicy translates configuration into the dispatcher's policy.
 func dispatchPolicy(c *config.Config) *dispatch.Policy {
 	p := &dispatch.Policy{
@@ -125,15 +137,15 @@
 		MaxAttempts: c.Policy.MaxAttempts,
 		RetryDelay:  c.Policy.RetryDelay,
 		Place: place.Policy{
-			Placement:     place.Placement(c.Policy.Placement),
-			MessageWeight: c.Policy.Weight(),
-			MaxEjected:    c.Policy.MaxEjected,
+			Placement:  place.Placement(c.Policy.Placement),
+			MaxEjected: c.Policy.MaxEjected,
 		},
 		Limit: limit.Policy{
 			MaxWait:     c.Policy.MaxWait,
 			DeadlineUse: deadlineUse(c.Policy.Weight()),
 			RetryShare:  c.Policy.RetryShare,
 		},
+		JobWindow: jobWindow(c.Policy),
 	}
 	for name, k := range c.Kinds {
 		p.Kinds[name] = dispatch.Kind{
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -39,7 +39,12 @@
 // for more.
 func (s *State) placeJob(now time.Duration, j *job) bool {
 	held := j.waiting[:0]
+	window := s.policy.window(len(j.tasks))
 	for i, index := range j.waiting {
+		if j.inFlight >= window {
+			j.waiting = append(held, j.waiting[i:]...)
+			return true
+		}
 		t := &j.tasks[index]
 		info := placeTask(j.kindName, j.kind, &j.specs[index])
 		info.Ends, info.JobTasks = j.ends, len(j.tasks)
--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -34,6 +34,21 @@
 	MaxBytes int64
 	Place    place.Policy // choice of endpoints
 	Limit    limit.Policy // admission; Teams is taken from the field above
+	// JobWindow is the share of a job's tasks, but at least minWindow, that may be in
+	// flight at a time; 0 means all. A job that fails or is cancelled wastes the messages
+	// of the tasks that it has started.
+	JobWindow float64
+}
+
+// minWindow is the least number of tasks that a job may have in flight.
+const minWindow = 8
+
+// window returns how many of n tasks may be in flight at a time.
+func (p *Policy) window(n int) int {
+	if p.JobWindow == 0 {
+		return n
+	}
+	return max(int(p.JobWindow*float64(n)), minWindow)
 }
 
 // Defaults of Policy.
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -13,7 +13,7 @@
 	// stretchGoal places a job in the queue at the time when its response would be this
 	// many times its ideal. Short jobs pass long ones; a long job is passed only by jobs
 	// that arrive before its time, so none starves.
-	stretchGoal = 4
+	stretchGoal = 2
 	// pollDelay is the pause before held tasks are looked at again. Slots that other
 	// hosts free up become visible only with time.
 	pollDelay = 10 * time.Millisecond
--- a/place/adaptive.go
+++ b/place/adaptive.go
@@ -110,8 +110,7 @@
 	if own < max(1, st.Slots/max(s.hosts, 1)) {
 		return true
 	}
-	limit := st.Slots + s.policy.overcommit()
-	return own < limit && float64(own)+st.others.estimate(now, s.averageOthers(st)) <= float64(limit)-0.5
+	return own < st.Slots && float64(own)+st.others.estimate(now, s.averageOthers(st)) <= float64(st.Slots)-0.5
 }
 
 // averageOthers is the expected load of other hosts at an endpoint without a report.
