--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -40,7 +40,12 @@
 // for more.
 func (s *State) placeJob(now time.Duration, j *job) bool {
 	held := j.waiting[:0]
+	window := s.policy.window(len(j.tasks))
 	for i, index := range j.waiting {
+		if j.inFlight >= window {
+			j.waiting = append(held, j.waiting[i:]...)
+			return true
+		}
 		t := &j.tasks[index]
 		ep, choice := s.placement(j.kind).Pick(now, j.placeTask(index), t.avoid)
 		if choice == place.Full {
