--- a/config/fold_test.go
+++ b/config/fold_test.go
@@ -102,7 +102,7 @@
 	padding := strings.Repeat("#", 180<<10)
 	for i := range 3 * maxHistory {
 		text, schema := goodText, 1
-		if i%32 == 0 || i == 3*maxHistory-1 {
+		if i%64 == 0 || i == 3*maxHistory-1 {
 			text, schema = padding, 2
 		}
 		if i == 3*maxHistory-2 {
--- a/config/snapshot.go
+++ b/config/snapshot.go
@@ -86,6 +86,9 @@
 	if s.Next <= f.next && !f.test.acceptOlder {
 		return false, nil
 	}
+	if s.Latest < f.latest && !f.test.acceptOlder {
+		return false, errors.Newf("a snapshot up to offset %d has revision %d, but %d was accepted before", s.Next, s.Latest, f.latest)
+	}
 	f.load(s)
 	f.seeking = f.seeking && s.Next < f.seekFrom
 	return true, nil
@@ -103,7 +106,7 @@
 	if err != nil {
 		return f.ignored(err.Error())
 	}
-	if s.Next < f.seekFrom || s.Next <= f.next {
+	if s.Next < f.seekFrom || s.Next <= f.next || s.Latest < f.latest {
 		return f.ignored("the snapshot is too old")
 	}
 	if f.test.skipRecords {
--- a/daemon/claims.go
+++ b/daemon/claims.go
@@ -32,6 +32,7 @@
 	return &streamFollower{
 		client: d.platform,
 		stream: platform.StreamClaims,
+		poll:   claimsPoll,
 		logger: d.logs.platform,
 		next: func() (next uint64, started bool) {
 			d.loop.query(func(_ time.Duration, s *core.State) { next, started = s.ClaimsNext() })
--- a/daemon/config_follow.go
+++ b/daemon/config_follow.go
@@ -19,6 +19,7 @@
 	return &streamFollower{
 		client: d.platform,
 		stream: platform.StreamConfig,
+		poll:   configPoll,
 		logger: d.logs.platform,
 		next: func() (next uint64, known bool) {
 			d.loop.query(func(_ time.Duration, s *core.State) { next = s.Config.Next() })
--- a/daemon/config_peers.go
+++ b/daemon/config_peers.go
@@ -13,7 +13,7 @@
 
 const (
 	// pullEvery is the pause between requests to peers while the log cannot be read. With
-	// the time to notice an outage (logPoll + readGrace) it keeps a revision that any peer
+	// the time to notice an outage (configPoll + readGrace) it keeps a revision that any peer
 	// holds within 3 s of every host that reaches that peer.
 	pullEvery = 500 * time.Millisecond
 	// pullPeers is the number of peers asked at a time; some may be cut off as well.
@@ -23,8 +23,6 @@
 	// hintGrace is how long the log may take to deliver a revision that a peer showed
 	// before that peer is asked for it.
 	hintGrace = 300 * time.Millisecond
-	// startGrace is how long the log may take to answer at start.
-	startGrace = 300 * time.Millisecond
 )
 
 // FetchConfig returns this host's configuration if it is ahead of the peer's.
@@ -59,12 +57,13 @@
 	return n
 }
 
-// pullConfig fetches configuration from peers: at start if the log does not answer soon,
-// regularly while the log cannot tell, and from a peer that shows a higher revision.
+// pullConfig fetches configuration from peers: once at start, which saves the reading of a
+// long log, regularly while the log cannot tell, and from a peer that shows a higher
+// revision.
 func (d *Daemon) pullConfig(ctx context.Context) {
-	pause := startGrace
+	d.pullFromSome(ctx)
 	for {
-		timer := time.NewTimer(pause)
+		timer := time.NewTimer(pullEvery)
 		select {
 		case <-ctx.Done():
 			timer.Stop()
@@ -77,7 +76,6 @@
 			}
 		}
 		timer.Stop()
-		pause = pullEvery
 	}
 }
 
--- a/daemon/follower.go
+++ b/daemon/follower.go
@@ -14,10 +14,12 @@
 )
 
 const (
-	// logPoll is how long a read of the log waits for new records. It bounds how long an
-	// outage that hangs goes unnoticed, and costs one request a second.
-	logPoll = time.Second
-	// readGrace is how much longer than logPoll a read may take before the log counts as
+	// configPoll is how long a read of the config stream waits for new records. It bounds
+	// how long an outage that hangs goes unnoticed, and costs one request a second.
+	configPoll = time.Second
+	// claimsPoll is the same for the claims stream, where an outage shows at the append.
+	claimsPoll = 5 * time.Second
+	// readGrace is how much longer than its wait a read may take before the log counts as
 	// unreadable.
 	readGrace = 500 * time.Millisecond
 	// minRetry and maxRetry bound the pause after a failed read.
@@ -30,6 +32,7 @@
 type streamFollower struct {
 	client *platform.Client
 	stream string
+	poll   time.Duration // how long a read waits for new records
 	logger log.Logger
 	// next returns the offset to read, or false if the position is to be set by start.
 	next      func() (uint64, bool)
@@ -45,7 +48,7 @@
 // readable reports whether the log has answered lately.
 func (f *streamFollower) readable() bool {
 	last := f.lastRead.Load()
-	return last != 0 && time.Since(began)-time.Duration(last) < logPoll+readGrace
+	return last != 0 && time.Since(began)-time.Duration(last) < f.poll+readGrace
 }
 
 // began is the origin of the followers' monotonic times.
@@ -79,7 +82,7 @@
 // moved, or the log waited as asked.
 func (f *streamFollower) readOnce(ctx context.Context) (bool, error) {
 	next, known := f.next()
-	wait := logPoll
+	wait := f.poll
 	if !known {
 		wait = 0
 	}
@@ -103,7 +106,7 @@
 	}
 	f.replied(reply.First, reply.Next)
 	now, _ := f.next()
-	return now != next || !known || time.Since(asked) >= logPoll/2, nil
+	return now != next || !known || time.Since(asked) >= f.poll/2, nil
 }
 
 func (f *streamFollower) noteUp() {
--- a/daemon/publish.go
+++ b/daemon/publish.go
@@ -176,11 +176,27 @@
 	if err != nil {
 		level.Warn(d.logs.config).Log("msg", "the answer to an append was lost; looking for the record in the log", "id", rec.ID, "err", err)
 	}
-	select {
-	case o := <-judged:
-		return o, nil
-	case <-ctx.Done():
-		return config.Outcome{}, errOutcomeUnknown
+	return d.awaitOutcome(ctx, rec.ID, judged)
+}
+
+// outcomePoll is the pause between look-ups of an outcome that a peer's snapshot may have
+// brought. Outcomes read from the log are delivered without it.
+const outcomePoll = 200 * time.Millisecond
+
+func (d *Daemon) awaitOutcome(ctx context.Context, id string, judged <-chan config.Outcome) (config.Outcome, error) {
+	poll := time.NewTicker(outcomePoll)
+	defer poll.Stop()
+	for {
+		select {
+		case o := <-judged:
+			return o, nil
+		case <-poll.C:
+			if o, ok := d.outcomeOf(id); ok {
+				return o, nil
+			}
+		case <-ctx.Done():
+			return config.Outcome{}, errOutcomeUnknown
+		}
 	}
 }
 
--- a/standin/configbench/main.go
+++ b/standin/configbench/main.go
@@ -44,6 +44,9 @@
 	proxy *proxysim.Proxy
 }
 
+// startTimeout bounds the start of the deployment.
+const startTimeout = 20 * time.Second
+
 func main() {
 	var a args
 	arg.MustParse(&a)
@@ -60,9 +63,18 @@
 	if err != nil {
 		return err
 	}
-	defer func() { _ = os.RemoveAll(dir) }()
+	if err := measure(ctx, a, dir); err != nil {
+		return errors.Wrapf(err, "logs in %s", dir)
+	}
+	return os.RemoveAll(dir)
+}
+
+func measure(ctx context.Context, a args, dir string) error {
 	b := &bench{args: a}
-	if b.bed, err = testbed.Start(ctx, b.spec(dir)); err != nil {
+	start, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	var err error
+	if b.bed, err = testbed.Start(start, b.spec(dir)); err != nil {
 		return err
 	}
 	defer b.bed.Stop()
--- a/standin/configproof/follow_test.go
+++ b/standin/configproof/follow_test.go
@@ -28,12 +28,13 @@
 	for range 80 {
 		last = s.publishNext(0)
 	}
+	// The new host finds only a peer that is far behind, so it needs the snapshot.
+	s.stop(0)
 	s.start(2)
 	s.awaitInForce(2, last)
 	if v := s.view(2); v.Source != "snapshot" && v.Source != "log" {
 		t.Errorf("the new host has its configuration from %q", v.Source)
 	}
-	s.stop(0)
 	s.stop(2)
 	s.cut(1, false)
 	s.awaitInForce(1, last)
@@ -43,6 +44,7 @@
 // nobody has appended a snapshot yet, and against a log that drops the last snapshot by
 // its age.
 func TestSnapshotsThatAreMissingOrOld(t *testing.T) {
+	t.Parallel()
 	s := newSite(t, 3, platformsim.Config{Retention: 10}, func(s *settings.Settings) {
 		s.Platform.SnapshotDelay = time.Hour
 		if s.Host == "host-2" {
@@ -91,6 +93,7 @@
 // Guards against a host that gets a revision late, or never, because it alone cannot
 // reach the platform: cut off, or connected by connections that have gone silent.
 func TestRevisionReachesHostWithoutPlatform(t *testing.T) {
+	t.Parallel()
 	s := newSite(t, 4, platformsim.Config{}, nil)
 	s.start(0, 1, 2, 3)
 	for n := range 4 {
@@ -120,6 +123,7 @@
 
 // Guards against a busy loop on a log that answers at once, whatever it answers.
 func TestReadsAreBounded(t *testing.T) {
+	t.Parallel()
 	const period = 1500 * time.Millisecond
 	for name, answer := range map[string]struct {
 		status int
--- a/standin/configproof/publish_test.go
+++ b/standin/configproof/publish_test.go
@@ -39,6 +39,7 @@
 
 // Guards against a definite reply about a record that may still be in the log.
 func TestOutcomeIsUnknownWhileTheLogIsOut(t *testing.T) {
+	t.Parallel()
 	s := newSite(t, 1, platformsim.Config{}, nil)
 	s.start(0)
 	s.publishNext(0)
