--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -27,6 +27,7 @@
 	"sesameledge.dev/sesameledge/platform"
 	"sesameledge.dev/sesameledge/settings"
 	"sesameledge.dev/sesameledge/ticket"
+	"sesameledge.dev/sesameledge/worker"
 )
 
 // Version is the version of this build.
@@ -40,6 +41,7 @@
 	loop        *loop
 	backend     *backend.Client
 	platform    *platform.Client
+	workers     *worker.Runner
 	peers       *peer.Client
 	ctx         context.Context
 	cancel      context.CancelFunc
@@ -59,9 +61,6 @@
 	latest       atomic.Uint64 // latest accepted revision
 	claimsLog    *streamFollower
 	claimQueue   chan claim.Claim
-
-	mu        sync.Mutex
-	addresses map[string]string // peer address by host name
 }
 
 // New returns a daemon that is not listening yet. Logs go to w.
@@ -81,7 +80,6 @@
 		ctx:         ctx,
 		cancel:      cancel,
 		drained:     make(chan struct{}),
-		addresses:   make(map[string]string),
 	}
 	d.backend = backend.New(backend.Options{
 		ConnsPerMinion: s.Backend.Connections,
@@ -89,17 +87,23 @@
 		IdleTimeout:    s.Backend.IdleTimeout,
 		ProveIdleAfter: s.Backend.ProveIdleAfter,
 	})
-	for _, p := range s.Peers {
-		d.addresses[p.Host] = p.Address
-	}
 	d.loop = newLoop(core.New(core.Options{
 		Host:        s.Host,
 		Incarnation: inc,
 		Zone:        s.Zone,
 		Seed:        binary.LittleEndian.Uint64(seed[8:]),
+		Member:      memberOptions(s),
 	}))
 	d.logs.redirectStandardLog()
 	d.loop.run = d.runEffect
+	d.workers = worker.New(worker.Options{
+		Platform:     d.platform,
+		Incarnation:  inc.String(),
+		Report:       func(ev dispatch.AttemptEnded) { d.loop.send(ev) },
+		ReportUsage:  func(ev dispatch.UsageReported) { d.loop.send(ev) },
+		LeaseTTL:     s.Workers.LeaseTTL,
+		ResultGather: s.Workers.ResultGather,
+	})
 	d.configLog = d.newConfigLog()
 	d.configPulls = make(chan string, 1)
 	d.claimsLog = d.newClaimsLog()
@@ -136,6 +140,7 @@
 	d.follow(d.commitClaims)
 	d.follow(d.followHosts)
 	d.follow(d.renewRegistration)
+	d.follow(d.workers.Run)
 	level.Info(d.logs.daemon).Log("msg", "started", "host", d.settings.Host, "zone", d.settings.Zone,
 		"incarnation", d.incarnation, "callers", listen.Callers, "peers", listen.Peers, "operators", listen.Operators)
 	return nil
--- a/daemon/effects.go
+++ b/daemon/effects.go
@@ -11,6 +11,7 @@
 	"sesameledge.dev/sesameledge/core"
 	"sesameledge.dev/sesameledge/dispatch"
 	"sesameledge.dev/sesameledge/forward"
+	"sesameledge.dev/sesameledge/member"
 	"sesameledge.dev/sesameledge/peer/peerpb"
 )
 
@@ -24,8 +25,16 @@
 func (d *Daemon) runEffect(e core.Effect) {
 	switch e := e.(type) {
 	case dispatch.StartAttempt:
+		if e.Endpoint.Worker {
+			d.workers.Start(e)
+			return
+		}
 		go func() { d.loop.send(d.backend.Run(d.ctx, e)) }()
 	case dispatch.CancelAttempts:
+		if e.Endpoint.Worker {
+			d.workers.Cancel(e)
+			return
+		}
 		go d.cancelAttempts(e)
 	case dispatch.ReplyTo:
 		d.loop.reply(e.Waiter, e.Reply)
@@ -35,6 +44,8 @@
 		go func() { d.loop.send(d.forwardToOwner(e)) }()
 	case forward.ReplyTo:
 		d.loop.reply(e.Waiter, e.Reply)
+	case member.PeerAhead:
+		d.PeerShowsRevision(e.Host, e.Revision)
 	default:
 		d.runLogEffect(e)
 	}
@@ -52,7 +63,7 @@
 // reducer has to know.
 func (d *Daemon) forwardToOwner(e forward.SendToOwner) forward.Event {
 	waiter := e.Request.Waiter
-	address, ok := d.peerAddress(e.Request.Ticket.Host)
+	address, ok := d.peerAddress(e.Request.Ticket.Host, e.Request.Ticket.Incarnation)
 	if !ok {
 		return forward.OwnerFailed{Waiter: waiter, Reason: "host " + e.Request.Ticket.Host + " is not known"}
 	}
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -17,15 +17,15 @@
 		return
 	}
 	s.endpoints.BeginRound()
-	full := make(map[string]bool)
+	blocked := make(map[string]int) // jobs of a group that found no endpoint
 	over := make(map[string]bool)
 	for team := range s.teamOpen {
 		over[team] = s.limiter.OverShare(now, team)
 	}
 	for _, last := range []bool{false, true} {
 		for _, j := range s.queue {
-			if !j.ended() && over[j.team] == last && !full[j.kind.Group] && !s.placeJob(now, j) {
-				full[j.kind.Group] = true
+			if !j.ended() && over[j.team] == last && blocked[j.kind.Group] < j.kind.mayBlock() && !s.placeJob(now, j) {
+				blocked[j.kind.Group]++
 			}
 		}
 	}
@@ -40,11 +40,14 @@
 // for more.
 func (s *State) placeJob(now time.Duration, j *job) bool {
 	held := j.waiting[:0]
+	window := s.policy.window(len(j.tasks))
 	for i, index := range j.waiting {
+		if j.inFlight >= window {
+			j.waiting = append(held, j.waiting[i:]...)
+			return true
+		}
 		t := &j.tasks[index]
-		info := placeTask(j.kindName, j.kind, &j.specs[index])
-		info.Ends = j.ends
-		ep, choice := s.endpoints.Pick(now, info, t.avoid)
+		ep, choice := s.placement(j.kind).Pick(now, j.placeTask(index), t.avoid)
 		if choice == place.Full {
 			j.waiting = append(held, j.waiting[i:]...)
 			return false
@@ -69,7 +72,7 @@
 	}
 	s.limiter.Started(now, j.team, j.kind.Group, j.taskWork())
 	s.limiter.Waiting(j.team, -j.taskWork())
-	if cost := s.endpoints.LastCost(); cost > 0 {
+	if cost := s.endpoints.LastCost(); cost > 0 && !j.kind.Workers {
 		j.ends = max(j.ends, now+cost)
 	}
 }
@@ -93,12 +96,13 @@
 	t.endpoint = ep
 	j.inFlight++
 	s.counters.Attempts++
-	s.endpoints.Started(ep.ID)
+	s.placement(j.kind).Started(ep.ID, j.placeTask(index))
 	s.emit(StartAttempt{
 		Task:      TaskRef{Ticket: j.id, Index: index},
 		Attempt:   t.attempt,
 		Kind:      j.kindName,
 		Endpoint:  ep,
+		Size:      j.placeTask(index).Size,
 		Payload:   j.specs[index].Payload,
 		Remaining: j.deadline - now,
 		Deadline:  j.deadline,
@@ -127,10 +131,11 @@
 		return
 	}
 	j.inFlight--
-	s.endpoints.Ended(now, t.endpoint.ID, place.Sample{
+	s.placement(j.kind).Ended(now, t.endpoint.ID, j.placeTask(ev.Task.Index), place.Sample{
 		Kind:      j.kindName,
-		Failed:    ev.Outcome == AttemptFailed || ev.Outcome == AttemptUnknown,
-		Refused:   ev.Outcome == AttemptNotStarted,
+		Failed:    (ev.Outcome == AttemptFailed || ev.Outcome == AttemptUnknown) && !ev.Blameless,
+		Refused:   ev.Outcome == AttemptNotStarted && !ev.Blameless,
+		Blameless: ev.Blameless,
 		Cancelled: j.ended(),
 		Run:       j.declaredRun(ev.Task.Index),
 		Service:   ev.Service,
--- a/place/estimate.go
+++ b/place/estimate.go
@@ -60,3 +60,11 @@
 	at := len(all) - 1 - int(math.Floor(fastShare*float64(len(all))))
 	return all[max(at, 0)], capacity
 }
+
+// LearnRun takes in the run time of a task of a kind that other means place, so that
+// Estimate predicts the kind.
+func (s *Set) LearnRun(kind string, declared, took time.Duration) {
+	if took > 0 {
+		s.model(kind).learn(took, declared, 0)
+	}
+}
