--- a/core/config.go
+++ b/core/config.go
@@ -5,9 +5,7 @@
 
 	"sesameledge.dev/sesameledge/config"
 	"sesameledge.dev/sesameledge/dispatch"
-	"sesameledge.dev/sesameledge/limit"
 	"sesameledge.dev/sesameledge/member"
-	"sesameledge.dev/sesameledge/place"
 )
 
 // configEvent is an event of the config stream or of a peer's configuration.
@@ -118,41 +116,3 @@
 		})
 	}
 }
-
-// deadlineUse is the part of its deadline that a job may be expected to take: all of it
-// if messages don't matter, and half of it if they matter most.
-func deadlineUse(messageWeight float64) float64 { return 1 - messageWeight/2 }
-
-// dispatchPolicy translates configuration into the dispatcher's policy.
-func dispatchPolicy(c *config.Config) *dispatch.Policy {
-	p := &dispatch.Policy{
-		Kinds:       make(map[string]dispatch.Kind, len(c.Kinds)),
-		Teams:       make(map[string]dispatch.Team, len(c.Teams)),
-		MaxTasks:    c.Policy.MaxTasks,
-		MaxAttempts: c.Policy.MaxAttempts,
-		RetryDelay:  c.Policy.RetryDelay,
-		Place: place.Policy{
-			Placement:     place.Placement(c.Policy.Placement),
-			MessageWeight: c.Policy.Weight(),
-			MaxEjected:    c.Policy.MaxEjected,
-		},
-		Limit: limit.Policy{
-			MaxWait:     c.Policy.MaxWait,
-			DeadlineUse: deadlineUse(c.Policy.Weight()),
-			RetryShare:  c.Policy.RetryShare,
-		},
-	}
-	for name, k := range c.Kinds {
-		p.Kinds[name] = dispatch.Kind{
-			Group:           k.Group,
-			Workers:         c.Groups[k.Group].Endpoints == "worker",
-			Idempotent:      k.Idempotent,
-			DefaultDeadline: k.DefaultDeadline,
-			MaxTasks:        k.MaxTasks,
-		}
-	}
-	for name, t := range c.Teams {
-		p.Teams[name] = dispatch.Team{Weight: t.Weight, MaxTasks: t.MaxTasks}
-	}
-	return p
-}
