--- a/api/error.go
+++ b/api/error.go
@@ -39,7 +39,6 @@
 	CodeTaskLost        Code = "task_outcome_unknown"
 	CodeOwnerLost       Code = "owner_lost"
 	CodeOwnerAway       Code = "owner_unreachable"
-	CodeOwnerNotReached Code = "owner_not_reached"
 	CodeAnswerExpired   Code = "answer_expired"
 	CodeInternal        Code = "internal_invariant"
 	CodeUnauthorized    Code = "unauthorized"
--- a/api/job.go
+++ b/api/job.go
@@ -80,6 +80,9 @@
 	Tasks   []TaskReply `json:"tasks,omitempty"`
 	// ElapsedMS is the time in milliseconds from acceptance by the owner to the verdict.
 	ElapsedMS float64 `json:"elapsed_ms,omitempty"`
+	// NotForwarded means that this request provably did not reach the ticket's owner. If
+	// the ticket was never sent otherwise, its job has not run and never will.
+	NotForwarded bool `json:"not_forwarded,omitempty"`
 }
 
 // Final reports whether the outcome can no longer change.
--- a/client/client.go
+++ b/client/client.go
@@ -112,10 +112,11 @@
 // maxTickets bounds the tickets that Run takes for one job.
 const maxTickets = 8
 
-// movedOn reports whether the owner refused because it no longer takes work.
+// movedOn reports whether the owner refused because it no longer takes work, or never
+// received the job.
 func movedOn(r *api.Reply) bool {
 	return r.Outcome == api.Refused &&
-		(ownerIs(r, api.CodeDraining) || ownerIs(r, api.CodeTicketExpired) || ownerIs(r, api.CodeOwnerNotReached))
+		(ownerIs(r, api.CodeDraining) || ownerIs(r, api.CodeTicketExpired) || ownerIs(r, api.CodeOwnerAway))
 }
 
 // runTicket asks for the outcome of one ticket until it is final.
@@ -130,13 +131,13 @@
 	for {
 		reply, n, err := c.submitOnce(ctx, &job)
 		sent += n
-		if err == nil && sent == 1 && ownerIs(reply, api.CodeOwnerNotReached) {
+		if err == nil && sent == 1 && reply.NotForwarded {
 			return neverSubmitted(held.id), nil
 		}
 		if err == nil && c.accept(reply, held, sent == 1) {
 			return reply, nil
 		}
-		if err == nil && (ownerIs(reply, api.CodeOwnerAway) || ownerIs(reply, api.CodeOwnerNotReached)) {
+		if err == nil && ownerIs(reply, api.CodeOwnerAway) {
 			// Another host may reach the owner, or hold the answer that it handed over.
 			c.dropTickets(held.id)
 			c.next()
@@ -154,7 +155,7 @@
 
 // neverSubmitted is the refusal of a ticket whose only submission did not reach its owner.
 func neverSubmitted(id ticket.ID) *api.Reply {
-	r := api.Refusal(api.Errorf(api.CodeOwnerNotReached, "ticket", "the owner of the ticket could not be reached; the job has not run"))
+	r := api.Refusal(api.Errorf(api.CodeOwnerAway, "ticket", "the owner of the ticket could not be reached; the job has not run"))
 	r.Ticket = id
 	return r
 }
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -287,8 +287,8 @@
 	if p.retryAt < p.until && (p.arrived || p.req.Operation != Submit) {
 		return
 	}
-	s.answer(p, &api.Reply{Schema: api.Schema, Ticket: p.req.ID, Outcome: api.Unknown,
-		Reason: api.Errorf(s.code(p, api.CodeOwnerAway), "ticket", "the owner of the job cannot be reached now (%s); ask again", ev.Reason)})
+	s.answer(p, &api.Reply{Schema: api.Schema, Ticket: p.req.ID, Outcome: api.Unknown, NotForwarded: s.notForwarded(p),
+		Reason: api.Errorf(api.CodeOwnerAway, "ticket", "the owner of the job cannot be reached now (%s); ask again", ev.Reason)})
 }
 
 func (s *State) ownerReplaced(now time.Duration, ev OwnerReplaced) {
@@ -348,14 +348,8 @@
 
 // lost is the reply for a job whose owner can no longer answer "complete".
 func (s *State) lost(p *pending, message string) *api.Reply {
-	return &api.Reply{Schema: api.Schema, Ticket: p.req.ID, Outcome: api.Failed,
-		Reason: api.Errorf(s.code(p, api.CodeOwnerLost), "ticket", "%s", message)}
+	return &api.Reply{Schema: api.Schema, Ticket: p.req.ID, Outcome: api.Failed, NotForwarded: s.notForwarded(p),
+		Reason: api.Errorf(api.CodeOwnerLost, "ticket", "%s", message)}
 }
 
-// code tells a caller that has submitted the ticket only once that the job has not run.
-func (s *State) code(p *pending, otherwise api.Code) api.Code {
-	if p.arrived && !s.off.notReached {
-		return otherwise
-	}
-	return api.CodeOwnerNotReached
-}
+func (s *State) notForwarded(p *pending) bool { return !p.arrived || s.off.notReached }
--- a/forward/model_test.go
+++ b/forward/model_test.go
@@ -209,11 +209,10 @@
 		w.relayed(r, truth)
 	}
 	lifetimeOver := p.local(w.now) > p.seen[r.id]+truth.ticket.Lifetime()
-	if r.came && e.Reply.Reason != nil && e.Reply.Reason.Code == api.CodeOwnerNotReached {
+	if r.came && e.Reply.NotForwarded {
 		w.fatalf("the owner is said not to have received a request that it has")
 	}
-	if e.Reply.Outcome == api.Failed && e.Reply.Reason != nil &&
-		(e.Reply.Reason.Code == api.CodeOwnerLost || e.Reply.Reason.Code == api.CodeOwnerNotReached) {
+	if e.Reply.Reason != nil && e.Reply.Reason.Code == api.CodeOwnerLost {
 		if !truth.owner.dead && w.now <= truth.minted+truth.ticket.Lifetime() {
 			w.fatalf("failed before the lifetime of a live owner's ticket has ended")
 		}
@@ -298,7 +297,7 @@
 		return
 	}
 	c.open = 0
-	if r.Reason != nil && r.Reason.Code == api.CodeOwnerNotReached && w.requests[waiter].submit && c.truth.sent == 1 {
+	if r.NotForwarded && w.requests[waiter].submit && c.truth.sent == 1 {
 		w.abandon(c.truth)
 		return
 	}
--- a/standin/chaos/check.go
+++ b/standin/chaos/check.go
@@ -89,7 +89,7 @@
 	default:
 		r.Failed++
 		r.truthful(o, counts)
-		if reason := o.reply.Reason; reason != nil && (reason.Code == api.CodeOwnerLost || reason.Code == api.CodeOwnerNotReached) {
+		if reason := o.reply.Reason; reason != nil && reason.Code == api.CodeOwnerLost {
 			r.Lost++
 			r.SlowestLost = max(r.SlowestLost, took)
 		}
--- a/standin/chaos/scenario.go
+++ b/standin/chaos/scenario.go
@@ -66,14 +66,7 @@
 
 // run runs one scenario on a new deployment.
 func (s *scenario) run(ctx context.Context, bin, dir string, seed uint64) (*Report, error) {
-	bed, err := testbed.Start(ctx, testbed.Spec{
-		BinDir: bin, Dir: dir, Zones: []string{"ernakulam", "malabar"},
-		Hosts: 4, Minions: 6, Group: "demo", Spread: 0.2, Seed: seed, Config: chaosConfig,
-		Adjust: func(_ int, set *settings.Settings) {
-			set.Tickets.Window, set.Tickets.MaxDeadline = cmp.Or(s.window, window), maxDeadline
-			set.Drain.Grace = time.Second
-		},
-	})
+	bed, err := s.deploy(ctx, bin, dir, seed)
 	if err != nil {
 		return nil, errors.Wrap(err, "starting the deployment")
 	}
@@ -98,6 +91,33 @@
 	return r, nil
 }
 
+const (
+	startTries   = 4
+	startTimeout = 15 * time.Second
+)
+
+// deploy starts a deployment. It tries again, because another process may take one of the
+// ports before its host listens on it; nothing has been measured by then.
+func (s *scenario) deploy(ctx context.Context, bin, dir string, seed uint64) (bed *testbed.Bed, err error) {
+	spec := testbed.Spec{
+		BinDir: bin, Dir: dir, Zones: []string{"ernakulam", "malabar"},
+		Hosts: 4, Minions: 6, Group: "demo", Spread: 0.2, Seed: seed, Config: chaosConfig,
+		Adjust: func(_ int, set *settings.Settings) {
+			set.Tickets.Window, set.Tickets.MaxDeadline = cmp.Or(s.window, window), maxDeadline
+			set.Drain.Grace = time.Second
+		},
+	}
+	for range startTries {
+		limited, cancel := context.WithTimeout(ctx, startTimeout)
+		bed, err = testbed.Start(limited, spec)
+		cancel()
+		if err == nil || ctx.Err() != nil {
+			break
+		}
+	}
+	return bed, err
+}
+
 // bound checks what holds in each scenario.
 func (r *Report) bound() {
 	if r.NoOutcome > 0 {
