Give each deployment of the test bed an IP of its own

Cause: deployments that start at the same time took each other's ports: 2 of about 60 chaos deployments failed to start, with "address already in use" in one log. Change: the test bed draws an address from the loopback range per deployment. Result: demo, chaos, doctest and clitest pass. configproof TestConfigCommands fails, as before: an unreachable host is named twice, by name and address.

--- a/standin/configproof/site_test.go
+++ b/standin/configproof/site_test.go
@@ -77,8 +77,9 @@
 	out.Platform.URL = platformURL
 	out.Drain = settings.Drain{Grace: time.Millisecond, Timeout: 2 * time.Second}
 	out.Log.Level = "error"
+	addresses := testbed.NewAddresses()
 	for _, a := range []*string{&out.Listen.Callers, &out.Listen.Peers, &out.Listen.Operators} {
-		address, err := testbed.FreeAddress("127.0.0.1")
+		address, err := addresses.Free()
 		must(t, err)
 		*a = address
 	}
--- a/standin/testbed/bed.go
+++ b/standin/testbed/bed.go
@@ -60,12 +60,13 @@
 	Platform    *Process
 	Minions     *Process
 	Hosts       []*Host
+	addresses   Addresses
 }
 
 // Start starts a deployment and returns when every host is ready. After an error nothing
 // is left running.
 func Start(ctx context.Context, spec Spec) (*Bed, error) {
-	b := &Bed{Spec: spec}
+	b := &Bed{Spec: spec, addresses: NewAddresses()}
 	if err := b.start(ctx); err != nil {
 		b.Stop()
 		return nil, err
@@ -100,7 +101,7 @@
 }
 
 func (b *Bed) startPlatform(ctx context.Context) error {
-	addr, err := FreeAddress("127.0.0.1")
+	addr, err := b.addresses.Free()
 	if err != nil {
 		return err
 	}
@@ -113,7 +114,7 @@
 }
 
 func (b *Bed) startMinions(ctx context.Context) error {
-	addr, err := FreeAddress("127.0.0.1")
+	addr, err := b.addresses.Free()
 	if err != nil {
 		return err
 	}
@@ -157,7 +158,7 @@
 		s.Platform.URL = b.PlatformURL
 		for _, addr := range []*string{&s.Listen.Callers, &s.Listen.Peers, &s.Listen.Operators} {
 			var err error
-			if *addr, err = FreeAddress("127.0.0.1"); err != nil {
+			if *addr, err = b.addresses.Free(); err != nil {
 				return err
 			}
 		}
--- a/standin/testbed/process.go
+++ b/standin/testbed/process.go
@@ -5,7 +5,9 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -83,9 +85,19 @@
 	}
 }
 
-// FreeAddress returns a loopback address with a port that was free a moment ago.
-func FreeAddress(ip string) (string, error) {
-	l, err := net.Listen("tcp", ip+":0")
+// Addresses hands out loopback addresses of one deployment. Each deployment draws an IP of
+// its own, because a port that was free on a shared one may be taken by another deployment,
+// or by an outgoing connection, before the process that it was meant for binds it.
+type Addresses struct{ ip string }
+
+// NewAddresses draws the IP of a deployment from the loopback range.
+func NewAddresses() Addresses {
+	return Addresses{ip: fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(254), rand.IntN(256), 1+rand.IntN(254))}
+}
+
+// Free returns an address with a free port.
+func (a Addresses) Free() (string, error) {
+	l, err := net.Listen("tcp", a.ip+":0")
 	if err != nil {
 		return "", errors.Wrap(err, "looking for a free port")
 	}
