Gossip between entry hosts and show what they know of each other

Each daemon runs the calls of the membership reducer over the Gossip RPC, answers those of peers, and reports failed and successful forwards to the reducer. GET /v1/hosts and 'sesameledge hosts' show the view with incarnation, state, age of the last message, and configuration revision and schema of every host. Control and task messages are counted apart, and the bytes of all peer connections, in expvar and /v1/status.

--- a/command/hosts.go
+++ b/command/hosts.go
@@ -22,8 +22,41 @@
 // DrainCmd shuts an entry host down gracefully.
 type DrainCmd struct{}
 
+// run prints the view of the first operators' address that answers.
 func (c *HostsCmd) run(ctx context.Context, a *Args, env Env) error {
-	return (&StatusCmd{}).run(ctx, a, env)
+	operators, err := a.operators()
+	if err != nil {
+		return err
+	}
+	var hosts []daemon.HostView
+	for _, url := range operators {
+		if err = getJSON(ctx, url+"/v1/hosts", &hosts); err == nil {
+			break
+		}
+	}
+	if err != nil {
+		return err
+	}
+	if a.JSON {
+		return printJSON(env.Out, hosts)
+	}
+	rows := make([][]string, len(hosts))
+	for i, h := range hosts {
+		rows[i] = hostRow(&h)
+	}
+	return table(env.Out, "host zone state last-heard address incarnation revision schema", rows)
+}
+
+func hostRow(h *daemon.HostView) []string {
+	heard := "never"
+	if h.LastHeardMS >= 0 {
+		heard = (time.Duration(h.LastHeardMS) * time.Millisecond).Round(100 * time.Millisecond).String()
+	}
+	inc := h.Incarnation
+	if inc == "" {
+		inc = "-"
+	}
+	return []string{h.Host, h.Zone, h.State, heard, h.Address, inc, fmt.Sprint(h.ConfigRevision), fmt.Sprint(h.ConfigSchema)}
 }
 
 func (c *StatusCmd) run(ctx context.Context, a *Args, env Env) error {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -51,6 +51,8 @@
 	operators  *http.Server
 	peerServer *grpc.Server
 	metrics    *expvar.Map
+	gossip     *gossipReplies
+	traffic    *trafficRate
 }
 
 // New returns a daemon that is not listening yet. Logs go to w.
@@ -66,11 +68,14 @@
 		incarnation: inc,
 		logs:        newLogs(w, s.Log.Format, s.Log.Level),
 		platform:    platform.NewClient(s.Platform.URL, s.Platform.Timeout),
-		peers:       peer.NewClient(nil),
 		ctx:         ctx,
 		cancel:      cancel,
 		drained:     make(chan struct{}),
+		gossip:      newGossipReplies(),
 	}
+	traffic := new(peer.Traffic)
+	d.peers = peer.NewClient(nil, traffic)
+	d.traffic = &trafficRate{counters: traffic}
 	d.backend = backend.New(backend.Options{
 		ConnsPerMinion: s.Backend.Connections,
 		DialTimeout:    s.Backend.DialTimeout,
@@ -106,15 +111,16 @@
 	}
 	d.callers = &http.Server{Handler: d.callersMux(), ReadHeaderTimeout: headerTimeout}
 	d.operators = &http.Server{Handler: d.operatorsMux(), ReadHeaderTimeout: headerTimeout}
-	d.peerServer = peer.NewServer(nil)
+	d.peerServer = peer.NewServer(nil, d.traffic.counters)
 	peerpb.RegisterPeerServer(d.peerServer, &peerServer{d: d})
 	go d.loop.serve()
 	go func() { _ = d.callers.Serve(listeners[0]) }()
-	go func() { _ = d.peerServer.Serve(listeners[1]) }()
+	go func() { _ = d.peerServer.Serve(d.traffic.counters.Listener(listeners[1])) }()
 	go func() { _ = d.operators.Serve(listeners[2]) }()
 	d.follow(d.followConfig)
 	d.follow(d.followHosts)
 	d.follow(d.renewRegistration)
+	d.follow(d.traffic.follow)
 	level.Info(d.logs.daemon).Log("msg", "started", "host", d.settings.Host, "zone", d.settings.Zone,
 		"incarnation", d.incarnation, "callers", listen.Callers, "peers", listen.Peers, "operators", listen.Operators)
 	return nil
--- a/daemon/effects.go
+++ b/daemon/effects.go
@@ -11,6 +11,7 @@
 	"sesameledge.dev/sesameledge/core"
 	"sesameledge.dev/sesameledge/dispatch"
 	"sesameledge.dev/sesameledge/forward"
+	"sesameledge.dev/sesameledge/member"
 	"sesameledge.dev/sesameledge/peer/peerpb"
 )
 
@@ -35,6 +36,8 @@
 		go func() { d.loop.send(d.forwardToOwner(e)) }()
 	case forward.ReplyTo:
 		d.loop.reply(e.Waiter, e.Reply)
+	case member.Effect:
+		d.runMemberEffect(e)
 	case core.ConfigInForce:
 		d.configInForce(e)
 	case core.ConfigRejected:
@@ -74,6 +77,7 @@
 		Job:         e.Request.Job,
 		WaitMs:      e.Wait.Milliseconds(),
 	})
+	d.observeForward(e, err)
 	if err != nil {
 		return forward.OwnerFailed{Waiter: waiter, Reason: "no answer from " + e.Request.Ticket.Host}
 	}
--- a/daemon/logs.go
+++ b/daemon/logs.go
@@ -18,6 +18,7 @@
 	config    log.Logger
 	platform  log.Logger
 	peer      log.Logger
+	member    log.Logger
 }
 
 var severity = map[string]int32{"debug": 0, "info": 1, "warn": 2, "error": 3}
@@ -39,6 +40,7 @@
 		config:    part("config"),
 		platform:  part("platform"),
 		peer:      part("peer"),
+		member:    part("member"),
 	}
 }
 
--- a/daemon/members.go
+++ b/daemon/members.go
@@ -8,7 +8,6 @@
 	"sesameledge.dev/sesameledge/core"
 	"sesameledge.dev/sesameledge/member"
 	"sesameledge.dev/sesameledge/settings"
-	"sesameledge.dev/sesameledge/ticket"
 )
 
 // HostView is one entry host in the answer of GET /v1/hosts.
@@ -41,12 +40,6 @@
 	return opts
 }
 
-// peerAddress returns where to ask about an incarnation of a host.
-func (d *Daemon) peerAddress(host string, inc ticket.Incarnation) (address string, ok bool) {
-	d.loop.query(func(_ time.Duration, s *core.State) { address, ok = s.Member.Address(host, inc) })
-	return address, ok
-}
-
 // Hosts returns this host's view of the entry hosts, ordered by name.
 func (d *Daemon) Hosts() []HostView {
 	var members []member.View
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -23,6 +23,8 @@
 	m.Set("open_tasks", d.stateMetric(func(s *core.State) any { return s.Dispatch.OpenTasks() }))
 	m.Set("endpoints", d.stateMetric(func(s *core.State) any { return s.Dispatch.Endpoints() }))
 	m.Set("config_revision", d.stateMetric(func(s *core.State) any { return s.Config.Revision() }))
+	m.Set("member", d.stateMetric(func(s *core.State) any { return s.Member.Counters() }))
+	m.Set("peer_traffic", expvar.Func(func() any { return d.traffic.view() }))
 	return m
 }
 
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -12,6 +12,7 @@
 	"sesameledge.dev/sesameledge/core"
 	"sesameledge.dev/sesameledge/dispatch"
 	"sesameledge.dev/sesameledge/forward"
+	"sesameledge.dev/sesameledge/member"
 )
 
 // Status is a short summary of a daemon.
@@ -29,6 +30,8 @@
 	Endpoints   int               `json:"endpoints"`
 	Counters    dispatch.Counters `json:"counters"`
 	Forward     forward.Counters  `json:"forward"`
+	Member      member.Counters   `json:"member"`
+	PeerTraffic TrafficView       `json:"peer_traffic"`
 }
 
 // Dump is the state of a daemon on request.
@@ -103,6 +106,7 @@
 		UptimeMS:    d.loop.now().Milliseconds(),
 		Ready:       d.ready(),
 		Draining:    d.draining.Load(),
+		PeerTraffic: d.traffic.view(),
 	}
 	d.loop.query(func(_ time.Duration, s *core.State) {
 		st.Revision = s.Config.Revision()
@@ -111,6 +115,7 @@
 		st.Endpoints = s.Dispatch.Endpoints()
 		st.Counters = s.Dispatch.Counters()
 		st.Forward = s.Forward.Counters()
+		st.Member = s.Member.Counters()
 	})
 	return st
 }
--- a/peer/client.go
+++ b/peer/client.go
@@ -29,17 +29,18 @@
 
 // Client holds one connection to each peer. It is safe for concurrent use.
 type Client struct {
-	creds credentials.TransportCredentials
-	mu    sync.Mutex
-	conns map[string]*grpc.ClientConn // by address
+	creds   credentials.TransportCredentials
+	traffic *Traffic
+	mu      sync.Mutex
+	conns   map[string]*grpc.ClientConn // by address
 }
 
-// NewClient returns a Client. Nil credentials mean plain TCP.
-func NewClient(creds credentials.TransportCredentials) *Client {
+// NewClient returns a Client that adds to the traffic. Nil credentials mean plain TCP.
+func NewClient(creds credentials.TransportCredentials, traffic *Traffic) *Client {
 	if creds == nil {
 		creds = insecure.NewCredentials()
 	}
-	return &Client{creds: creds, conns: make(map[string]*grpc.ClientConn)}
+	return &Client{creds: creds, traffic: traffic, conns: make(map[string]*grpc.ClientConn)}
 }
 
 // Peer returns the stub for the peer at an address.
@@ -51,6 +52,8 @@
 	}
 	conn, err := grpc.NewClient("passthrough:///"+address,
 		grpc.WithTransportCredentials(c.creds),
+		grpc.WithContextDialer(c.traffic.dial),
+		grpc.WithStatsHandler(statsHandler{c.traffic}),
 		grpc.WithDisableRetry(),
 		grpc.WithDisableServiceConfig(),
 		grpc.WithConnectParams(grpc.ConnectParams{
@@ -86,14 +89,15 @@
 	clear(c.conns)
 }
 
-// NewServer returns a gRPC server with the limits that clients rely on. Nil credentials
-// mean plain TCP.
-func NewServer(creds credentials.TransportCredentials) *grpc.Server {
+// NewServer returns a gRPC server with the limits that clients rely on, which adds to the
+// traffic. Nil credentials mean plain TCP.
+func NewServer(creds credentials.TransportCredentials, traffic *Traffic) *grpc.Server {
 	if creds == nil {
 		creds = insecure.NewCredentials()
 	}
 	return grpc.NewServer(
 		grpc.Creds(creds),
+		grpc.StatsHandler(statsHandler{traffic}),
 		grpc.MaxRecvMsgSize(MaxMessageBytes),
 		grpc.MaxSendMsgSize(MaxMessageBytes),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveTime / 2, PermitWithoutStream: true}),
