Speak TLS to peers, callers and operators

Each side takes its certificate, key and client CA from the settings; with a client CA, clients must show a certificate of it, and entry hosts check each other against it in both directions. Files are checked for a newer modification time at most once a second at a handshake; a broken file leaves the old certificate in use and logs an error.

The command line's options have been built but not run against a daemon with TLS.

--- a/command/command.go
+++ b/command/command.go
@@ -43,6 +43,9 @@
 	Hosted    []string      `arg:"--host,separate,env:SESAMELEDGE_HOST" help:"URL of an entry host's callers' address; may be repeated"`
 	Operators []string      `arg:"--operator,separate,env:SESAMELEDGE_OPERATOR" help:"URL of an entry host's operators' address; may be repeated"`
 	JSON      bool          `arg:"--json" help:"print JSON"`
+	CA        string        `arg:"--ca,env:SESAMELEDGE_CA" help:"PEM file of the CA that signs the hosts' certificates"`
+	Cert      string        `arg:"--cert,env:SESAMELEDGE_CERT" help:"PEM file of the client certificate"`
+	Key       string        `arg:"--key,env:SESAMELEDGE_KEY" help:"PEM file of the client certificate's key"`
 	Timeout   time.Duration `arg:"--timeout" default:"2m" help:"give up after this long"`
 }
 
@@ -123,7 +126,11 @@
 	if !ok {
 		return exitWith(ExitUsage, "a subcommand is missing; see --help")
 	}
-	return cmd.run(ctx, a, env)
+	c, err := a.httpClient()
+	if err != nil {
+		return err
+	}
+	return cmd.run(withHTTPClient(ctx, c), a, env)
 }
 
 func (*VersionCmd) run(_ context.Context, _ *Args, env Env) error {
@@ -136,7 +143,11 @@
 	if len(a.Hosted) == 0 {
 		return nil, exitWith(ExitUsage, "--host is required")
 	}
-	return client.New(client.Options{Hosts: trimSlashes(a.Hosted)}), nil
+	c, err := a.httpClient()
+	if err != nil {
+		return nil, err
+	}
+	return client.New(client.Options{Hosts: trimSlashes(a.Hosted), HTTP: c}), nil
 }
 
 // operators returns the operators' addresses.
@@ -174,7 +185,7 @@
 	if err != nil {
 		return 0, nil, err
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := httpClientOf(ctx).Do(req)
 	if err != nil {
 		return 0, nil, err
 	}
--- a/command/publish.go
+++ b/command/publish.go
@@ -138,7 +138,7 @@
 		req.Header.Set("Authorization", "Bearer "+p.Token)
 	}
 	unknown := &daemon.PublishReply{ID: rec.ID}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := httpClientOf(ctx).Do(req)
 	if err != nil {
 		return unknown, nil
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -58,6 +58,7 @@
 	metrics    *expvar.Map
 	gossip     *gossipReplies
 	traffic    *trafficRate
+	tls        sides
 
 	publications publications
 	configLog    *streamFollower
@@ -86,7 +87,12 @@
 		gossip:      newGossipReplies(),
 	}
 	traffic := new(peer.Traffic)
-	d.peers = peer.NewClient(nil, traffic)
+	var err error
+	if d.tls, err = newSides(s.TLS, d.logs.daemon); err != nil {
+		cancel()
+		return nil, err
+	}
+	d.peers = peer.NewClient(newPeerCredentials(d.tls.peers), traffic)
 	d.traffic = &trafficRate{counters: traffic}
 	d.backend = backend.New(backend.Options{
 		ConnsPerMinion: s.Backend.Connections,
@@ -135,12 +141,12 @@
 	}
 	d.callers = &http.Server{Handler: d.closeWhileDraining(d.callersMux()), ConnState: d.callerConns.note, ReadHeaderTimeout: headerTimeout}
 	d.operators = &http.Server{Handler: d.operatorsMux(), ReadHeaderTimeout: headerTimeout}
-	d.peerServer = peer.NewServer(nil, d.traffic.counters)
+	d.peerServer = peer.NewServer(newPeerCredentials(d.tls.peers), d.traffic.counters)
 	peerpb.RegisterPeerServer(d.peerServer, &peerServer{d: d})
 	go d.loop.serve()
-	go func() { _ = d.callers.Serve(listeners[0]) }()
+	go func() { _ = serveHTTP(d.callers, listeners[0], d.tls.callers) }()
 	go func() { _ = d.peerServer.Serve(d.traffic.counters.Listener(listeners[1])) }()
-	go func() { _ = d.operators.Serve(listeners[2]) }()
+	go func() { _ = serveHTTP(d.operators, listeners[2], d.tls.operators) }()
 	d.follow(d.configLog.follow)
 	d.follow(d.pullConfig)
 	d.follow(d.claimsLog.follow)
