Spread the contacts of a zone evenly and drop needless rumors

With randomly drawn contacts one of 40 daemons handled a quarter more messages than the mean, and every host spread what the platform's list had told all of them: 2758 B/s per daemon and 3434 B/s at the largest 10 to 25 s after 40 hosts had started together. Each host now begins at another place of the other zone's list, and a member that the list named starts no rumor when it is first heard.

Measured with idle daemons in 3 zones, HTTP/2 framing included: 1898 B/s per daemon at 7 hosts 20 s after the start (largest 2055 B/s) and 1949 B/s at 40 hosts 50 s after it (largest 2334 B/s), 1.5 B/s for each further host. The start of 40 hosts was not measured again. 6000 random histories of the state machine passed.

--- a/member/merge.go
+++ b/member/merge.go
@@ -168,9 +168,13 @@
 	if !newer {
 		return
 	}
+	// What the platform's list names already, every host knows from there.
+	known := p.Heartbeat == 0 && p.Status == r.Status
 	p.Heartbeat = r.Heartbeat
 	s.setStatus(now, p, r.Status)
-	s.startRumor(p)
+	if !known {
+		s.startRumor(p)
+	}
 }
 
 // rank orders the statuses of one heartbeat. Live and leaving are the member's own word
--- a/member/round.go
+++ b/member/round.go
@@ -179,7 +179,9 @@
 		return p.failed < 0 || now-p.failed > contactRetry
 	}
 	kept := slices.DeleteFunc(current, func(name string) bool { return !slices.Contains(hosts, name) || !good(name) })
-	s.rng.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
+	// Each host of this zone begins at another place of the list. With random contacts
+	// one host of 40 got a quarter more messages than the mean.
+	hosts = rotate(hosts, s.rankInZone()*s.opts.Contacts)
 	// Without a good host any will do: the zone may be cut off and come back.
 	for _, accept := range []func(string) bool{good, func(string) bool { return true }} {
 		for _, name := range hosts {
@@ -194,6 +196,26 @@
 	return kept
 }
 
+// rankInZone is the number of hosts of the own zone with a smaller name.
+func (s *State) rankInZone() int {
+	rank := 0
+	for _, name := range s.names {
+		if name < s.opts.Host && s.peers[name].Zone == s.opts.Zone {
+			rank++
+		}
+	}
+	return rank
+}
+
+// rotate returns the names from the n-th on, then those before it.
+func rotate(names []string, n int) []string {
+	if len(names) == 0 {
+		return names
+	}
+	n %= len(names)
+	return append(slices.Clone(names[n:]), names[:n]...)
+}
+
 func stableByDescending(names []string, key func(string) int) {
 	sort.SliceStable(names, func(i, j int) bool { return key(names[i]) > key(names[j]) })
 }
--- a/standin/gossipcost/main.go
+++ b/standin/gossipcost/main.go
@@ -19,11 +19,12 @@
 )
 
 type args struct {
-	Bin   string        `default:"bin" help:"directory of the built programs"`
-	Hosts []int         `arg:"--hosts,separate" help:"numbers of entry hosts; default 7 and 40"`
-	Zones int           `default:"3" help:"availability zones"`
-	For   time.Duration `default:"20s" help:"length of each measurement, after 10 s for the start"`
-	JSON  bool          `arg:"--json" help:"print JSON"`
+	Bin    string        `default:"bin" help:"directory of the built programs"`
+	Hosts  []int         `arg:"--hosts,separate" help:"numbers of entry hosts; default 7 and 40"`
+	Zones  int           `default:"3" help:"availability zones"`
+	For    time.Duration `default:"20s" help:"length of each measurement"`
+	Settle time.Duration `default:"10s" help:"time for the views to fill before the measurement"`
+	JSON   bool          `arg:"--json" help:"print JSON"`
 }
 
 const (
@@ -31,9 +32,6 @@
 	startTimeout = 15 * time.Second
 )
 
-// settle is the time for the views to fill before the measurement begins.
-const settle = 10 * time.Second
-
 const costConfig = `schema: 1
 teams: {team: {weight: 1}}
 kinds: {short: {group: cost, idempotent: true, default_deadline: 60s}}
@@ -105,7 +103,7 @@
 		return r, err
 	}
 	defer bed.Stop()
-	time.Sleep(settle)
+	time.Sleep(a.Settle)
 	before, err := statuses(ctx, bed)
 	if err != nil {
 		return r, err
