--- a/member/bound_test.go
+++ b/member/bound_test.go
@@ -16,6 +16,7 @@
 
 // Guards against dead members that stay in the views.
 func TestDeadMemberIsGoneWithinBound(t *testing.T) {
+	t.Parallel()
 	for _, hosts := range []int{2, 3, 7, 20} {
 		var worst time.Duration
 		for seed := range uint64(5) {
@@ -51,6 +52,7 @@
 // today's deployments gossip alone keeps the 3 s that hold for marks in the platform's
 // list; with more hosts each doubling takes about one more round.
 func TestMarkReachesAllHostsInTime(t *testing.T) {
+	t.Parallel()
 	for _, size := range []struct {
 		zones, hosts int
 		bound        time.Duration
--- a/member/machine_test.go
+++ b/member/machine_test.go
@@ -168,6 +168,7 @@
 // are lost, and messages above the bound, under loss, delay, partitions, restarts and
 // pauses.
 func TestViewsConverge(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		zones := rapid.IntRange(1, 3).Draw(t, "zones")
 		hosts := rapid.IntRange(zones, 3+2*zones).Draw(t, "hosts")
--- a/member/size_test.go
+++ b/member/size_test.go
@@ -38,6 +38,7 @@
 
 // Guards against control traffic that grows with the number of hosts or exceeds 3 KB/s.
 func TestControlTrafficStaysInBudget(t *testing.T) {
+	t.Parallel()
 	sizes := []struct{ zones, hosts int }{{3, 7}, {3, 40}, {1, 100}, {20, 300}}
 	rates := make(map[int]float64)
 	for _, size := range sizes {
--- a/member/switch_test.go
+++ b/member/switch_test.go
@@ -81,6 +81,7 @@
 // Guards against an oracle that notices nothing: each history passes with all mechanisms
 // and fails when the one it needs is switched off.
 func TestOracleNoticesEachMechanism(t *testing.T) {
+	t.Parallel()
 	for _, sc := range scenarios {
 		for _, off := range []member.SwitchOff{"", sc.off} {
 			w := newWorld(1, 1, 3, off)
