--- a/daemon/effects.go
+++ b/daemon/effects.go
@@ -48,6 +48,8 @@
 		d.loop.reply(e.Waiter, e.Reply)
 	case member.PeerAhead:
 		d.PeerShowsRevision(e.Host, e.Revision)
+	case member.Effect:
+		d.runMemberEffect(e)
 	default:
 		d.runLogEffect(e)
 	}
@@ -95,6 +97,7 @@
 		Job:         e.Request.Job,
 		WaitMs:      e.Wait.Milliseconds(),
 	}, grpc.Peer(&reached))
+	d.observeForward(e, err)
 	if err != nil {
 		return forward.OwnerFailed{Waiter: waiter, Reason: "no answer from " + e.Request.Ticket.Host, NotSent: reached.Addr == nil}
 	}
