--- a/standin/testbed/bed.go
+++ b/standin/testbed/bed.go
@@ -26,10 +26,10 @@
 	Dir     string   // directory for settings and logs
 	Zones   []string // availability zones; hosts and minions are spread over them in turn
 	Hosts   int      // entry hosts
-	Minions int
-	Group   string  // back-end group of the minions
-	Slots   int     // of each minion; 0 means 8
-	Spread  float64 // standard deviation of ln(speed) of the minions; negative for equal speeds
+	Minions int      // 0 starts no process for them
+	Group   string   // back-end group of the minions
+	Slots   int      // of each minion; 0 means 8
+	Spread  float64  // standard deviation of ln(speed) of the minions; negative for equal speeds
 	Seed    uint64
 	Config  string // configuration to publish, YAML
 	// Adjust changes a host's settings before its process starts, for example to put a
@@ -113,6 +113,9 @@
 }
 
 func (b *Bed) startMinions(ctx context.Context) error {
+	if b.Spec.Minions == 0 {
+		return nil
+	}
 	addr, err := FreeAddress("127.0.0.1")
 	if err != nil {
 		return err
