--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"google.golang.org/grpc"
 
 	"sesameledge.dev/sesameledge/backend"
+	"sesameledge.dev/sesameledge/claim"
 	"sesameledge.dev/sesameledge/core"
 	"sesameledge.dev/sesameledge/dispatch"
 	"sesameledge.dev/sesameledge/peer"
@@ -46,7 +47,9 @@
 	cancel      context.CancelFunc
 	draining    atomic.Bool
 	drainOnce   sync.Once
+	refusing    atomic.Bool // new work is refused
 	drained     chan struct{}
+	callerConns connCount
 	followers   sync.WaitGroup
 
 	callers    *http.Server
@@ -54,8 +57,12 @@
 	peerServer *grpc.Server
 	metrics    *expvar.Map
 
-	mu        sync.Mutex
-	addresses map[string]string // peer address by host name
+	publications publications
+	configLog    *streamFollower
+	configPulls  chan string   // hosts that showed a higher revision
+	latest       atomic.Uint64 // latest accepted revision
+	claimsLog    *streamFollower
+	claimQueue   chan claim.Claim
 }
 
 // New returns a daemon that is not listening yet. Logs go to w.
@@ -75,7 +82,6 @@
 		ctx:         ctx,
 		cancel:      cancel,
 		drained:     make(chan struct{}),
-		addresses:   make(map[string]string),
 	}
 	d.backend = backend.New(backend.Options{
 		ConnsPerMinion: s.Backend.Connections,
@@ -83,14 +89,12 @@
 		IdleTimeout:    s.Backend.IdleTimeout,
 		ProveIdleAfter: s.Backend.ProveIdleAfter,
 	})
-	for _, p := range s.Peers {
-		d.addresses[p.Host] = p.Address
-	}
 	d.loop = newLoop(core.New(core.Options{
 		Host:        s.Host,
 		Incarnation: inc,
 		Zone:        s.Zone,
 		Seed:        binary.LittleEndian.Uint64(seed[8:]),
+		Member:      memberOptions(s),
 	}))
 	d.logs.redirectStandardLog()
 	d.loop.run = d.runEffect
@@ -102,6 +106,10 @@
 		LeaseTTL:     s.Workers.LeaseTTL,
 		ResultGather: s.Workers.ResultGather,
 	})
+	d.configLog = d.newConfigLog()
+	d.configPulls = make(chan string, 1)
+	d.claimsLog = d.newClaimsLog()
+	d.claimQueue = make(chan claim.Claim, claimQueue)
 	d.metrics = d.newMetrics()
 	return d, nil
 }
@@ -120,7 +128,7 @@
 		}
 		listeners = append(listeners, l)
 	}
-	d.callers = &http.Server{Handler: d.callersMux(), ReadHeaderTimeout: headerTimeout}
+	d.callers = &http.Server{Handler: d.closeWhileDraining(d.callersMux()), ConnState: d.callerConns.note, ReadHeaderTimeout: headerTimeout}
 	d.operators = &http.Server{Handler: d.operatorsMux(), ReadHeaderTimeout: headerTimeout}
 	d.peerServer = peer.NewServer(nil)
 	peerpb.RegisterPeerServer(d.peerServer, &peerServer{d: d})
@@ -128,7 +136,10 @@
 	go func() { _ = d.callers.Serve(listeners[0]) }()
 	go func() { _ = d.peerServer.Serve(listeners[1]) }()
 	go func() { _ = d.operators.Serve(listeners[2]) }()
-	d.follow(d.followConfig)
+	d.follow(d.configLog.follow)
+	d.follow(d.pullConfig)
+	d.follow(d.claimsLog.follow)
+	d.follow(d.commitClaims)
 	d.follow(d.followHosts)
 	d.follow(d.renewRegistration)
 	d.follow(d.workers.Run)
@@ -141,8 +152,6 @@
 	headerTimeout = 10 * time.Second
 	// registerEvery is the pause between renewals in the platform's host list.
 	registerEvery = time.Second
-	// drainPoll is the pause between checks for open jobs.
-	drainPoll = 20 * time.Millisecond
 )
 
 func (d *Daemon) follow(f func(context.Context)) {
@@ -182,60 +191,7 @@
 	}
 	ok := false
 	d.loop.query(func(_ time.Duration, s *core.State) {
-		ok = s.Config.Revision() > 0 && s.Dispatch.Endpoints() > 0
+		ok = s.Config.InForce() > 0 && s.Dispatch.Endpoints() > 0
 	})
 	return ok
 }
-
-// Drain shuts the daemon down without cutting off a request: readiness fails first, then
-// new jobs are refused, running jobs end, open requests get their replies, and the peer
-// address is released last. It returns when all is closed.
-func (d *Daemon) Drain() {
-	d.drainOnce.Do(func() {
-		defer close(d.drained)
-		d.draining.Store(true)
-		level.Info(d.logs.daemon).Log("msg", "drain started")
-		ctx, cancel := context.WithTimeout(context.Background(), d.settings.Drain.Grace+d.settings.Drain.Timeout)
-		defer cancel()
-		sleep(ctx, d.settings.Drain.Grace)
-		d.loop.send(dispatch.DrainStarted{})
-		d.awaitOpenJobs(ctx)
-		d.shutdown(ctx)
-	})
-	<-d.drained
-}
-
-// Drained is closed when a drain has ended.
-func (d *Daemon) Drained() <-chan struct{} { return d.drained }
-
-func (d *Daemon) awaitOpenJobs(ctx context.Context) {
-	for {
-		open := 0
-		d.loop.query(func(_ time.Duration, s *core.State) { open = s.Dispatch.OpenJobs() })
-		if open == 0 || !sleep(ctx, drainPoll) {
-			return
-		}
-	}
-}
-
-func (d *Daemon) shutdown(ctx context.Context) {
-	_ = d.callers.Shutdown(ctx)
-	d.cancel()
-	d.followers.Wait()
-	stopped := make(chan struct{})
-	go func() {
-		d.peerServer.GracefulStop()
-		close(stopped)
-	}()
-	select {
-	case <-stopped:
-	case <-ctx.Done():
-		d.peerServer.Stop()
-	}
-	d.loop.close()
-	_ = d.operators.Close()
-	d.peers.Close()
-	d.backend.Close()
-	d.platform.Close()
-	level.Info(d.logs.daemon).Log("msg", "stopped")
-}
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -6,6 +6,7 @@
 
 	"sesameledge.dev/sesameledge/api"
 	"sesameledge.dev/sesameledge/place"
+	"sesameledge.dev/sesameledge/ticket"
 )
 
 // placeWaiting starts waiting tasks, job by job in queue order, until no endpoint can
@@ -29,9 +30,9 @@
 		}
 	}
 	s.queue = slices.DeleteFunc(s.queue, func(j *job) bool { return j.ended() || len(j.waiting) == 0 })
-	if len(s.queue) > 0 && !s.polling {
-		s.polling = true
-		s.setTimer(now+pollDelay, timerRetry, "")
+	s.pollAt = 0
+	if len(s.queue) > 0 {
+		s.pollAt = now + pollDelay
 	}
 }
 
@@ -39,7 +40,12 @@
 // for more.
 func (s *State) placeJob(now time.Duration, j *job) bool {
 	held := j.waiting[:0]
+	window := s.policy.window(len(j.tasks))
 	for i, index := range j.waiting {
+		if j.inFlight >= window {
+			j.waiting = append(held, j.waiting[i:]...)
+			return true
+		}
 		t := &j.tasks[index]
 		ep, choice := s.placement(j.kind).Pick(now, j.placeTask(index), t.avoid)
 		if choice == place.Full {
@@ -99,6 +105,7 @@
 		Size:      j.placeTask(index).Size,
 		Payload:   j.specs[index].Payload,
 		Remaining: j.deadline - now,
+		Deadline:  j.deadline,
 	})
 	return true
 }
@@ -175,8 +182,7 @@
 
 func (s *State) taskCompleted(now time.Duration, j *job, t *task, ev AttemptEnded) {
 	t.result = ev.Result
-	j.bytes += int64(len(ev.Result))
-	s.bytes += int64(len(ev.Result))
+	s.addBytes(j, int64(len(ev.Result)))
 	j.open--
 	s.open--
 	s.teamOpen[j.team]--
@@ -208,7 +214,7 @@
 func (s *State) cancel(now time.Duration, ev Cancel) {
 	j, ok := s.jobs[ev.ID]
 	if !ok {
-		s.await(now, Await{ID: ev.ID, Waiter: ev.Waiter, NoWait: true})
+		s.cancelUnsubmitted(now, ev)
 		return
 	}
 	if !j.ended() {
@@ -217,6 +223,19 @@
 	s.reply(ev.Waiter, j.verdict)
 }
 
+// cancelUnsubmitted refuses a ticket whose cancellation arrives before its submission,
+// so that a cancellation that overtakes the submission still holds.
+func (s *State) cancelUnsubmitted(now time.Duration, ev Cancel) {
+	t, err := ticket.Parse(ev.ID)
+	minted, known := s.minted.mintedAt(t.Seq)
+	if _, refused := s.refused.reason(ev.ID); err != nil || refused || !known || now >= minted+t.Window {
+		s.await(now, Await{ID: ev.ID, Waiter: ev.Waiter, NoWait: true})
+		return
+	}
+	s.refuse(now, minted, Submit{ID: ev.ID, Ticket: t, Waiter: ev.Waiter},
+		api.Errorf(api.CodeCancelled, "", "the job was cancelled before it was submitted"))
+}
+
 // fail ends a job that cannot complete and drops its tasks at the endpoints.
 func (s *State) fail(now time.Duration, j *job, reason *api.Error) {
 	s.counters.JobsFailed++
@@ -229,9 +248,18 @@
 		}
 	}
 	s.end(j, verdict)
+	s.dropResults(j)
 	s.cancelInFlight(j)
 }
 
+// dropResults frees the results of a failed job, which reach no caller.
+func (s *State) dropResults(j *job) {
+	for i := range j.tasks {
+		s.addBytes(j, -int64(len(j.tasks[i].result)))
+		j.tasks[i].result = nil
+	}
+}
+
 func (s *State) end(j *job, verdict *api.Reply) {
 	j.verdict = verdict
 	s.limiter.Waiting(j.team, -j.waitingWork())
@@ -242,7 +270,13 @@
 		}
 	}
 	j.waiters = nil
+	for i := range j.specs {
+		s.addBytes(j, -int64(len(j.specs[i].Payload)))
+	}
 	j.specs = nil
+	if s.off.evictAny {
+		s.fetched = append(s.fetched, j)
+	}
 	if s.off.forgetJobs {
 		delete(s.jobs, j.id)
 	}
--- a/dispatch/switches_test.go
+++ b/dispatch/switches_test.go
@@ -9,6 +9,7 @@
 // TestOracleNotices shows that each check of the oracle can fail: with one mechanism
 // switched off the same sequences must break it.
 func TestOracleNotices(t *testing.T) {
+	expectFailures(t)
 	for _, c := range []struct {
 		name  string
 		off   switches
@@ -26,8 +27,12 @@
 		{"false not run", switches{falseNotRun: true}, "said not to have run"},
 		{"keep records", switches{keepRecords: true}, "live tickets"},
 		{"silent end", switches{silentEnd: true}, "no reply after the deadline"},
+		{"forget half of the refusals", switches{forgetHalf: true}, "after the reply \"refused\""},
+		{"evict any answer", switches{evictAny: true}, "nobody has fetched it"},
+		{"leak slots", switches{leakSlots: true}, "slots in use"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			requireCaught(t, func(t *rapid.T) { runMachine(t, c.off, c.check) })
 		})
 	}
--- a/place/place.go
+++ b/place/place.go
@@ -22,17 +22,26 @@
 	Slots    int        `json:"slots"` // tasks that a minion runs at a time
 	Leaving  bool       `json:"leaving"`
 	Worker   bool       `json:"worker,omitempty"`  // false for a minion
-	Capacity Size       `json:"capacity,omitzero"` // of a worker
+	Capacity Size       `json:"capacity,omitzero"` // zero if unknown
 	Rack     string     `json:"rack,omitempty"`    // of a worker
 }
 
-// Size is an amount of a worker's resources.
+// Size is the size of an endpoint or the declared size of a task.
 type Size struct {
 	Cores        float64 `json:"cores"`
 	MemoryMB     int64   `json:"memory_mb"` // mebibytes
 	Accelerators int     `json:"accelerators,omitempty"`
 }
 
+// fits reports whether a task of this size fits an empty endpoint. An endpoint of
+// unknown size counts as large enough.
+func (t Size) fits(endpoint Size) bool {
+	if endpoint == (Size{}) {
+		return true
+	}
+	return t.Cores <= endpoint.Cores && t.MemoryMB <= endpoint.MemoryMB && t.Accelerators <= endpoint.Accelerators
+}
+
 // Task is what placement knows about a task.
 type Task struct {
 	Kind  string
@@ -40,7 +49,9 @@
 	Run   time.Duration // declared run time; a hint
 	Job   string        // identity of the task's job
 	Index int           // of the task in its job
-	Size  Size          // declared size; matters on workers only
+	Size  Size          // declared size
+	// JobTasks is the number of tasks of the job.
+	JobTasks int
 	// Ends is when the task's job is expected to end because of its other tasks, on the
 	// clock of now; 0 if unknown.
 	Ends time.Duration
@@ -194,6 +205,18 @@
 	s.learn(now, st, sample)
 }
 
+// Fits reports whether some endpoint of the group, however busy, could hold the task. It
+// is true for a group without endpoints, of which nothing is known.
+func (s *Set) Fits(task Task) bool {
+	members := s.groups[task.Group]
+	for _, st := range members {
+		if task.Size.fits(st.Capacity) {
+			return true
+		}
+	}
+	return len(members) == 0
+}
+
 // Live returns the number of endpoints of a group that take new work.
 func (s *Set) Live(group string) int {
 	n := 0
