Confirm a revision by the hosts' own list

The wait takes the hosts from the list (live and suspected ones) and asks those whose address was given; an address that does not answer is named only if there is no list.

--- a/command/confirm.go
+++ b/command/confirm.go
@@ -37,36 +37,53 @@
 	}
 }
 
-// confirmations counts the live hosts and names those that have not confirmed. Hosts
-// whose operators' address was given are asked themselves; the others are known through
-// the first host that answers GET /v1/hosts.
+// confirmations counts the hosts that are live, or suspected of having failed but not
+// gone, and names those that have not confirmed. The hosts are those of GET /v1/hosts of
+// the first host that answers it, and those whose operators' address was given, which
+// are asked themselves. An address that does not answer is named if there is no list.
 func confirmations(ctx context.Context, operators []string, revision uint64) (hosts int, missing []string) {
-	known := make(map[string]uint64)
+	known, listed := listedRevisions(ctx, operators)
 	for _, operator := range operators {
-		var list []hostRevision
-		if getJSON(ctx, operator+"/v1/hosts", &list) != nil {
-			continue
+		var st daemon.Status
+		err := getJSON(ctx, operator+"/v1/status", &st)
+		switch {
+		case err == nil:
+			known[st.Host] = hostRevision{Host: st.Host, Revision: st.Revision}
+		case !listed:
+			known[operator] = hostRevision{Host: operator}
 		}
-		for _, h := range list {
-			if h.State == "live" {
-				known[h.Host] = max(known[h.Host], h.Revision)
-			}
+	}
+	for _, h := range known {
+		if h.Revision < revision {
+			missing = append(missing, h.String())
 		}
-		break
 	}
+	sort.Strings(missing)
+	return len(known), missing
+}
+
+// String names the host, and its state if that is not live.
+func (h hostRevision) String() string {
+	if h.State == "" || h.State == "live" {
+		return h.Host
+	}
+	return h.Host + " (" + h.State + ")"
+}
+
+// listedRevisions reads the list of hosts from the first host that answers.
+func listedRevisions(ctx context.Context, operators []string) (known map[string]hostRevision, ok bool) {
+	known = make(map[string]hostRevision)
 	for _, operator := range operators {
-		var st daemon.Status
-		if err := getJSON(ctx, operator+"/v1/status", &st); err != nil {
-			known[operator] = 0
+		var list []hostRevision
+		if getJSON(ctx, operator+"/v1/hosts", &list) != nil {
 			continue
 		}
-		known[st.Host] = st.Revision
-	}
-	for host, n := range known {
-		if n < revision {
-			missing = append(missing, host)
+		for _, h := range list {
+			if h.State == "live" || h.State == "suspect" {
+				known[h.Host] = h
+			}
 		}
+		return known, true
 	}
-	sort.Strings(missing)
-	return len(known), missing
+	return known, false
 }
