Keep the codes of keys apart from those of tickets

owner_not_reached tells a caller that submitted a ticket once that its job has not run. A caller with a key asks for the ticket of another submission, whose job may have run, and got that code after the owner was replaced. It gets owner_lost or owner_unreachable now, and a key that is too long is answered unknown like other requests that this host cannot take.

--- a/core/claim.go
+++ b/core/claim.go
@@ -85,11 +85,13 @@
 	forget   time.Duration // absolute; when the verdict is dropped
 }
 
-// keyWaiter says where a waiting request is: at a pending job, or at the dispatcher.
+// keyWaiter says where a waiting request is: at a pending job, at the dispatcher, or on
+// its way to another host.
 type keyWaiter struct {
-	pending *keyJob
-	until   time.Duration // absolute end of the wait
-	owned   ticket.ID
+	pending   *keyJob
+	until     time.Duration // absolute end of the wait
+	owned     ticket.ID
+	forwarded bool
 }
 
 // claims is the state of idempotency keys on this host.
--- a/core/claim_wait.go
+++ b/core/claim_wait.go
@@ -24,6 +24,7 @@
 		s.claims.waiters[w] = keyWaiter{owned: owner.Ticket}
 		s.ownTicket(now, dispatch.Await{ID: owner.Ticket, Waiter: w, NoWait: wait <= 0})
 	default:
+		s.claims.waiters[w] = keyWaiter{forwarded: true}
 		s.forward(now, forward.Request{ID: owner.Ticket, Ticket: t, Operation: forward.Await, Wait: wait, Waiter: w})
 	}
 }
@@ -91,7 +92,7 @@
 func (s *State) keyWaiterTimeout(now time.Duration, w dispatch.WaiterID) {
 	at, ok := s.claims.waiters[w]
 	switch {
-	case !ok: // forwarded or answered
+	case !ok || at.forwarded: // answered already, or by package forward
 	case at.pending != nil:
 		at.pending.removeWaiter(w)
 		s.answer(w, keyPending())
@@ -105,6 +106,7 @@
 	delete(s.claims.waiters, w)
 	switch {
 	case !ok:
+	case at.forwarded:
 		s.forward(now, forward.WaiterGone{Waiter: w})
 	case at.pending != nil:
 		at.pending.removeWaiter(w)
@@ -130,6 +132,25 @@
 	}
 }
 
+// keyReply adapts the reply to a forwarded request of a caller with a key. "Not reached"
+// tells who submitted a ticket that its job has not run, but the owner of a key has its
+// job from another submission, which may have run.
+func (s *State) keyReply(r forward.ReplyTo) forward.ReplyTo {
+	at := s.claims.waiters[r.Waiter]
+	delete(s.claims.waiters, r.Waiter)
+	if !at.forwarded || r.Reply.Reason == nil || r.Reply.Reason.Code != api.CodeOwnerNotReached {
+		return r
+	}
+	reply, reason := *r.Reply, *r.Reply.Reason
+	reason.Code = api.CodeOwnerAway
+	if reply.Outcome == api.Failed {
+		reason.Code = api.CodeOwnerLost
+	}
+	reply.Reason = &reason
+	r.Reply = &reply
+	return r
+}
+
 // keysTick ends the jobs whose claims were not read back in time, and forgets old ones.
 func (s *State) keysTick(now time.Duration) {
 	for len(s.claims.timers) > 0 && s.claims.timers[0].at <= now {
--- a/core/core.go
+++ b/core/core.go
@@ -111,6 +111,9 @@
 
 func (s *State) forward(now time.Duration, ev forward.Event) {
 	for _, e := range s.Forward.Apply(now, ev) {
+		if r, ok := e.(forward.ReplyTo); ok {
+			e = s.keyReply(r)
+		}
 		s.effects = append(s.effects, e)
 	}
 }
--- a/daemon/claims.go
+++ b/daemon/claims.go
@@ -149,7 +149,7 @@
 // serveKeyed submits a job with an idempotency key.
 func (d *Daemon) serveKeyed(w http.ResponseWriter, r *http.Request, job *api.Job) {
 	if len(job.Key) > claim.MaxKeyBytes || len(job.Team) > claim.MaxKeyBytes {
-		writeReply(w, api.Refusal(api.Errorf(api.CodeInvalid, "key", "a key has at most %d bytes", claim.MaxKeyBytes)))
+		writeReply(w, badJobReply(job, api.Errorf(api.CodeInvalid, "key", "a key has at most %d bytes", claim.MaxKeyBytes)))
 		return
 	}
 	t := d.mint(1, d.settings.Tickets.MaxDeadline)[0]
--- a/standin/configproof/site_test.go
+++ b/standin/configproof/site_test.go
@@ -100,6 +100,8 @@
 
 func (s *site) stop(n int) {
 	if s.daemons[n] != nil {
+		// A drain waits for callers to close their idle connections.
+		http.DefaultClient.CloseIdleConnections()
 		s.daemons[n].Drain()
 		s.daemons[n] = nil
 	}
