Follow the new mark of unforwarded replies; draw test ports below the ephemeral ones

FreeAddress drew its ports from the range of outgoing connections. A process could find its port taken, and then a deployment did not start: seen once in configbench and twice in TestScenarios, where a probe of livez met a gRPC server. Ports come from 10000 to 31999 now.

--- a/core/claim_wait.go
+++ b/core/claim_wait.go
@@ -132,22 +132,17 @@
 	}
 }
 
-// keyReply adapts the reply to a forwarded request of a caller with a key. "Not reached"
-// tells who submitted a ticket that its job has not run, but the owner of a key has its
-// job from another submission, which may have run.
+// keyReply adapts the reply to a forwarded request of a caller with a key. NotForwarded
+// tells who submitted a ticket that this submission has not run, but the owner of a key
+// has its job from another submission, which may have run.
 func (s *State) keyReply(r forward.ReplyTo) forward.ReplyTo {
 	at := s.claims.waiters[r.Waiter]
 	delete(s.claims.waiters, r.Waiter)
-	if !at.forwarded || r.Reply.Reason == nil || r.Reply.Reason.Code != api.CodeOwnerNotReached {
-		return r
+	if at.forwarded && r.Reply.NotForwarded {
+		reply := *r.Reply
+		reply.NotForwarded = false
+		r.Reply = &reply
 	}
-	reply, reason := *r.Reply, *r.Reply.Reason
-	reason.Code = api.CodeOwnerAway
-	if reply.Outcome == api.Failed {
-		reason.Code = api.CodeOwnerLost
-	}
-	reply.Reason = &reason
-	r.Reply = &reply
 	return r
 }
 
--- a/standin/configproof/keys_test.go
+++ b/standin/configproof/keys_test.go
@@ -161,7 +161,7 @@
 	s.start(0)
 	s.awaitReady(0)
 	r := s.submitUntilFinal(0, "a", epoch)
-	if first.Outcome != api.Complete || r.Outcome != api.Failed || r.Reason.Code != api.CodeOwnerLost {
+	if first.Outcome != api.Complete || r.Outcome != api.Failed || r.Reason.Code != api.CodeOwnerLost || r.NotForwarded {
 		t.Errorf("first %s %v, after the owner was replaced %s %v", first.Outcome, first.Reason, r.Outcome, r.Reason)
 	}
 	if n := len(fleet.Starts().Tickets); n != 1 {
--- a/standin/testbed/process.go
+++ b/standin/testbed/process.go
@@ -6,11 +6,13 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -83,14 +85,24 @@
 	}
 }
 
+// Ports that FreeAddress draws from. They lie below the ports that systems give to
+// outgoing connections, one of which could take the port before the process binds it.
+const (
+	firstPort = 10_000
+	lastPort  = 32_000
+	portTries = 100
+)
+
 // FreeAddress returns a loopback address with a port that was free a moment ago.
 func FreeAddress(ip string) (string, error) {
-	l, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		return "", errors.Wrap(err, "looking for a free port")
+	for range portTries {
+		address := net.JoinHostPort(ip, strconv.Itoa(firstPort+rand.N(lastPort-firstPort)))
+		l, err := net.Listen("tcp", address)
+		if err == nil {
+			return address, l.Close()
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
+	return "", errors.Newf("no free port after %d tries", portTries)
 }
 
 // awaitHTTP waits until a URL answers with status 200.
