Try an endpoint that refused with one task at a time

After each pause a host sent a minion that was leaving as many tasks as it had room for before the first refusal came back. One task at a time now tries it, and its room grows again with each success.

The bench fails a run in which a daemon ended, and keeps the logs.

--- a/place/eject.go
+++ b/place/eject.go
@@ -68,8 +68,10 @@
 	return !h.probing || tasks <= probeTasks || now > h.ejectedUntil+probePatience
 }
 
-// refused pauses the endpoint: it is busy, leaving, or gone.
+// refused pauses the endpoint: it is busy, leaving, or gone. Afterwards one task at a time
+// tries it, so that a refusal is not learned at the cost of several messages.
 func (h *health) refused(now time.Duration) {
+	h.allowed = 1
 	h.pausedUntil = now + min(refusalPause<<min(h.refusals, 10), maxRefusalPause)
 	h.refusals++
 }
--- a/standin/bench/run.go
+++ b/standin/bench/run.go
@@ -33,7 +33,7 @@
 		return nil, nil, err
 	}
 	defer func() {
-		if err == nil {
+		if err == nil { // otherwise the logs are needed
 			_ = os.RemoveAll(dir)
 		}
 	}()
@@ -102,9 +102,24 @@
 	if err := <-faults; err != nil {
 		return nil, errors.Wrap(err, "running the faults")
 	}
+	if err := checkHosts(bed); err != nil {
+		return nil, err
+	}
 	return o, o.collect(ctx, bed)
 }
 
+// checkHosts fails if a daemon has ended during the run.
+func checkHosts(bed *testbed.Bed) error {
+	for _, h := range bed.Hosts {
+		select {
+		case <-h.Done():
+			return errors.Newf("host %s ended during the run, see its log in %s", h.Settings.Host, bed.Spec.Dir)
+		default:
+		}
+	}
+	return nil
+}
+
 // collect reads the message counts of the minions and the daemons.
 func (o *observation) collect(ctx context.Context, bed *testbed.Bed) error {
 	starts, err := bed.Starts(ctx)
