--- a/standin/bench/plot.go
+++ b/standin/bench/plot.go
@@ -52,8 +52,9 @@
 	return p.Save(plotWidth, plotHeight, path)
 }
 
-// plotTradeOff draws the 99th percentile over the wasted messages, a point for each
-// policy.
+// plotTradeOff draws the 99th percentile of each job kind over the wasted messages: a
+// line for each kind through the policies in the order they were measured, without the
+// reference, which comes first.
 func plotTradeOff(path string, rows []*summary) error {
 	p := plot.New()
 	p.Title.Text = fmt.Sprintf("%s, %s: response time against messages", rows[0].Deployment, rows[0].Scenario)
@@ -61,11 +62,15 @@
 	p.Y.Label.Text = "p99 of response time over ideal"
 	p.Legend.Top = true
 	p.Add(plotter.NewGrid())
-	var points []any
-	for _, s := range rows {
-		points = append(points, s.Policy, plotter.XYs{{X: 100 * s.Messages.Wasted, Y: s.All.P99}})
+	var lines []any
+	for _, kind := range sortedKeys(rows[0].Kinds) {
+		var points plotter.XYs
+		for _, s := range rows[1:] {
+			points = append(points, plotter.XY{X: 100 * s.Messages.Wasted, Y: s.Kinds[kind].P99})
+		}
+		lines = append(lines, kind, points)
 	}
-	if err := plotutil.AddScatters(p, points...); err != nil {
+	if err := plotutil.AddLinePoints(p, lines...); err != nil {
 		return err
 	}
 	return p.Save(plotWidth, plotHeight, path)
