--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -47,13 +47,18 @@
 	cancel      context.CancelFunc
 	draining    atomic.Bool
 	drainOnce   sync.Once
+	refusing    atomic.Bool // new work is refused
 	drained     chan struct{}
+	callerConns connCount
 	followers   sync.WaitGroup
 
 	callers    *http.Server
 	operators  *http.Server
 	peerServer *grpc.Server
 	metrics    *expvar.Map
+	gossip     *gossipReplies
+	traffic    *trafficRate
+	tls        sides
 
 	publications publications
 	configLog    *streamFollower
@@ -76,11 +81,19 @@
 		incarnation: inc,
 		logs:        newLogs(w, s.Log.Format, s.Log.Level),
 		platform:    platform.NewClient(s.Platform.URL, s.Platform.Timeout),
-		peers:       peer.NewClient(nil),
 		ctx:         ctx,
 		cancel:      cancel,
 		drained:     make(chan struct{}),
+		gossip:      newGossipReplies(),
 	}
+	traffic := new(peer.Traffic)
+	var err error
+	if d.tls, err = newSides(s.TLS, d.logs.daemon); err != nil {
+		cancel()
+		return nil, err
+	}
+	d.peers = peer.NewClient(newPeerCredentials(d.tls.peers), traffic)
+	d.traffic = &trafficRate{counters: traffic}
 	d.backend = backend.New(backend.Options{
 		ConnsPerMinion: s.Backend.Connections,
 		DialTimeout:    s.Backend.DialTimeout,
@@ -126,20 +139,21 @@
 		}
 		listeners = append(listeners, l)
 	}
-	d.callers = &http.Server{Handler: d.callersMux(), ReadHeaderTimeout: headerTimeout}
+	d.callers = &http.Server{Handler: d.closeWhileDraining(d.callersMux()), ConnState: d.callerConns.note, ReadHeaderTimeout: headerTimeout}
 	d.operators = &http.Server{Handler: d.operatorsMux(), ReadHeaderTimeout: headerTimeout}
-	d.peerServer = peer.NewServer(nil)
+	d.peerServer = peer.NewServer(newPeerCredentials(d.tls.peers), d.traffic.counters)
 	peerpb.RegisterPeerServer(d.peerServer, &peerServer{d: d})
 	go d.loop.serve()
-	go func() { _ = d.callers.Serve(listeners[0]) }()
-	go func() { _ = d.peerServer.Serve(listeners[1]) }()
-	go func() { _ = d.operators.Serve(listeners[2]) }()
+	go func() { _ = serveHTTP(d.callers, listeners[0], d.tls.callers) }()
+	go func() { _ = d.peerServer.Serve(d.traffic.counters.Listener(listeners[1])) }()
+	go func() { _ = serveHTTP(d.operators, listeners[2], d.tls.operators) }()
 	d.follow(d.configLog.follow)
 	d.follow(d.pullConfig)
 	d.follow(d.claimsLog.follow)
 	d.follow(d.commitClaims)
 	d.follow(d.followHosts)
 	d.follow(d.renewRegistration)
+	d.follow(d.traffic.follow)
 	d.follow(d.workers.Run)
 	level.Info(d.logs.daemon).Log("msg", "started", "host", d.settings.Host, "zone", d.settings.Zone,
 		"incarnation", d.incarnation, "callers", listen.Callers, "peers", listen.Peers, "operators", listen.Operators)
@@ -150,8 +164,6 @@
 	headerTimeout = 10 * time.Second
 	// registerEvery is the pause between renewals in the platform's host list.
 	registerEvery = time.Second
-	// drainPoll is the pause between checks for open jobs.
-	drainPoll = 20 * time.Millisecond
 )
 
 func (d *Daemon) follow(f func(context.Context)) {
@@ -195,57 +207,3 @@
 	})
 	return ok
 }
-
-// Drain shuts the daemon down without cutting off a request: readiness fails first, then
-// new jobs are refused, running jobs end, open requests get their replies, and the peer
-// address is released last. It returns when all is closed.
-func (d *Daemon) Drain() {
-	d.drainOnce.Do(func() {
-		defer close(d.drained)
-		d.draining.Store(true)
-		level.Info(d.logs.daemon).Log("msg", "drain started")
-		d.loop.send(core.KeysDraining{})
-		ctx, cancel := context.WithTimeout(context.Background(), d.settings.Drain.Grace+d.settings.Drain.Timeout)
-		defer cancel()
-		sleep(ctx, d.settings.Drain.Grace)
-		d.loop.send(dispatch.DrainStarted{})
-		d.awaitOpenJobs(ctx)
-		d.shutdown(ctx)
-	})
-	<-d.drained
-}
-
-// Drained is closed when a drain has ended.
-func (d *Daemon) Drained() <-chan struct{} { return d.drained }
-
-func (d *Daemon) awaitOpenJobs(ctx context.Context) {
-	for {
-		open := 0
-		d.loop.query(func(_ time.Duration, s *core.State) { open = s.Dispatch.OpenJobs() })
-		if open == 0 || !sleep(ctx, drainPoll) {
-			return
-		}
-	}
-}
-
-func (d *Daemon) shutdown(ctx context.Context) {
-	_ = d.callers.Shutdown(ctx)
-	d.cancel()
-	d.followers.Wait()
-	stopped := make(chan struct{})
-	go func() {
-		d.peerServer.GracefulStop()
-		close(stopped)
-	}()
-	select {
-	case <-stopped:
-	case <-ctx.Done():
-		d.peerServer.Stop()
-	}
-	d.loop.close()
-	_ = d.operators.Close()
-	d.peers.Close()
-	d.backend.Close()
-	d.platform.Close()
-	level.Info(d.logs.daemon).Log("msg", "stopped")
-}
--- a/standin/configproof/site_test.go
+++ b/standin/configproof/site_test.go
@@ -77,8 +77,9 @@
 	out.Platform.URL = platformURL
 	out.Drain = settings.Drain{Grace: time.Millisecond, Timeout: 2 * time.Second}
 	out.Log.Level = "error"
+	addresses := testbed.NewAddresses()
 	for _, a := range []*string{&out.Listen.Callers, &out.Listen.Peers, &out.Listen.Operators} {
-		address, err := testbed.FreeAddress("127.0.0.1")
+		address, err := addresses.Free()
 		must(t, err)
 		*a = address
 	}
@@ -100,6 +101,8 @@
 
 func (s *site) stop(n int) {
 	if s.daemons[n] != nil {
+		// A drain waits for callers to close their idle connections.
+		http.DefaultClient.CloseIdleConnections()
 		s.daemons[n].Drain()
 		s.daemons[n] = nil
 	}
--- a/standin/testbed/process.go
+++ b/standin/testbed/process.go
@@ -5,7 +5,9 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -83,14 +85,34 @@
 	}
 }
 
-// FreeAddress returns a loopback address with a port that was free a moment ago.
-func FreeAddress(ip string) (string, error) {
-	l, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		return "", errors.Wrap(err, "looking for a free port")
+// Addresses hands out loopback addresses of one deployment. Each deployment draws an IP of
+// its own, because a port that was free on a shared one may be taken by another deployment,
+// or by an outgoing connection, before the process that it was meant for binds it.
+type Addresses struct {
+	ip    string
+	drawn map[string]bool // the kernel soon hands out a closed port again
+}
+
+// NewAddresses draws the IP of a deployment from the loopback range.
+func NewAddresses() Addresses {
+	ip := fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(254), rand.IntN(256), 1+rand.IntN(254))
+	return Addresses{ip: ip, drawn: make(map[string]bool)}
+}
+
+// Free returns an address with a free port that it has not returned before.
+func (a Addresses) Free() (string, error) {
+	for {
+		l, err := net.Listen("tcp", a.ip+":0")
+		if err != nil {
+			return "", errors.Wrap(err, "looking for a free port")
+		}
+		addr := l.Addr().String()
+		_ = l.Close()
+		if !a.drawn[addr] {
+			a.drawn[addr] = true
+			return addr, nil
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
 }
 
 // awaitHTTP waits until a URL answers with status 200.
