--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -56,6 +56,9 @@
 	operators  *http.Server
 	peerServer *grpc.Server
 	metrics    *expvar.Map
+	gossip     *gossipReplies
+	traffic    *trafficRate
+	tls        sides
 
 	publications publications
 	configLog    *streamFollower
@@ -78,11 +81,19 @@
 		incarnation: inc,
 		logs:        newLogs(w, s.Log.Format, s.Log.Level),
 		platform:    platform.NewClient(s.Platform.URL, s.Platform.Timeout),
-		peers:       peer.NewClient(nil),
 		ctx:         ctx,
 		cancel:      cancel,
 		drained:     make(chan struct{}),
+		gossip:      newGossipReplies(),
 	}
+	traffic := new(peer.Traffic)
+	var err error
+	if d.tls, err = newSides(s.TLS, d.logs.daemon); err != nil {
+		cancel()
+		return nil, err
+	}
+	d.peers = peer.NewClient(newPeerCredentials(d.tls.peers), traffic)
+	d.traffic = &trafficRate{counters: traffic}
 	d.backend = backend.New(backend.Options{
 		ConnsPerMinion: s.Backend.Connections,
 		DialTimeout:    s.Backend.DialTimeout,
@@ -130,18 +141,19 @@
 	}
 	d.callers = &http.Server{Handler: d.closeWhileDraining(d.callersMux()), ConnState: d.callerConns.note, ReadHeaderTimeout: headerTimeout}
 	d.operators = &http.Server{Handler: d.operatorsMux(), ReadHeaderTimeout: headerTimeout}
-	d.peerServer = peer.NewServer(nil)
+	d.peerServer = peer.NewServer(newPeerCredentials(d.tls.peers), d.traffic.counters)
 	peerpb.RegisterPeerServer(d.peerServer, &peerServer{d: d})
 	go d.loop.serve()
-	go func() { _ = d.callers.Serve(listeners[0]) }()
-	go func() { _ = d.peerServer.Serve(listeners[1]) }()
-	go func() { _ = d.operators.Serve(listeners[2]) }()
+	go func() { _ = serveHTTP(d.callers, listeners[0], d.tls.callers) }()
+	go func() { _ = d.peerServer.Serve(d.traffic.counters.Listener(listeners[1])) }()
+	go func() { _ = serveHTTP(d.operators, listeners[2], d.tls.operators) }()
 	d.follow(d.configLog.follow)
 	d.follow(d.pullConfig)
 	d.follow(d.claimsLog.follow)
 	d.follow(d.commitClaims)
 	d.follow(d.followHosts)
 	d.follow(d.renewRegistration)
+	d.follow(d.traffic.follow)
 	d.follow(d.workers.Run)
 	level.Info(d.logs.daemon).Log("msg", "started", "host", d.settings.Host, "zone", d.settings.Zone,
 		"incarnation", d.incarnation, "callers", listen.Callers, "peers", listen.Peers, "operators", listen.Operators)
