Count the traffic with the platform; read the host list once a second

Cause: the control budget of 3 KB/s a daemon covers the platform as well, and its share was only estimated. Change: package connstat counts bytes of connections for peers and platform; gossipcost prints both; hosts_every is 1 s by default instead of 500 ms.

--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -30,6 +30,8 @@
 	Forward     forward.Counters  `json:"forward"`
 	Member      member.Counters   `json:"member"`
 	PeerTraffic TrafficView       `json:"peer_traffic"`
+	// PlatformBytes counts what was exchanged with the platform, claims and workers included.
+	PlatformBytes uint64 `json:"platform_wire_bytes"`
 }
 
 // Dump is the state of a daemon on request.
@@ -92,6 +94,8 @@
 		Ready:       d.ready(),
 		Draining:    d.draining.Load(),
 		PeerTraffic: d.traffic.view(),
+
+		PlatformBytes: d.platform.WireBytes(),
 	}
 	d.loop.query(func(_ time.Duration, s *core.State) {
 		st.Revision, st.Latest = s.Config.InForce(), s.Config.Revision()
--- a/peer/traffic.go
+++ b/peer/traffic.go
@@ -7,6 +7,7 @@
 
 	"google.golang.org/grpc/stats"
 
+	"sesameledge.dev/sesameledge/connstat"
 	"sesameledge.dev/sesameledge/peer/peerpb"
 )
 
@@ -14,7 +15,7 @@
 // for concurrent use.
 type Traffic struct {
 	control, task classCounter
-	wire          atomic.Uint64
+	wire          connstat.Counter
 }
 
 type classCounter struct{ messages, bytes atomic.Uint64 }
@@ -37,7 +38,7 @@
 		ControlBytes:    t.control.bytes.Load(),
 		TaskMessages:    t.task.messages.Load(),
 		TaskBytes:       t.task.bytes.Load(),
-		WireBytes:       t.wire.Load(),
+		WireBytes:       t.wire.Bytes(),
 	}
 }
 
@@ -81,47 +82,9 @@
 // HandleConn implements stats.Handler.
 func (statsHandler) HandleConn(context.Context, stats.ConnStats) {}
 
-// countedConn adds what passes through a connection to a counter.
-type countedConn struct {
-	net.Conn
-	wire *atomic.Uint64
-}
-
-// Read implements net.Conn.
-func (c *countedConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	c.wire.Add(uint64(n))
-	return n, err
-}
-
-// Write implements net.Conn.
-func (c *countedConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	c.wire.Add(uint64(n))
-	return n, err
-}
-
-func (t *Traffic) dial(ctx context.Context, address string) (net.Conn, error) {
-	conn, err := new(net.Dialer).DialContext(ctx, "tcp", address)
-	if err != nil {
-		return nil, err
-	}
-	return &countedConn{Conn: conn, wire: &t.wire}, nil
-}
-
 // Listener returns a listener whose connections are counted.
-func (t *Traffic) Listener(l net.Listener) net.Listener { return &countedListener{l, t} }
+func (t *Traffic) Listener(l net.Listener) net.Listener { return t.wire.Listener(l) }
 
-type countedListener struct {
-	net.Listener
-	traffic *Traffic
-}
-
-// Accept implements net.Listener.
-func (l *countedListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &countedConn{Conn: conn, wire: &l.traffic.wire}, nil
+func (t *Traffic) dial(ctx context.Context, address string) (net.Conn, error) {
+	return t.wire.Dial(ctx, "tcp", address)
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -143,7 +143,7 @@
 func Defaults() Settings {
 	return Settings{
 		Platform: Platform{
-			HostsEvery:    500 * time.Millisecond,
+			HostsEvery:    time.Second,
 			Timeout:       2 * time.Second,
 			SnapshotEvery: 1000,
 			SnapshotDelay: 10 * time.Second,
--- a/standin/gossipcost/main.go
+++ b/standin/gossipcost/main.go
@@ -1,4 +1,4 @@
-// Command gossipcost measures the traffic between idle entry hosts at several numbers of
+// Command gossipcost measures the control traffic of idle entry hosts, among themselves and with the platform, at several numbers of
 // hosts, and how it grows with each host.
 package main
 
@@ -45,6 +45,7 @@
 	Messages    float64 `json:"messages_per_second"`
 	Encoded     float64 `json:"encoded_bytes_per_second"`
 	Wire        float64 `json:"wire_bytes_per_second"`
+	Platform    float64 `json:"platform_wire_bytes_per_second"`
 	LargestWire float64 `json:"largest_wire_bytes_per_second"`
 	Suspicions  uint64  `json:"suspicions"`
 	InvalidView int     `json:"hosts_not_seen_live"` // over all views, own zones only
@@ -73,8 +74,8 @@
 		}
 		results = append(results, r)
 		if !a.JSON {
-			fmt.Printf("%3d hosts: %.1f messages/s, %.0f B/s encoded, %.0f B/s on the wire, largest host %.0f B/s; %d suspicions, %d wrong views\n",
-				r.Hosts, r.Messages, r.Encoded, r.Wire, r.LargestWire, r.Suspicions, r.InvalidView)
+			fmt.Printf("%3d hosts: %.1f messages/s, %.0f B/s encoded, %.0f B/s on the wire, largest host %.0f B/s; with the platform %.0f B/s; %d suspicions, %d wrong views\n",
+				r.Hosts, r.Messages, r.Encoded, r.Wire, r.LargestWire, r.Platform, r.Suspicions, r.InvalidView)
 		}
 	}
 	if a.JSON {
@@ -143,6 +144,7 @@
 		r.Messages += float64(a.ControlMessages-b.ControlMessages) / seconds / n
 		r.Encoded += float64(a.ControlBytes-b.ControlBytes) / seconds / n
 		r.Wire += wire / n
+		r.Platform += float64(after[i].PlatformBytes-before[i].PlatformBytes) / seconds / n
 		r.LargestWire = max(r.LargestWire, wire)
 		r.Suspicions += after[i].Member.Suspicions - before[i].Member.Suspicions
 	}
