Place tasks once per batch of events and compare a bounded part of a group

Change: events that arrived together share one round of placement; what a round knows about an endpoint is computed once; groups beyond 64 endpoints are sampled per task, mostly in the own zone; the excess of a queue far from its bound is taken as linear.

--- a/daemon/loop.go
+++ b/daemon/loop.go
@@ -35,6 +35,10 @@
 // inputQueue is how many events may wait for the reducer before senders block.
 const inputQueue = 4096
 
+// maxBatch bounds the inputs that share one round of placement, and so how long a task may
+// wait for it.
+const maxBatch = 128
+
 // maxSleep bounds the time between ticks, so that a clock jump after a suspend of the
 // host is noticed soon.
 const maxSleep = 250 * time.Millisecond
@@ -61,7 +65,7 @@
 	for {
 		select {
 		case in := <-l.inputs:
-			l.handle(in)
+			l.handleBatch(in)
 		case <-wake.C:
 			l.apply(core.Tick{})
 		case <-l.stop:
@@ -79,6 +83,23 @@
 	return min(max(at-l.now(), 0), maxSleep)
 }
 
+// handleBatch handles an input and those that wait behind it. Tasks are placed once, after
+// the last of them.
+func (l *loop) handleBatch(first input) {
+	more := min(len(l.inputs), maxBatch)
+	if more == 0 {
+		l.handle(first)
+		return
+	}
+	l.state.Dispatch.DeferPlacement(true)
+	l.handle(first)
+	for range more {
+		l.handle(<-l.inputs)
+	}
+	l.state.Dispatch.DeferPlacement(false)
+	l.apply(core.Tick{})
+}
+
 func (l *loop) handle(in input) {
 	if in.event != nil {
 		l.apply(in.event)
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -42,6 +42,7 @@
 	fetched   []*job // ended jobs whose answer was fetched, oldest first
 	queue     []*job // accepted jobs with waiting tasks, by key
 	limiter   *limit.Limiter
+	deferred  bool          // placement is left to a later Apply
 	pollAt    time.Duration // when held tasks are looked at again; 0 for never
 	timers    timerHeap
 	draining  bool
@@ -132,10 +133,17 @@
 		s.failOpenJobs(now)
 	case Tick:
 	}
-	s.placeWaiting(now)
+	if !s.deferred {
+		s.placeWaiting(now)
+	}
 	return s.effects
 }
 
+// DeferPlacement sets whether Apply leaves waiting tasks where they are. The shell defers
+// it while it applies several events that arrived together, because one round over the
+// waiting tasks serves them all.
+func (s *State) DeferPlacement(deferred bool) { s.deferred = deferred }
+
 // NextWake returns when the next deadline, retry or expiry is due.
 func (s *State) NextWake() (time.Duration, bool) {
 	switch {
--- a/place/adaptive.go
+++ b/place/adaptive.go
@@ -33,24 +33,25 @@
 // anyway, it goes to the slowest endpoint that is early enough, which keeps the fast
 // ones free for tasks that need them.
 func (s *Set) adaptive(now time.Duration, task Task, avoid EndpointID) (Endpoint, Choice) {
-	if s.held >= maxHeld {
+	if len(s.held) >= maxHeld {
 		return Endpoint{}, Full
 	}
 	run := s.model(task.Kind).predict(task.Run)
 	var best, spare choice
 	slack := time.Duration(slackUse * float64(task.Ends-now))
-	for _, st := range s.groups[task.Group] {
+	for st := range s.candidates(task.Group) {
 		if st.Leaving || st.health.out(now) || st.health.paused(now) || !st.health.mayProbe(now, task.JobTasks) {
 			continue
 		}
-		cost := s.cost(now, st, task.Kind, run)
+		q := s.quote(now, st)
+		cost := s.cost(st, q, task.Kind, run)
 		if st.ID == avoid {
 			cost *= avoidFactor
 		}
 		if best.st == nil || cost < best.cost {
 			best = choice{st: st, cost: cost}
 		}
-		if cost <= slack && cost > spare.cost && s.room(now, st) {
+		if cost <= slack && cost > spare.cost && q.room {
 			spare = choice{st: st, cost: cost}
 		}
 	}
@@ -60,22 +61,49 @@
 	case spare.st != nil:
 		s.lastCost = spare.cost
 		return spare.st.Endpoint, Start
-	case s.room(now, best.st):
+	case best.st.quote.room:
 		s.lastCost = best.cost
 		return best.st.Endpoint, Start
 	}
 	best.st.held++
-	s.held++
+	s.held = append(s.held, best.st)
 	return Endpoint{}, Hold
 }
 
+// quote is what a round knows about an endpoint whatever the task. A round compares the
+// endpoints for many tasks, so it is kept until a task is started there.
+type quote struct {
+	round       uint64
+	outstanding int
+	room        bool
+	service     float64 // mean time of a task at the endpoint, nanoseconds
+	wait        float64 // for a slot if a task is started now, nanoseconds
+}
+
+func (s *Set) quote(now time.Duration, st *state) *quote {
+	q := &st.quote
+	if q.round == s.round && q.outstanding == st.outstanding {
+		return q
+	}
+	others := st.others.estimate(now, s.averageOthers(st))
+	*q = quote{
+		round:       s.round,
+		outstanding: st.outstanding,
+		room:        s.room(st, others),
+		service:     st.speeds.any * float64(s.meanRun(st.Group)),
+	}
+	if q.room {
+		q.wait = waitInQueue(st, others, q.service)
+	}
+	return q
+}
+
 // cost estimates the time until a task with this run time at the typical speed would end
 // at the endpoint.
-func (s *Set) cost(now time.Duration, st *state, kind string, run time.Duration) time.Duration {
-	service := st.speeds.any * float64(s.meanRun(st.Group))
-	wait := s.waitForRoom(st, service)
-	if s.room(now, st) {
-		wait = s.waitInQueue(now, st, service)
+func (s *Set) cost(st *state, q *quote, kind string, run time.Duration) time.Duration {
+	wait := q.wait
+	if !q.room {
+		wait = s.waitForRoom(st, q.service)
 	}
 	cost := wait + st.speeds.slowness(kind)*float64(run)
 	cost *= 1 + tieJitter*s.rng.Float64()
@@ -86,8 +114,7 @@
 }
 
 // waitInQueue estimates how long a task started now waits for a slot at the endpoint.
-func (s *Set) waitInQueue(now time.Duration, st *state, service float64) float64 {
-	others := st.others.estimate(now, s.averageOthers(st))
+func waitInQueue(st *state, others, service float64) float64 {
 	ahead := float64(st.outstanding) + others + 1 - float64(st.Slots)
 	return expectedExcess(ahead, math.Sqrt(others)/2) / float64(st.Slots) * service
 }
@@ -102,7 +129,7 @@
 // room reports whether this host may start one more task at the endpoint. It may use its
 // share of the slots at any time, and beyond it the slots that the other hosts leave
 // idle.
-func (s *Set) room(now time.Duration, st *state) bool {
+func (s *Set) room(st *state, others float64) bool {
 	own := st.outstanding
 	if st.health.allowed > 0 && own >= st.health.allowed {
 		return false
@@ -110,7 +137,7 @@
 	if own < max(1, st.Slots/max(s.hosts, 1)) {
 		return true
 	}
-	return own < st.Slots && float64(own)+st.others.estimate(now, s.averageOthers(st)) <= float64(st.Slots)-0.5
+	return own < st.Slots && float64(own)+others <= float64(st.Slots)-0.5
 }
 
 // averageOthers is the expected load of other hosts at an endpoint without a report.
--- a/place/load.go
+++ b/place/load.go
@@ -41,10 +41,15 @@
 	return keep*o.value + (1-keep)*average
 }
 
+// negligibleAt is the number of deviations from which on the excess differs from the
+// positive part of the mean by less than a ten-thousandth of a task.
+const negligibleAt = 4
+
 // expectedExcess is the mean of the positive part of a normal variable: the tasks ahead
 // that have no slot, when the load is known with an error.
 func expectedExcess(mean, deviation float64) float64 {
-	if deviation < 1e-9 {
+	// The curved part within a few deviations is all that differs from this line.
+	if math.Abs(mean) >= negligibleAt*deviation {
 		return max(mean, 0)
 	}
 	z := mean / deviation
--- a/place/place.go
+++ b/place/place.go
@@ -90,8 +90,10 @@
 	lastInTurn map[string]EndpointID // by group, for RoundRobin
 	kinds      map[string]*kindModel
 	means      map[string]*groupMeans
-	hosts      int           // live entry hosts
-	held       int           // tasks held back in this round
+	hosts      int                  // live entry hosts
+	zones      map[string]zoneSplit // by group
+	round      uint64
+	held       []*state      // endpoints for which this round holds a task back
 	lastCost   time.Duration // of the task placed last
 }
 
@@ -102,6 +104,7 @@
 	others      othersLoad
 	speeds      speeds
 	health      health
+	quote       quote
 }
 
 // NewSet returns an empty Set.
@@ -114,6 +117,7 @@
 		lastInTurn: make(map[string]EndpointID),
 		kinds:      make(map[string]*kindModel),
 		means:      make(map[string]*groupMeans),
+		round:      1, // 0 marks a quote of no round
 	}
 	s.SetPolicy(Policy{})
 	return s
@@ -130,6 +134,7 @@
 			st = &state{speeds: newSpeeds()}
 		}
 		st.Endpoint = ep
+		st.held = 0
 		next[ep.ID] = st
 		groups[ep.Group] = append(groups[ep.Group], st)
 		if s.means[ep.Group] == nil {
@@ -140,6 +145,8 @@
 		sort.Slice(members, func(i, j int) bool { return members[i].ID < members[j].ID })
 	}
 	s.endpoints, s.groups = next, groups
+	s.zones = splitZones(groups, s.opts.Zone)
+	s.held = nil
 }
 
 // Choice says what to do with a task.
@@ -159,13 +166,11 @@
 // BeginRound starts a round of Pick calls over the waiting tasks in their order. Tasks
 // held back in a round count as waiting for their endpoint until the round ends.
 func (s *Set) BeginRound() {
-	if s.held == 0 {
-		return
-	}
-	s.held = 0
-	for _, st := range s.endpoints {
+	s.round++
+	for _, st := range s.held {
 		st.held = 0
 	}
+	s.held = s.held[:0]
 }
 
 // Pick chooses the endpoint for a task. It avoids the endpoint that refused the task
