--- /dev/null
+++ b/config/fold_bench_test.go
@@ -0,0 +1,37 @@
+package config
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+)
+
+// BenchmarkFold gives the size and the cost of one revision with 110 teams and 40 kinds.
+func BenchmarkFold(b *testing.B) {
+	var text strings.Builder
+	text.WriteString("schema: 1\nteams:\n")
+	for i := range 110 {
+		fmt.Fprintf(&text, "  team-%03d: {weight: %d, max_tasks: 6000}\n", i, 1+i%4)
+	}
+	text.WriteString("kinds:\n")
+	for i := range 40 {
+		fmt.Fprintf(&text, "  kind-%02d: {group: g, idempotent: true, default_deadline: 5s, max_tasks: 1800}\n", i)
+	}
+	text.WriteString("groups: {g: {endpoints: minion}}\n")
+	f := NewFold()
+	var bytes int
+	n := uint64(0)
+	for b.Loop() {
+		rec := Record{Schema: 1, ID: fmt.Sprint(n), Base: f.Revision(), Author: "operator", Reason: "quota", Text: text.String()}
+		data, err := rec.Encode()
+		if err != nil {
+			b.Fatal(err)
+		}
+		bytes = len(data)
+		if o := f.Apply(n, data); !o.Accepted {
+			b.Fatalf("not accepted: %s", o.Reason)
+		}
+		n++
+	}
+	b.ReportMetric(float64(bytes), "B/record")
+}
--- a/fit/pick.go
+++ b/fit/pick.go
@@ -46,7 +46,7 @@
 			last = append(last, w)
 		case w.Zone == s.opts.Zone:
 			local = append(local, w)
-		default:
+		case len(remote) < maxCandidates:
 			remote = append(remote, w)
 		}
 		if len(local) == maxCandidates {
--- a/place/pick_bench_test.go
+++ b/place/pick_bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 )
@@ -31,3 +32,55 @@
 		})
 	}
 }
+
+// BenchmarkEstimate gives the cost of admitting one job of 100 tasks, which compares the
+// speeds of all endpoints of its group.
+func BenchmarkEstimate(b *testing.B) {
+	for _, n := range []int{50, 400, 1600} {
+		b.Run(fmt.Sprintf("endpoints=%d", n), func(b *testing.B) {
+			s := learned(n)
+			tasks := make([]Task, 100)
+			for i := range tasks {
+				tasks[i] = Task{Kind: "k0", Group: "g", Run: 100 * time.Millisecond}
+			}
+			for b.Loop() {
+				s.Estimate(tasks)
+				s.Capacity("g")
+			}
+		})
+	}
+}
+
+// BenchmarkMemory gives the memory of what is learned about an endpoint with three kinds.
+func BenchmarkMemory(b *testing.B) {
+	const endpoints = 1600
+	var kept *Set
+	var before, after runtime.MemStats
+	for b.Loop() {
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		kept = learned(endpoints)
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+	}
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/endpoints, "B/endpoint")
+	runtime.KeepAlive(kept)
+}
+
+// learned returns a set of n endpoints with full windows of three kinds.
+func learned(n int) *Set {
+	s := NewSet(Options{Zone: "z", Seed: 1})
+	list := make([]Endpoint, n)
+	for i := range list {
+		list[i] = Endpoint{ID: EndpointID(fmt.Sprintf("e%05d", i)), Identity: "1", Zone: "z", Group: "g", Slots: 8}
+	}
+	s.Update(list)
+	for i := range 3 * windowSize {
+		kind := fmt.Sprintf("k%d", i%3)
+		for j := range list {
+			s.Started(list[j].ID)
+			s.Ended(time.Duration(i)*time.Second, list[j].ID, Sample{Kind: kind, Service: 100 * time.Millisecond, Load: 3})
+		}
+	}
+	return s
+}
