Serialize reads of a request body

Cause: one run of the backend tests with -race under load reported a data race in the case with the gate switched off; 42 further runs of that test did not show it again, and no trace is left. Change: the body is read under a mutex, since a write that the transport has given up may still be reading. Two readers cannot both send the whole body. Result: backend passes twice with -race; the cause is not proved.

--- a/backend/gate.go
+++ b/backend/gate.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"sync"
 	"sync/atomic"
 )
 
@@ -22,19 +23,29 @@
 // have left, or none ever will, whatever the transport does later.
 type gate struct {
 	state  atomic.Int32
-	body   bytes.Reader
 	faults faults
+
+	// mu guards body: a write that the transport has given up may still be reading it. Two
+	// readers would share the bytes, so that neither sends the whole body.
+	mu   sync.Mutex
+	body bytes.Reader
 }
 
 // Read opens the gate, or returns errWithheld.
 func (g *gate) Read(p []byte) (int, error) {
 	if g.faults.openGate {
-		return g.body.Read(p)
+		return g.read(p)
 	}
 	g.state.CompareAndSwap(gateClosed, gateOpened)
 	if g.state.Load() == gateWithheld {
 		return 0, errWithheld
 	}
+	return g.read(p)
+}
+
+func (g *gate) read(p []byte) (int, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	return g.body.Read(p)
 }
 
