Run every state machine with a fixed seed; share what stood several times

Change: internal/rapidtest fixes the seed for all packages and holds the checks that are expected to fail; internal/pause; make fuzz covers all state machines with its fresh seed.

--- a/client/client.go
+++ b/client/client.go
@@ -18,6 +18,7 @@
 	"github.com/cockroachdb/errors"
 
 	"sesameledge.dev/sesameledge/api"
+	"sesameledge.dev/sesameledge/internal/pause"
 	"sesameledge.dev/sesameledge/ticket"
 )
 
@@ -145,7 +146,7 @@
 		if time.Since(held.got) > held.life {
 			return lifetimeEnded(held.id), nil
 		}
-		if !pause(ctx, c.opts.RetryDelay) {
+		if !pause.For(ctx, c.opts.RetryDelay) {
 			return nil, ctx.Err()
 		}
 	}
@@ -370,14 +371,3 @@
 	}
 	return heldTicket{}, false
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- /dev/null
+++ b/core/main_test.go
@@ -0,0 +1,9 @@
+package core
+
+import (
+	"testing"
+
+	"sesameledge.dev/sesameledge/internal/rapidtest"
+)
+
+func TestMain(m *testing.M) { rapidtest.Main(m, nil) }
--- a/daemon/claims.go
+++ b/daemon/claims.go
@@ -13,6 +13,7 @@
 	"sesameledge.dev/sesameledge/claim"
 	"sesameledge.dev/sesameledge/core"
 	"sesameledge.dev/sesameledge/dispatch"
+	"sesameledge.dev/sesameledge/internal/pause"
 	"sesameledge.dev/sesameledge/platform"
 	"sesameledge.dev/sesameledge/ticket"
 )
@@ -80,7 +81,7 @@
 			d.appendGroup(ctx, group)
 			<-free
 		}()
-		sleep(ctx, d.settings.Platform.AppendsEvery)
+		pause.For(ctx, d.settings.Platform.AppendsEvery)
 	}
 }
 
--- a/daemon/config_follow.go
+++ b/daemon/config_follow.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log/level"
 
 	"sesameledge.dev/sesameledge/core"
+	"sesameledge.dev/sesameledge/internal/pause"
 	"sesameledge.dev/sesameledge/platform"
 )
 
@@ -57,7 +58,7 @@
 // by then. An append whose answer was lost needs no care: a second snapshot of the same
 // state has no effect, and one that is missing is due again.
 func (d *Daemon) snapshotLater(ctx context.Context, first uint64) {
-	if !sleep(ctx, rand.N(d.settings.Platform.SnapshotDelay)) || !d.snapshotDue(first) {
+	if !pause.For(ctx, rand.N(d.settings.Platform.SnapshotDelay)) || !d.snapshotDue(first) {
 		return
 	}
 	var data []byte
--- a/daemon/config_peers.go
+++ b/daemon/config_peers.go
@@ -9,6 +9,7 @@
 	"github.com/go-kit/log/level"
 
 	"sesameledge.dev/sesameledge/core"
+	"sesameledge.dev/sesameledge/internal/pause"
 	"sesameledge.dev/sesameledge/member"
 	"sesameledge.dev/sesameledge/peer/peerpb"
 )
@@ -91,7 +92,7 @@
 
 func (d *Daemon) pullFromHinted(ctx context.Context, host string) {
 	before := d.latestRevision()
-	if d.configLog.readable() && (!sleep(ctx, hintGrace) || d.latestRevision() > before) {
+	if d.configLog.readable() && (!pause.For(ctx, hintGrace) || d.latestRevision() > before) {
 		return
 	}
 	for _, p := range d.otherHosts() {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -22,6 +22,7 @@
 	"sesameledge.dev/sesameledge/claim"
 	"sesameledge.dev/sesameledge/core"
 	"sesameledge.dev/sesameledge/dispatch"
+	"sesameledge.dev/sesameledge/internal/pause"
 	"sesameledge.dev/sesameledge/peer"
 	"sesameledge.dev/sesameledge/peer/peerpb"
 	"sesameledge.dev/sesameledge/platform"
@@ -192,7 +193,7 @@
 		if err != nil {
 			level.Debug(d.logs.platform).Log("msg", "registration was not renewed", "err", err)
 		}
-		sleep(ctx, registerEvery)
+		pause.For(ctx, registerEvery)
 	}
 }
 
--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -11,6 +11,7 @@
 
 	"sesameledge.dev/sesameledge/core"
 	"sesameledge.dev/sesameledge/dispatch"
+	"sesameledge.dev/sesameledge/internal/pause"
 )
 
 const (
@@ -61,7 +62,7 @@
 		if open == 0 {
 			return
 		}
-		if !sleep(ctx, drainPoll) {
+		if !pause.For(ctx, drainPoll) {
 			level.Warn(d.logs.daemon).Log("msg", "open jobs failed at the time limit of the drain", "jobs", open)
 			d.loop.send(dispatch.DrainTimedOut{})
 			return
--- a/daemon/follower.go
+++ b/daemon/follower.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"sesameledge.dev/sesameledge/internal/pause"
 	"sesameledge.dev/sesameledge/platform"
 )
 
@@ -64,7 +65,7 @@
 			f.noteUp()
 			if !progress {
 				// A log that answers at once with nothing must not be polled in a busy loop.
-				sleep(ctx, minRetry)
+				pause.For(ctx, minRetry)
 			}
 			continue
 		}
@@ -73,7 +74,7 @@
 		}
 		f.noteDown(err)
 		// The jitter keeps hosts from returning all at once after an outage.
-		sleep(ctx, retry/2+rand.N(retry/2))
+		pause.For(ctx, retry/2+rand.N(retry/2))
 		retry = min(2*retry, maxRetry)
 	}
 }
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/go-kit/log/level"
 
+	"sesameledge.dev/sesameledge/internal/pause"
 	"sesameledge.dev/sesameledge/member"
 	"sesameledge.dev/sesameledge/place"
 	"sesameledge.dev/sesameledge/platform"
@@ -24,7 +24,7 @@
 			tag = list.Tag
 			d.loop.send(member.HostList{Entries: entryHosts(list.Hosts), Endpoints: endpoints(list.Hosts)})
 		}
-		sleep(ctx, d.settings.Platform.HostsEvery)
+		pause.For(ctx, d.settings.Platform.HostsEvery)
 	}
 }
 
@@ -54,15 +54,3 @@
 	}
 	return out
 }
-
-// sleep pauses for d and reports false if the context ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/daemon/traffic.go
+++ b/daemon/traffic.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"sesameledge.dev/sesameledge/internal/pause"
 	"sesameledge.dev/sesameledge/peer"
 )
 
@@ -44,7 +45,7 @@
 		t.readings = append(t.readings, trafficReading{time.Now(), t.counters.Read()})
 		t.readings = t.readings[max(len(t.readings)-trafficReadings, 0):]
 		t.mu.Unlock()
-		sleep(ctx, trafficEvery)
+		pause.For(ctx, trafficEvery)
 	}
 }
 
--- a/forward/main_test.go
+++ b/forward/main_test.go
@@ -1,20 +1,11 @@
 package forward
 
 import (
-	"flag"
-	"os"
 	"testing"
+
+	"sesameledge.dev/sesameledge/internal/rapidtest"
 )
 
-// TestMain fixes the seed of rapid unless one is given; make fuzz gives a fresh one.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	set := make(map[string]bool)
-	flag.Visit(func(f *flag.Flag) { set[f.Name] = true })
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "2000", "rapid.steps": "60", "rapid.nofailfile": "true"} {
-		if !set[name] {
-			_ = flag.Set(name, value)
-		}
-	}
-	os.Exit(m.Run())
+	rapidtest.Main(m, map[string]string{"checks": "2000", "steps": "60"})
 }
--- a/forward/switches_test.go
+++ b/forward/switches_test.go
@@ -4,12 +4,14 @@
 	"testing"
 
 	"pgregory.net/rapid"
+
+	"sesameledge.dev/sesameledge/internal/rapidtest"
 )
 
 // TestOracleNotices shows that each check of the oracle can fail: with one mechanism
 // switched off the same sequences must break it.
 func TestOracleNotices(t *testing.T) {
-	expectFailures(t)
+	rapidtest.ExpectFailures(t)
 	for _, c := range []struct {
 		name  string
 		off   switches
@@ -28,7 +30,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			requireCaught(t, func(t *rapid.T) { runHosts(t, c.off, c.rules, c.check) })
+			rapidtest.RequireCaught(t, func(t *rapid.T) { runHosts(t, c.off, c.rules, c.check) })
 		})
 	}
 }
--- a/dispatch/probe_test.go
+++ b/internal/rapidtest/probe.go
@@ -1,4 +1,4 @@
-package dispatch
+package rapidtest
 
 import (
 	"flag"
@@ -39,8 +39,9 @@
 	runtime.Goexit()
 }
 
-// requireCaught fails the test if the check passes.
-func requireCaught(t *testing.T, check func(*rapid.T)) {
+// RequireCaught fails the test if the check passes, because then the oracle has not noticed
+// that a mechanism is off.
+func RequireCaught(t *testing.T, check func(*rapid.T)) {
 	t.Helper()
 	p := &probe{TB: t}
 	done := make(chan struct{})
@@ -55,8 +56,8 @@
 	t.Log(p.message)
 }
 
-// expectFailures sets rapid up for checks that should fail soon.
-func expectFailures(t *testing.T) {
+// ExpectFailures sets rapid up for checks that should fail soon, for the rest of the test.
+func ExpectFailures(t *testing.T) {
 	setFlag(t, "rapid.shrinktime", "0s")
 	setFlag(t, "rapid.checks", "30000") // the rarest failure takes a few thousand
 }
--- /dev/null
+++ b/place/main_test.go
@@ -0,0 +1,9 @@
+package place
+
+import (
+	"testing"
+
+	"sesameledge.dev/sesameledge/internal/rapidtest"
+)
+
+func TestMain(m *testing.M) { rapidtest.Main(m, nil) }
--- a/worker/fake_test.go
+++ b/worker/fake_test.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"sesameledge.dev/sesameledge/internal/pause"
 	"sesameledge.dev/sesameledge/platform"
 )
 
@@ -153,7 +154,7 @@
 		if len(reply.Tasks) > 0 || reply.Lapsed || time.Now().After(end) {
 			break
 		}
-		if !sleep(ctx, time.Millisecond) {
+		if !pause.For(ctx, time.Millisecond) {
 			return nil, ctx.Err()
 		}
 	}
--- a/worker/follow.go
+++ b/worker/follow.go
@@ -3,22 +3,23 @@
 import (
 	"context"
 
+	"sesameledge.dev/sesameledge/internal/pause"
 	"sesameledge.dev/sesameledge/platform"
 )
 
 // followLoop reads the ended tasks of a lease in batches, while there are any to expect.
 // It returns once the lease has lapsed and its ends are read.
 func (r *Runner) followLoop(ctx context.Context, l *lease) {
-	next, pause := 0, minRetry
+	next, delay := 0, minRetry
 	for r.awaitOpen(ctx, l) {
 		r.counters.polls.Add(1)
 		reply, err := r.opts.Platform.EndedTasks(ctx, l.id, next, r.opts.PollWait)
 		if err != nil {
-			sleep(ctx, pause)
-			pause = min(2*pause, maxRetry)
+			pause.For(ctx, delay)
+			delay = min(2*delay, maxRetry)
 			continue
 		}
-		pause = minRetry
+		delay = minRetry
 		r.endTasks(reply.Tasks)
 		if reply.Lapsed && reply.Next == next {
 			r.lapse(l)
@@ -26,7 +27,7 @@
 			return
 		}
 		next = reply.Next
-		sleep(ctx, r.opts.ResultGather)
+		pause.For(ctx, r.opts.ResultGather)
 	}
 }
 
--- a/worker/lease.go
+++ b/worker/lease.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"sesameledge.dev/sesameledge/internal/pause"
 	"sesameledge.dev/sesameledge/platform"
 )
 
@@ -35,7 +36,7 @@
 // grantedLease returns a lease for the next start, and gets it granted if need be. It
 // returns nil only when the context ends.
 func (r *Runner) grantedLease(ctx context.Context) *lease {
-	pause := minRetry
+	delay := minRetry
 	for ctx.Err() == nil {
 		l, granted := r.currentLease()
 		if granted {
@@ -46,8 +47,8 @@
 			r.running.Go(func() { r.followLoop(ctx, l) })
 			return l
 		}
-		sleep(ctx, pause)
-		pause = min(2*pause, maxRetry)
+		pause.For(ctx, delay)
+		delay = min(2*delay, maxRetry)
 	}
 	return nil
 }
@@ -92,11 +93,11 @@
 
 // renewLoop renews a lease until it lapses.
 func (r *Runner) renewLoop(ctx context.Context, l *lease) {
-	pause := r.opts.LeaseTTL / 3
-	for sleep(ctx, pause) && !r.hasLapsed(l) {
-		pause = r.opts.LeaseTTL / 3
+	delay := r.opts.LeaseTTL / 3
+	for pause.For(ctx, delay) && !r.hasLapsed(l) {
+		delay = r.opts.LeaseTTL / 3
 		if !r.renew(ctx, l) {
-			pause = min(maxRetry, r.opts.LeaseTTL/10)
+			delay = min(maxRetry, r.opts.LeaseTTL/10)
 		}
 	}
 }
--- a/worker/resolve.go
+++ b/worker/resolve.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"sesameledge.dev/sesameledge/dispatch"
+	"sesameledge.dev/sesameledge/internal/pause"
 	"sesameledge.dev/sesameledge/platform"
 )
 
@@ -42,7 +43,7 @@
 	}
 	if failed {
 		// Leaves the platform alone for a while, whatever wakes the loop.
-		sleep(ctx, minRetry)
+		pause.For(ctx, minRetry)
 	}
 	return failed
 }
--- a/worker/runner.go
+++ b/worker/runner.go
@@ -124,15 +124,3 @@
 	default:
 	}
 }
-
-// sleep pauses and reports false if the context ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/worker/start.go
+++ b/worker/start.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"sesameledge.dev/sesameledge/dispatch"
+	"sesameledge.dev/sesameledge/internal/pause"
 	"sesameledge.dev/sesameledge/platform"
 )
 
@@ -18,7 +19,7 @@
 		case <-ctx.Done():
 			return
 		}
-		sleep(ctx, r.opts.StartGather)
+		pause.For(ctx, r.opts.StartGather)
 		for r.dropUnsent(); r.queued(); r.dropUnsent() {
 			l := r.grantedLease(ctx)
 			if l == nil {
--- a/worker/usage.go
+++ b/worker/usage.go
@@ -8,6 +8,7 @@
 
 	"sesameledge.dev/sesameledge/dispatch"
 	"sesameledge.dev/sesameledge/fit"
+	"sesameledge.dev/sesameledge/internal/pause"
 	"sesameledge.dev/sesameledge/place"
 	"sesameledge.dev/sesameledge/platform"
 )
@@ -21,7 +22,7 @@
 		return
 	}
 	var busy time.Time
-	for sleep(ctx, r.opts.UsageEvery) {
+	for pause.For(ctx, r.opts.UsageEvery) {
 		r.mu.Lock()
 		if len(r.attempts) > 0 {
 			busy = time.Now()
