--- a/client/client.go
+++ b/client/client.go
@@ -4,14 +4,9 @@
 package client
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
@@ -64,14 +59,6 @@
 	tickets []heldTicket
 }
 
-// heldTicket is a ticket with the time by which its first submission must have left.
-type heldTicket struct {
-	id      ticket.ID
-	got     time.Time
-	useTill time.Time
-	life    time.Duration
-}
-
 // ErrNoHost means that no entry host could be reached.
 var ErrNoHost = errors.New("no entry host could be reached")
 
@@ -185,20 +172,6 @@
 	return false
 }
 
-// dropTickets forgets the unused tickets of the process that minted id.
-func (c *Client) dropTickets(id ticket.ID) {
-	gone, err := ticket.Parse(id)
-	if err != nil {
-		return
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.tickets = slices.DeleteFunc(c.tickets, func(h heldTicket) bool {
-		t, err := ticket.Parse(h.id)
-		return err == nil && t.Incarnation == gone.Incarnation
-	})
-}
-
 // next makes the following requests start with another host.
 func (c *Client) next() {
 	c.mu.Lock()
@@ -229,145 +202,3 @@
 	reply, _, err := c.jobRequest(ctx, 0, http.MethodDelete, "/v1/jobs/"+string(id), nil)
 	return reply, err
 }
-
-// Tickets fetches n tickets for jobs with deadlines up to maxDeadline; 0 takes the host's
-// maximum.
-func (c *Client) Tickets(ctx context.Context, n int, maxDeadline time.Duration) (*api.TicketReply, error) {
-	req := api.TicketRequest{Schema: api.Schema, Count: n, MaxDeadlineMS: maxDeadline.Milliseconds()}
-	body, err := json.Marshal(req)
-	if err != nil {
-		return nil, errors.Wrap(err, "encoding the request")
-	}
-	var reply *api.TicketReply
-	_, err = c.request(ctx, 0, http.MethodPost, "/v1/tickets", body, func(text []byte) error {
-		reply = new(api.TicketReply)
-		if err := json.Unmarshal(text, reply); err != nil || len(reply.Tickets) == 0 {
-			return errors.Newf("the host returned no tickets: %.200s", text)
-		}
-		return nil
-	})
-	return reply, err
-}
-
-// submitOnce returns the reply and the number of hosts that may have received the job.
-func (c *Client) submitOnce(ctx context.Context, job *api.Job) (*api.Reply, int, error) {
-	body, err := json.Marshal(job)
-	if err != nil {
-		return nil, 0, errors.Wrap(err, "encoding the job")
-	}
-	return c.jobRequest(ctx, jobWait(job), http.MethodPost, "/v1/jobs", body)
-}
-
-// jobWait is how long the host may wait for the job's answer.
-func jobWait(job *api.Job) time.Duration {
-	if job.WaitMS == nil {
-		return maxJobWait
-	}
-	return time.Duration(*job.WaitMS) * time.Millisecond
-}
-
-func (c *Client) jobRequest(ctx context.Context, wait time.Duration, method, path string, body []byte) (*api.Reply, int, error) {
-	var reply *api.Reply
-	sent, err := c.request(ctx, wait, method, path, body, func(text []byte) error {
-		reply = new(api.Reply)
-		if err := json.Unmarshal(text, reply); err != nil {
-			return errors.Wrap(err, "decoding the reply")
-		}
-		if reply.Outcome == "" {
-			return errors.New("the host's reply has no outcome")
-		}
-		return nil
-	})
-	return reply, sent, err
-}
-
-// request tries each host once, beginning with the one that answered last, until decode
-// takes a reply. A host may take wait and a margin. It returns the number of hosts that
-// may have received the request.
-func (c *Client) request(ctx context.Context, wait time.Duration, method, path string, body []byte, decode func([]byte) error) (int, error) {
-	c.mu.Lock()
-	first := c.first
-	c.mu.Unlock()
-	var lastErr error
-	sent := 0
-	for i := range c.opts.Hosts {
-		n := (first + i) % len(c.opts.Hosts)
-		limited, cancel := context.WithTimeout(ctx, wait+silence)
-		err := c.requestTo(limited, c.opts.Hosts[n], method, path, body, decode)
-		cancel()
-		if !notSent(err) {
-			sent++
-		}
-		if err == nil {
-			c.mu.Lock()
-			c.first = n
-			c.mu.Unlock()
-			return sent, nil
-		}
-		if ctx.Err() != nil {
-			return sent, ctx.Err()
-		}
-		lastErr = err
-	}
-	return sent, errors.Mark(errors.Wrap(lastErr, "no entry host answered"), ErrNoHost)
-}
-
-// notSent reports whether a request failed because no connection could be opened.
-func notSent(err error) bool {
-	var op *net.OpError
-	return errors.As(err, &op) && op.Op == "dial"
-}
-
-func (c *Client) requestTo(ctx context.Context, host, method, path string, body []byte, decode func([]byte) error) error {
-	req, err := http.NewRequestWithContext(ctx, method, host+path, bytes.NewReader(body))
-	if err != nil {
-		return errors.Wrap(err, "building the request")
-	}
-	if body != nil {
-		req.Header.Set("Content-Type", "application/json")
-	}
-	resp, err := c.http.Do(req)
-	if err != nil {
-		return err
-	}
-	defer func() { _ = resp.Body.Close() }()
-	text, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
-	if err != nil {
-		return errors.Wrap(err, "reading the reply")
-	}
-	return decode(text)
-}
-
-// takeTicket returns a held ticket, fetching a batch if none is left.
-func (c *Client) takeTicket(ctx context.Context) (heldTicket, error) {
-	if t, ok := c.popTicket(); ok {
-		return t, nil
-	}
-	asked := time.Now()
-	reply, err := c.Tickets(ctx, c.opts.TicketBatch, 0)
-	if err != nil {
-		return heldTicket{}, err
-	}
-	window := time.Duration(reply.WindowMS) * time.Millisecond
-	life := window + time.Duration(reply.MaxDeadlineMS)*time.Millisecond
-	c.mu.Lock()
-	for _, id := range reply.Tickets[1:] {
-		c.tickets = append(c.tickets, heldTicket{id: id, got: asked, useTill: asked.Add(window - min(windowMargin, window/4)), life: life})
-	}
-	c.mu.Unlock()
-	return heldTicket{id: reply.Tickets[0], got: asked, life: life}, nil
-}
-
-// popTicket returns a held ticket whose window is still open.
-func (c *Client) popTicket() (heldTicket, bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for len(c.tickets) > 0 {
-		t := c.tickets[0]
-		c.tickets = c.tickets[1:]
-		if time.Now().Before(t.useTill) {
-			return t, true
-		}
-	}
-	return heldTicket{}, false
-}
