Add the setting listen.advertise

Cause: a host told its peers and the platform's list the address that it listens on, so nothing could stand between hosts: no address translation, and no fault proxy in a test. Change: listen.advertise, if set, is the peer address that others are told.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -184,7 +184,7 @@
 		err := d.platform.Register(ctx, platform.Host{
 			ID:       d.settings.Host,
 			Kind:     platform.KindEntry,
-			Address:  d.settings.Listen.Peers,
+			Address:  d.settings.Listen.PeerAddress(),
 			Identity: d.incarnation.String(),
 			Zone:     d.settings.Zone,
 			State:    state,
--- a/daemon/members.go
+++ b/daemon/members.go
@@ -28,7 +28,7 @@
 // only orders the runs of this host; see member.Options.
 func memberOptions(s *settings.Settings) member.Options {
 	opts := member.Options{
-		Address:        s.Listen.Peers,
+		Address:        s.Listen.PeerAddress(),
 		FirstHeartbeat: uint64(max(time.Now().UnixMilli(), 1)),
 		ConfigSchema:   config.Schema,
 		Contacts:       s.Gossip.Contacts,
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -51,6 +51,17 @@
 	Callers   string `yaml:"callers"`
 	Peers     string `yaml:"peers"`
 	Operators string `yaml:"operators"`
+	// Advertise is the peer address, IP:port, that other hosts are told. Empty means
+	// Peers. It differs where address translation or a proxy precedes the host.
+	Advertise string `yaml:"advertise,omitempty"`
+}
+
+// PeerAddress is the address, IP:port, at which other hosts reach this one.
+func (l Listen) PeerAddress() string {
+	if l.Advertise != "" {
+		return l.Advertise
+	}
+	return l.Peers
 }
 
 // Platform says where the platform's services are.
@@ -200,6 +211,9 @@
 	c.address("listen.callers", s.Listen.Callers)
 	c.address("listen.peers", s.Listen.Peers)
 	c.address("listen.operators", s.Listen.Operators)
+	if s.Listen.Advertise != "" {
+		c.address("listen.advertise", s.Listen.Advertise)
+	}
 	c.platformURL(s.Platform.URL)
 	c.peers(s)
 	c.positive("platform.hosts_every", s.Platform.HostsEvery)
