--- a/settings/check.go
+++ b/settings/check.go
@@ -21,6 +21,9 @@
 	c.address("listen.callers", s.Listen.Callers)
 	c.address("listen.peers", s.Listen.Peers)
 	c.address("listen.operators", s.Listen.Operators)
+	if s.Listen.Advertise != "" {
+		c.address("listen.advertise", s.Listen.Advertise)
+	}
 	c.platformURL(s.Platform.URL)
 	c.peers(s)
 	c.positive("platform.hosts_every", s.Platform.HostsEvery)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -44,6 +44,17 @@
 	Callers   string `yaml:"callers"`
 	Peers     string `yaml:"peers"`
 	Operators string `yaml:"operators"`
+	// Advertise is the peer address, IP:port, that other hosts are told. Empty means
+	// Peers. It differs where address translation or a proxy precedes the host.
+	Advertise string `yaml:"advertise,omitempty"`
+}
+
+// PeerAddress is the address, IP:port, at which other hosts reach this one.
+func (l Listen) PeerAddress() string {
+	if l.Advertise != "" {
+		return l.Advertise
+	}
+	return l.Peers
 }
 
 // Platform says where the platform's services are.
