--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -203,6 +203,7 @@
 		return
 	}
 	t.avoid = t.endpoint.ID
+	t.preferLocal = t.preferLocal || t.endpoint.Zone != s.opts.Zone
 	if len(j.waiting) == 0 {
 		s.enqueue(j)
 	}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -24,7 +24,9 @@
 	attempt  int // attempts made so far
 	endpoint place.Endpoint
 	avoid    place.EndpointID // endpoint that refused last
-	result   json.RawMessage
+	// preferLocal is set once an endpoint of another availability zone refused.
+	preferLocal bool
+	result      json.RawMessage
 }
 
 // job is one accepted submission. A job with a verdict starts nothing.
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -131,5 +131,6 @@
 		t.Size = declaredSize(&j.specs[index])
 	}
 	t.Ends, t.Job, t.Index, t.JobTasks = j.ends, string(j.id), index, len(j.tasks)
+	t.PreferLocal = j.tasks[index].preferLocal
 	return t
 }
--- a/place/adaptive.go
+++ b/place/adaptive.go
@@ -12,6 +12,9 @@
 	remoteCost = 2 * time.Millisecond
 	// avoidFactor makes the endpoint that refused a task last the worst choice.
 	avoidFactor = 4
+	// remoteAvoidFactor leaves other availability zones to tasks that no endpoint of the own
+	// zone can take, once one of them was refused there: the zone may be cut off.
+	remoteAvoidFactor = 16
 	// tieJitter spreads the choice between endpoints that look alike, so that hosts with
 	// the same view do not all choose the same one.
 	tieJitter = 0.03
@@ -48,6 +51,9 @@
 		if st.ID == avoid {
 			cost *= avoidFactor
 		}
+		if task.PreferLocal && st.Zone != s.opts.Zone {
+			cost *= remoteAvoidFactor
+		}
 		if best.st == nil || cost < best.cost {
 			best = choice{st: st, cost: cost}
 		}
--- a/place/place.go
+++ b/place/place.go
@@ -52,6 +52,8 @@
 	Size  Size          // declared size
 	// JobTasks is the number of tasks of the job.
 	JobTasks int
+	// PreferLocal is set once an endpoint of another availability zone refused the task.
+	PreferLocal bool
 	// Ends is when the task's job is expected to end because of its other tasks, on the
 	// clock of now; 0 if unknown.
 	Ends time.Duration
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -227,3 +227,30 @@
 		t.Error("a task of 8 cores does not fit a busy endpoint of 64")
 	}
 }
+
+// Guards against a task that spends all its attempts on an availability zone that is cut
+// off, while endpoints of the own zone are free.
+func TestPreferLocalAfterRefusal(t *testing.T) {
+	s := NewSet(Options{Zone: "own", Seed: 1})
+	list := []Endpoint{{ID: "own-1", Zone: "own", Group: "g", Slots: 8}}
+	for i := range 20 {
+		list = append(list, Endpoint{ID: EndpointID(fmt.Sprintf("far-%d", i)), Zone: "far", Group: "g", Slots: 8})
+	}
+	s.Update(list)
+	// The own zone is slow, so that a task goes to the other one first.
+	for range 40 {
+		s.Started("own-1")
+		s.Ended(0, "own-1", Sample{Kind: "k", Service: 800 * time.Millisecond, Load: 0})
+		s.Started("far-0")
+		s.Ended(0, "far-0", Sample{Kind: "k", Service: 100 * time.Millisecond, Load: 0})
+	}
+	task := Task{Kind: "k", Group: "g"}
+	s.BeginRound()
+	if ep, _ := s.Pick(time.Second, task, ""); ep.Zone != "far" {
+		t.Fatalf("the first choice is %s; the test needs it to be in the other zone", ep.ID)
+	}
+	task.PreferLocal = true
+	if ep, choice := s.Pick(time.Second, task, ""); choice != Start || ep.Zone != "own" {
+		t.Errorf("after a refusal the choice is %s (%d), want the own zone", ep.ID, choice)
+	}
+}
