--- a/settings/settings.go
+++ b/settings/settings.go
@@ -161,7 +161,7 @@
 			Connections:    9, // 64 connections of a minion shared by 7 entry hosts
 			DialTimeout:    500 * time.Millisecond,
 			IdleTimeout:    30 * time.Second,
-			ProveIdleAfter: time.Second,
+			ProveIdleAfter: 250 * time.Millisecond,
 		},
 		Workers: Workers{
 			// Outlasts short outages of the platform; most tasks end by themselves sooner.
