--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -87,20 +87,12 @@
 		drained:     make(chan struct{}),
 		gossip:      newGossipReplies(),
 	}
-	traffic := new(peer.Traffic)
 	var err error
 	if d.tls, err = newSides(s.TLS, d.logs.daemon); err != nil {
 		cancel()
 		return nil, err
 	}
-	d.peers = peer.NewClient(newPeerCredentials(d.tls.peers), traffic)
-	d.traffic = &trafficRate{counters: traffic}
-	d.backend = backend.New(backend.Options{
-		ConnsPerMinion: s.Backend.Connections,
-		DialTimeout:    s.Backend.DialTimeout,
-		IdleTimeout:    s.Backend.IdleTimeout,
-		ProveIdleAfter: s.Backend.ProveIdleAfter,
-	})
+	d.logs.redirectStandardLog()
 	d.loop = newLoop(core.New(core.Options{
 		Host:        s.Host,
 		Incarnation: inc,
@@ -108,37 +100,44 @@
 		Seed:        binary.LittleEndian.Uint64(seed[8:]),
 		Member:      memberOptions(s),
 	}))
-	d.logs.redirectStandardLog()
 	d.loop.run = d.runEffect
+	d.newClients()
+	d.configLog = d.newConfigLog()
+	d.configPulls = make(chan string, 1)
+	d.claimsLog = d.newClaimsLog()
+	d.claimQueue = make(chan claim.Claim, claimQueue)
+	d.metrics = d.newMetrics()
+	return d, nil
+}
+
+// newClients makes the clients of peers, minions and workers.
+func (d *Daemon) newClients() {
+	s := d.settings
+	traffic := new(peer.Traffic)
+	d.traffic = &trafficRate{counters: traffic}
+	d.peers = peer.NewClient(newPeerCredentials(d.tls.peers), traffic)
+	d.backend = backend.New(backend.Options{
+		ConnsPerMinion: s.Backend.Connections,
+		DialTimeout:    s.Backend.DialTimeout,
+		IdleTimeout:    s.Backend.IdleTimeout,
+		ProveIdleAfter: s.Backend.ProveIdleAfter,
+	})
 	d.workers = worker.New(worker.Options{
 		Platform:     d.platform,
-		Incarnation:  inc.String(),
+		Incarnation:  d.incarnation.String(),
 		Report:       func(ev dispatch.AttemptEnded) { d.loop.send(ev) },
 		ReportUsage:  func(ev dispatch.UsageReported) { d.loop.send(ev) },
 		LeaseTTL:     s.Workers.LeaseTTL,
 		ResultGather: s.Workers.ResultGather,
 	})
-	d.configLog = d.newConfigLog()
-	d.configPulls = make(chan string, 1)
-	d.claimsLog = d.newClaimsLog()
-	d.claimQueue = make(chan claim.Claim, claimQueue)
-	d.metrics = d.newMetrics()
-	return d, nil
 }
 
 // Start opens the listeners and starts serving. On error everything is closed again.
 func (d *Daemon) Start() error {
 	listen := d.settings.Listen
-	listeners := make([]net.Listener, 0, 3)
-	for _, addr := range []string{listen.Callers, listen.Peers, listen.Operators} {
-		l, err := net.Listen("tcp", addr)
-		if err != nil {
-			for _, open := range listeners {
-				_ = open.Close()
-			}
-			return errors.Wrapf(err, "listening on %s", addr)
-		}
-		listeners = append(listeners, l)
+	listeners, err := listenAll(listen.Callers, listen.Peers, listen.Operators)
+	if err != nil {
+		return err
 	}
 	d.callers = &http.Server{Handler: d.closeWhileDraining(d.callersMux()), ConnState: d.callerConns.note, ReadHeaderTimeout: headerTimeout}
 	d.operators = &http.Server{Handler: d.operatorsMux(), ReadHeaderTimeout: headerTimeout}
@@ -148,19 +147,33 @@
 	go func() { _ = serveHTTP(d.callers, listeners[0], d.tls.callers) }()
 	go func() { _ = d.peerServer.Serve(d.traffic.counters.Listener(listeners[1])) }()
 	go func() { _ = serveHTTP(d.operators, listeners[2], d.tls.operators) }()
-	d.follow(d.configLog.follow)
-	d.follow(d.pullConfig)
-	d.follow(d.claimsLog.follow)
-	d.follow(d.commitClaims)
-	d.follow(d.followHosts)
-	d.follow(d.renewRegistration)
-	d.follow(d.traffic.follow)
-	d.follow(d.workers.Run)
+	for _, f := range []func(context.Context){
+		d.configLog.follow, d.pullConfig, d.claimsLog.follow, d.commitClaims,
+		d.followHosts, d.renewRegistration, d.traffic.follow, d.workers.Run,
+	} {
+		d.follow(f)
+	}
 	level.Info(d.logs.daemon).Log("msg", "started", "host", d.settings.Host, "zone", d.settings.Zone,
 		"incarnation", d.incarnation, "callers", listen.Callers, "peers", listen.Peers, "operators", listen.Operators)
 	return nil
 }
 
+// listenAll opens a listener for each address, or none.
+func listenAll(addresses ...string) ([]net.Listener, error) {
+	listeners := make([]net.Listener, 0, len(addresses))
+	for _, addr := range addresses {
+		l, err := net.Listen("tcp", addr)
+		if err != nil {
+			for _, open := range listeners {
+				_ = open.Close()
+			}
+			return nil, errors.Wrapf(err, "listening on %s", addr)
+		}
+		listeners = append(listeners, l)
+	}
+	return listeners, nil
+}
+
 const (
 	headerTimeout = 10 * time.Second
 	// registerEvery is the pause between renewals in the platform's host list.
--- a/daemon/tls_test.go
+++ b/daemon/tls_test.go
@@ -3,18 +3,11 @@
 import (
 	"bytes"
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
 	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
-	"math/big"
 	"net"
 	"net/http"
 	"os"
-	"path/filepath"
 	"strings"
 	"sync"
 	"testing"
@@ -22,79 +15,13 @@
 
 	"github.com/go-kit/log"
 
+	"sesameledge.dev/sesameledge/internal/testcert"
 	"sesameledge.dev/sesameledge/member"
 	"sesameledge.dev/sesameledge/peer"
 	"sesameledge.dev/sesameledge/peer/peerpb"
 	"sesameledge.dev/sesameledge/settings"
 )
 
-// authority is a CA made for a test.
-type authority struct {
-	t    *testing.T
-	dir  string
-	cert *x509.Certificate
-	key  *ecdsa.PrivateKey
-}
-
-func newAuthority(t *testing.T) *authority {
-	t.Helper()
-	a := &authority{t: t, dir: t.TempDir()}
-	a.key = newKey(t)
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "test CA"},
-		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
-		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
-	}
-	der := a.sign(template, template, &a.key.PublicKey)
-	a.cert, _ = x509.ParseCertificate(der)
-	writePEM(t, filepath.Join(a.dir, "ca.pem"), "CERTIFICATE", der)
-	return a
-}
-
-func newKey(t *testing.T) *ecdsa.PrivateKey {
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return key
-}
-
-func (a *authority) sign(template, parent *x509.Certificate, key *ecdsa.PublicKey) []byte {
-	der, err := x509.CreateCertificate(rand.Reader, template, parent, key, a.key)
-	if err != nil {
-		a.t.Fatal(err)
-	}
-	return der
-}
-
-// issue writes a certificate for loopback with a serial number.
-func (a *authority) issue(name string, serial int64) settings.KeyPair {
-	key := newKey(a.t)
-	der := a.sign(&x509.Certificate{
-		SerialNumber: big.NewInt(serial), Subject: pkix.Name{CommonName: name},
-		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
-		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
-		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
-	}, a.cert, &key.PublicKey)
-	pair := settings.KeyPair{
-		Cert: filepath.Join(a.dir, name+".pem"), Key: filepath.Join(a.dir, name+".key"), ClientCA: filepath.Join(a.dir, "ca.pem"),
-	}
-	private, err := x509.MarshalECPrivateKey(key)
-	if err != nil {
-		a.t.Fatal(err)
-	}
-	writePEM(a.t, pair.Cert, "CERTIFICATE", der)
-	writePEM(a.t, pair.Key, "EC PRIVATE KEY", private)
-	return pair
-}
-
-func writePEM(t *testing.T, path, kind string, der []byte) {
-	t.Helper()
-	if err := os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600); err != nil {
-		t.Fatal(err)
-	}
-}
-
 // source opens a key source whose log lines go to the returned buffer.
 func source(t *testing.T, pair settings.KeyPair) (*keySource, *lockedBuffer) {
 	t.Helper()
@@ -138,9 +65,9 @@
 
 // serial connects with a client certificate, or none, and returns the serial number of
 // the server's certificate.
-func serial(address string, a *authority, client *settings.KeyPair) (int64, error) {
+func serial(address string, a *testcert.Authority, client *settings.KeyPair) (int64, error) {
 	config := &tls.Config{RootCAs: x509.NewCertPool()}
-	config.RootCAs.AddCert(a.cert)
+	config.RootCAs.AddCert(a.Cert)
 	if client != nil {
 		cert, err := tls.LoadX509KeyPair(client.Cert, client.Key)
 		if err != nil {
@@ -160,10 +87,10 @@
 
 // Guards against a side that serves clients without a certificate of its CA.
 func TestClientCertificateRequired(t *testing.T) {
-	a, stranger := newAuthority(t), newAuthority(t)
-	keys, _ := source(t, a.issue("server", 2))
+	a, stranger := testcert.New(t), testcert.New(t)
+	keys, _ := source(t, a.Issue("server", 2))
 	address := listen(t, keys)
-	good, bad := a.issue("client", 3), stranger.issue("client", 3)
+	good, bad := a.Issue("client", 3), stranger.Issue("client", 3)
 	if _, err := serial(address, a, nil); err == nil {
 		t.Error("a client without a certificate was served")
 	}
@@ -178,11 +105,11 @@
 // Guards against certificates that need a restart, and against a broken file that stops
 // the side from serving.
 func TestCertificateReload(t *testing.T) {
-	a := newAuthority(t)
-	pair := a.issue("server", 2)
+	a := testcert.New(t)
+	pair := a.Issue("server", 2)
 	keys, out := source(t, pair)
 	address := listen(t, keys)
-	client := a.issue("client", 3)
+	client := a.Issue("client", 3)
 	change := func(age time.Duration) { // also where file times are coarse
 		at := time.Now().Add(age)
 		if err := os.Chtimes(pair.Cert, at, at); err != nil {
@@ -190,7 +117,7 @@
 		}
 		time.Sleep(reloadEvery + 50*time.Millisecond)
 	}
-	a.issue("server", 4)
+	a.Issue("server", 4)
 	change(time.Minute)
 	if n, err := serial(address, a, &client); err != nil || n != 4 {
 		t.Errorf("after the change: certificate %d, %v", n, err)
@@ -216,8 +143,8 @@
 
 // Guards against entry hosts that talk to a peer without a certificate of their CA.
 func TestPeersAuthenticateEachOther(t *testing.T) {
-	a, stranger := newAuthority(t), newAuthority(t)
-	serverKeys, _ := source(t, a.issue("server", 2))
+	a, stranger := testcert.New(t), testcert.New(t)
+	serverKeys, _ := source(t, a.Issue("server", 2))
 	server := peer.NewServer(newPeerCredentials(serverKeys), new(peer.Traffic))
 	peerpb.RegisterPeerServer(server, gossipEcho{})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -234,11 +161,11 @@
 		_, err := c.Gossip(ctx, l.Addr().String(), &member.Message{})
 		return err
 	}
-	good, _ := source(t, a.issue("peer", 3))
+	good, _ := source(t, a.Issue("peer", 3))
 	if err := call(good); err != nil {
 		t.Errorf("a peer of the same CA: %v", err)
 	}
-	bad, _ := source(t, stranger.issue("peer", 3))
+	bad, _ := source(t, stranger.Issue("peer", 3))
 	for name, keys := range map[string]*keySource{"plain TCP": nil, "another CA": bad} {
 		if call(keys) == nil {
 			t.Errorf("%s: the call succeeded", name)
--- /dev/null
+++ b/internal/testcert/testcert.go
@@ -0,0 +1,94 @@
+// Package testcert makes certificates for tests at run time.
+package testcert
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"sesameledge.dev/sesameledge/settings"
+)
+
+// Authority is a certificate authority that lives as long as its test.
+type Authority struct {
+	Cert *x509.Certificate
+
+	t   testing.TB
+	dir string
+	key *ecdsa.PrivateKey
+}
+
+// New makes an authority. Its files lie in a temporary directory of the test.
+func New(t testing.TB) *Authority {
+	t.Helper()
+	a := &Authority{t: t, dir: t.TempDir()}
+	a.key = a.newKey()
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "test CA"},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
+	}
+	der := a.sign(template, template, &a.key.PublicKey)
+	cert, err := x509.ParseCertificate(der)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a.Cert = cert
+	a.writePEM("ca.pem", "CERTIFICATE", der)
+	return a
+}
+
+// Issue writes a certificate for 127.0.0.1 and further addresses, good for both ends of a
+// connection. Issuing the same name again replaces the files.
+func (a *Authority) Issue(name string, serial int64, more ...net.IP) settings.KeyPair {
+	a.t.Helper()
+	key := a.newKey()
+	der := a.sign(&x509.Certificate{
+		SerialNumber: big.NewInt(serial), Subject: pkix.Name{CommonName: name},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		IPAddresses: append([]net.IP{net.IPv4(127, 0, 0, 1)}, more...),
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}, a.Cert, &key.PublicKey)
+	private, err := x509.MarshalECPrivateKey(key)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	return settings.KeyPair{
+		Cert:     a.writePEM(name+".pem", "CERTIFICATE", der),
+		Key:      a.writePEM(name+".key", "EC PRIVATE KEY", private),
+		ClientCA: filepath.Join(a.dir, "ca.pem"),
+	}
+}
+
+func (a *Authority) newKey() *ecdsa.PrivateKey {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	return key
+}
+
+func (a *Authority) sign(template, parent *x509.Certificate, key *ecdsa.PublicKey) []byte {
+	der, err := x509.CreateCertificate(rand.Reader, template, parent, key, a.key)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	return der
+}
+
+func (a *Authority) writePEM(name, kind string, der []byte) string {
+	path := filepath.Join(a.dir, name)
+	if err := os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600); err != nil {
+		a.t.Fatal(err)
+	}
+	return path
+}
