--- a/standin/zonecut/network.go
+++ b/standin/zonecut/network.go
@@ -25,12 +25,16 @@
 	proxies  map[string]*proxysim.Proxy // by target address
 	fronts   map[string]*front          // by target address
 	gateways map[string]*gateway        // by source zone
-	owners   map[int]string             // zone by process identifier
-	err      error                      // first error of adjust
+
+	addresses testbed.Addresses
+	owners    map[int]string // zone by process identifier
+	err       error          // first error of adjust
 }
 
 func newNetwork(zones []string, silent bool) *network {
 	return &network{
+		addresses: testbed.NewAddresses(),
+
 		zones:    zones,
 		silent:   silent,
 		proxies:  make(map[string]*proxysim.Proxy),
@@ -77,7 +81,13 @@
 	if p == nil {
 		var routes []proxysim.RouteConfig
 		for _, z := range append([]string{unidentified}, n.zones...) {
-			routes = append(routes, proxysim.RouteConfig{Name: z + ">" + zone, Target: target})
+			// A cut closes the port. On an IP shared with other deployments one of them could
+			// take it, and its answers would look like crossed ones.
+			listen, err := n.addresses.Free()
+			if err != nil {
+				return "", err
+			}
+			routes = append(routes, proxysim.RouteConfig{Name: z + ">" + zone, Listen: listen, Target: target})
 		}
 		p = proxysim.New(proxysim.Config{Routes: routes})
 		if err := p.Start(); err != nil {
