--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -199,10 +199,10 @@
 	return now >= minted+t.Lifetime()
 }
 
-// lifeEndedReply answers after the ticket's life, when the job's record is gone.
+// lifeEndedReply answers after the lifetime of the ticket, when the job's record is gone.
 func lifeEndedReply(id ticket.ID) *api.Reply {
 	return &api.Reply{Schema: api.Schema, Ticket: id, Outcome: api.Failed,
-		Reason: api.Errorf(api.CodeAnswerExpired, "ticket", "the ticket's life has ended; the job may have run and its answer is no longer kept")}
+		Reason: api.Errorf(api.CodeAnswerExpired, "ticket", "the ticket's lifetime has ended; the job may have run and its answer is no longer kept")}
 }
 
 // notMintedReply answers for a ticket that this host has not minted. It is no refusal,
