Share the defaults of options and the check of switched-off machines

Cause: the same function that fills in zero options stood in four packages, and the same loop over seeds in the machines of claim and config. Change: internal/defaults and rapidtest.RequireCaughtIn serve them all.

--- a/backend/options.go
+++ b/backend/options.go
@@ -1,6 +1,10 @@
 package backend
 
-import "time"
+import (
+	"time"
+
+	"sesameledge.dev/sesameledge/internal/defaults"
+)
 
 // Default values of Options.
 const (
@@ -49,21 +53,14 @@
 }
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.ConnsPerMinion, DefaultConnsPerMinion)
-	setDefault(&o.DialTimeout, DefaultDialTimeout)
-	setDefault(&o.IdleTimeout, DefaultIdleTimeout)
-	setDefault(&o.ProveIdleAfter, DefaultProveIdleAfter)
-	setDefault(&o.ProofTimeout, DefaultProofTimeout)
-	setDefault(&o.KeepAlive, DefaultKeepAlive)
-	setDefault(&o.UserTimeout, DefaultUserTimeout)
-	setDefault(&o.CancelTimeout, DefaultCancelTimeout)
-	setDefault(&o.MaxResultBytes, DefaultMaxResultBytes)
+	defaults.Set(&o.ConnsPerMinion, DefaultConnsPerMinion)
+	defaults.Set(&o.DialTimeout, DefaultDialTimeout)
+	defaults.Set(&o.IdleTimeout, DefaultIdleTimeout)
+	defaults.Set(&o.ProveIdleAfter, DefaultProveIdleAfter)
+	defaults.Set(&o.ProofTimeout, DefaultProofTimeout)
+	defaults.Set(&o.KeepAlive, DefaultKeepAlive)
+	defaults.Set(&o.UserTimeout, DefaultUserTimeout)
+	defaults.Set(&o.CancelTimeout, DefaultCancelTimeout)
+	defaults.Set(&o.MaxResultBytes, DefaultMaxResultBytes)
 	return o
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
--- a/claim/machine_test.go
+++ b/claim/machine_test.go
@@ -3,12 +3,12 @@
 import (
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
 	"testing"
 
 	"github.com/cockroachdb/errors"
 	"pgregory.net/rapid"
 
+	"sesameledge.dev/sesameledge/internal/rapidtest"
 	"sesameledge.dev/sesameledge/ticket"
 )
 
@@ -143,18 +143,7 @@
 		"window":           {noWindow: true},
 		"start of reading": {ignoreStart: true},
 	} {
-		caught := 0
-		const runs = 100
-		for seed := range uint64(runs) {
-			r := rand.New(rand.NewPCG(seed, 2))
-			if newMachine(r.IntN, s).run(400) != nil {
-				caught++
-			}
-		}
-		t.Logf("%s switched off: caught in %d of %d runs", name, caught, runs)
-		if caught == 0 {
-			t.Errorf("%s switched off and not caught", name)
-		}
+		rapidtest.RequireCaughtIn(t, name, 100, 2, func(draw func(int) int) error { return newMachine(draw, s).run(400) })
 	}
 }
 
--- a/config/machine_test.go
+++ b/config/machine_test.go
@@ -3,11 +3,12 @@
 import (
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
 	"testing"
 
 	"github.com/cockroachdb/errors"
 	"pgregory.net/rapid"
+
+	"sesameledge.dev/sesameledge/internal/rapidtest"
 )
 
 const goodText = "schema: 1\nteams: {a: {weight: 1}}\n"
@@ -246,17 +247,6 @@
 		"gap":      {skipRecords: true},
 		"text":     {judgeText: true},
 	} {
-		caught := 0
-		const runs = 40
-		for seed := range uint64(runs) {
-			r := rand.New(rand.NewPCG(seed, 1))
-			if newMachine(r.IntN, s).run(150) != nil {
-				caught++
-			}
-		}
-		t.Logf("%s switched off: caught in %d of %d runs", name, caught, runs)
-		if caught == 0 {
-			t.Errorf("%s switched off and not caught", name)
-		}
+		rapidtest.RequireCaughtIn(t, name, 40, 1, func(draw func(int) int) error { return newMachine(draw, s).run(150) })
 	}
 }
--- /dev/null
+++ b/internal/rapidtest/caught.go
@@ -0,0 +1,23 @@
+package rapidtest
+
+import (
+	"math/rand/v2"
+	"testing"
+)
+
+// RequireCaughtIn runs a machine with a mechanism switched off, once for each seed below
+// runs, and fails the test if no run returns an error, because then the machine would not
+// notice that the mechanism is broken. stream tells the draws of one machine from another's.
+func RequireCaughtIn(t *testing.T, mechanism string, runs, stream uint64, run func(draw func(n int) int) error) {
+	t.Helper()
+	caught := 0
+	for seed := range runs {
+		if run(rand.New(rand.NewPCG(seed, stream)).IntN) != nil {
+			caught++
+		}
+	}
+	t.Logf("%s switched off: caught in %d of %d runs", mechanism, caught, runs)
+	if caught == 0 {
+		t.Errorf("%s switched off and not caught", mechanism)
+	}
+}
--- a/standin/minionsim/config.go
+++ b/standin/minionsim/config.go
@@ -4,7 +4,11 @@
 // defines, and counts the starts of every task as the oracle for at-most-once execution.
 package minionsim
 
-import "time"
+import (
+	"time"
+
+	"sesameledge.dev/sesameledge/internal/defaults"
+)
 
 // Defaults of Config.
 const (
@@ -32,24 +36,17 @@
 }
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.Count, 1)
-	setDefault(&c.Prefix, "minion")
-	setDefault(&c.Address, "127.0.0.1")
-	setDefault(&c.Admin, "127.0.0.1:0")
-	setDefault(&c.Slots, DefaultSlots)
-	setDefault(&c.Connections, DefaultConnections)
-	setDefault(&c.Queue, c.Connections)
-	setDefault(&c.Spread, DefaultSpread)
-	setDefault(&c.Renew, DefaultRenew)
+	defaults.Set(&c.Count, 1)
+	defaults.Set(&c.Prefix, "minion")
+	defaults.Set(&c.Address, "127.0.0.1")
+	defaults.Set(&c.Admin, "127.0.0.1:0")
+	defaults.Set(&c.Slots, DefaultSlots)
+	defaults.Set(&c.Connections, DefaultConnections)
+	defaults.Set(&c.Queue, c.Connections)
+	defaults.Set(&c.Spread, DefaultSpread)
+	defaults.Set(&c.Renew, DefaultRenew)
 	if len(c.Zones) == 0 {
 		c.Zones = []string{"local"}
 	}
 	return c
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
--- a/standin/platformsim/config.go
+++ b/standin/platformsim/config.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"sesameledge.dev/sesameledge/internal/defaults"
 	"sesameledge.dev/sesameledge/platform"
 )
 
@@ -33,19 +34,12 @@
 }
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.Address, "127.0.0.1:0")
-	setDefault(&c.AppendRate, DefaultAppendRate)
-	setDefault(&c.SyncTime, DefaultSyncTime)
-	setDefault(&c.Retention, DefaultRetention)
-	setDefault(&c.HostLag, DefaultHostLag)
-	setDefault(&c.HostTTL, DefaultHostTTL)
-	setDefault(&c.UsageLag, DefaultUsageLag)
+	defaults.Set(&c.Address, "127.0.0.1:0")
+	defaults.Set(&c.AppendRate, DefaultAppendRate)
+	defaults.Set(&c.SyncTime, DefaultSyncTime)
+	defaults.Set(&c.Retention, DefaultRetention)
+	defaults.Set(&c.HostLag, DefaultHostLag)
+	defaults.Set(&c.HostTTL, DefaultHostTTL)
+	defaults.Set(&c.UsageLag, DefaultUsageLag)
 	return c
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
--- a/worker/options.go
+++ b/worker/options.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"sesameledge.dev/sesameledge/dispatch"
+	"sesameledge.dev/sesameledge/internal/defaults"
 )
 
 // Defaults of Options.
@@ -73,20 +74,13 @@
 }
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.LeaseTTL, DefaultLeaseTTL)
-	setDefault(&o.StartGather, DefaultStartGather)
-	setDefault(&o.ResultGather, DefaultResultGather)
-	setDefault(&o.ConfirmDelay, DefaultConfirmDelay)
-	setDefault(&o.UsageEvery, DefaultUsageEvery)
-	setDefault(&o.MaxBatch, DefaultMaxBatch)
-	setDefault(&o.PollWait, DefaultPollWait)
-	setDefault(&o.GiveUp, DefaultGiveUp)
+	defaults.Set(&o.LeaseTTL, DefaultLeaseTTL)
+	defaults.Set(&o.StartGather, DefaultStartGather)
+	defaults.Set(&o.ResultGather, DefaultResultGather)
+	defaults.Set(&o.ConfirmDelay, DefaultConfirmDelay)
+	defaults.Set(&o.UsageEvery, DefaultUsageEvery)
+	defaults.Set(&o.MaxBatch, DefaultMaxBatch)
+	defaults.Set(&o.PollWait, DefaultPollWait)
+	defaults.Set(&o.GiveUp, DefaultGiveUp)
 	return o
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
