Count the answers of keyed jobs as fetched

Answers of submissions with a key were written without noting that the caller has them. They stayed in memory until the ticket's lifetime ended, could not be evicted at the memory limit, and a drain handed each of them to a peer, so the outcome after the replacement depended on whether the peer was known as live at that moment. Ruled out: an owner other than the host stopped, and a closed connection between write and note.

Change: keyed submissions note the fetch like all others, the state dump shows it per job, and the test waits for it before it stops the owner.

With the note left out, the test fails each time.

--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -130,13 +130,17 @@
 }
 
 func (d *Daemon) performAndWrite(w http.ResponseWriter, r *http.Request, op operation) {
-	reply := d.perform(r.Context(), op)
-	if reply == nil {
-		return
+	if reply := d.perform(r.Context(), op); reply != nil {
+		d.writeFetched(w, r, op.ticket.Incarnation, reply)
 	}
+}
+
+// writeFetched writes a reply and notes that the caller has it. A caller that has gone
+// may not have read it, so its answer stays unfetched.
+func (d *Daemon) writeFetched(w http.ResponseWriter, r *http.Request, owner ticket.Incarnation, reply *api.Reply) {
 	writeReply(w, reply)
 	if http.NewResponseController(w).Flush() == nil && r.Context().Err() == nil {
-		d.noteFetched(op, reply, false)
+		d.noteFetched(owner, reply, false)
 	}
 }
 
--- a/daemon/claims.go
+++ b/daemon/claims.go
@@ -159,10 +159,19 @@
 	wait := d.jobWait(job)
 	d.loop.send(core.KeySubmit{ID: t.ID(), Ticket: t, Job: job, Digest: jobDigest(job), Waiter: waiter, Wait: wait})
 	if reply := d.awaitKeyed(r.Context(), waiter, replies, wait); reply != nil {
-		writeReply(w, reply)
+		d.writeFetched(w, r, ownerOf(reply), reply)
 	}
 }
 
+// ownerOf returns the incarnation that owns a reply's ticket, or none without a ticket.
+func ownerOf(reply *api.Reply) ticket.Incarnation {
+	t, err := ticket.Parse(reply.Ticket)
+	if err != nil {
+		return 0
+	}
+	return t.Incarnation
+}
+
 // awaitKeyed returns the reply, or nil if the caller went away.
 func (d *Daemon) awaitKeyed(ctx context.Context, w dispatch.WaiterID, replies <-chan *api.Reply, wait time.Duration) *api.Reply {
 	for _, period := range []time.Duration{wait, replyMargin} {
--- a/daemon/jobs.go
+++ b/daemon/jobs.go
@@ -124,8 +124,8 @@
 }
 
 // noteFetched records that the final reply of an own job was handed on.
-func (d *Daemon) noteFetched(op operation, reply *api.Reply, relayed bool) {
-	if reply.Final() && op.ticket.Incarnation == d.incarnation {
-		d.loop.send(dispatch.AnswerFetched{ID: op.id, Relayed: relayed})
+func (d *Daemon) noteFetched(owner ticket.Incarnation, reply *api.Reply, relayed bool) {
+	if reply.Final() && owner == d.incarnation {
+		d.loop.send(dispatch.AnswerFetched{ID: reply.Ticket, Relayed: relayed})
 	}
 }
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -40,7 +40,7 @@
 	if encErr != nil {
 		return nil, status.Error(codes.Internal, encErr.Error())
 	}
-	p.d.noteFetched(op, reply, true)
+	p.d.noteFetched(op.ticket.Incarnation, reply, true)
 	return &peerpb.ForwardReply{Incarnation: uint64(p.d.incarnation), Reply: encoded}, nil
 }
 
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -22,6 +22,7 @@
 	Waiting    int         `json:"waiting"`
 	Waiters    int         `json:"waiters"`
 	Outcome    api.Outcome `json:"outcome,omitempty"`
+	Fetched    bool        `json:"fetched,omitempty"` // the answer was written to a caller
 }
 
 // View is the dispatcher's state in a state dump.
@@ -72,6 +73,7 @@
 	}
 	if j.ended() {
 		v.Outcome = j.verdict.Outcome
+		v.Fetched = j.fetch == fetched
 	}
 	return v
 }
--- a/standin/configproof/keys_test.go
+++ b/standin/configproof/keys_test.go
@@ -11,10 +11,12 @@
 	"time"
 
 	"sesameledge.dev/sesameledge/api"
+	"sesameledge.dev/sesameledge/daemon"
 	"sesameledge.dev/sesameledge/platform"
 	"sesameledge.dev/sesameledge/standin/minionsim"
 	"sesameledge.dev/sesameledge/standin/platformsim"
 	"sesameledge.dev/sesameledge/standin/testbed"
+	"sesameledge.dev/sesameledge/ticket"
 )
 
 // newKeySite starts hosts with a configuration and minions that count starts.
@@ -52,11 +54,35 @@
 	s.t.Fatalf("host %d does not get ready", n)
 }
 
+// epoch returns the epoch of a host, which first has to read the log of keys.
 func (s *site) epoch(n int) uint64 {
 	s.t.Helper()
 	var reply api.EpochReply
-	must(s.t, testbed.GetJSON(context.Background(), s.callers(n)+"/v1/epoch", &reply))
-	return reply.Epoch
+	var err error
+	for range 500 {
+		if err = testbed.GetJSON(context.Background(), s.callers(n)+"/v1/epoch", &reply); err == nil {
+			return reply.Epoch
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	s.t.Fatalf("host %d does not tell its epoch: %v", n, err)
+	return 0
+}
+
+// awaitFetched waits until a host counts the answer of a job as fetched.
+func (s *site) awaitFetched(n int, id ticket.ID) {
+	s.t.Helper()
+	for range 500 {
+		var dump daemon.Dump
+		must(s.t, testbed.GetJSON(context.Background(), s.operators(n)+"/debug/state", &dump))
+		for _, j := range dump.Dispatch.Jobs {
+			if j.Ticket == id && j.Fetched {
+				return
+			}
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	s.t.Fatalf("host %d does not count the answer of %s as fetched", n, id)
 }
 
 // submitKey submits a job of one task with a key and returns the reply.
@@ -148,8 +174,9 @@
 	}
 }
 
-// Guards against a key that is bound to one job and answers for another, and against a
-// host that is replaced and forgets who owns a key.
+// Guards against a key that is bound to one job and answers for another, against a host
+// that is replaced and forgets who owns a key, and against an answer that its caller has
+// and that still takes memory, and a handover at the drain, as if nobody had fetched it.
 func TestKeyOutlivesItsHost(t *testing.T) {
 	s, fleet := newKeySite(t, 2)
 	epoch := s.epoch(0)
@@ -157,6 +184,7 @@
 	if r := s.submitKey(1, "a", epoch, time.Second); r.Outcome != api.Unknown || r.Reason.Code != api.CodeTicketReused {
 		t.Errorf("another job under the key: %s %v", r.Outcome, r.Reason)
 	}
+	s.awaitFetched(0, first.Ticket)
 	s.stop(0)
 	s.start(0)
 	s.awaitReady(0)
