Start the watchers of zonecut after their map is filled; compile before the tests

Cause: the race detector failed TestZoneCutOff in 6 of 24 runs under load: a watcher read the map of hosts while the next entry was still being added to it. On a machine with an empty cache the compilers also ran beside the first deployments.

Change: the map is complete before the first watcher starts. The unit target compiles everything with the race detector before it starts a test.

--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,10 @@
 staticcheck:
 	go tool staticcheck ./... ./standin/...
 
+# Compiles first: compilers that run beside tests of whole deployments slow these down
+# on a machine with an empty cache.
 unit:
+	go build -race ./... ./standin/...
 	go test -race -timeout $(GOTEST_TIMEOUT) ./... ./standin/...
 
 # Regenerates the committed gRPC code. Needs protoc; the build does not.
--- a/standin/zonecut/watch.go
+++ b/standin/zonecut/watch.go
@@ -32,6 +32,8 @@
 	w := &watcher{hosts: make(map[string]*seen)}
 	for _, h := range bed.Hosts {
 		w.hosts[h.Settings.Host] = &seen{since: make(map[uint64]time.Time)}
+	}
+	for _, h := range bed.Hosts {
 		w.wait.Go(func() { w.follow(ctx, h) })
 	}
 	return w
