Show the latest accepted revision of each host

Cause: while a newer schema version is rolled out, `hosts` shows only the revision in force on each host, so that one that waits for its new build looks like one that has not read the log. Change: GET /v1/hosts?latest asks each host, over the existing FetchConfig call, for the latest revision that it has accepted, and adds the schema version of that record from the fold of the host asked; `hosts` shows both, in the table only when the revision is not the one in force. Hosts of earlier releases answer that call too. The schema version that a fold applies is an option of the fold, so that a test runs an older and a newer reader side by side.

--- a/command/hosts.go
+++ b/command/hosts.go
@@ -30,7 +30,7 @@
 	}
 	var hosts []daemon.HostView
 	for _, url := range operators {
-		if err = getJSON(ctx, url+"/v1/hosts", &hosts); err == nil {
+		if err = getJSON(ctx, url+"/v1/hosts?latest", &hosts); err == nil {
 			break
 		}
 	}
@@ -44,9 +44,11 @@
 	for i, h := range hosts {
 		rows[i] = hostRow(&h)
 	}
-	return table(env.Out, "host zone state last-heard address incarnation revision schema", rows)
+	return table(env.Out, hostsHeader, rows)
 }
 
+const hostsHeader = "host zone state last-heard address incarnation revision schema latest"
+
 func hostRow(h *daemon.HostView) []string {
 	heard := "never"
 	if h.LastHeardMS >= 0 {
@@ -56,7 +58,21 @@
 	if inc == "" {
 		inc = "-"
 	}
-	return []string{h.Host, h.Zone, h.State, heard, h.Address, inc, fmt.Sprint(h.ConfigRevision), fmt.Sprint(h.ConfigSchema)}
+	return []string{h.Host, h.Zone, h.State, heard, h.Address, inc, fmt.Sprint(h.ConfigRevision), fmt.Sprint(h.ConfigSchema), latest(h)}
+}
+
+// latest shows the latest revision that a host has accepted if it is not the one in force,
+// with the schema version of its record.
+func latest(h *daemon.HostView) string {
+	switch {
+	case h.ConfigLatest == 0:
+		return "?"
+	case h.ConfigLatest <= h.ConfigRevision:
+		return "-"
+	case h.ConfigLatestSchema == 0:
+		return fmt.Sprint(h.ConfigLatest)
+	}
+	return fmt.Sprintf("%d (schema %d)", h.ConfigLatest, h.ConfigLatestSchema)
 }
 
 func (c *StatusCmd) run(ctx context.Context, a *Args, env Env) error {
--- a/config/check.go
+++ b/config/check.go
@@ -23,9 +23,9 @@
 // report records a finding about a field.
 type report func(field, format string, args ...any)
 
-func (c *Config) check(report report) {
-	if c.Schema < 1 || c.Schema > Schema {
-		report("schema", "must be between 1 and %d", Schema)
+func (c *Config) check(newest int, report report) {
+	if c.Schema < 1 || c.Schema > newest {
+		report("schema", "must be between 1 and %d", newest)
 	}
 	if len(c.Teams) == 0 {
 		report("teams", "at least one team is required")
--- a/config/config.go
+++ b/config/config.go
@@ -77,12 +77,17 @@
 // Parse decodes and checks the text of a configuration. Every problem is added to list
 // with its line and column; the result is usable only if there is none.
 func Parse(file string, text []byte, list *finding.List) *Config {
+	return parse(Schema, file, text, list)
+}
+
+// parse is Parse for a reader of schema versions up to newest.
+func parse(newest int, file string, text []byte, list *finding.List) *Config {
 	c := new(Config)
 	doc := strictyaml.Decode(file, text, c, list)
 	if !list.Empty() {
 		return c
 	}
-	c.check(func(field, format string, args ...any) {
+	c.check(newest, func(field, format string, args ...any) {
 		list.Add(doc.Place(field), field, format, args...)
 	})
 	return c
--- a/config/fold.go
+++ b/config/fold.go
@@ -14,6 +14,7 @@
 // identity), never on its text, because builds that know different schema versions would
 // judge a text differently. It is not safe for concurrent use.
 type Fold struct {
+	newest  int    // newest schema version that can be applied
 	next    uint64 // offset of the next record to apply
 	seeking bool   // records between next and seekFrom are lost; a snapshot is needed
 	// seekFrom is the oldest offset that was kept when the search began; scan is the
@@ -45,8 +46,13 @@
 	judgeText      bool // rejects a record whose text this build cannot apply
 }
 
-// NewFold returns a Fold at revision 0, which holds no configuration.
-func NewFold() *Fold { return &Fold{outcomes: newOutcomes()} }
+// NewFold returns a Fold at revision 0, which holds no configuration. It applies the schema
+// versions that this build knows.
+func NewFold() *Fold { return NewFoldKnowing(Schema) }
+
+// NewFoldKnowing returns a Fold that applies schema versions up to newest, for tests that
+// run builds of different versions side by side.
+func NewFoldKnowing(newest int) *Fold { return &Fold{newest: newest, outcomes: newOutcomes()} }
 
 // Next returns the offset of the next record to read.
 func (f *Fold) Next() uint64 {
@@ -64,6 +70,18 @@
 // publication must be based; 0 means none.
 func (f *Fold) Revision() uint64 { return f.latest }
 
+// SchemaOf returns the schema version of an accepted revision. It fails if the revision is
+// not known or no longer listed in the history.
+func (f *Fold) SchemaOf(number uint64) (int, bool) {
+	for _, r := range f.frontier {
+		if r.Number == number {
+			return r.schema, true
+		}
+	}
+	e, ok := f.history.find(number)
+	return e.summary.Schema, ok
+}
+
 // InForce returns the number of the revision that Current holds. It is lower than Revision
 // while the latest revision cannot be applied by this build.
 func (f *Fold) InForce() uint64 { return f.applied.Number }
@@ -156,7 +174,7 @@
 		return Outcome{ID: env.ID, Base: env.Base, Revision: f.latest, Winner: w, Reason: conflict(env.Base, f.latest, w)}
 	}
 	if f.test.judgeText {
-		if _, err := applicable(data); err != nil {
+		if _, err := f.applicable(data); err != nil {
 			return Outcome{ID: env.ID, Base: env.Base, Revision: f.latest, Reason: err.Error()}
 		}
 	}
@@ -200,7 +218,7 @@
 // apply puts a revision in force if this build can apply it as a whole.
 func (f *Fold) apply(r Revision) {
 	if r.Number > f.applied.Number {
-		cfg, err := applicable(r.Data)
+		cfg, err := f.applicable(r.Data)
 		if err != nil {
 			f.problem = err.Error()
 			return
@@ -213,19 +231,19 @@
 }
 
 // applicable returns the configuration of a record, or why this build cannot apply it.
-func applicable(data []byte) (*Config, error) {
+func (f *Fold) applicable(data []byte) (*Config, error) {
 	env, err := decodeEnvelope(data)
 	if err != nil {
 		return nil, err
 	}
-	if env.Schema > Schema {
-		return nil, errors.Newf("schema %d is newer than %d, which this build can apply", env.Schema, Schema)
+	if env.Schema > f.newest {
+		return nil, errors.Newf("schema %d is newer than %d, which this build can apply", env.Schema, f.newest)
 	}
 	r := new(Record)
 	if err := decodeStrict(data, r); err != nil {
 		return nil, err
 	}
 	var list finding.List
-	cfg := Parse("", []byte(r.Text), &list)
+	cfg := parse(f.newest, "", []byte(r.Text), &list)
 	return cfg, list.Err()
 }
--- a/core/core.go
+++ b/core/core.go
@@ -29,7 +29,10 @@
 	Incarnation ticket.Incarnation
 	Zone        string
 	Seed        uint64
-	Member      member.Options // host, zone, incarnation and seed are taken from above
+	Member      member.Options // host, zone, incarnation, seed and schema are taken from above
+	// ConfigSchema is the newest schema version of configuration that this process applies.
+	// 0 means config.Schema.
+	ConfigSchema int
 }
 
 // State is the state of a daemon process. It is not safe for concurrent use.
@@ -49,10 +52,13 @@
 
 // New returns the state of a new process.
 func New(opts Options) *State {
+	if opts.ConfigSchema == 0 {
+		opts.ConfigSchema = config.Schema
+	}
 	return &State{
 		Dispatch: dispatch.New(dispatch.Options{Host: opts.Host, Incarnation: opts.Incarnation, Zone: opts.Zone, Seed: opts.Seed}),
 		Forward:  forward.New(),
-		Config:   config.NewFold(),
+		Config:   config.NewFoldKnowing(opts.ConfigSchema),
 		Member:   newMember(opts),
 		claims:   newClaims(),
 
--- a/core/member.go
+++ b/core/member.go
@@ -11,6 +11,7 @@
 func newMember(opts Options) *member.State {
 	m := opts.Member
 	m.Host, m.Zone, m.Incarnation, m.Seed = opts.Host, opts.Zone, opts.Incarnation, opts.Seed
+	m.ConfigSchema = uint32(opts.ConfigSchema)
 	return member.New(m)
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -20,6 +20,7 @@
 
 	"sesameledge.dev/sesameledge/backend"
 	"sesameledge.dev/sesameledge/claim"
+	"sesameledge.dev/sesameledge/config"
 	"sesameledge.dev/sesameledge/core"
 	"sesameledge.dev/sesameledge/dispatch"
 	"sesameledge.dev/sesameledge/internal/pause"
@@ -71,6 +72,11 @@
 
 // New returns a daemon that is not listening yet. Logs go to w.
 func New(s *settings.Settings, w io.Writer) (*Daemon, error) {
+	return newKnowing(config.Schema, s, w)
+}
+
+// newKnowing returns a daemon that applies configuration of schema versions up to newest.
+func newKnowing(newest int, s *settings.Settings, w io.Writer) (*Daemon, error) {
 	var seed [16]byte
 	if _, err := rand.Read(seed[:]); err != nil {
 		return nil, errors.Wrap(err, "drawing the incarnation")
@@ -99,6 +105,8 @@
 		Zone:        s.Zone,
 		Seed:        binary.LittleEndian.Uint64(seed[8:]),
 		Member:      memberOptions(s),
+
+		ConfigSchema: newest,
 	}))
 	d.loop.run = d.runEffect
 	d.newClients()
--- a/daemon/members.go
+++ b/daemon/members.go
@@ -1,12 +1,15 @@
 package daemon
 
 import (
+	"context"
+	"math"
 	"net/http"
+	"sync"
 	"time"
 
-	"sesameledge.dev/sesameledge/config"
 	"sesameledge.dev/sesameledge/core"
 	"sesameledge.dev/sesameledge/member"
+	"sesameledge.dev/sesameledge/peer/peerpb"
 	"sesameledge.dev/sesameledge/settings"
 )
 
@@ -20,8 +23,13 @@
 	// LastHeardMS is the age of the last message of the host itself, in milliseconds; 0
 	// for the host asked and -1 for one that it has not heard.
 	LastHeardMS    int64  `json:"last_heard_ms"`
-	ConfigRevision uint64 `json:"config_revision"`
-	ConfigSchema   uint32 `json:"config_schema"`
+	ConfigRevision uint64 `json:"config_revision"` // in force
+	ConfigSchema   uint32 `json:"config_schema"`   // newest schema version that it applies
+	// ConfigLatest is the latest revision that the host has accepted, with the schema version
+	// of its record. It is higher than ConfigRevision while the host cannot apply it. Both are
+	// given on request only (?latest) and are absent if they are not known.
+	ConfigLatest       uint64 `json:"config_latest,omitempty"`
+	ConfigLatestSchema int    `json:"config_latest_schema,omitempty"`
 }
 
 // memberOptions returns the membership options that the settings give. The wall clock
@@ -30,7 +38,6 @@
 	opts := member.Options{
 		Address:        s.Listen.PeerAddress(),
 		FirstHeartbeat: uint64(max(time.Now().UnixMilli(), 1)),
-		ConfigSchema:   config.Schema,
 		Contacts:       s.Gossip.Contacts,
 		Interval:       s.Gossip.Interval,
 	}
@@ -61,6 +68,49 @@
 	return out
 }
 
-func (d *Daemon) serveHosts(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, http.StatusOK, d.Hosts())
+// serveHosts answers with this host's view; with ?latest it also asks each host for the
+// latest revision that it has accepted.
+func (d *Daemon) serveHosts(w http.ResponseWriter, r *http.Request) {
+	hosts := d.Hosts()
+	if r.URL.Query().Has("latest") {
+		d.addLatest(r.Context(), hosts)
+	}
+	writeJSON(w, http.StatusOK, hosts)
+}
+
+// addLatest asks the hosts for their latest accepted revisions, all at once. The question is
+// one that every release answers, so that it also reaches hosts of earlier releases, which
+// are the ones that stay behind while a new one is rolled out.
+func (d *Daemon) addLatest(ctx context.Context, hosts []HostView) {
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	var asked sync.WaitGroup
+	for i := range hosts {
+		if h := &hosts[i]; h.Address != "" && h.State != member.Gone.String() {
+			asked.Go(func() { h.ConfigLatest = d.latestOf(ctx, h) })
+		}
+	}
+	asked.Wait()
+	d.loop.query(func(_ time.Duration, s *core.State) {
+		for i := range hosts {
+			hosts[i].ConfigLatestSchema, _ = s.Config.SchemaOf(hosts[i].ConfigLatest)
+		}
+	})
+}
+
+// latestOf returns the latest revision that a host has accepted, or 0 if it does not answer.
+func (d *Daemon) latestOf(ctx context.Context, h *HostView) uint64 {
+	if h.Host == d.settings.Host {
+		return d.latestRevision()
+	}
+	stub, err := d.peers.Peer(h.Address)
+	if err != nil {
+		return 0
+	}
+	// No revision is above this one, so that the answer carries no snapshot.
+	reply, err := stub.FetchConfig(ctx, &peerpb.FetchConfigRequest{AboveRevision: math.MaxUint64})
+	if err != nil {
+		return 0
+	}
+	return reply.Revision
 }
