Check publishers by the names in their client certificates

Cause: with client certificates on the operators' listener, any certificate of the CA may publish, and the author is what the client claims. Change: operators.publishers lists the names that may publish. The common name, a DNS name or a URI of the verified certificate must be in it; the name found is recorded as the author. Others get status 403 with publisher_not_listed. The settings check requires a client CA for the list. Tokens, if listed, are needed as well.

--- a/api/error.go
+++ b/api/error.go
@@ -42,6 +42,7 @@
 	CodeAnswerExpired   Code = "answer_expired"
 	CodeInternal        Code = "internal_invariant"
 	CodeUnauthorized    Code = "unauthorized"
+	CodePublisher       Code = "publisher_not_listed"
 	CodeNotFound        Code = "not_found"
 )
 
--- a/daemon/publish.go
+++ b/daemon/publish.go
@@ -4,8 +4,10 @@
 	"context"
 	"crypto/sha256"
 	"crypto/subtle"
+	"crypto/x509"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -83,11 +85,16 @@
 
 // servePublish checks a publication, appends it, and waits until the fold has judged it.
 func (d *Daemon) servePublish(w http.ResponseWriter, r *http.Request) {
-	if !d.mayPublish(r) {
+	if !d.hasToken(r) {
 		w.Header().Set("WWW-Authenticate", "Bearer")
 		writeJSON(w, http.StatusUnauthorized, api.Errorf(api.CodeUnauthorized, "", "publishing needs a bearer token that this host accepts"))
 		return
 	}
+	publisher, ok := d.publisher(r)
+	if !ok {
+		writeJSON(w, http.StatusForbidden, api.Errorf(api.CodePublisher, "", "no name in the client certificate is among the publishers that this host accepts"))
+		return
+	}
 	data, err := io.ReadAll(io.LimitReader(r.Body, config.MaxRecordBytes+1))
 	if err != nil {
 		writeJSON(w, http.StatusBadRequest, api.Errorf(api.CodeMalformed, "", "the body could not be read: %v", err))
@@ -98,6 +105,9 @@
 		writeJSON(w, http.StatusBadRequest, refusal)
 		return
 	}
+	if publisher != "" {
+		rec.Author = publisher
+	}
 	outcome, err := d.publish(r.Context(), rec)
 	switch {
 	case errors.Is(err, errOutcomeUnknown):
@@ -115,9 +125,9 @@
 	return PublishReply{ID: o.ID, Known: true, Accepted: o.Accepted, Revision: o.Revision, Reason: o.Reason, Winner: o.Winner}
 }
 
-// mayPublish compares the request's bearer token with those of the settings. Without
+// hasToken compares the request's bearer token with those of the settings. Without
 // tokens in the settings, whoever reaches the operators' address may publish.
-func (d *Daemon) mayPublish(r *http.Request) bool {
+func (d *Daemon) hasToken(r *http.Request) bool {
 	tokens := d.settings.Operators.PublishTokens
 	if len(tokens) == 0 {
 		return true
@@ -133,6 +143,33 @@
 	return ok && match == 1
 }
 
+// publisher returns the name under which the request's client certificate may publish. The
+// name is empty if the settings list no publishers.
+func (d *Daemon) publisher(r *http.Request) (string, bool) {
+	listed := d.settings.Operators.Publishers
+	if len(listed) == 0 {
+		return "", true
+	}
+	if r.TLS == nil || len(r.TLS.VerifiedChains) == 0 {
+		return "", false
+	}
+	for _, name := range certificateNames(r.TLS.VerifiedChains[0][0]) {
+		if slices.Contains(listed, name) {
+			return name, true
+		}
+	}
+	return "", false
+}
+
+// certificateNames returns the common name, then the DNS names, then the URIs.
+func certificateNames(cert *x509.Certificate) []string {
+	names := append([]string{cert.Subject.CommonName}, cert.DNSNames...)
+	for _, uri := range cert.URIs {
+		names = append(names, uri.String())
+	}
+	return names
+}
+
 // checkPublication validates a record as a whole before it is appended. A record of a
 // schema version that this build does not know must go through a newer host.
 func checkPublication(data []byte) (*config.Record, any) {
--- /dev/null
+++ b/daemon/publisher_test.go
@@ -0,0 +1,160 @@
+package daemon
+
+import (
+	"bytes"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/url"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"sesameledge.dev/sesameledge/api"
+	"sesameledge.dev/sesameledge/config"
+	"sesameledge.dev/sesameledge/core"
+	"sesameledge.dev/sesameledge/internal/testcert"
+	"sesameledge.dev/sesameledge/platform"
+	"sesameledge.dev/sesameledge/settings"
+)
+
+// publishSite is a daemon whose operators' side checks certificates, with a log that
+// accepts appends only and counts them.
+type publishSite struct {
+	daemon  *Daemon
+	ca      *testcert.Authority
+	appends atomic.Uint64
+}
+
+func newPublishSite(t *testing.T, publishers, tokens []string) *publishSite {
+	t.Helper()
+	p := &publishSite{ca: testcert.New(t)}
+	log := httptest.NewServer(http.HandlerFunc(p.serveLog))
+	t.Cleanup(log.Close)
+	at := freeAddresses(t, 3)
+	s := settings.Defaults()
+	s.Host, s.Zone = "host", "zone"
+	s.Listen = settings.Listen{Callers: at[0], Peers: at[1], Operators: at[2]}
+	s.Platform.URL = log.URL
+	s.TLS.Operators = p.ca.Issue("server", 2)
+	s.Operators = settings.Operators{Publishers: publishers, PublishTokens: tokens}
+	d, err := New(&s, io.Discard)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.daemon = d
+	if err := d.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(d.shutdown)
+	return p
+}
+
+// serveLog hands each appended record of the config stream to the daemon.
+func (p *publishSite) serveLog(w http.ResponseWriter, r *http.Request) {
+	if r.Method != http.MethodPost || r.URL.Path != "/v1/streams/config/records" {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	data, _ := io.ReadAll(r.Body)
+	offset := p.appends.Add(1) - 1
+	p.daemon.loop.send(core.ConfigRecord{Offset: offset, Data: data})
+	writeJSON(w, http.StatusOK, platform.AppendReply{Offset: offset})
+}
+
+// publish sends a record with a client certificate and returns the status and error code.
+func (p *publishSite) publish(t *testing.T, pair settings.KeyPair, id, token string) (int, api.Code) {
+	t.Helper()
+	cert, err := tls.LoadX509KeyPair(pair.Cert, pair.Key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	roots := x509.NewCertPool()
+	roots.AddCert(p.ca.Cert)
+	transport := &http.Transport{TLSClientConfig: &tls.Config{RootCAs: roots, Certificates: []tls.Certificate{cert}}}
+	defer transport.CloseIdleConnections()
+	rec := config.Record{Schema: 1, ID: id, Base: p.daemon.latestRevision(), Author: "somebody else", Text: "schema: 1\nteams: {a: {weight: 1}}\n"}
+	body, err := rec.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	req, err := http.NewRequest(http.MethodPost, "https://"+p.daemon.settings.Listen.Operators+"/v1/config", bytes.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+token)
+	resp, err := (&http.Client{Transport: transport, Timeout: 10 * time.Second}).Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var refusal api.Error
+	if err := json.NewDecoder(resp.Body).Decode(&refusal); err != nil {
+		t.Fatal(err)
+	}
+	return resp.StatusCode, refusal.Code
+}
+
+// author returns the author of the latest revision.
+func (p *publishSite) author() (author string) {
+	p.daemon.loop.query(func(_ time.Duration, s *core.State) {
+		if h := s.Config.History(); len(h) > 0 {
+			author = h[len(h)-1].Author
+		}
+	})
+	return author
+}
+
+// Guards against publications by the holder of any certificate of the CA, and against an
+// author other than the name that was checked.
+func TestPublisherNames(t *testing.T) {
+	const uri = "spiffe://example.org/operator"
+	parsed, err := url.Parse(uri)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := newPublishSite(t, []string{"anna", "ops.example.org", uri}, nil)
+	for _, c := range []struct {
+		file   string
+		pair   settings.KeyPair
+		author string // empty if refused
+	}{
+		{"common", p.ca.IssueClient("common", "anna", "", nil), "anna"},
+		{"dns", p.ca.IssueClient("dns", "x", "ops.example.org", nil), "ops.example.org"},
+		{"uri", p.ca.IssueClient("uri", "", "", parsed), uri},
+		{"other", p.ca.IssueClient("other", "bob", "example.org", nil), ""},
+		{"case", p.ca.IssueClient("case", "Anna", "sub.ops.example.org", nil), ""},
+		{"none", p.ca.IssueClient("none", "", "", nil), ""},
+	} {
+		before := p.appends.Load()
+		status, code := p.publish(t, c.pair, c.file, "")
+		if c.author == "" {
+			if status != http.StatusForbidden || code != api.CodePublisher || p.appends.Load() != before {
+				t.Errorf("%s: status %d, code %q, %d appends", c.file, status, code, p.appends.Load()-before)
+			}
+			continue
+		}
+		if status != http.StatusOK || p.author() != c.author {
+			t.Errorf("%s: status %d, author %q, want %q", c.file, status, p.author(), c.author)
+		}
+	}
+}
+
+// Guards against a list of publishers that replaces the tokens, or tokens that replace it.
+func TestPublisherNeedsTokenToo(t *testing.T) {
+	const token = "0123456789abcdef"
+	p := newPublishSite(t, []string{"anna"}, []string{token})
+	anna, bob := p.ca.IssueClient("anna", "anna", "", nil), p.ca.IssueClient("bob", "bob", "", nil)
+	if status, code := p.publish(t, anna, "a", "wrong"); status != http.StatusUnauthorized || code != api.CodeUnauthorized {
+		t.Errorf("a listed name without the token: status %d, code %q", status, code)
+	}
+	if status, code := p.publish(t, bob, "b", token); status != http.StatusForbidden || code != api.CodePublisher {
+		t.Errorf("another name with the token: status %d, code %q", status, code)
+	}
+	if status, _ := p.publish(t, anna, "c", token); status != http.StatusOK || p.author() != "anna" {
+		t.Errorf("both: status %d, author %q", status, p.author())
+	}
+}
--- a/internal/testcert/testcert.go
+++ b/internal/testcert/testcert.go
@@ -10,6 +10,7 @@
 	"encoding/pem"
 	"math/big"
 	"net"
+	"net/url"
 	"os"
 	"path/filepath"
 	"testing"
@@ -51,13 +52,32 @@
 // connection. Issuing the same name again replaces the files.
 func (a *Authority) Issue(name string, serial int64, more ...net.IP) settings.KeyPair {
 	a.t.Helper()
-	key := a.newKey()
-	der := a.sign(&x509.Certificate{
+	return a.issue(name, &x509.Certificate{
 		SerialNumber: big.NewInt(serial), Subject: pkix.Name{CommonName: name},
-		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
 		IPAddresses: append([]net.IP{net.IPv4(127, 0, 0, 1)}, more...),
-		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
-	}, a.Cert, &key.PublicKey)
+	})
+}
+
+// IssueClient writes a certificate with a common name, a DNS name and a URI, each of which
+// may be left out.
+func (a *Authority) IssueClient(file, common, dns string, uri *url.URL) settings.KeyPair {
+	a.t.Helper()
+	template := &x509.Certificate{SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: common}}
+	if dns != "" {
+		template.DNSNames = []string{dns}
+	}
+	if uri != nil {
+		template.URIs = []*url.URL{uri}
+	}
+	return a.issue(file, template)
+}
+
+// issue writes a certificate, good for both ends of a connection.
+func (a *Authority) issue(name string, template *x509.Certificate) settings.KeyPair {
+	template.NotBefore, template.NotAfter = time.Now().Add(-time.Hour), time.Now().Add(time.Hour)
+	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
+	key := a.newKey()
+	der := a.sign(template, a.Cert, &key.PublicKey)
 	private, err := x509.MarshalECPrivateKey(key)
 	if err != nil {
 		a.t.Fatal(err)
--- a/settings/check.go
+++ b/settings/check.go
@@ -14,6 +14,9 @@
 // minTokenBytes keeps tokens from being guessed.
 const minTokenBytes = 16
 
+// maxPublisher bounds a publisher's name in bytes. It is the limit of a record's author.
+const maxPublisher = 128
+
 func (s *Settings) check(doc *strictyaml.Document, list *finding.List) {
 	c := checker{doc: doc, list: list}
 	c.require(ticket.ValidHost(s.Host), "host", "must be 1 to 63 lower-case letters, digits or hyphens")
@@ -50,6 +53,7 @@
 	for i, token := range s.Operators.PublishTokens {
 		c.require(len(token) >= minTokenBytes, fmt.Sprintf("operators.publish_tokens[%d]", i), "must have at least 16 bytes")
 	}
+	c.publishers(s)
 	c.keyPair("tls.callers", s.TLS.Callers)
 	c.keyPair("tls.peers", s.TLS.Peers)
 	c.keyPair("tls.operators", s.TLS.Operators)
@@ -96,6 +100,18 @@
 	}
 }
 
+func (c *checker) publishers(s *Settings) {
+	names := s.Operators.Publishers
+	c.require(len(names) == 0 || s.TLS.Operators.ClientCA != "", "operators.publishers", "needs tls.operators.client_ca, which checks the certificates")
+	seen := make(map[string]bool)
+	for i, name := range names {
+		field := fmt.Sprintf("operators.publishers[%d]", i)
+		c.require(name != "" && len(name) <= maxPublisher, field, "must be 1 to 128 bytes")
+		c.require(!seen[name], field, "is listed twice")
+		seen[name] = true
+	}
+}
+
 func (c *checker) keyPair(field string, k KeyPair) {
 	c.require((k.Cert == "") == (k.Key == ""), field, "needs both cert and key")
 	c.require(k.ClientCA == "" || k.Cert != "", field+".client_ca", "needs cert and key")
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -37,6 +37,10 @@
 	// PublishTokens are the bearer tokens accepted. None means that whoever reaches the
 	// operators' address may publish.
 	PublishTokens []string `yaml:"publish_tokens"`
+	// Publishers are the names that may publish, each the common name or a DNS or URI name
+	// in the client certificate. The name found is recorded as the author. None means that
+	// certificates are not checked for names. Tokens, if given, are needed as well.
+	Publishers []string `yaml:"publishers"`
 }
 
 // Listen holds the three addresses of a daemon, each IP:port.
