Model the delays of the network in the load and experiment tool

Cause: the tool had no delays between availability zones, so the preference for the own zone could not be measured, and the delay to clients was fixed.

Change: the minion stand-in delays messages to and from hosts of other zones (0.5 ms association, 1 ms Abzeichenwerk). It learns the host from the ticket of the request. Ideal and reference contain the delay between zones only where a task ends sooner in another zone in spite of it. The report shows the share of tasks in the own zone and demand, work and refusals of each team.

Opening a connection, the platform and messages between entry hosts are not delayed.

--- a/standin/bench/deployment.go
+++ b/standin/bench/deployment.go
@@ -37,8 +37,12 @@
 	group string
 	kinds []jobKind
 	teams []team
+	net   network
 }
 
+// clientDelay is the one-way delay between callers and entry hosts of both deployments.
+const clientDelay = 3 * time.Millisecond
+
 // deployments are the Association and the Abzeichenwerk. Most tasks take 50 ms to 1 s,
 // a few take several seconds.
 var deployments = []deployment{
@@ -46,6 +50,7 @@
 		name:  "association",
 		zones: []string{"ernakulam", "malabar", "tvm-south"},
 		group: "quote",
+		net:   network{zone: 500 * time.Microsecond, client: clientDelay},
 		kinds: []jobKind{
 			{name: "price-check", share: 0.80, minTasks: 2, maxTasks: 6, medianMS: 120, sigma: 0.5, minMS: 50, maxMS: 300, deadline: 3 * time.Second, idempotent: true},
 			{name: "site-estimate", share: 0.06, minTasks: 20, maxTasks: 200, medianMS: 250, sigma: 0.8, minMS: 50, maxMS: 5000, deadline: 20 * time.Second, idempotent: true},
@@ -62,6 +67,7 @@
 		name:  "abzeichenwerk",
 		zones: []string{"wien-a", "noe-b", "bgld-c"},
 		group: "register",
+		net:   network{zone: time.Millisecond, client: clientDelay},
 		kinds: []jobKind{
 			{name: "badge-check", share: 0.75, minTasks: 1, maxTasks: 8, medianMS: 110, sigma: 0.5, minMS: 50, maxMS: 300, deadline: 3 * time.Second, idempotent: true},
 			{name: "badge-award", share: 0.17, minTasks: 5, maxTasks: 40, medianMS: 160, sigma: 0.5, minMS: 50, maxMS: 600, deadline: 10 * time.Second},
--- a/standin/bench/load.go
+++ b/standin/bench/load.go
@@ -41,6 +41,7 @@
 type generatorLoad struct {
 	dep     *deployment
 	sc      *scenario
+	net     network
 	hosts   []*hostCaller
 	results []jobResult
 }
@@ -53,8 +54,8 @@
 	fetched time.Time
 }
 
-func newGeneratorLoad(dep *deployment, sc *scenario, bed *testbed.Bed) *generatorLoad {
-	g := &generatorLoad{dep: dep, sc: sc}
+func newGeneratorLoad(dep *deployment, sc *scenario, net network, bed *testbed.Bed) *generatorLoad {
+	g := &generatorLoad{dep: dep, sc: sc, net: net}
 	transport := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1024}}
 	for _, h := range bed.Hosts {
 		g.hosts = append(g.hosts, &hostCaller{client: client.New(client.Options{Hosts: []string{h.CallersURL()}, HTTP: transport})})
@@ -68,7 +69,7 @@
 	g.results = make([]jobResult, len(schedule))
 	var wg sync.WaitGroup
 	for i := range schedule {
-		sleepUntil(ctx, start.Add(schedule[i].at+clientDelay))
+		sleepUntil(ctx, start.Add(schedule[i].at+g.net.client))
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
@@ -85,7 +86,7 @@
 	defer stop()
 	job := g.apiJob(seq, a)
 	reply := g.hosts[a.host].submit(ctx, job, func(id ticket.ID) { g.cancelLater(ctx, start, a, id) })
-	res := jobResult{response: time.Since(start) - a.at + clientDelay, cancelled: a.cancelAt > 0}
+	res := jobResult{response: time.Since(start) - a.at + g.net.client, cancelled: a.cancelAt > 0}
 	if reply == nil {
 		return res
 	}
--- a/standin/bench/main.go
+++ b/standin/bench/main.go
@@ -18,17 +18,20 @@
 )
 
 type args struct {
-	Bin         string        `default:"bin" help:"directory of the built programs"`
-	Out         string        `default:"bin/results" help:"directory for JSON and plots"`
-	Deployments string        `default:"association,abzeichenwerk" help:"separated by commas"`
-	Scenarios   string        `default:"steady" help:"separated by commas"`
-	Policies    string        `default:"default" help:"separated by commas; values of policy.placement with :key=value for more settings"`
-	Hosts       int           `default:"7" help:"entry hosts"`
-	Minions     int           `default:"50" help:"minions"`
-	Length      time.Duration `default:"20s" help:"time of the arrivals for each policy"`
-	WarmUp      time.Duration `arg:"--warm-up" default:"5s" help:"jobs that arrive within it count for messages only"`
-	Load        float64       `help:"share of the capacity; 0 takes the scenario's"`
-	Seed        uint64        `default:"1" help:"seeds speeds and arrivals"`
+	Bin         string         `default:"bin" help:"directory of the built programs"`
+	Out         string         `default:"bin/results" help:"directory for JSON and plots"`
+	Deployments string         `default:"association,abzeichenwerk" help:"separated by commas"`
+	Scenarios   string         `default:"steady" help:"separated by commas"`
+	Policies    string         `default:"default" help:"separated by commas; values of policy.placement with :key=value for more settings"`
+	Hosts       int            `default:"7" help:"entry hosts"`
+	Minions     int            `default:"50" help:"minions"`
+	Length      time.Duration  `default:"20s" help:"time of the arrivals for each policy"`
+	WarmUp      time.Duration  `arg:"--warm-up" default:"5s" help:"jobs that arrive within it count for messages only"`
+	Load        float64        `help:"share of the capacity; 0 takes the scenario's"`
+	ZoneDelay   *time.Duration `arg:"--zone-delay" help:"one way between availability zones; default 0.5ms for association, 1ms for abzeichenwerk"`
+	ClientDelay *time.Duration `arg:"--client-delay" help:"one way between callers and entry hosts; default 3ms"`
+	NoDelays    bool           `arg:"--no-delays" help:"no delays of the network, whatever the other settings are"`
+	Seed        uint64         `default:"1" help:"seeds speeds and arrivals"`
 }
 
 func main() {
@@ -59,6 +62,7 @@
 			if e.sc, err = scenarioNamed(scName); err != nil {
 				return err
 			}
+			e.dep.net = a.network(e.dep.net)
 			if err := e.run(ctx, policies); err != nil {
 				return err
 			}
@@ -67,6 +71,20 @@
 	return nil
 }
 
+// network returns the delays to model, given those of the deployment.
+func (a *args) network(net network) network {
+	if a.NoDelays {
+		return network{}
+	}
+	if a.ZoneDelay != nil {
+		net.zone = *a.ZoneDelay
+	}
+	if a.ClientDelay != nil {
+		net.client = *a.ClientDelay
+	}
+	return net
+}
+
 // run measures all policies one after the other and writes the report.
 func (e *experiment) run(ctx context.Context, policies []namedPolicy) error {
 	var rows []*summary
@@ -86,6 +104,9 @@
 	if err := writeKinds(os.Stdout, rows); err != nil {
 		return err
 	}
+	if err := writeTeams(os.Stdout, rows); err != nil {
+		return err
+	}
 	base := filepath.Join(e.args.Out, e.dep.name+"-"+e.sc.name)
 	if err := writeJSON(base+".json", rows); err != nil {
 		return err
--- a/standin/bench/reference.go
+++ b/standin/bench/reference.go
@@ -1,76 +1,91 @@
 package main
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
 
-// clientDelay is the one-way delay between a caller and an entry host.
-const clientDelay = 3 * time.Millisecond
+// network holds the one-way delays of a deployment.
+type network struct {
+	zone   time.Duration // between availability zones
+	client time.Duration // between a caller and an entry host
+}
+
+// refMinion is what the reference knows about a minion.
+type refMinion struct {
+	speed float64
+	zone  string
+}
 
 // slotTable holds when each slot of each minion becomes free, in virtual time.
 type slotTable struct {
-	speeds []float64
-	free   [][]time.Duration // by minion
+	net     network
+	minions []refMinion
+	free    [][]time.Duration // by minion
 }
 
-func newSlotTable(speeds []float64, slots int) *slotTable {
-	t := &slotTable{speeds: speeds, free: make([][]time.Duration, len(speeds))}
+func newSlotTable(net network, minions []refMinion, slots int) *slotTable {
+	t := &slotTable{net: net, minions: minions, free: make([][]time.Duration, len(minions))}
 	for i := range t.free {
 		t.free[i] = make([]time.Duration, slots)
 	}
 	return t
 }
 
-// place gives a task to the slot that completes it first and returns when that is.
-func (t *slotTable) place(at time.Duration, runMS float64) time.Duration {
-	var best time.Duration
+// place gives a task of a host in the zone to the slot whose answer is there first, and
+// returns when that is. Slots in other zones are reached and answer with a delay.
+func (t *slotTable) place(at time.Duration, runMS float64, zone string) time.Duration {
+	var best, bestDelay time.Duration
 	var slot *time.Duration
 	for m, free := range t.free {
+		delay := t.delay(zone, t.minions[m].zone)
 		s := &free[minIndex(free)]
-		end := max(at, *s) + runTime(runMS, t.speeds[m])
-		if slot == nil || end < best {
-			best, slot = end, s
+		answered := max(at+delay, *s) + runTime(runMS, t.minions[m].speed) + delay
+		if slot == nil || answered < best {
+			best, bestDelay, slot = answered, delay, s
 		}
 	}
-	*slot = best
+	*slot = best - bestDelay
 	return best
 }
 
-// placeJob places the tasks of a job, longest first, and returns when the last one ends.
-func (t *slotTable) placeJob(at time.Duration, runsMS []float64) time.Duration {
-	sorted := slices.Clone(runsMS)
-	slices.SortFunc(sorted, func(a, b float64) int {
-		switch {
-		case a > b:
-			return -1
-		case a < b:
-			return 1
-		}
+func (t *slotTable) delay(from, to string) time.Duration {
+	if from == to {
 		return 0
-	})
+	}
+	return t.net.zone
+}
+
+// placeJob places the tasks of a job, longest first, and returns when the last answer is
+// there.
+func (t *slotTable) placeJob(at time.Duration, runsMS []float64, zone string) time.Duration {
+	sorted := slices.Clone(runsMS)
+	slices.SortFunc(sorted, func(a, b float64) int { return cmp.Compare(b, a) })
 	var end time.Duration
 	for _, ms := range sorted {
-		end = max(end, t.place(at, ms))
+		end = max(end, t.place(at, ms, zone))
 	}
 	return end
 }
 
-// idealResponse is the response time of a job in an empty system with known run times
-// and without any delay but that between the caller and the entry host.
-func idealResponse(speeds []float64, slots int, runsMS []float64) time.Duration {
-	return newSlotTable(speeds, slots).placeJob(0, runsMS) + 2*clientDelay
+// idealResponse is the response time of a job of a host in the zone, in an empty system
+// with known run times. It contains the delay to the client, and that between zones for
+// the tasks that end soonest in another zone in spite of it.
+func idealResponse(net network, minions []refMinion, slots int, runsMS []float64, zone string) time.Duration {
+	return newSlotTable(net, minions, slots).placeJob(0, runsMS, zone) + 2*net.client
 }
 
 // referenceResponses returns the response times of all jobs under one central queue that
-// knows run times and speeds. Jobs are placed in the order of their arrival by list
-// scheduling; each task goes to the slot that completes it first.
-func referenceResponses(speeds []float64, slots int, schedule []arrival) []time.Duration {
-	t := newSlotTable(speeds, slots)
+// knows run times, speeds and delays. Jobs are placed in the order of their arrival by list
+// scheduling; each task goes to the slot whose answer is at the job's host first. Zones
+// are those of the entry hosts.
+func referenceResponses(net network, minions []refMinion, slots int, schedule []arrival, zones []string) []time.Duration {
+	t := newSlotTable(net, minions, slots)
 	out := make([]time.Duration, len(schedule))
 	for i := range schedule {
-		at := schedule[i].at + clientDelay
-		out[i] = t.placeJob(at, schedule[i].runsMS) - schedule[i].at + clientDelay
+		a := &schedule[i]
+		out[i] = t.placeJob(a.at+net.client, a.runsMS, zones[a.host]) - a.at + net.client
 	}
 	return out
 }
--- a/standin/bench/reference_test.go
+++ b/standin/bench/reference_test.go
@@ -8,8 +8,9 @@
 // Guards against an ideal or a reference that is worse than a schedule that exists, which
 // would flatter every policy.
 func TestReferenceOfKnownSchedules(t *testing.T) {
-	speeds := []float64{2, 1}
-	ideal := idealResponse(speeds, 1, []float64{100, 100, 100})
+	minions := []refMinion{{speed: 2, zone: "a"}, {speed: 1, zone: "a"}}
+	net := network{client: clientDelay}
+	ideal := idealResponse(net, minions, 1, []float64{100, 100, 100}, "a")
 	if want := 100*time.Millisecond + 2*clientDelay; ideal != want {
 		t.Errorf("ideal of three tasks on slots of speeds 2 and 1 is %v, want %v", ideal, want)
 	}
@@ -18,7 +19,7 @@
 		{at: 0, runsMS: []float64{100}},
 		{at: time.Second, runsMS: []float64{100}},
 	}
-	got := referenceResponses(speeds, 1, schedule)
+	got := referenceResponses(net, minions, 1, schedule, []string{"a"})
 	for i, ms := range []time.Duration{100, 100, 50} {
 		if want := ms*time.Millisecond + 2*clientDelay; got[i] != want {
 			t.Errorf("response of job %d is %v, want %v", i, got[i], want)
@@ -26,6 +27,32 @@
 	}
 }
 
+// Guards against an ideal that contains a delay between zones which a placement could
+// avoid, and against a reference that occupies a slot while a message is on its way.
+func TestIdealHasOnlyDelaysThatNoPlacementAvoids(t *testing.T) {
+	const ms = time.Millisecond
+	net := network{zone: 5 * ms}
+	minions := []refMinion{{speed: 1, zone: "a"}, {speed: 2, zone: "b"}}
+	for _, c := range []struct {
+		zone string
+		run  float64
+		want time.Duration
+	}{
+		{"a", 10, 10 * ms}, // own zone: 10 ms, other zone: 5 + 5 + 5 ms
+		{"a", 100, 60 * ms},
+		{"b", 100, 50 * ms},
+	} {
+		if got := idealResponse(net, minions, 1, []float64{c.run}, c.zone); got != c.want {
+			t.Errorf("ideal of %v ms in zone %s is %v, want %v", c.run, c.zone, got, c.want)
+		}
+	}
+	schedule := []arrival{{runsMS: []float64{100}}, {runsMS: []float64{100}, host: 1}}
+	got := referenceResponses(net, minions[1:], 1, schedule, []string{"a", "b"})
+	if got[0] != 60*ms || got[1] != 105*ms {
+		t.Errorf("responses %v, want 60ms and 105ms: the second task starts when the first has ended", got)
+	}
+}
+
 // Guards against a fairness figure that blames a policy for a team that asked for little.
 func TestFairness(t *testing.T) {
 	weight := []float64{2, 1, 1}
--- a/standin/bench/report.go
+++ b/standin/bench/report.go
@@ -13,11 +13,11 @@
 // writeTable prints one line for each policy.
 func writeTable(w io.Writer, rows []*summary) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, "deployment\tscenario\tpolicy\tjobs\tp50\tp99\tp99.9\tworst\ton time\tgoodput\tutil\tfair\tmsg/task\twasted\tdouble\tbroken\tload avg\t")
+	fmt.Fprintln(t, "deployment\tscenario\tpolicy\tjobs\tp50\tp99\tp99.9\tworst\ton time\tgoodput\tutil\tfair\town zone\tmsg/task\twasted\tdouble\tbroken\tload avg\t")
 	for _, s := range rows {
-		fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f%%\t%.3f\t%.3f\t%.2f\t%.3f\t%.2f%%\t%d\t%d\t%s\t\n",
+		fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f%%\t%.3f\t%.3f\t%.2f\t%.3f\t%.3f\t%.2f%%\t%d\t%d\t%s\t\n",
 			s.Deployment, s.Scenario, s.Policy, s.Jobs, s.All.P50, s.All.P99, s.All.P999, s.All.Worst,
-			100*s.OnTime, s.Goodput, s.Utilisation, s.Fairness, s.Messages.PerTask, 100*s.Messages.Wasted,
+			100*s.OnTime, s.Goodput, s.Utilisation, s.Fairness, s.OwnZone, s.Messages.PerTask, 100*s.Messages.Wasted,
 			s.Messages.DoubleStarts, s.Broken, s.LoadAverage)
 	}
 	return t.Flush()
--- a/standin/bench/run.go
+++ b/standin/bench/run.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"sesameledge.dev/sesameledge/daemon"
+	"sesameledge.dev/sesameledge/standin/minionsim"
 	"sesameledge.dev/sesameledge/standin/testbed"
 )
 
@@ -67,6 +68,7 @@
 			BinDir: e.args.Bin, Dir: dir, Zones: e.dep.zones,
 			Hosts: e.args.Hosts, Minions: e.args.Minions, Group: e.dep.group,
 			Spread: e.sc.spread, Seed: e.args.Seed, Config: e.dep.config(p.settings),
+			MinionArgs: []string{"--zone-delay", e.dep.net.zone.String()},
 		})
 		cancel()
 		if err == nil {
@@ -82,23 +84,19 @@
 	if err != nil {
 		return nil, err
 	}
-	o := &observation{dep: &e.dep, speeds: make(map[string]float64), slots: views[0].Host.Slots, length: e.args.Length, warmUp: e.args.WarmUp}
-	var speeds []float64
-	for _, v := range views {
-		o.speeds[v.Host.ID] = v.Speed
-		speeds = append(speeds, v.Speed)
-	}
+	o := &observation{dep: &e.dep, net: e.dep.net, length: e.args.Length, warmUp: e.args.WarmUp}
+	o.describe(bed, views)
 	if e.args.Load > 0 {
 		e.sc.load = e.args.Load
 	}
 	o.schedule = newSchedule(&e.dep, &e.sc, e.args.Hosts, o.capacity(), e.args.Length, e.args.Seed)
 	for i := range o.schedule {
-		o.ideals = append(o.ideals, idealResponse(speeds, o.slots, o.schedule[i].runsMS))
+		o.ideals = append(o.ideals, idealResponse(o.net, o.fleet, o.slots, o.schedule[i].runsMS, o.hostZones[o.schedule[i].host]))
 	}
 	start := time.Now()
 	faults := make(chan error, 1)
 	go func() { faults <- runFaults(ctx, bed, start, e.args.Length, e.sc.faults) }()
-	o.results = newGeneratorLoad(&e.dep, &e.sc, bed).run(ctx, start, o.schedule)
+	o.results = newGeneratorLoad(&e.dep, &e.sc, o.net, bed).run(ctx, start, o.schedule)
 	if err := <-faults; err != nil {
 		return nil, errors.Wrap(err, "running the faults")
 	}
@@ -108,6 +106,20 @@
 	return o, o.collect(ctx, bed)
 }
 
+// describe takes the zones of the hosts, and the zones and speeds of the minions.
+func (o *observation) describe(bed *testbed.Bed, views []minionsim.MinionView) {
+	o.slots = views[0].Host.Slots
+	o.minions = make(map[string]refMinion)
+	for _, v := range views {
+		m := refMinion{speed: v.Speed, zone: v.Host.Zone}
+		o.minions[v.Host.ID] = m
+		o.fleet = append(o.fleet, m)
+	}
+	for _, h := range bed.Hosts {
+		o.hostZones = append(o.hostZones, h.Settings.Zone)
+	}
+}
+
 // checkHosts fails if a daemon has ended during the run.
 func checkHosts(bed *testbed.Bed) error {
 	for _, h := range bed.Hosts {
--- a/standin/bench/summary.go
+++ b/standin/bench/summary.go
@@ -26,6 +26,10 @@
 	Goodput     float64              `json:"goodput"`     // work of jobs on time over capacity
 	Utilisation float64              `json:"utilisation"` // slot time of complete jobs over all slot time
 	Fairness    float64              `json:"fairness"`
+	OwnZone     float64              `json:"own_zone"` // share of the tasks of complete jobs that ran in the zone of their host; 0 for the reference
+	Teams       []teamView           `json:"teams"`
+	ZoneDelayMS float64              `json:"zone_delay_ms"`   // one way
+	ClientMS    float64              `json:"client_delay_ms"` // one way
 	Broken      int                  `json:"broken_answers"`
 	Messages    messages             `json:"messages"`
 
@@ -47,21 +51,24 @@
 
 // observation is everything that a run produced.
 type observation struct {
-	dep      *deployment
-	schedule []arrival
-	results  []jobResult
-	speeds   map[string]float64 // by minion
-	ideals   []time.Duration
-	slots    int
-	length   time.Duration
-	warmUp   time.Duration
-	messages messages
+	dep       *deployment
+	schedule  []arrival
+	results   []jobResult
+	net       network
+	minions   map[string]refMinion // by identifier
+	fleet     []refMinion
+	hostZones []string // by host
+	ideals    []time.Duration
+	slots     int
+	length    time.Duration
+	warmUp    time.Duration
+	messages  messages
 }
 
 func (o *observation) capacity() float64 {
 	sum := 0.0
-	for _, s := range o.speeds {
-		sum += s
+	for _, m := range o.fleet {
+		sum += m.speed
 	}
 	return sum * float64(o.slots)
 }
@@ -99,6 +106,8 @@
 	}
 	s.OnTime = float64(onTime) / float64(max(s.Jobs, 1))
 	o.throughput(s)
+	s.OwnZone = o.ownZone()
+	s.ZoneDelayMS, s.ClientMS = 1000*o.net.zone.Seconds(), 1000*o.net.client.Seconds()
 	o.countMessages(s)
 	return s
 }
@@ -116,43 +125,72 @@
 // onTime reports whether the caller had the whole answer within the job's deadline.
 func (o *observation) onTime(i int) bool {
 	r := &o.results[i]
-	limit := o.dep.kinds[o.schedule[i].kind].deadline + 2*clientDelay
+	limit := o.dep.kinds[o.schedule[i].kind].deadline + 2*o.net.client
 	return r.outcome == api.Complete && !r.broken && r.response <= limit
 }
 
 // throughput evaluates the work of jobs that ended between the warm-up and the end of
 // the arrivals.
 func (o *observation) throughput(s *summary) {
-	got := make([]float64, len(o.dep.teams))
-	demand := make([]float64, len(o.dep.teams))
-	weight := make([]float64, len(o.dep.teams))
+	teams := make([]teamView, len(o.dep.teams))
 	work, busy := 0.0, 0.0
 	for i := range o.results {
 		a, r := &o.schedule[i], &o.results[i]
 		if a.at >= o.warmUp {
-			demand[a.team] += a.work()
+			teams[a.team].Demand += a.work()
+			if r.outcome != api.Complete {
+				teams[a.team].addOutcome(outcomeName(r))
+			}
 		}
 		end := a.at + r.response
 		if !o.onTime(i) || end < o.warmUp || end > o.length {
 			continue
 		}
 		work += a.work()
-		got[a.team] += a.work()
+		teams[a.team].Got += a.work()
 		for t, ms := range a.runsMS {
-			if speed := o.speeds[r.minions[t]]; speed > 0 { // 0 for the reference
+			if speed := o.minions[r.minions[t]].speed; speed > 0 { // 0 for the reference
 				busy += ms / 1000 / speed
 			}
 		}
 	}
-	for i, t := range o.dep.teams {
-		weight[i] = t.weight
-	}
 	window := (o.length - o.warmUp).Seconds()
 	s.Goodput = work / (o.capacity() * window)
-	s.Utilisation = busy / (float64(o.slots*len(o.speeds)) * window)
+	s.Utilisation = busy / (float64(o.slots*len(o.fleet)) * window)
+	o.judgeTeams(s, teams)
+}
+
+// judgeTeams compares what the teams got with their fair shares.
+func (o *observation) judgeTeams(s *summary, teams []teamView) {
+	n := len(teams)
+	got, demand, weight := make([]float64, n), make([]float64, n), make([]float64, n)
+	total := 0.0
+	for i, t := range o.dep.teams {
+		teams[i].Team, teams[i].Weight = t.name, t.weight
+		got[i], demand[i], weight[i] = teams[i].Got, teams[i].Demand, t.weight
+		total += got[i]
+	}
+	for i, fair := range maxMinShares(total, demand, weight) {
+		teams[i].Fair = fair
+	}
+	s.Teams = teams
 	s.Fairness = fairness(got, demand, weight)
 }
 
+// ownZone is the share of the tasks of complete jobs that ran in the zone of their host.
+func (o *observation) ownZone() float64 {
+	own, all := 0, 0
+	for i := range o.results {
+		for _, id := range o.results[i].minions {
+			all++
+			if o.minions[id].zone == o.hostZones[o.schedule[i].host] {
+				own++
+			}
+		}
+	}
+	return float64(own) / float64(max(all, 1))
+}
+
 func (o *observation) countMessages(s *summary) {
 	s.Messages = o.messages
 	m := &s.Messages
--- a/standin/minions/main.go
+++ b/standin/minions/main.go
@@ -25,6 +25,7 @@
 	Connections int           `default:"64" help:"open connections of a minion"`
 	Queue       int           `help:"tasks that wait for a slot; default as many as connections"`
 	Spread      float64       `default:"0.6" help:"standard deviation of ln(speed); negative for equal speeds"`
+	ZoneDelay   time.Duration `arg:"--zone-delay" help:"one-way delay to and from hosts of other zones; hosts are named ZONE-NUMBER"`
 	Seed        uint64        `default:"1" help:"seeds speeds, identities and faults"`
 	For         time.Duration `default:"1h" help:"stop by itself after this time"`
 }
@@ -45,6 +46,7 @@
 		Connections: a.Connections,
 		Queue:       a.Queue,
 		Spread:      a.Spread,
+		ZoneDelay:   a.ZoneDelay,
 		Seed:        a.Seed,
 	})
 	if err := fleet.Start(); err != nil {
--- a/standin/minionsim/answer.go
+++ b/standin/minionsim/answer.go
@@ -13,6 +13,7 @@
 	*service
 	w     http.ResponseWriter
 	r     *http.Request
+	line  *delayLine // back to the host; nil for no delay
 	id    TaskID
 	fault Fault
 	delay time.Duration // of FaultLate
@@ -23,6 +24,7 @@
 		a.wait()
 	}
 	a.setHeader(body)
+	a.line.pass(1)
 	status := http.StatusOK
 	if !ok {
 		status = http.StatusInternalServerError
--- a/standin/minionsim/config.go
+++ b/standin/minionsim/config.go
@@ -32,6 +32,7 @@
 	Queue       int           // tasks that wait for a slot; default Connections
 	Spread      float64       // standard deviation of ln(speed); negative for equal speeds
 	Renew       time.Duration // interval of renewing the registration
+	ZoneDelay   time.Duration // one way, to and from hosts in other availability zones; 0 for none
 	Seed        uint64        // seeds speeds, identities and fault probabilities
 }
 
--- a/standin/minionsim/fleet.go
+++ b/standin/minionsim/fleet.go
@@ -15,6 +15,7 @@
 
 	cfg    Config
 	ledger *ledger
+	line   *delayLine // between availability zones; nil for none
 	admin  *simhttp.Server
 }
 
@@ -36,6 +37,7 @@
 		return err
 	}
 	f.admin = simhttp.Serve(ln, f.routes())
+	f.startLine()
 	for _, m := range f.Minions {
 		if err := m.Start(); err != nil {
 			f.Stop()
@@ -45,11 +47,23 @@
 	return nil
 }
 
+// startLine starts the delay between availability zones, if there is one.
+func (f *Fleet) startLine() {
+	if f.cfg.ZoneDelay <= 0 {
+		return
+	}
+	f.line = newDelayLine(f.cfg.ZoneDelay)
+	for _, m := range f.Minions {
+		m.line = f.line
+	}
+}
+
 // Stop ends every minion and the admin interface.
 func (f *Fleet) Stop() {
 	for _, m := range f.Minions {
 		m.Crash()
 	}
+	f.line.close()
 	if f.admin != nil {
 		f.admin.Close()
 	}
--- a/standin/minionsim/minion.go
+++ b/standin/minionsim/minion.go
@@ -28,6 +28,7 @@
 	cfg    Config
 	ledger *ledger
 	faults *faultSwitch
+	line   *delayLine // between availability zones; nil for none
 	random *rand.Rand // identities; guarded by mu
 
 	mu        sync.Mutex
--- a/standin/minionsim/serve.go
+++ b/standin/minionsim/serve.go
@@ -62,15 +62,23 @@
 		return
 	}
 	var reply CancelReply
+	var line *delayLine // all tasks of a message are of the host that sends it
+	if len(req.Tasks) > 0 {
+		line = s.lineTo(req.Tasks[0].Ticket)
+	}
+	line.pass(1)
 	for _, t := range req.Tasks {
 		dropped, stopped := s.process.runner.cancel(TaskID{Ticket: t.Ticket, Index: t.Index})
 		reply.Dropped += dropped
 		reply.Stopped += stopped
 	}
+	line.pass(1)
 	simhttp.WriteJSON(w, http.StatusOK, reply)
 }
 
 func (s *service) serveTask(w http.ResponseWriter, r *http.Request) {
+	line := s.lineTo(r.PathValue("ticket"))
+	line.pass(1)
 	now := time.Now()
 	s.ledger.count(func(t *Totals) { t.TaskMessages++ })
 	id, deadline, err := parseTask(r, now)
@@ -81,7 +89,7 @@
 	fault, delay := s.faults.draw()
 	// Refuses before reading the body, so that a client waiting for 100 Continue keeps it.
 	if reason := s.refusal(now, deadline, fault); reason != "" {
-		s.refuseTask(w, r, reason)
+		s.refuseTask(w, r, line, reason)
 		return
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, simhttp.MaxBody))
@@ -89,17 +97,18 @@
 		simhttp.WriteError(w, http.StatusBadRequest, err)
 		return
 	}
+	line.pass(bodyPasses(r))
 	t := newRun(id, deadline)
-	s.process.runner.submit(now, t)
+	s.process.runner.submit(time.Now(), t)
 	select {
 	case <-t.start:
 	case reason := <-t.refused:
-		s.refuseTask(w, r, reason)
+		s.refuseTask(w, r, line, reason)
 		return
 	case <-s.process.ended:
 		panic(http.ErrAbortHandler)
 	}
-	a := answer{service: s, w: w, r: r, id: id, fault: fault, delay: delay}
+	a := answer{service: s, w: w, r: r, line: line, id: id, fault: fault, delay: delay}
 	a.send(s.execute(t, body, fault))
 }
 
@@ -117,12 +126,13 @@
 
 // refuseTask proves that the task does not run. The answer echoes task and attempt like
 // any other; without them a client cannot tell whom the proof is about.
-func (s *service) refuseTask(w http.ResponseWriter, r *http.Request, reason string) {
+func (s *service) refuseTask(w http.ResponseWriter, r *http.Request, line *delayLine, reason string) {
 	s.ledger.count(func(t *Totals) { t.Refused++ })
 	s.setLoad(w.Header())
 	w.Header().Set(backend.HeaderTask, r.Header.Get(backend.HeaderTask))
 	w.Header().Set(backend.HeaderAttempt, r.Header.Get(backend.HeaderAttempt))
 	w.Header().Set(backend.HeaderNotRun, reason)
+	line.pass(1)
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
