Ask peers for the answer of a drained owner before calling its job lost

Cause: a draining host hands unfetched answers to a peer, but only that peer gave them. Another host that could not reach the owner, or met its successor, said "failed" for a job that was complete and whose answer was kept ("Not proved" in docs/proofs.md).

Change: on the first failure to reach the owner, and before the verdict that it is gone, a host sends the request to the three live peers that follow the owner by name, for at most 250 ms. A peer answers from its store or says that it is another incarnation, as before, so earlier releases take part. None of them can start the job.

Ways weighed: handing answers to every peer (memory and messages grow with the hosts), and moving them to the successor when it appears (requests that come first still fail).

--- a/daemon/effects.go
+++ b/daemon/effects.go
@@ -46,6 +46,8 @@
 		level.Error(d.logs.dispatch).Log("msg", "invariant violated; the job was failed", "ticket", e.Ticket, "detail", e.Message)
 	case forward.SendToOwner:
 		go func() { d.loop.send(d.forwardToOwner(e)) }()
+	case forward.FindAnswer:
+		go func() { d.loop.send(d.findAnswer(e)) }()
 	case forward.ReplyTo:
 		d.loop.reply(e.Waiter, e.Reply)
 	case member.PeerAhead:
@@ -92,13 +94,7 @@
 	}
 	// The address stays empty if no stream was opened, so that nothing was sent.
 	var reached grpcpeer.Peer
-	reply, err := stub.Forward(ctx, &peerpb.ForwardRequest{
-		Operation:   forwardOperation[e.Request.Operation],
-		Ticket:      string(e.Request.ID),
-		Incarnation: uint64(e.Request.Ticket.Incarnation),
-		Job:         e.Request.Job,
-		WaitMs:      e.Wait.Milliseconds(),
-	}, grpc.Peer(&reached))
+	reply, err := stub.Forward(ctx, encodeForward(e.Request, e.Wait), grpc.Peer(&reached))
 	d.observeForward(e, err)
 	if err != nil {
 		return forward.OwnerFailed{Waiter: waiter, Reason: "no answer from " + e.Request.Ticket.Host, NotSent: reached.Addr == nil}
--- /dev/null
+++ b/daemon/find_answer.go
@@ -0,0 +1,70 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"sesameledge.dev/sesameledge/api"
+	"sesameledge.dev/sesameledge/core"
+	"sesameledge.dev/sesameledge/forward"
+	"sesameledge.dev/sesameledge/peer/peerpb"
+)
+
+// searchedPeers bounds the peers that are asked for an answer. More than one is asked,
+// because hosts that are restarted one after the other pass their stored answers on.
+const searchedPeers = 3
+
+// findAnswer asks the peers to which a drained owner may have handed its answers. They are
+// asked with the request itself, so that they check the job of a submission against the
+// answer; none of them can start it, because it names another incarnation.
+func (d *Daemon) findAnswer(e forward.FindAnswer) forward.AnswerSearched {
+	addresses := d.peersAfter(e.Request.Ticket.Host)
+	addresses = addresses[:min(len(addresses), searchedPeers)]
+	ctx, cancel := context.WithTimeout(d.ctx, forward.SearchTimeout)
+	defer cancel()
+	replies := make(chan *api.Reply, len(addresses))
+	for _, address := range addresses {
+		go func() { replies <- d.askForAnswer(ctx, address, e.Request) }()
+	}
+	for range addresses {
+		if r := <-replies; r != nil {
+			return forward.AnswerSearched{Waiter: e.Request.Waiter, Reply: r}
+		}
+	}
+	return forward.AnswerSearched{Waiter: e.Request.Waiter}
+}
+
+// askForAnswer returns nil if the peer does not have the answer or cannot be reached.
+func (d *Daemon) askForAnswer(ctx context.Context, address string, req forward.Request) *api.Reply {
+	reply, err := d.peers.Forward(ctx, address, encodeForward(req, 0))
+	if err != nil || reply.WrongIncarnation {
+		return nil
+	}
+	r := new(api.Reply)
+	if err := json.Unmarshal(reply.Reply, r); err != nil {
+		return nil
+	}
+	return r
+}
+
+// storedReply answers for a drained host, or returns nil.
+func (d *Daemon) storedReply(op operation) *api.Reply {
+	var reply *api.Reply
+	req := forward.Request{ID: op.id, Ticket: op.ticket, Operation: op.kind}
+	if op.job != nil {
+		req.Digest = jobDigest(op.job)
+	}
+	d.loop.query(func(now time.Duration, s *core.State) { reply = s.Forward.StoredReply(now, req) })
+	return reply
+}
+
+func encodeForward(req forward.Request, wait time.Duration) *peerpb.ForwardRequest {
+	return &peerpb.ForwardRequest{
+		Operation:   forwardOperation[req.Operation],
+		Ticket:      string(req.ID),
+		Incarnation: uint64(req.Ticket.Incarnation),
+		Job:         req.Job,
+		WaitMs:      wait.Milliseconds(),
+	}
+}
--- a/daemon/handover.go
+++ b/daemon/handover.go
@@ -70,7 +70,7 @@
 
 // storeAtPeer offers the answers to one peer after the other until one takes them.
 func (d *Daemon) storeAtPeer(ctx context.Context, req *peerpb.StoreAnswersRequest) bool {
-	for _, address := range d.peerAddresses() {
+	for _, address := range d.peersAfter(d.settings.Host) {
 		stub, err := d.peers.Peer(address)
 		if err == nil {
 			_, err = stub.StoreAnswers(ctx, req)
@@ -83,19 +83,19 @@
 	return false
 }
 
-// peerAddresses returns the addresses of live peers, beginning with the host that follows
-// this one by name, so that hosts that drain together use different peers.
-func (d *Daemon) peerAddresses() []string {
-	own := d.settings.Host
+// peersAfter returns the addresses of live peers, beginning with the host that follows the
+// given one by name. Hosts that drain together so use different peers, and who looks for an
+// answer asks the likely ones first.
+func (d *Daemon) peersAfter(host string) []string {
 	var peers []member.View
 	d.loop.query(func(now time.Duration, s *core.State) {
 		for _, m := range s.Member.Members(now) {
-			if m.Host != own && m.Status == member.Live {
+			if m.Host != d.settings.Host && m.Host != host && m.Status == member.Live {
 				peers = append(peers, m)
 			}
 		}
 	})
-	sort.SliceStable(peers, func(i, j int) bool { return peers[i].Host > own && peers[j].Host < own })
+	sort.SliceStable(peers, func(i, j int) bool { return peers[i].Host > host && peers[j].Host < host })
 	out := make([]string, len(peers))
 	for i, m := range peers {
 		out[i] = m.Address
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -23,24 +23,39 @@
 	d *Daemon
 }
 
-// Forward performs a request about a ticket of this incarnation.
+// Forward performs a request about a ticket of this incarnation. For a ticket of another one
+// it only gives an answer that this host keeps for a drained host.
 func (p *peerServer) Forward(ctx context.Context, req *peerpb.ForwardRequest) (*peerpb.ForwardReply, error) {
-	if incarnation(req.Incarnation) != p.d.incarnation {
-		return &peerpb.ForwardReply{WrongIncarnation: true, Incarnation: uint64(p.d.incarnation)}, nil
-	}
 	op, err := p.d.forwardedOperation(req)
 	if err != nil {
 		return nil, err
 	}
+	if incarnation(req.Incarnation) != p.d.incarnation {
+		return p.forOtherIncarnation(op)
+	}
 	reply := p.d.perform(ctx, op)
 	if reply == nil {
 		return nil, status.Error(codes.Canceled, "the request was cancelled")
 	}
-	encoded, encErr := json.Marshal(reply)
-	if encErr != nil {
-		return nil, status.Error(codes.Internal, encErr.Error())
+	encoded, err := p.encode(reply)
+	if err == nil {
+		p.d.noteFetched(op.ticket.Incarnation, reply, true)
+	}
+	return encoded, err
+}
+
+func (p *peerServer) forOtherIncarnation(op operation) (*peerpb.ForwardReply, error) {
+	if reply := p.d.storedReply(op); reply != nil {
+		return p.encode(reply)
+	}
+	return &peerpb.ForwardReply{WrongIncarnation: true, Incarnation: uint64(p.d.incarnation)}, nil
+}
+
+func (p *peerServer) encode(reply *api.Reply) (*peerpb.ForwardReply, error) {
+	encoded, err := json.Marshal(reply)
+	if err != nil {
+		return nil, status.Error(codes.Internal, err.Error())
 	}
-	p.d.noteFetched(op.ticket.Incarnation, reply, true)
 	return &peerpb.ForwardReply{Incarnation: uint64(p.d.incarnation), Reply: encoded}, nil
 }
 
--- a/forward/event.go
+++ b/forward/event.go
@@ -53,18 +53,25 @@
 	Now    ticket.Incarnation
 }
 
+// AnswerSearched ends the search for an answer at peers. Reply is nil if none has it.
+type AnswerSearched struct {
+	Waiter dispatch.WaiterID
+	Reply  *api.Reply
+}
+
 // WaiterGone says that the caller's connection was lost.
 type WaiterGone struct{ Waiter dispatch.WaiterID }
 
 // Tick lets due retries take effect.
 type Tick struct{}
 
-func (Request) isEvent()       {}
-func (OwnerReplied) isEvent()  {}
-func (OwnerFailed) isEvent()   {}
-func (OwnerReplaced) isEvent() {}
-func (WaiterGone) isEvent()    {}
-func (Tick) isEvent()          {}
+func (Request) isEvent()        {}
+func (OwnerReplied) isEvent()   {}
+func (OwnerFailed) isEvent()    {}
+func (OwnerReplaced) isEvent()  {}
+func (AnswerSearched) isEvent() {}
+func (WaiterGone) isEvent()     {}
+func (Tick) isEvent()           {}
 
 // Effect is an output of the reducer.
 type Effect interface{ isEffect() }
@@ -76,6 +83,10 @@
 	Wait    time.Duration // wait left
 }
 
+// FindAnswer asks the shell to look for the answer of a drained owner at the peers to which
+// it may have been handed over. The shell answers with AnswerSearched within SearchTimeout.
+type FindAnswer struct{ Request Request }
+
 // ReplyTo answers a caller's request.
 type ReplyTo struct {
 	Waiter dispatch.WaiterID
@@ -83,4 +94,5 @@
 }
 
 func (SendToOwner) isEffect() {}
+func (FindAnswer) isEffect()  {}
 func (ReplyTo) isEffect()     {}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -21,6 +21,9 @@
 	keepSeen = 5 * time.Minute
 	// maxSeen bounds the tickets remembered; beyond it the oldest are forgotten.
 	maxSeen = 200_000
+	// SearchTimeout bounds the search for an answer at peers. It is short, because a
+	// submission that the owner does not take is better made at another host at once.
+	SearchTimeout = 250 * time.Millisecond
 	// maxGone bounds the incarnations remembered as gone. A forgotten one is learned
 	// again from its successor.
 	maxGone = 10_000
@@ -45,12 +48,13 @@
 }
 
 type pending struct {
-	req     Request
-	first   time.Duration // first sight of the ticket
-	until   time.Duration
-	retryAt time.Duration // 0 while a forwarded request is outstanding
-	arrived bool          // the request may have reached the owner
-	reason  string
+	req      Request
+	first    time.Duration // first sight of the ticket
+	until    time.Duration
+	retryAt  time.Duration // 0 while a forwarded request is outstanding
+	arrived  bool          // the request may have reached the owner
+	searched bool          // the peers have been asked for the answer, or are being asked
+	reason   string
 }
 
 // Counters counts what the reducer did since the process started.
@@ -61,6 +65,8 @@
 	Verdicts   uint64 `json:"verdicts_for_lost_owners"`
 	Stored     uint64 `json:"answers_stored"`
 	FromStore  uint64 `json:"answers_from_store"`
+	Searches   uint64 `json:"answer_searches"`
+	Found      uint64 `json:"answers_found_at_peers"`
 }
 
 // New returns an empty State.
@@ -85,6 +91,8 @@
 		s.ownerFailed(now, ev)
 	case OwnerReplaced:
 		s.ownerReplaced(now, ev)
+	case AnswerSearched:
+		s.answerSearched(now, ev)
 	case WaiterGone:
 		delete(s.waiting, ev.Waiter)
 	case Tick:
@@ -117,33 +125,31 @@
 		s.seen[req.ID] = now
 		s.order = append(s.order, seenEntry{id: req.ID, forget: now + req.Ticket.Lifetime() + keepSeen})
 	}
-	if reply := s.storedReply(now, req); reply != nil {
-		s.reply(req.Waiter, reply)
-		return
-	}
 	p := &pending{req: req, first: first, until: now + req.Wait}
-	if reply := s.verdict(now, p); reply != nil {
-		s.reply(req.Waiter, reply)
-		return
-	}
 	s.waiting[req.Waiter] = p
-	s.send(now, p)
+	if !s.settle(now, p) {
+		s.send(now, p)
+	}
 }
 
-// verdict returns the final reply if the owner can no longer answer "complete".
-func (s *State) verdict(now time.Duration, p *pending) *api.Reply {
-	req := p.req
-	life := req.Ticket.Lifetime()
+// expired reports whether the lifetime of the ticket has ended as this host sees it.
+func (s *State) expired(now time.Duration, p *pending) bool {
+	life := p.req.Ticket.Lifetime()
 	if s.off.earlyVerdict {
 		life /= 2
 	}
+	return now > p.first+life
+}
+
+// verdict returns the final reply if the owner can no longer answer "complete".
+func (s *State) verdict(now time.Duration, p *pending) *api.Reply {
 	switch {
 	case s.off.noVerdict:
 		return nil
-	case s.gone[req.Ticket.Incarnation]:
+	case s.gone[p.req.Ticket.Incarnation]:
 		s.counters.Verdicts++
 		return s.lost(p, "the process that owned the job is gone; the job may have run")
-	case now > p.first+life:
+	case s.expired(now, p):
 		s.counters.Verdicts++
 		return s.lost(p, "the owner of the job could not be reached within the ticket's lifetime; the job may have run")
 	}
@@ -178,9 +184,14 @@
 	s.reply(p.req.Waiter, r)
 }
 
-// settle answers a pending request if the verdict is known by now.
+// settle answers a pending request if the verdict is known by now. Before it says that the
+// job of an owner that is gone is lost, it has the peers asked. It reports false if neither
+// was due.
 func (s *State) settle(now time.Duration, p *pending) bool {
 	r := s.storedReply(now, p.req)
+	if r == nil && s.gone[p.req.Ticket.Incarnation] && s.search(now, p) {
+		return true
+	}
 	if r == nil {
 		r = s.verdict(now, p)
 	}
@@ -191,6 +202,33 @@
 	return true
 }
 
+// search has the peers asked for the answer, once for each request, and reports whether it
+// did. A peer may hold it because the owner drained.
+func (s *State) search(now time.Duration, p *pending) bool {
+	if p.searched || s.expired(now, p) || s.off.noSearch {
+		return false
+	}
+	p.searched = true
+	s.counters.Searches++
+	s.emit(FindAnswer{Request: p.req})
+	return true
+}
+
+func (s *State) answerSearched(now time.Duration, ev AnswerSearched) {
+	p, ok := s.waiting[ev.Waiter]
+	if !ok {
+		return
+	}
+	if ev.Reply != nil && !s.expired(now, p) && !s.off.foundDropped {
+		s.counters.Found++
+		s.answer(p, ev.Reply)
+		return
+	}
+	if !s.settle(now, p) {
+		s.ownerAway(now, p)
+	}
+}
+
 func (s *State) ownerFailed(now time.Duration, ev OwnerFailed) {
 	s.counters.Failed++
 	p, ok := s.waiting[ev.Waiter]
@@ -201,17 +239,21 @@
 		return
 	}
 	p.arrived = p.arrived || !ev.NotSent
-	if s.settle(now, p) {
-		return
+	p.reason = ev.Reason
+	if !s.settle(now, p) && !s.search(now, p) {
+		s.ownerAway(now, p)
 	}
+}
+
+// ownerAway schedules a retry, or answers that the owner cannot be reached.
+func (s *State) ownerAway(now time.Duration, p *pending) {
 	p.retryAt = now + retryDelay
-	p.reason = ev.Reason
 	// A submission that has not left this host is better made at another one at once.
 	if p.retryAt < p.until && (p.arrived || p.req.Operation != Submit) {
 		return
 	}
 	s.answer(p, &api.Reply{Schema: api.Schema, Ticket: p.req.ID, Outcome: api.Unknown, NotForwarded: s.notForwarded(p),
-		Reason: api.Errorf(api.CodeOwnerAway, "ticket", "the owner of the job cannot be reached now (%s); ask again", ev.Reason)})
+		Reason: api.Errorf(api.CodeOwnerAway, "ticket", "the owner of the job cannot be reached now (%s); ask again", p.reason)})
 }
 
 func (s *State) ownerReplaced(now time.Duration, ev OwnerReplaced) {
--- a/forward/memory_test.go
+++ b/forward/memory_test.go
@@ -17,6 +17,7 @@
 		w := dispatch.WaiterID(i + 1)
 		s.Apply(0, Request{ID: tk.ID(), Ticket: tk, Operation: Await, Waiter: w})
 		s.Apply(0, OwnerReplaced{Waiter: w, Now: 1 << 40})
+		s.Apply(0, AnswerSearched{Waiter: w})
 	}
 	if len(s.seen) > maxSeen || len(s.gone) > maxGone || len(s.waiting) != 0 {
 		t.Errorf("%d tickets, %d incarnations, %d requests kept", len(s.seen), len(s.gone), len(s.waiting))
--- a/forward/model_test.go
+++ b/forward/model_test.go
@@ -84,6 +84,8 @@
 	done   bool              // a forwarding host has replied
 	submit bool              // a caller's submission
 	came   bool              // the owner has received it from the forwarding host
+	search bool              // the peers were asked for the answer
+	found  bool              // one of them has it
 }
 
 // message is in flight. deliver must not be nil; lost may be.
@@ -152,6 +154,8 @@
 		switch e := e.(type) {
 		case SendToOwner:
 			w.sendToOwner(p, e)
+		case FindAnswer:
+			w.findAnswer(p, e)
 		case ReplyTo:
 			w.forwardReply(p, e)
 		}
@@ -224,6 +228,7 @@
 		if !truth.owner.dead && w.now <= truth.minted+truth.ticket.Lifetime() {
 			w.fatalf("failed before the lifetime of a live owner's ticket has ended")
 		}
+		w.checkSearch(r, lifetimeOver)
 		if truth.failedAt == 0 {
 			truth.failedAt = max(w.now, 1)
 		}
@@ -234,6 +239,17 @@
 	w.toCaller(r.from, e.Waiter, p, e.Reply)
 }
 
+// checkSearch holds a host that calls a job lost before the lifetime ends to its search.
+func (w *world) checkSearch(r *request, lifetimeOver bool) {
+	switch {
+	case lifetimeOver:
+	case !r.search:
+		w.fatalf("failed without a search for the answer at peers")
+	case r.found:
+		w.fatalf("failed although a peer holds the answer")
+	}
+}
+
 // relayed checks an answer that a host passes on, or has kept for a drained owner.
 func (w *world) relayed(r *request, truth *jobTruth) {
 	if r.digest == 2 {
@@ -268,6 +284,36 @@
 	}})
 }
 
+// findAnswer asks the peers that p reaches at once; what they say travels as a message.
+func (w *world) findAnswer(p *process, e FindAnswer) {
+	r := w.requests[e.Request.Waiter]
+	r.search = true
+	var found *api.Reply
+	for _, q := range w.hosts {
+		if found == nil && q != p && q.runs() && w.connected(p, q) {
+			found = q.forward.StoredReply(q.local(w.now), e.Request)
+		}
+	}
+	r.found = found != nil
+	w.messages = append(w.messages, message{from: p, to: p,
+		deliver: func() { w.searched(p, e, found) },
+		lost: func() {
+			r.found = false
+			w.searched(p, e, nil)
+		}})
+}
+
+// searched delivers what the peers answered. A stored answer was given within the lifetime
+// when they were asked; on its way it is like the owner's own reply.
+func (w *world) searched(p *process, e FindAnswer, found *api.Reply) {
+	if p.dead {
+		return
+	}
+	w.fromOwner = true
+	w.onForward(p, AnswerSearched{Waiter: e.Request.Waiter, Reply: found})
+	w.fromOwner = false
+}
+
 func (w *world) newRequest(r *request) dispatch.WaiterID {
 	w.nextID++
 	w.requests[w.nextID] = r
--- a/forward/switches.go
+++ b/forward/switches.go
@@ -8,5 +8,7 @@
 	noVerdict     bool // "unknown" also after the lifetime
 	keepAnswered  bool // answered requests are not forgotten
 	notReached    bool // a request that may have arrived is said not to have
+	noSearch      bool // peers are not asked for the answer of a drained owner
+	foundDropped  bool // what the peers answer is dropped
 	anyDigest     bool // stored answers go to any job with their ticket
 }
--- a/forward/switches_test.go
+++ b/forward/switches_test.go
@@ -24,6 +24,8 @@
 		{"no verdict", switches{noVerdict: true}, callerRules{}, "unknown after the lifetime"},
 		{"keep answered", switches{keepAnswered: true}, callerRules{}, "and still kept"},
 		{"not reached, then a new ticket", switches{notReached: true}, callerRules{}, "refused after an attempt"},
+		{"no search", switches{noSearch: true}, callerRules{}, "failed without a search"},
+		{"found answer dropped", switches{foundDropped: true}, callerRules{}, "a peer holds the answer"},
 		{"any digest", switches{anyDigest: true}, callerRules{}, "answer of another job"},
 		{"not reached", switches{notReached: true}, callerRules{}, "a request that it has"},
 		{"caller accepts late", switches{}, callerRules{acceptLate: true}, "complete accepted after"},
