Lower the control traffic of a daemon

Cause: gossip and the platform's services cost 2,952 B/s at 7 hosts, at the limit of 3 KB/s, and 3,609 B/s at 40. Largest parts outside the gossip messages themselves: registrations (487 B/s), the config stream (279 B/s), the host list (235 B/s) and gRPC's pings for its window estimate (about 370 B/s). Change: the platform holds a request for the host list by its tag for up to 2 s; registrations ask for an answer without a body; windows between hosts are fixed, which ends the pings. A held request that is not answered within 2.5 s is repeated at once, not held, on a new connection.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/go-kit/log/level"
 
@@ -12,19 +13,80 @@
 	"sesameledge.dev/sesameledge/ticket"
 )
 
+const (
+	// hostsHold is how long the platform may hold a request for the host list. With holdGrace
+	// and the request that follows it stays below the 3 s within which a leaving mark must
+	// take effect, also if the connection goes silent while a request is held.
+	hostsHold = 2 * time.Second
+	// holdGrace is how much longer than the hold an answer may take, at least. It is twice
+	// the time of the last answer that was not held if that is more.
+	holdGrace = 500 * time.Millisecond
+)
+
+// hostsReader reads the platform's list of hosts.
+type hostsReader struct {
+	client  *platform.Client
+	every   time.Duration // least pause between lists, and between requests that are not held
+	timeout time.Duration // of a request that is not held
+	tag     string        // of the last list
+	// grace is 0 after a failed request. The next one is then not held, so that its answer
+	// tells how slow the platform is.
+	grace time.Duration
+}
+
+// read returns the list if it has changed, and the pause before the next read.
+func (h *hostsReader) read(ctx context.Context) (*platform.HostList, time.Duration, error) {
+	wait, limit := time.Duration(0), h.timeout
+	if h.tag != "" && h.grace > 0 {
+		wait, limit = hostsHold, hostsHold+h.grace
+	}
+	limited, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	asked := time.Now()
+	list, err := h.client.Hosts(limited, h.tag, wait)
+	took := time.Since(asked)
+	if err != nil {
+		return nil, h.failed(wait, took), err
+	}
+	if wait == 0 {
+		h.grace = min(max(holdGrace, 2*took), h.timeout)
+	}
+	if list != nil {
+		h.tag = list.Tag
+		return list, h.every, nil
+	}
+	if wait > 0 && took < wait/2 {
+		// A platform that does not hold requests must not be asked in a busy loop.
+		return nil, h.every, nil
+	}
+	return nil, 0, nil
+}
+
+// failed returns the pause after a failed request. One that was held in vain is followed by
+// another at once; one that failed at once is not, also if the platform refuses to hold. The
+// idle connections may have gone silent like the one in use.
+func (h *hostsReader) failed(wait, took time.Duration) time.Duration {
+	h.client.Close()
+	h.grace = 0
+	if wait > 0 && took >= wait {
+		return 0
+	}
+	return h.every
+}
+
 // followHosts feeds the platform's list of hosts to the reducer.
 func (d *Daemon) followHosts(ctx context.Context) {
-	tag := ""
+	p := &d.settings.Platform
+	reader := &hostsReader{client: d.platform, every: p.HostsEvery, timeout: p.Timeout}
 	for ctx.Err() == nil {
-		list, err := d.platform.Hosts(ctx, tag)
+		list, next, err := reader.read(ctx)
 		switch {
 		case err != nil:
 			level.Debug(d.logs.platform).Log("msg", "host list cannot be read", "err", err)
 		case list != nil:
-			tag = list.Tag
 			d.loop.send(member.HostList{Entries: entryHosts(list.Hosts), Endpoints: endpoints(list.Hosts)})
 		}
-		pause.For(ctx, d.settings.Platform.HostsEvery)
+		pause.For(ctx, next)
 	}
 }
 
--- a/peer/client.go
+++ b/peer/client.go
@@ -23,6 +23,10 @@
 	keepaliveTime    = 10 * time.Second
 	keepaliveTimeout = 2 * time.Second
 	maxBackoff       = time.Second
+	// windowBytes is the flow-control window of a stream and of a connection. A fixed one
+	// saves the pings by which gRPC estimates a window, two for each gossip call, and lets
+	// 1 MiB pass in a round trip of 1 ms.
+	windowBytes = 1 << 20
 	// MaxMessageBytes bounds a message between hosts.
 	MaxMessageBytes = 64 << 20
 )
@@ -60,6 +64,8 @@
 			Backoff:           backoff.Config{BaseDelay: 50 * time.Millisecond, Multiplier: 2, MaxDelay: maxBackoff},
 			MinConnectTimeout: time.Second,
 		}),
+		grpc.WithStaticStreamWindowSize(windowBytes),
+		grpc.WithStaticConnWindowSize(windowBytes),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(MaxMessageBytes), grpc.MaxCallSendMsgSize(MaxMessageBytes)),
 	)
@@ -100,6 +106,8 @@
 		grpc.StatsHandler(statsHandler{traffic}),
 		grpc.MaxRecvMsgSize(MaxMessageBytes),
 		grpc.MaxSendMsgSize(MaxMessageBytes),
+		grpc.StaticStreamWindowSize(windowBytes),
+		grpc.StaticConnWindowSize(windowBytes),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveTime / 2, PermitWithoutStream: true}),
 	)
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -64,7 +64,7 @@
 // Platform says where the platform's services are.
 type Platform struct {
 	URL        string        `yaml:"url"`         // http://IP:port
-	HostsEvery time.Duration `yaml:"hosts_every"` // pause between reads of the host list
+	HostsEvery time.Duration `yaml:"hosts_every"` // least pause between two host lists
 	Timeout    time.Duration `yaml:"timeout"`     // limit of one request
 	// SnapshotEvery is the number of records in the config stream after which a host
 	// appends a snapshot. It must be well below the number that the log retains.
--- a/standin/gossipcost/main.go
+++ b/standin/gossipcost/main.go
@@ -1,5 +1,5 @@
-// Command gossipcost measures the control traffic of idle entry hosts, among themselves and with the platform, at several numbers of
-// hosts, and how it grows with each host.
+// Command gossipcost measures the control traffic of idle entry hosts, among themselves and
+// with the platform, at several numbers of hosts, and how it grows with each host.
 package main
 
 import (
@@ -19,12 +19,13 @@
 )
 
 type args struct {
-	Bin    string        `default:"bin" help:"directory of the built programs"`
-	Hosts  []int         `arg:"--hosts,separate" help:"numbers of entry hosts; default 7 and 40"`
-	Zones  int           `default:"3" help:"availability zones"`
-	For    time.Duration `default:"20s" help:"length of each measurement"`
-	Settle time.Duration `default:"10s" help:"time for the views to fill before the measurement"`
-	JSON   bool          `arg:"--json" help:"print JSON"`
+	Bin      string        `default:"bin" help:"directory of the built programs"`
+	Hosts    []int         `arg:"--hosts,separate" help:"numbers of entry hosts; default 7 and 40"`
+	Zones    int           `default:"3" help:"availability zones"`
+	For      time.Duration `default:"20s" help:"length of each measurement"`
+	Settle   time.Duration `default:"10s" help:"time for the views to fill before the measurement"`
+	JSON     bool          `arg:"--json" help:"print JSON"`
+	Requests bool          `help:"print the bytes of each request to the platform instead"`
 }
 
 const (
@@ -66,6 +67,9 @@
 }
 
 func run(ctx context.Context, a args) error {
+	if a.Requests {
+		return requestCosts(ctx)
+	}
 	var results []result
 	for _, n := range a.Hosts {
 		r, err := measure(ctx, a, n)
--- a/standin/platformsim/hosts.go
+++ b/standin/platformsim/hosts.go
@@ -121,6 +121,14 @@
 	return platform.HostsReply{Version: l.version, Hosts: hosts}
 }
 
+// versionAt returns the version of the list that is served at a time.
+func (l *hostList) versionAt(now time.Time) uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.applyUntil(now.Add(-l.lag))
+	return l.version
+}
+
 func (l *hostList) applyUntil(end time.Time) {
 	n := 0
 	for n < len(l.pending) && !l.pending[n].at.After(end) {
--- a/standin/platformsim/hosts_http.go
+++ b/standin/platformsim/hosts_http.go
@@ -1,6 +1,7 @@
 package platformsim
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"time"
@@ -16,17 +17,41 @@
 	State platform.HostState `json:"state"`
 }
 
+// hostsPoll is the pause between looks at the list while a request is held.
+const hostsPoll = 10 * time.Millisecond
+
 func (s *Sim) serveHosts(w http.ResponseWriter, r *http.Request) {
+	waitMS, err := queryUint(r.URL.Query(), "wait_ms", 0)
+	if err != nil {
+		simhttp.WriteError(w, http.StatusBadRequest, err)
+		return
+	}
+	known := r.Header.Get("If-None-Match")
+	s.holdHosts(r.Context(), known, time.Duration(min(waitMS, uint64(maxReadWait.Milliseconds())))*time.Millisecond)
 	list := s.hosts.list(time.Now())
-	tag := fmt.Sprintf("\"%x-%d\"", s.run, list.Version)
+	tag := s.hostsTag(list.Version)
 	w.Header().Set("ETag", tag)
-	if r.Header.Get("If-None-Match") == tag {
+	if known == tag {
 		w.WriteHeader(http.StatusNotModified)
 		return
 	}
 	simhttp.WriteJSON(w, http.StatusOK, list)
 }
 
+// hostsTag is the entity tag of the list with a version.
+func (s *Sim) hostsTag(version uint64) string { return fmt.Sprintf("\"%x-%d\"", s.run, version) }
+
+// holdHosts waits while the list has the tag known, for at most wait.
+func (s *Sim) holdHosts(ctx context.Context, known string, wait time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	for s.hostsTag(s.hosts.versionAt(time.Now())) == known && s.ctx.Err() == nil {
+		if sleep(ctx, hostsPoll) != nil {
+			return
+		}
+	}
+}
+
 func (s *Sim) serveRegister(w http.ResponseWriter, r *http.Request) {
 	var host platform.Host
 	if err := simhttp.ReadJSON(r, &host); err != nil {
@@ -37,7 +62,12 @@
 		simhttp.WriteError(w, http.StatusBadRequest, errors.New("id, kind and address are required"))
 		return
 	}
-	simhttp.WriteJSON(w, http.StatusOK, s.hosts.register(time.Now(), host))
+	host = s.hosts.register(time.Now(), host)
+	if r.Header.Get(platform.HeaderPrefer) == platform.PreferMinimal {
+		w.WriteHeader(http.StatusNoContent)
+		return
+	}
+	simhttp.WriteJSON(w, http.StatusOK, host)
 }
 
 func (s *Sim) serveHostState(w http.ResponseWriter, r *http.Request) {
--- a/standin/platformsim/hosts_test.go
+++ b/standin/platformsim/hosts_test.go
@@ -1,6 +1,7 @@
 package platformsim
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -50,3 +51,36 @@
 		t.Fatalf("state %q, want %q", got, want)
 	}
 }
+
+// Guards against a held request that is answered before the list changes, or that misses
+// the change, and against a body in an answer that should have none.
+func TestHeldHostListAndMinimalAnswer(t *testing.T) {
+	sim := New(Config{HostLag: -1})
+	if err := sim.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer sim.Stop()
+	client := platform.NewClient(sim.URL(), 5*time.Second)
+	defer client.Close()
+	ctx := context.Background()
+	host := platform.Host{ID: "m", Kind: platform.KindEntry, Identity: "a", Address: "127.0.0.1:1"}
+	if err := client.Register(ctx, host); err != nil {
+		t.Fatal(err)
+	}
+	list, err := client.Hosts(ctx, "", time.Minute)
+	if err != nil || list == nil || len(list.Hosts) != 1 {
+		t.Fatalf("without a tag: %+v, %v", list, err)
+	}
+	began := time.Now()
+	if unchanged, err := client.Hosts(ctx, list.Tag, 200*time.Millisecond); err != nil || unchanged != nil || time.Since(began) < 200*time.Millisecond {
+		t.Errorf("unchanged: %+v, %v after %v", unchanged, err, time.Since(began))
+	}
+	time.AfterFunc(100*time.Millisecond, func() {
+		host.State = platform.HostLeaving
+		_ = client.Register(ctx, host)
+	})
+	changed, err := client.Hosts(ctx, list.Tag, 20*time.Second)
+	if err != nil || changed == nil || changed.Hosts[0].State != platform.HostLeaving {
+		t.Errorf("changed: %+v, %v", changed, err)
+	}
+}
