Log and count failed TLS handshakes by listener

Cause: net/http writes them to the standard log, which the daemon shows as debug lines of the part backend, one for each failure; gRPC does not show those of the peers' listener at all.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -61,6 +61,7 @@
 	gossip     *gossipReplies
 	traffic    *trafficRate
 	tls        sides
+	listeners  listeners
 
 	publications publications
 	configLog    *streamFollower
@@ -99,6 +100,7 @@
 		return nil, err
 	}
 	d.logs.redirectStandardLog()
+	d.listeners = newListeners(d.logs)
 	d.loop = newLoop(core.New(core.Options{
 		Host:        s.Host,
 		Incarnation: inc,
@@ -123,7 +125,7 @@
 	s := d.settings
 	traffic := new(peer.Traffic)
 	d.traffic = &trafficRate{counters: traffic}
-	d.peers = peer.NewClient(newPeerCredentials(d.tls.peers), traffic)
+	d.peers = peer.NewClient(newPeerCredentials(d.tls.peers, d.listeners.peers), traffic)
 	d.backend = backend.New(backend.Options{
 		ConnsPerMinion: s.Backend.Connections,
 		DialTimeout:    s.Backend.DialTimeout,
@@ -147,9 +149,9 @@
 	if err != nil {
 		return err
 	}
-	d.callers = &http.Server{Handler: d.closeWhileDraining(d.callersMux()), ConnState: d.callerConns.note, ReadHeaderTimeout: headerTimeout}
-	d.operators = &http.Server{Handler: d.operatorsMux(), ReadHeaderTimeout: headerTimeout}
-	d.peerServer = peer.NewServer(newPeerCredentials(d.tls.peers), d.traffic.counters)
+	d.callers = &http.Server{Handler: d.closeWhileDraining(d.callersMux()), ConnState: d.callerConns.note, ReadHeaderTimeout: headerTimeout, ErrorLog: d.listeners.callers.errorLog()}
+	d.operators = &http.Server{Handler: d.operatorsMux(), ReadHeaderTimeout: headerTimeout, ErrorLog: d.listeners.operators.errorLog()}
+	d.peerServer = peer.NewServer(newPeerCredentials(d.tls.peers, d.listeners.peers), d.traffic.counters)
 	peerpb.RegisterPeerServer(d.peerServer, &peerServer{d: d})
 	go d.loop.serve()
 	go func() { _ = serveHTTP(d.callers, listeners[0], d.tls.callers) }()
--- a/daemon/logs.go
+++ b/daemon/logs.go
@@ -19,6 +19,8 @@
 	platform  log.Logger
 	peer      log.Logger
 	member    log.Logger
+	callers   log.Logger
+	operators log.Logger
 }
 
 var severity = map[string]int32{"debug": 0, "info": 1, "warn": 2, "error": 3}
@@ -41,6 +43,8 @@
 		platform:  part("platform"),
 		peer:      part("peer"),
 		member:    part("member"),
+		callers:   part("callers"),
+		operators: part("operators"),
 	}
 }
 
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -26,6 +26,7 @@
 	m.Set("config_revision", d.stateMetric(func(s *core.State) any { return s.Config.InForce() }))
 	m.Set("config_latest", d.stateMetric(func(s *core.State) any { return s.Config.Revision() }))
 	m.Set("member", d.stateMetric(func(s *core.State) any { return s.Member.Counters() }))
+	m.Set("tls_handshake_errors", expvar.Func(func() any { return d.listeners.handshakeErrors() }))
 	m.Set("peer_traffic", expvar.Func(func() any { return d.traffic.view() }))
 	return m
 }
--- a/daemon/tls.go
+++ b/daemon/tls.go
@@ -126,14 +126,24 @@
 type peerCredentials struct {
 	credentials.TransportCredentials // server side
 	source                           *keySource
+	errors                           *listenerErrors
 }
 
 // newPeerCredentials returns nil for plain TCP.
-func newPeerCredentials(source *keySource) credentials.TransportCredentials {
+func newPeerCredentials(source *keySource, errs *listenerErrors) credentials.TransportCredentials {
 	if source == nil {
 		return nil
 	}
-	return &peerCredentials{TransportCredentials: credentials.NewTLS(source.serverConfig("h2")), source: source}
+	return &peerCredentials{TransportCredentials: credentials.NewTLS(source.serverConfig("h2")), source: source, errors: errs}
+}
+
+// ServerHandshake implements credentials.TransportCredentials. gRPC does not log its errors.
+func (p *peerCredentials) ServerHandshake(conn net.Conn) (net.Conn, credentials.AuthInfo, error) {
+	secured, info, err := p.TransportCredentials.ServerHandshake(conn)
+	if err != nil {
+		p.errors.handshakeError(conn, err)
+	}
+	return secured, info, err
 }
 
 // ClientHandshake implements credentials.TransportCredentials with the present keys.
@@ -145,7 +155,7 @@
 
 // Clone implements credentials.TransportCredentials.
 func (p *peerCredentials) Clone() credentials.TransportCredentials {
-	return &peerCredentials{TransportCredentials: p.TransportCredentials.Clone(), source: p.source}
+	return &peerCredentials{TransportCredentials: p.TransportCredentials.Clone(), source: p.source, errors: p.errors}
 }
 
 // serveHTTP serves on a listener, with TLS if the side has a certificate.
--- a/daemon/tls_test.go
+++ b/daemon/tls_test.go
@@ -144,8 +144,9 @@
 // Guards against entry hosts that talk to a peer without a certificate of their CA.
 func TestPeersAuthenticateEachOther(t *testing.T) {
 	a, stranger := testcert.New(t), testcert.New(t)
+	failures := &listenerErrors{log: log.NewNopLogger()}
 	serverKeys, _ := source(t, a.Issue("server", 2))
-	server := peer.NewServer(newPeerCredentials(serverKeys), new(peer.Traffic))
+	server := peer.NewServer(newPeerCredentials(serverKeys, failures), new(peer.Traffic))
 	peerpb.RegisterPeerServer(server, gossipEcho{})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -154,7 +155,7 @@
 	go func() { _ = server.Serve(l) }()
 	t.Cleanup(server.Stop)
 	call := func(keys *keySource) error {
-		c := peer.NewClient(newPeerCredentials(keys), new(peer.Traffic))
+		c := peer.NewClient(newPeerCredentials(keys, failures), new(peer.Traffic))
 		defer c.Close()
 		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 		defer cancel()
