Hold the request after a host list for less time

Cause: a full test run at a load average of 73 failed once in TestLeavingMarkReachesHostPastSilentConnections: 3.03 s, the bound is 3 s. The pause of 1 s after a list and a full hold of the next request, in which the connection is silent, add up to 3.5 s. Change: after a pause the request is held for the rest of 2 s only. The idle traffic is as before, since requests that follow no list are held for 2 s.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -32,14 +32,19 @@
 	// grace is 0 after a failed request. The next one is then not held, so that its answer
 	// tells how slow the platform is.
 	grace time.Duration
+	// paused says that the last request brought a list, after which the reader pauses. The
+	// next request is held for less, so that pause and hold together are as long as a hold.
+	paused bool
 }
 
 // read returns the list if it has changed, and the pause before the next read.
 func (h *hostsReader) read(ctx context.Context) (*platform.HostList, time.Duration, error) {
 	wait, limit := time.Duration(0), h.timeout
 	if h.tag != "" && h.grace > 0 {
-		wait, limit = hostsHold, hostsHold+h.grace
+		wait = h.hold()
+		limit = wait + h.grace
 	}
+	h.paused = false
 	limited, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	asked := time.Now()
@@ -52,7 +57,7 @@
 		h.grace = min(max(holdGrace, 2*took), h.timeout)
 	}
 	if list != nil {
-		h.tag = list.Tag
+		h.tag, h.paused = list.Tag, true
 		return list, h.every, nil
 	}
 	if wait > 0 && took < wait/2 {
@@ -62,6 +67,14 @@
 	return nil, 0, nil
 }
 
+// hold returns how long the platform may hold the next request.
+func (h *hostsReader) hold() time.Duration {
+	if h.paused {
+		return max(hostsHold-h.every, hostsHold/4)
+	}
+	return hostsHold
+}
+
 // failed returns the pause after a failed request. One that was held in vain is followed by
 // another at once; one that failed at once is not, also if the platform refuses to hold. The
 // idle connections may have gone silent like the one in use.
