Open a job's window in steps and let endpoints prove themselves

Cause: with the default weighting a job had max(8, half) of its tasks in flight, so that jobs of 10 to 24 tasks took two run times. Opening it alone gains little on a cold daemon, which spreads a job over endpoints of unknown speed, and raises the waste: each of 7 hosts discovers each failing minion with a job of its own.

Change: the window starts at 8 and doubles every 20 ms times message_weight, up to all tasks at weights to 0.5. After an ejection the other endpoints of the group get only the first 4 tasks of a job until they complete one, for at most 5 s. Jobs of up to 32 tasks see endpoints of unknown speed as 1.5 times as slow, except for their first task and an endpoint that they use already.

--- a/core/policy.go
+++ b/core/policy.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"time"
+
 	"sesameledge.dev/sesameledge/config"
 	"sesameledge.dev/sesameledge/dispatch"
 	"sesameledge.dev/sesameledge/limit"
@@ -11,16 +13,24 @@
 // if messages don't matter, and half of it if they matter most.
 func deadlineUse(messageWeight float64) float64 { return 1 - messageWeight/2 }
 
+// stepOfWeight is the time in which the window of a job doubles if messages matter most.
+// With the default weight it is 10 ms, in which the replies of endpoints that fail at once
+// arrive.
+const stepOfWeight = 20 * time.Millisecond
+
 // leastWindow keeps the window above 0, which means no window.
 const leastWindow = 0.01
 
-// jobWindow is the share of a job's tasks that may be in flight at a time: all of them if
-// messages don't matter. The baselines have no window.
-func jobWindow(p config.Policy) float64 {
+// jobWindow is the share of a job's tasks that may be in flight at a time and the time in
+// which this window doubles: all of them at once if messages don't matter, and all of them
+// with the default weight too, but a few at first. The baselines have no window.
+func jobWindow(p config.Policy) (share float64, step time.Duration) {
 	if name := place.Placement(p.Placement); name != "" && name != place.Adaptive {
-		return 0
+		return 0, 0
 	}
-	return max(1-p.Weight(), leastWindow)
+	w := p.Weight()
+	share = min(2*(1-w), 1)
+	return max(share, leastWindow), time.Duration(w * float64(stepOfWeight))
 }
 
 // dispatchPolicy translates configuration into the dispatcher's policy.
@@ -40,8 +50,8 @@
 			DeadlineUse: deadlineUse(c.Policy.Weight()),
 			RetryShare:  c.Policy.RetryShare,
 		},
-		JobWindow: jobWindow(c.Policy),
 	}
+	p.JobWindow, p.WindowStep = jobWindow(c.Policy)
 	for name, k := range c.Kinds {
 		p.Kinds[name] = dispatch.Kind{
 			Group:           k.Group,
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -39,7 +39,7 @@
 // for more.
 func (s *State) placeJob(now time.Duration, j *job) bool {
 	held := j.waiting[:0]
-	window := s.policy.window(len(j.tasks))
+	window := s.window(now, j)
 	for i, index := range j.waiting {
 		if j.inFlight >= window {
 			j.waiting = append(held, j.waiting[i:]...)
@@ -64,6 +64,14 @@
 	return true
 }
 
+// window returns how many of the job's tasks may be in flight now.
+func (s *State) window(now time.Duration, j *job) int {
+	if j.started == 0 {
+		return s.policy.window(len(j.tasks), 0)
+	}
+	return s.policy.window(len(j.tasks), now-j.firstAt)
+}
+
 // noteStart records a started task for later choices.
 func (s *State) noteStart(now time.Duration, j *job, t *task) {
 	if t.attempt == 1 {
@@ -90,6 +98,10 @@
 	case j.ticket.Incarnation != s.opts.Incarnation:
 		return s.violation(now, j, "a task of another incarnation was about to start")
 	}
+	if j.started == 0 {
+		j.firstAt = now
+	}
+	j.started++
 	t.state = taskInFlight
 	t.attempt++
 	t.endpoint = ep
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -48,6 +48,8 @@
 	waiting  []int         // indexes of tasks to place, in order
 	open     int           // tasks without a result
 	inFlight int
+	started  int           // attempts made
+	firstAt  time.Duration // time of the first attempt
 	bytes    int64
 	waiters  []WaiterID
 	verdict  *api.Reply
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -131,6 +131,7 @@
 		t.Size = declaredSize(&j.specs[index])
 	}
 	t.Ends, t.Job, t.Index, t.JobTasks = j.ends, string(j.id), index, len(j.tasks)
+	t.JobStarted = j.started
 	t.PreferLocal = j.tasks[index].preferLocal
 	return t
 }
--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -39,17 +39,31 @@
 	// flight at a time; 0 means all. A job that fails or is cancelled wastes the messages
 	// of the tasks that it has started.
 	JobWindow float64
+	// WindowStep is the time in which the window doubles, from minWindow at the job's
+	// first attempt; 0 opens it at once. An endpoint that fails at once shows it before
+	// the rest of the job has started.
+	WindowStep time.Duration
 }
 
-// minWindow is the least number of tasks that a job may have in flight.
-const minWindow = 8
+const (
+	// minWindow is the least number of tasks that a job may have in flight.
+	minWindow = 8
+	// maxDoublings keeps the window within an int.
+	maxDoublings = 20
+)
 
-// window returns how many of n tasks may be in flight at a time.
-func (p *Policy) window(n int) int {
-	if p.JobWindow == 0 {
-		return n
+// window returns how many of n tasks may be in flight at a time, this long after the
+// job's first attempt.
+func (p *Policy) window(n int, age time.Duration) int {
+	limit := n
+	if p.JobWindow > 0 {
+		limit = max(int(p.JobWindow*float64(n)), minWindow)
+	}
+	if p.WindowStep == 0 {
+		return limit
 	}
-	return max(int(p.JobWindow*float64(n)), minWindow)
+	doublings := min(age/p.WindowStep, maxDoublings)
+	return min(limit, minWindow<<doublings)
 }
 
 // Defaults of Policy.
--- a/dispatch/queue_test.go
+++ b/dispatch/queue_test.go
@@ -79,3 +79,24 @@
 		}
 	}
 }
+
+// Guards against a window that opens at once, so that an endpoint that fails at once costs
+// a whole job, and against one that stays shut until tasks end.
+func TestJobWindowDoubles(t *testing.T) {
+	const step = 10 * time.Millisecond
+	s := queueState(64, 1)
+	s.policy.WindowStep = step
+	total := len(submitJob(s, time.Second, 40, time.Second))
+	for i, want := range []int{minWindow, 2 * minWindow, 4 * minWindow, 40} {
+		if total != want {
+			t.Fatalf("%d tasks were started after %d steps, want %d", total, i, want)
+		}
+		if i < 3 {
+			at, _ := s.NextWake()
+			if at > time.Second+time.Duration(i+1)*step {
+				t.Fatalf("the next wake-up is at %v, after the window doubles", at)
+			}
+			total += len(starts(s.Apply(at, Tick{})))
+		}
+	}
+}
--- a/place/adaptive.go
+++ b/place/adaptive.go
@@ -15,6 +15,11 @@
 	// remoteAvoidFactor leaves other availability zones to tasks that no endpoint of the own
 	// zone can take, once one of them was refused there: the zone may be cut off.
 	remoteAvoidFactor = 16
+	// unknownFactor keeps a job of up to fewTasks tasks from spreading over endpoints of
+	// unknown speed, since it is as late as the slowest of them. The first task of a job
+	// still explores, and larger jobs need the slots of many endpoints.
+	unknownFactor = 1.5
+	fewTasks      = 32
 	// tieJitter spreads the choice between endpoints that look alike, so that hosts with
 	// the same view do not all choose the same one.
 	tieJitter = 0.03
@@ -41,19 +46,19 @@
 	}
 	run := s.model(task.Kind).predict(task.Run)
 	var best, spare choice
+	unconfirmed := false
 	slack := time.Duration(slackUse * float64(task.Ends-now))
 	for st := range s.candidates(task.Group) {
-		if st.Leaving || st.health.out(now) || st.health.paused(now) || !st.health.mayProbe(now, task.JobTasks) {
+		if !st.available(now, task) {
+			continue
+		}
+		if s.unconfirmed(now, st, task) {
+			unconfirmed = true
 			continue
 		}
 		q := s.quote(now, st)
 		cost := s.cost(st, q, task.Kind, run)
-		if st.ID == avoid {
-			cost *= avoidFactor
-		}
-		if task.PreferLocal && st.Zone != s.opts.Zone {
-			cost *= remoteAvoidFactor
-		}
+		cost = time.Duration(float64(cost) * s.penalty(st, task, avoid))
 		if best.st == nil || cost < best.cost {
 			best = choice{st: st, cost: cost}
 		}
@@ -62,20 +67,48 @@
 		}
 	}
 	switch {
+	case best.st == nil && unconfirmed:
+		return Endpoint{}, Hold // jobs behind this one may still probe
 	case best.st == nil:
 		return Endpoint{}, Full
 	case spare.st != nil:
-		s.lastCost = spare.cost
-		return spare.st.Endpoint, Start
+		return s.chosen(spare, task)
 	case best.st.quote.room:
-		s.lastCost = best.cost
-		return best.st.Endpoint, Start
+		return s.chosen(best, task)
 	}
 	best.st.held++
 	s.held = append(s.held, best.st)
 	return Endpoint{}, Hold
 }
 
+// chosen notes the choice for a task and returns it.
+func (s *Set) chosen(c choice, task Task) (Endpoint, Choice) {
+	c.st.lastJob = task.Job
+	s.lastCost = c.cost
+	return c.st.Endpoint, Start
+}
+
+// available reports whether the endpoint takes the task, now or once it has room.
+func (st *state) available(now time.Duration, task Task) bool {
+	h := &st.health
+	return !st.Leaving && !h.out(now) && !h.paused(now) && h.mayProbe(now, task.JobTasks)
+}
+
+// penalty multiplies the estimated cost of an endpoint that a task should rather avoid.
+func (s *Set) penalty(st *state, task Task, avoid EndpointID) float64 {
+	factor := 1.0
+	if st.ID == avoid {
+		factor *= avoidFactor
+	}
+	if task.PreferLocal && st.Zone != s.opts.Zone {
+		factor *= remoteAvoidFactor
+	}
+	if st.speeds.unknown() && task.JobTasks <= fewTasks && task.JobStarted > 0 && st.lastJob != task.Job {
+		factor *= unknownFactor
+	}
+	return factor
+}
+
 // quote is what a round knows about an endpoint whatever the task. A round compares the
 // endpoints for many tasks, so it is kept until a task is started there.
 type quote struct {
@@ -183,7 +216,7 @@
 		st.health.failed(float64(sample.Service) < fastFailure*expected)
 		s.considerEjecting(now, st)
 	default:
-		st.health.succeeded()
+		st.health.succeeded(now)
 		s.learnSpeed(now, st, sample)
 	}
 }
--- a/place/eject.go
+++ b/place/eject.go
@@ -20,6 +20,10 @@
 	// failure fails the whole job. After probePatience any job may.
 	probeTasks    = 4
 	probePatience = 5 * time.Second
+	// confirmPatience is how long after an ejection the other endpoints of the group are
+	// to prove themselves. Endpoints often start to fail together, and a host that is
+	// one of seven hears from a slow endpoint every few seconds only.
+	confirmPatience = 5 * time.Second
 	// DefaultMaxEjected bounds the ejected share of a group's endpoints.
 	DefaultMaxEjected = 0.3
 	// refusalPause is the pause after a refusal; it doubles up to maxRefusalPause while
@@ -37,10 +41,12 @@
 	allowed      int  // outstanding tasks while it returns; 0 means no limit
 	refusals     int  // in a row
 	pausedUntil  time.Duration
+	succeededAt  time.Duration // time of the last completed task
 }
 
 // succeeded widens the return of an endpoint.
-func (h *health) succeeded() {
+func (h *health) succeeded(now time.Duration) {
+	h.succeededAt = now
 	h.rate -= h.rate / failureMemory
 	h.refusals = 0
 	h.probing = false
@@ -94,6 +100,17 @@
 
 func (h *health) paused(now time.Duration) bool { return now < h.pausedUntil }
 
+// unconfirmed reports whether a task should not try the endpoint yet: another endpoint of
+// the group was ejected, this one has completed nothing since, and the job has more to
+// lose than its first few tasks.
+func (s *Set) unconfirmed(now time.Duration, st *state, task Task) bool {
+	at, ejected := s.ejections[st.Group]
+	if !ejected || now >= at+confirmPatience || st.health.succeededAt >= at {
+		return false
+	}
+	return task.JobStarted >= probeTasks
+}
+
 // considerEjecting ejects the endpoint if it fails far more often than its group and the
 // ejected share stays within its bound.
 func (s *Set) considerEjecting(now time.Duration, st *state) {
@@ -116,5 +133,6 @@
 	}
 	if float64(out+1) <= s.policy.MaxEjected*float64(len(g)) {
 		st.health.eject(now)
+		s.ejections[st.Group] = now
 	}
 }
--- a/place/learn.go
+++ b/place/learn.go
@@ -162,6 +162,9 @@
 	s.factor[kind] = math.Exp(own)
 }
 
+// unknown reports whether no task has completed at the endpoint yet.
+func (s *speeds) unknown() bool { return len(s.all.values) == 0 }
+
 // slowness returns the run time of a kind relative to the typical speed.
 func (s *speeds) slowness(kind string) float64 {
 	if f, ok := s.factor[kind]; ok {
--- a/place/place.go
+++ b/place/place.go
@@ -52,6 +52,9 @@
 	Size  Size          // declared size
 	// JobTasks is the number of tasks of the job.
 	JobTasks int
+	// JobStarted is the number of attempts made for the job so far. They are lost if the
+	// job fails.
+	JobStarted int
 	// PreferLocal is set once an endpoint of another availability zone refused the task.
 	PreferLocal bool
 	// Ends is when the task's job is expected to end because of its other tasks, on the
@@ -92,8 +95,9 @@
 	lastInTurn map[string]EndpointID // by group, for RoundRobin
 	kinds      map[string]*kindModel
 	means      map[string]*groupMeans
-	hosts      int                  // live entry hosts
-	zones      map[string]zoneSplit // by group
+	ejections  map[string]time.Duration // time of the last ejection, by group
+	hosts      int                      // live entry hosts
+	zones      map[string]zoneSplit     // by group
 	round      uint64
 	held       []*state      // endpoints for which this round holds a task back
 	lastCost   time.Duration // of the task placed last
@@ -102,7 +106,8 @@
 type state struct {
 	Endpoint
 	outstanding int
-	held        int // tasks that this round holds back for it
+	lastJob     string // job of the task that was placed there last
+	held        int    // tasks that this round holds back for it
 	others      othersLoad
 	speeds      speeds
 	health      health
@@ -119,6 +124,7 @@
 		lastInTurn: make(map[string]EndpointID),
 		kinds:      make(map[string]*kindModel),
 		means:      make(map[string]*groupMeans),
+		ejections:  make(map[string]time.Duration),
 		round:      1, // 0 marks a quote of no round
 	}
 	s.SetPolicy(Policy{})
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -125,6 +125,50 @@
 	}
 }
 
+// Guards against a large job that discovers one failing endpoint after the other: once one
+// was ejected, the others have to complete a task of a small job first.
+func TestEndpointsProveThemselvesAfterAnEjection(t *testing.T) {
+	s := newTestSet(4)
+	finish(s, time.Second, "m00", time.Second, time.Second)
+	s.Started("m00")
+	s.Ended(2*time.Second, "m00", Sample{Kind: "k", Failed: true, Run: time.Second, Service: time.Millisecond, Load: 0})
+	pick := func(now time.Duration, started int) (EndpointID, Choice) {
+		s.BeginRound()
+		ep, choice := s.Pick(now, Task{Kind: "k", Group: group, Job: "j", JobTasks: 100, JobStarted: started}, "")
+		return ep.ID, choice
+	}
+	now := 2*time.Second + time.Millisecond
+	if _, choice := pick(now, probeTasks); choice != Hold {
+		t.Errorf("a job with tasks to lose got choice %d, want to be held", choice)
+	}
+	if _, choice := pick(now, probeTasks-1); choice != Start {
+		t.Errorf("a job with little to lose got choice %d, want a start", choice)
+	}
+	finish(s, now, "m02", time.Second, time.Second)
+	if id, choice := pick(now, probeTasks); choice != Start || id != "m02" {
+		t.Errorf("after a success of m02 the choice is %s (%d)", id, choice)
+	}
+	if _, choice := pick(2*time.Second+confirmPatience, probeTasks); choice != Start {
+		t.Errorf("after the patience the choice is %d, want a start", choice)
+	}
+}
+
+// Guards against a job of a cold daemon that is as late as the slowest of many endpoints of
+// unknown speed.
+func TestJobsDoNotSpreadOverUnknownEndpoints(t *testing.T) {
+	s := newTestSet(50)
+	used := make(map[EndpointID]bool)
+	for i := range 24 {
+		s.BeginRound()
+		ep, _ := s.Pick(time.Second, Task{Kind: "k", Group: group, Job: "j", JobTasks: 24, JobStarted: i}, "")
+		s.Started(ep.ID)
+		used[ep.ID] = true
+	}
+	if len(used) > 6 {
+		t.Errorf("24 tasks went to %d endpoints, none of them known", len(used))
+	}
+}
+
 // Guards against filling a minion beyond its slots while other hosts use it, and against
 // a host that gets nothing because the others fill the minions.
 func TestSharesAreLentAndKept(t *testing.T) {
