Give policy.retry_delay its documented effect

Cause: a refused task was offered again in the next round of placement, at once or with the poll every 10 ms, whatever the setting said.

Change: a refused task is not offered before the delay (default 2 ms) has passed, and the next wake-up falls on its end if that is before the poll. The setting stays, since a configuration in force that carries it could not be applied any more if the key were unknown.

Result: the test sees the task offered again after 2 ms, 5 ms and 200 ms; without the change after 0 ms.

--- a/config/config.go
+++ b/config/config.go
@@ -46,9 +46,10 @@
 
 // Policy holds settings of the dispatcher. Zero values take the built-in defaults.
 type Policy struct {
-	MaxTasks    int           `yaml:"max_tasks" json:"max_tasks"` // open tasks on one entry host
-	MaxAttempts int           `yaml:"max_attempts" json:"max_attempts"`
-	RetryDelay  time.Duration `yaml:"retry_delay" json:"retry_delay"`
+	MaxTasks    int `yaml:"max_tasks" json:"max_tasks"` // open tasks on one entry host
+	MaxAttempts int `yaml:"max_attempts" json:"max_attempts"`
+	// RetryDelay is the least pause before a refused task is offered again.
+	RetryDelay time.Duration `yaml:"retry_delay" json:"retry_delay"`
 	// Placement is adaptive (the default) or a baseline: random, round_robin,
 	// least_outstanding, two_choices.
 	Placement string `yaml:"placement" json:"placement,omitempty"`
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -16,6 +16,7 @@
 		return
 	}
 	s.endpoints.BeginRound()
+	s.retryAt = 0
 	blocked := make(map[string]int) // jobs of a group that found no endpoint
 	over := make(map[string]bool)
 	for team := range s.teamOpen {
@@ -29,12 +30,32 @@
 		}
 	}
 	s.queue = slices.DeleteFunc(s.queue, func(j *job) bool { return j.ended() || len(j.waiting) == 0 })
+	s.schedulePoll(now)
+}
+
+// schedulePoll sets when the tasks that still wait are looked at again.
+func (s *State) schedulePoll(now time.Duration) {
 	s.pollAt = 0
-	if len(s.queue) > 0 {
-		s.pollAt = now + pollDelay
+	if len(s.queue) == 0 {
+		return
+	}
+	s.pollAt = now + pollDelay
+	if s.retryAt > 0 {
+		s.pollAt = min(s.pollAt, s.retryAt)
 	}
 }
 
+// retryLater reports whether a refused task still has to wait, and notes until when.
+func (s *State) retryLater(now time.Duration, t *task) bool {
+	if t.retryAt <= now {
+		return false
+	}
+	if s.retryAt == 0 || t.retryAt < s.retryAt {
+		s.retryAt = t.retryAt
+	}
+	return true
+}
+
 // placeJob starts the job's waiting tasks and reports whether the group may have room
 // for more.
 func (s *State) placeJob(now time.Duration, j *job) bool {
@@ -46,6 +67,10 @@
 			return true
 		}
 		t := &j.tasks[index]
+		if s.retryLater(now, t) {
+			held = append(held, index)
+			continue
+		}
 		ep, choice := s.placement(j.kind).Pick(now, j.placeTask(index), t.avoid)
 		if choice == place.Full {
 			j.waiting = append(held, j.waiting[i:]...)
@@ -215,6 +240,7 @@
 		return
 	}
 	t.avoid = t.endpoint.ID
+	t.retryAt = now + s.policy.RetryDelay
 	t.preferLocal = t.preferLocal || t.endpoint.Zone != s.opts.Zone
 	if len(j.waiting) == 0 {
 		s.enqueue(j)
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -24,6 +24,7 @@
 	attempt  int // attempts made so far
 	endpoint place.Endpoint
 	avoid    place.EndpointID // endpoint that refused last
+	retryAt  time.Duration    // a refused task is not offered before
 	// preferLocal is set once an endpoint of another availability zone refused.
 	preferLocal bool
 	result      json.RawMessage
--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -29,7 +29,8 @@
 	MaxTasks int // open tasks on this host; 0 means DefaultMaxTasks
 	// MaxAttempts bounds the attempts of a task, all but the last proven not started.
 	MaxAttempts int
-	// RetryDelay is the pause before a refused task is offered again.
+	// RetryDelay is the least pause before a refused task is offered again; 0 means
+	// DefaultRetryDelay.
 	RetryDelay time.Duration
 	// MaxBytes bounds the payloads and results held; 0 means DefaultMaxBytes.
 	MaxBytes int64
--- a/dispatch/queue_test.go
+++ b/dispatch/queue_test.go
@@ -68,6 +68,27 @@
 	t.Errorf("the long job has got no slot until %v", now)
 }
 
+// Guards against a retry delay without effect, and against a refused task that waits for
+// the next poll although its delay is shorter.
+func TestRefusedTaskWaitsForTheRetryDelay(t *testing.T) {
+	for _, delay := range []time.Duration{0, 5 * time.Millisecond, 200 * time.Millisecond} {
+		s := queueState(1, 0)
+		s.policy = (&Policy{Kinds: s.policy.Kinds, Teams: s.policy.Teams, RetryDelay: delay}).withDefaults()
+		s.Apply(0, EndpointsChanged{EntryHosts: 1, Endpoints: []place.Endpoint{{ID: "m", Group: "g", Slots: 1}, {ID: "n", Group: "g", Slots: 1}}})
+		now := time.Second
+		first := submitJob(s, now, 1, time.Second)[0]
+		again := starts(s.Apply(now, AttemptEnded{Task: first.Task, Attempt: first.Attempt, Outcome: AttemptNotStarted, Load: -1}))
+		for len(again) == 0 && now < 2*time.Second {
+			now, _ = s.NextWake()
+			again = starts(s.Apply(now, Tick{}))
+		}
+		want := s.policy.RetryDelay
+		if got := now - time.Second; got < want || got > want+pollDelay || (want < pollDelay && got != want) {
+			t.Errorf("delay %v: the task was offered again after %v", want, got)
+		}
+	}
+}
+
 // Guards against a job that has all its tasks in flight although messages matter.
 func TestJobWindow(t *testing.T) {
 	for _, c := range []struct {
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -44,6 +44,7 @@
 	limiter   *limit.Limiter
 	deferred  bool          // placement is left to a later Apply
 	pollAt    time.Duration // when held tasks are looked at again; 0 for never
+	retryAt   time.Duration // when the first refused task of a round may be offered again; 0 for none
 	timers    timerHeap
 	draining  bool
 	open      int // tasks of jobs without a verdict
