--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -24,6 +24,7 @@
 	attempt  int // attempts made so far
 	endpoint place.Endpoint
 	avoid    place.EndpointID // endpoint that refused last
+	retryAt  time.Duration    // a refused task is not offered before
 	// preferLocal is set once an endpoint of another availability zone refused.
 	preferLocal bool
 	result      json.RawMessage
@@ -48,6 +49,8 @@
 	waiting  []int         // indexes of tasks to place, in order
 	open     int           // tasks without a result
 	inFlight int
+	started  int           // attempts made
+	firstAt  time.Duration // time of the first attempt
 	bytes    int64
 	waiters  []WaiterID
 	verdict  *api.Reply
