Keep the peer address bound until the last reply has left

Cause: gRPC's graceful stop closes the listener first. Another process could bind the address while replies were open, and hosts took it as proof that no reply would come. Change: the listener stops accepting at the graceful stop and is released after it.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -56,6 +56,7 @@
 	callers    *http.Server
 	operators  *http.Server
 	peerServer *grpc.Server
+	peerListen heldListener
 	metrics    *expvar.Map
 	gossip     *gossipReplies
 	traffic    *trafficRate
@@ -139,13 +140,16 @@
 	if err != nil {
 		return err
 	}
+	if d.peerListen, err = holdListener(listeners[1]); err != nil {
+		return err
+	}
 	d.callers = &http.Server{Handler: d.closeWhileDraining(d.callersMux()), ConnState: d.callerConns.note, ReadHeaderTimeout: headerTimeout}
 	d.operators = &http.Server{Handler: d.operatorsMux(), ReadHeaderTimeout: headerTimeout}
 	d.peerServer = peer.NewServer(newPeerCredentials(d.tls.peers), d.traffic.counters)
 	peerpb.RegisterPeerServer(d.peerServer, &peerServer{d: d})
 	go d.loop.serve()
 	go func() { _ = serveHTTP(d.callers, listeners[0], d.tls.callers) }()
-	go func() { _ = d.peerServer.Serve(d.traffic.counters.Listener(listeners[1])) }()
+	go func() { _ = d.peerServer.Serve(d.traffic.counters.Listener(d.peerListen)) }()
 	go func() { _ = serveHTTP(d.operators, listeners[2], d.tls.operators) }()
 	for _, f := range []func(context.Context){
 		d.configLog.follow, d.pullConfig, d.claimsLog.follow, d.commitClaims,
--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/go-kit/log/level"
+	"google.golang.org/grpc"
 
 	"sesameledge.dev/sesameledge/core"
 	"sesameledge.dev/sesameledge/dispatch"
@@ -100,15 +101,21 @@
 }
 
 func (d *Daemon) stopPeers(ctx context.Context) {
+	stopServer(ctx, d.peerServer)
+	d.peerListen.release()
+}
+
+// stopServer waits for the open requests of a server until ctx ends.
+func stopServer(ctx context.Context, server *grpc.Server) {
 	stopped := make(chan struct{})
 	go func() {
-		d.peerServer.GracefulStop()
+		server.GracefulStop()
 		close(stopped)
 	}()
 	select {
 	case <-stopped:
 	case <-ctx.Done():
-		d.peerServer.Stop()
+		server.Stop()
 	}
 }
 
