Disturb deployments with two faults at a time

Cause: job outcomes were proved with one fault of real processes at a time. TestPairs runs four pairs without checks of speed.

--- a/standin/chaos/chaos_test.go
+++ b/standin/chaos/chaos_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"sesameledge.dev/sesameledge/standin/testbed"
 )
@@ -34,3 +35,32 @@
 		})
 	}
 }
+
+// testHold and the short window of the tickets keep the test short. The command holds
+// pairs of faults for longer.
+const testHold = 800 * time.Millisecond
+
+// TestPairs guards the guarantees against two faults at a time. Its verdict does not
+// depend on the speed of the machine: the faults overlap by construction, and times are
+// left to the command.
+func TestPairs(t *testing.T) {
+	bin := t.TempDir()
+	if err := testbed.Build(bin); err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range []string{"pause+outage", "kill+drain", "replace+append", "resubmit+crash"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			ctx, cancel := context.WithTimeout(context.Background(), pairTimeout)
+			defer cancel()
+			r, err := findPairs(name)[0].run(ctx, bin, t.TempDir(), testSeed, pairOptions{maxHold: testHold, window: window})
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Log(r)
+			for _, f := range r.Findings {
+				t.Error(f)
+			}
+		})
+	}
+}
--- a/standin/chaos/load.go
+++ b/standin/chaos/load.go
@@ -32,6 +32,9 @@
 	began  time.Time
 	ended  time.Time
 	name   string // echoed by each task
+	// unfetched means that nobody had fetched the answer when its owner began to drain.
+	unfetched bool
+	held      bool // a job of a wave, which keeps to its ticket
 }
 
 // load is callers that submit jobs until they are stopped. Each has its own client and
