--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/go-kit/log/level"
+	"google.golang.org/grpc"
 
 	"sesameledge.dev/sesameledge/core"
 	"sesameledge.dev/sesameledge/dispatch"
@@ -25,11 +26,13 @@
 	closeTimeout = 5 * time.Second
 	// handoverTimeout bounds the handover of answers to peers.
 	handoverTimeout = 2 * time.Second
+	// handoverTry bounds one attempt. A paused peer would otherwise use up the whole time.
+	handoverTry = 500 * time.Millisecond
 )
 
 // Drain shuts the daemon down without cutting off a request: readiness fails first, then
 // new jobs are refused, running jobs end, open requests get their replies, answers that
-// nobody fetched go to a peer, and the peer address is released last. It returns when
+// nobody fetched go to peers, and the peer address is released last. It returns when
 // all is closed.
 func (d *Daemon) Drain() {
 	d.drainOnce.Do(func() {
@@ -98,15 +101,21 @@
 }
 
 func (d *Daemon) stopPeers(ctx context.Context) {
+	stopServer(ctx, d.peerServer)
+	d.peerListen.release()
+}
+
+// stopServer waits for the open requests of a server until ctx ends.
+func stopServer(ctx context.Context, server *grpc.Server) {
 	stopped := make(chan struct{})
 	go func() {
-		d.peerServer.GracefulStop()
+		server.GracefulStop()
 		close(stopped)
 	}()
 	select {
 	case <-stopped:
 	case <-ctx.Done():
-		d.peerServer.Stop()
+		server.Stop()
 	}
 }
 
--- a/daemon/find_answer.go
+++ b/daemon/find_answer.go
@@ -19,15 +19,18 @@
 // asked with the request itself, so that they check the job of a submission against the
 // answer; none of them can start it, because it names another incarnation.
 func (d *Daemon) findAnswer(e forward.FindAnswer) forward.AnswerSearched {
-	addresses := d.peersAfter(e.Request.Ticket.Host)
-	addresses = addresses[:min(len(addresses), searchedPeers)]
+	peers := d.peersAfter(e.Request.Ticket.Host)
+	if len(peers) > 1 {
+		otherZonesFirst(peers[1:], peers[0].Zone) // where the second copy is
+	}
+	peers = peers[:min(len(peers), searchedPeers)]
 	ctx, cancel := context.WithTimeout(d.ctx, forward.SearchTimeout)
 	defer cancel()
-	replies := make(chan *api.Reply, len(addresses))
-	for _, address := range addresses {
-		go func() { replies <- d.askForAnswer(ctx, address, e.Request) }()
+	replies := make(chan *api.Reply, len(peers))
+	for _, p := range peers {
+		go func() { replies <- d.askForAnswer(ctx, p.Address, e.Request) }()
 	}
-	for range addresses {
+	for range peers {
 		if r := <-replies; r != nil {
 			return forward.AnswerSearched{Waiter: e.Request.Waiter, Reply: r}
 		}
