Accept the last connections and their requests before a shutdown

Closing the listener resets connections that the server has not accepted yet, and the HTTP server drops a request that it reads after its shutdown has begun. Ruled out: replies of open requests, which are waited for.

Change: at the end of a drain a socket filter leaves new attempts to connect unanswered, the host accepts what is open, and waits up to 2 s until no connection has an open request. Unanswered attempts are refused when the listener closes, so callers know that nothing was sent. The filter needs plain TCP sockets, so multipath TCP is off. The core state machine answers the search for answers, which it did not know.

--- a/core/claim_machine_test.go
+++ b/core/claim_machine_test.go
@@ -239,6 +239,8 @@
 			err = m.replied(e.Waiter, e.Reply)
 		case forward.SendToOwner:
 			h.forwards = append(h.forwards, e)
+		case forward.FindAnswer: // no host drains, so no peer holds an answer
+			err = m.apply(h, forward.AnswerSearched{Waiter: e.Request.Waiter})
 		case dispatch.Violation:
 			err = errors.New(e.Message)
 		}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -51,18 +51,20 @@
 	drainOnce   sync.Once
 	refusing    atomic.Bool // new work is refused
 	drained     chan struct{}
-	callerConns connCount
+	callerConns connStates
 	followers   sync.WaitGroup
 
 	callers    *http.Server
 	operators  *http.Server
 	peerServer *grpc.Server
 	peerListen heldListener
-	metrics    *expvar.Map
-	gossip     *gossipReplies
-	traffic    *trafficRate
-	tls        sides
-	listeners  listeners
+
+	callerListen net.Listener
+	metrics      *expvar.Map
+	gossip       *gossipReplies
+	traffic      *trafficRate
+	tls          sides
+	listeners    listeners
 
 	publications publications
 	configLog    *streamFollower
@@ -158,7 +160,8 @@
 	d.peerServer = peer.NewServer(newPeerCredentials(d.tls.peers, d.listeners.peers), d.traffic.counters)
 	peerpb.RegisterPeerServer(d.peerServer, &peerServer{d: d})
 	go d.loop.serve()
-	go func() { _ = serveHTTP(d.callers, listeners[0], d.tls.callers) }()
+	d.callerListen = listeners[0]
+	go func() { _ = serveHTTP(d.callers, d.callerListen, d.tls.callers) }()
 	go func() { _ = d.peerServer.Serve(d.traffic.counters.Listener(d.peerListen)) }()
 	go func() { _ = serveHTTP(d.operators, listeners[2], d.tls.operators) }()
 	for _, f := range []func(context.Context){
@@ -172,11 +175,18 @@
 	return nil
 }
 
+// listenTCP listens without multipath TCP, whose sockets take no filter; see ignoreOpening.
+func listenTCP(address string) (net.Listener, error) {
+	var config net.ListenConfig
+	config.SetMultipathTCP(false)
+	return config.Listen(context.Background(), "tcp", address)
+}
+
 // listenAll opens a listener for each address, or none.
 func listenAll(addresses ...string) ([]net.Listener, error) {
 	listeners := make([]net.Listener, 0, len(addresses))
 	for _, addr := range addresses {
-		l, err := net.Listen("tcp", addr)
+		l, err := listenTCP(addr)
 		if err != nil {
 			for _, open := range listeners {
 				_ = open.Close()
--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -22,6 +20,11 @@
 	// open. Package client closes its own after 2 s, so that the host, which cannot know
 	// whether a request is on its way, does not have to.
 	idleLinger = 4 * time.Second
+	// acceptPeriod is how long connections whose opening is under way are still accepted. It
+	// is several round trips of 6 ms to callers.
+	acceptPeriod = 50 * time.Millisecond
+	// acceptPolls bounds the wait for their requests, in drainPoll.
+	acceptPolls = 100
 	// closeTimeout bounds the closing of connections after the last final outcome.
 	closeTimeout = 5 * time.Second
 	// handoverTimeout bounds the handover of answers to peers.
@@ -47,6 +50,7 @@
 		d.endOpenJobs()
 		d.handOver()
 		d.awaitConnections(started.Add(idleLinger))
+		d.acceptLast()
 		d.shutdown()
 	})
 	<-d.drained
@@ -75,7 +79,25 @@
 
 // awaitConnections waits until callers have closed their connections, or until the time.
 func (d *Daemon) awaitConnections(until time.Time) {
-	for d.callerConns.open.Load() > 0 && time.Now().Before(until) {
+	for d.callerConns.open() > 0 && time.Now().Before(until) {
+		time.Sleep(drainPoll)
+	}
+}
+
+// acceptLast accepts the connections that callers are opening, and no new ones, and waits for
+// their requests. Closing the listener would reset those that the server has not accepted
+// yet, and a server that shuts down drops a request that it reads from then on. An attempt
+// to connect that is not answered is refused when the listener is closed.
+func (d *Daemon) acceptLast() {
+	if err := ignoreOpening(d.callerListen); err != nil {
+		level.Warn(d.logs.daemon).Log("msg", "connections that open during the shutdown may be reset", "err", err)
+		return
+	}
+	time.Sleep(acceptPeriod)
+	for range acceptPolls {
+		if n, err := notAccepted(d.callerListen); err != nil || n == 0 && d.callerConns.busy() == 0 {
+			return
+		}
 		time.Sleep(drainPoll)
 	}
 }
@@ -86,7 +108,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
 	if err := d.callers.Shutdown(ctx); err != nil {
-		level.Warn(d.logs.daemon).Log("msg", "requests cut off", "connections", d.callerConns.open.Load(), "err", err)
+		level.Warn(d.logs.daemon).Log("msg", "requests cut off", "connections", d.callerConns.open(), "err", err)
 		_ = d.callers.Close()
 	}
 	d.cancel()
@@ -129,15 +151,3 @@
 		next.ServeHTTP(w, r)
 	})
 }
-
-// connCount counts open connections of a server.
-type connCount struct{ open atomic.Int64 }
-
-func (c *connCount) note(_ net.Conn, state http.ConnState) {
-	switch state {
-	case http.StateNew:
-		c.open.Add(1)
-	case http.StateClosed, http.StateHijacked:
-		c.open.Add(-1)
-	}
-}
