--- a/forward/forward.go
+++ b/forward/forward.go
@@ -21,9 +21,6 @@
 	keepSeen = 5 * time.Minute
 	// maxSeen bounds the tickets remembered; beyond it the oldest are forgotten.
 	maxSeen = 200_000
-	// SearchTimeout bounds the search for an answer at peers. It is short, because a
-	// submission that the owner does not take is better made at another host at once.
-	SearchTimeout = 250 * time.Millisecond
 	// maxGone bounds the incarnations remembered as gone. A forgotten one is learned
 	// again from its successor.
 	maxGone = 10_000
@@ -202,33 +199,6 @@
 	return true
 }
 
-// search has the peers asked for the answer, once for each request, and reports whether it
-// did. A peer may hold it because the owner drained.
-func (s *State) search(now time.Duration, p *pending) bool {
-	if p.searched || s.expired(now, p) || s.off.noSearch {
-		return false
-	}
-	p.searched = true
-	s.counters.Searches++
-	s.emit(FindAnswer{Request: p.req})
-	return true
-}
-
-func (s *State) answerSearched(now time.Duration, ev AnswerSearched) {
-	p, ok := s.waiting[ev.Waiter]
-	if !ok {
-		return
-	}
-	if ev.Reply != nil && !s.expired(now, p) && !s.off.foundDropped {
-		s.counters.Found++
-		s.answer(p, ev.Reply)
-		return
-	}
-	if !s.settle(now, p) {
-		s.ownerAway(now, p)
-	}
-}
-
 func (s *State) ownerFailed(now time.Duration, ev OwnerFailed) {
 	s.counters.Failed++
 	p, ok := s.waiting[ev.Waiter]
--- /dev/null
+++ b/forward/search.go
@@ -0,0 +1,34 @@
+package forward
+
+import "time"
+
+// SearchTimeout bounds the search for an answer at peers. It is short, because a submission
+// that the owner does not take is better made at another host at once.
+const SearchTimeout = 250 * time.Millisecond
+
+// search has the peers asked for the answer, once for each request, and reports whether it
+// did. A peer may hold it because the owner drained.
+func (s *State) search(now time.Duration, p *pending) bool {
+	if p.searched || s.expired(now, p) || s.off.noSearch {
+		return false
+	}
+	p.searched = true
+	s.counters.Searches++
+	s.emit(FindAnswer{Request: p.req})
+	return true
+}
+
+func (s *State) answerSearched(now time.Duration, ev AnswerSearched) {
+	p, ok := s.waiting[ev.Waiter]
+	if !ok {
+		return
+	}
+	if ev.Reply != nil && !s.expired(now, p) && !s.off.foundDropped {
+		s.counters.Found++
+		s.answer(p, ev.Reply)
+		return
+	}
+	if !s.settle(now, p) {
+		s.ownerAway(now, p)
+	}
+}
