Search for an answer for up to 1 s before the final verdict

Cause: on a busy machine peers may take longer than 250 ms, and after the search for the answer of an owner that was replaced the verdict "failed" is final.

Change: that search may take 1 s. While the owner is only out of reach it stays at 250 ms, because the caller is asked to try again.

--- a/daemon/find_answer.go
+++ b/daemon/find_answer.go
@@ -24,7 +24,7 @@
 		otherZonesFirst(peers[1:], peers[0].Zone) // where the second copy is
 	}
 	peers = peers[:min(len(peers), searchedPeers)]
-	ctx, cancel := context.WithTimeout(d.ctx, forward.SearchTimeout)
+	ctx, cancel := context.WithTimeout(d.ctx, e.Limit)
 	defer cancel()
 	replies := make(chan *api.Reply, len(peers))
 	for _, p := range peers {
--- a/forward/event.go
+++ b/forward/event.go
@@ -84,8 +84,11 @@
 }
 
 // FindAnswer asks the shell to look for the answer of a drained owner at the peers to which
-// it may have been handed over. The shell answers with AnswerSearched within SearchTimeout.
-type FindAnswer struct{ Request Request }
+// it may have been handed over. The shell answers with AnswerSearched within Limit.
+type FindAnswer struct {
+	Request Request
+	Limit   time.Duration
+}
 
 // ReplyTo answers a caller's request.
 type ReplyTo struct {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -186,7 +186,7 @@
 // was due.
 func (s *State) settle(now time.Duration, p *pending) bool {
 	r := s.storedReply(now, p.req)
-	if r == nil && s.gone[p.req.Ticket.Incarnation] && s.search(now, p) {
+	if r == nil && s.gone[p.req.Ticket.Incarnation] && s.search(now, p, searchGone) {
 		return true
 	}
 	if r == nil {
@@ -210,7 +210,7 @@
 	}
 	p.arrived = p.arrived || !ev.NotSent
 	p.reason = ev.Reason
-	if !s.settle(now, p) && !s.search(now, p) {
+	if !s.settle(now, p) && !s.search(now, p, searchAway) {
 		s.ownerAway(now, p)
 	}
 }
--- a/forward/search.go
+++ b/forward/search.go
@@ -2,19 +2,23 @@
 
 import "time"
 
-// SearchTimeout bounds the search for an answer at peers. It is short, because a submission
-// that the owner does not take is better made at another host at once.
-const SearchTimeout = 250 * time.Millisecond
+const (
+	// searchAway bounds the search for an answer at peers while the owner is out of reach. It
+	// is short, because a submission is better made at another host at once.
+	searchAway = 250 * time.Millisecond
+	// searchGone bounds the search before the verdict that the job is lost, which is final.
+	searchGone = time.Second
+)
 
 // search has the peers asked for the answer, once for each request, and reports whether it
 // did. A peer may hold it because the owner drained.
-func (s *State) search(now time.Duration, p *pending) bool {
+func (s *State) search(now time.Duration, p *pending, limit time.Duration) bool {
 	if p.searched || s.expired(now, p) || s.off.noSearch {
 		return false
 	}
 	p.searched = true
 	s.counters.Searches++
-	s.emit(FindAnswer{Request: p.req})
+	s.emit(FindAnswer{Request: p.req, Limit: limit})
 	return true
 }
 
