Search for an answer again once its owner is known to be gone

A request searched once, when its owner was out of reach. If the owner drained after that search, the final verdict "failed" came without another one, although peers held the answer. The oracle accepted any search. Each event also scanned all waiting requests for due retries, and a request with a due retry could be settled again while its search was under way.

Change: the search while the owner is away does not replace the one after its end. The oracle counts only searches made after the owner had ended. Retries, which all have the same delay, wait in a queue. StoredReply was a wrapper of its twin; one is left.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -5,7 +5,6 @@
 package forward
 
 import (
-	"sort"
 	"time"
 
 	"sesameledge.dev/sesameledge/api"
@@ -33,6 +32,7 @@
 	gone     map[ticket.Incarnation]bool
 	goneList []ticket.Incarnation // by the time they were learned
 	waiting  map[dispatch.WaiterID]*pending
+	retries  []retry // by time, since every retry has the same delay
 	stored   store
 	counters Counters
 	effects  []Effect
@@ -44,13 +44,19 @@
 	forget time.Duration
 }
 
+// retry is due unless its request has been answered or its owner is being asked.
+type retry struct {
+	waiter dispatch.WaiterID
+	at     time.Duration
+}
+
 type pending struct {
 	req      Request
 	first    time.Duration // first sight of the ticket
 	until    time.Duration
-	retryAt  time.Duration // 0 while a forwarded request is outstanding
+	retryAt  time.Duration // 0 while a forwarded request or a search is outstanding
 	arrived  bool          // the request may have reached the owner
-	searched bool          // the peers have been asked for the answer, or are being asked
+	searched search        // the last search for the answer at peers, which may be under way
 	reason   string
 }
 
@@ -102,14 +108,10 @@
 
 // NextWake returns when the next retry is due.
 func (s *State) NextWake() (time.Duration, bool) {
-	var at time.Duration
-	found := false
-	for _, p := range s.waiting {
-		if p.retryAt > 0 && (!found || p.retryAt < at) {
-			at, found = p.retryAt, true
-		}
+	if len(s.retries) == 0 {
+		return 0, false
 	}
-	return at, found
+	return s.retries[0].at, true
 }
 
 // Counters returns a copy of the counters.
@@ -155,7 +157,6 @@
 
 func (s *State) send(now time.Duration, p *pending) {
 	s.counters.Forwarded++
-	p.retryAt = 0
 	s.emit(SendToOwner{Request: p.req, Wait: max(p.until-now, 0)})
 }
 
@@ -185,7 +186,7 @@
 // job of an owner that is gone is lost, it has the peers asked. It reports false if neither
 // was due.
 func (s *State) settle(now time.Duration, p *pending) bool {
-	r := s.storedReply(now, p.req)
+	r := s.StoredReply(now, p.req)
 	if r == nil && s.gone[p.req.Ticket.Incarnation] && s.search(now, p, searchGone) {
 		return true
 	}
@@ -217,9 +218,11 @@
 
 // ownerAway schedules a retry, or answers that the owner cannot be reached.
 func (s *State) ownerAway(now time.Duration, p *pending) {
-	p.retryAt = now + retryDelay
+	retryAt := now + retryDelay
 	// A submission that has not left this host is better made at another one at once.
-	if p.retryAt < p.until && (p.arrived || p.req.Operation != Submit) {
+	if retryAt < p.until && (p.arrived || p.req.Operation != Submit) {
+		p.retryAt = retryAt
+		s.retries = append(s.retries, retry{waiter: p.req.Waiter, at: retryAt})
 		return
 	}
 	s.answer(p, &api.Reply{Schema: api.Schema, Ticket: p.req.ID, Outcome: api.Unknown, NotForwarded: s.notForwarded(p),
@@ -252,17 +255,22 @@
 	}
 }
 
+// retryDue asks the owners again whose retries are due, and drops the retries in front that
+// are not needed any more.
 func (s *State) retryDue(now time.Duration) {
-	var due []dispatch.WaiterID
-	for w, p := range s.waiting {
-		if p.retryAt > 0 && p.retryAt <= now {
-			due = append(due, w)
+	for len(s.retries) > 0 {
+		r := s.retries[0]
+		p, ok := s.waiting[r.waiter]
+		needed := ok && p.retryAt == r.at
+		if needed && r.at > now {
+			return
 		}
-	}
-	// Map order is random; the reducer must be deterministic.
-	sort.Slice(due, func(i, j int) bool { return due[i] < due[j] })
-	for _, w := range due {
-		if p := s.waiting[w]; !s.settle(now, p) {
+		s.retries = s.retries[1:]
+		if !needed {
+			continue
+		}
+		p.retryAt = 0
+		if !s.settle(now, p) {
 			s.send(now, p)
 		}
 	}
--- a/forward/model_test.go
+++ b/forward/model_test.go
@@ -84,7 +84,7 @@
 	done   bool              // a forwarding host has replied
 	submit bool              // a caller's submission
 	came   bool              // the owner has received it from the forwarding host
-	search bool              // the peers were asked for the answer
+	search bool              // the peers were asked for the answer after the owner had ended
 	found  bool              // one of them has it
 }
 
@@ -244,7 +244,7 @@
 	switch {
 	case lifetimeOver:
 	case !r.search:
-		w.fatalf("failed without a search for the answer at peers")
+		w.fatalf("failed without a search for the answer after the owner's end")
 	case r.found:
 		w.fatalf("failed although a peer holds the answer")
 	}
@@ -287,7 +287,7 @@
 // findAnswer asks the peers that p reaches at once; what they say travels as a message.
 func (w *world) findAnswer(p *process, e FindAnswer) {
 	r := w.requests[e.Request.Waiter]
-	r.search = true
+	r.search = w.jobs[r.id].owner.dead
 	var found *api.Reply
 	for _, q := range w.hosts {
 		if found == nil && q != p && q.runs() && w.connected(p, q) {
--- a/forward/search.go
+++ b/forward/search.go
@@ -2,23 +2,31 @@
 
 import "time"
 
+// search says which searches for the answer at peers a request has had.
+type search int
+
 const (
-	// searchAway bounds the search for an answer at peers while the owner is out of reach. It
-	// is short, because a submission is better made at another host at once.
-	searchAway = 250 * time.Millisecond
-	// searchGone bounds the search before the verdict that the job is lost, which is final.
-	searchGone = time.Second
+	_ search = iota
+	// searchAway is made while the owner is out of reach.
+	searchAway
+	// searchGone is made once the owner is known to be gone. An earlier one does not replace
+	// it, since the owner may have handed its answers over afterwards.
+	searchGone
 )
 
-// search has the peers asked for the answer, once for each request, and reports whether it
-// did. A peer may hold it because the owner drained.
-func (s *State) search(now time.Duration, p *pending, limit time.Duration) bool {
-	if p.searched || s.expired(now, p) || s.off.noSearch {
+// searchLimits bounds a search. The one while the owner is away is short, because a submission is
+// better made at another host at once. The other one precedes a final verdict.
+var searchLimits = map[search]time.Duration{searchAway: 250 * time.Millisecond, searchGone: time.Second}
+
+// search has the peers asked for the answer, once for each kind of search, and reports
+// whether it did. A peer may hold the answer because the owner drained.
+func (s *State) search(now time.Duration, p *pending, kind search) bool {
+	if p.searched >= kind || s.expired(now, p) || s.off.noSearch {
 		return false
 	}
-	p.searched = true
+	p.searched = kind
 	s.counters.Searches++
-	s.emit(FindAnswer{Request: p.req, Limit: limit})
+	s.emit(FindAnswer{Request: p.req, Limit: searchLimits[kind]})
 	return true
 }
 
--- a/forward/store.go
+++ b/forward/store.go
@@ -59,15 +59,9 @@
 	return out
 }
 
-// StoredReply answers a peer's request from the answers kept for drained hosts, or returns
-// nil.
+// StoredReply answers a request from the answers kept for drained hosts, or returns nil. It
+// does not answer a reused ticket with the result of another job.
 func (s *State) StoredReply(now time.Duration, req Request) *api.Reply {
-	return s.storedReply(now, req)
-}
-
-// storedReply answers a request from the store. It does not answer a reused ticket with
-// the result of another job.
-func (s *State) storedReply(now time.Duration, req Request) *api.Reply {
 	have, ok := s.stored.answers[req.ID]
 	if !ok || now >= have.until {
 		return nil
