Decode a request for another incarnation only if its answer is kept

Cause: found while reading the change again. Since hosts answer from the store, each request for another incarnation was decoded and hashed first, also on hosts that keep no answer, up to three of them for each submission to a lost owner. A host that could not decode the job, as of a newer release, no longer said that the owner was replaced. The wait for a reply stood three times, the decoding of a forwarded reply twice.

Change: the store is asked for the ticket before the request is decoded. One function waits for replies to tickets and to keys, one decodes forwarded replies, and both callers use the peer client's Forward.

Result: TestReplacedOwnerIsProvedWithoutItsJob fails without the change ("schema") and passes with it; the tests of daemon, forward and the keys pass with the race detector.

--- a/daemon/claims.go
+++ b/daemon/claims.go
@@ -12,7 +12,6 @@
 	"sesameledge.dev/sesameledge/api"
 	"sesameledge.dev/sesameledge/claim"
 	"sesameledge.dev/sesameledge/core"
-	"sesameledge.dev/sesameledge/dispatch"
 	"sesameledge.dev/sesameledge/internal/pause"
 	"sesameledge.dev/sesameledge/platform"
 	"sesameledge.dev/sesameledge/ticket"
@@ -158,7 +157,12 @@
 	defer d.loop.dropWaiter(waiter)
 	wait := d.jobWait(job)
 	d.loop.send(core.KeySubmit{ID: t.ID(), Ticket: t, Job: job, Digest: jobDigest(job), Waiter: waiter, Wait: wait})
-	if reply := d.awaitKeyed(r.Context(), waiter, replies, wait); reply != nil {
+	reply := awaitReply(r.Context(), replies, wait, replyWait{
+		timedOut: func() { d.loop.send(core.KeyWaiterTimeout{Waiter: waiter}) },
+		gone:     func() { d.loop.send(core.KeyWaiterGone{Waiter: waiter}) },
+		field:    "key",
+	})
+	if reply != nil {
 		d.writeFetched(w, r, ownerOf(reply), reply)
 	}
 }
@@ -171,24 +175,3 @@
 	}
 	return t.Incarnation
 }
-
-// awaitKeyed returns the reply, or nil if the caller went away.
-func (d *Daemon) awaitKeyed(ctx context.Context, w dispatch.WaiterID, replies <-chan *api.Reply, wait time.Duration) *api.Reply {
-	for _, period := range []time.Duration{wait, replyMargin} {
-		timer := time.NewTimer(period)
-		select {
-		case r := <-replies:
-			timer.Stop()
-			return r
-		case <-ctx.Done():
-			timer.Stop()
-			d.loop.send(core.KeyWaiterGone{Waiter: w})
-			return nil
-		case <-timer.C:
-			d.loop.send(core.KeyWaiterTimeout{Waiter: w})
-		}
-	}
-	d.loop.send(core.KeyWaiterGone{Waiter: w})
-	return &api.Reply{Schema: api.Schema, Outcome: api.Unknown,
-		Reason: api.Errorf(api.CodeOwnerAway, "key", "no reply about the job came in time; ask again")}
-}
--- a/daemon/effects.go
+++ b/daemon/effects.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"github.com/go-kit/log/level"
 	"google.golang.org/grpc"
 	grpcpeer "google.golang.org/grpc/peer"
 
-	"sesameledge.dev/sesameledge/api"
 	"sesameledge.dev/sesameledge/core"
 	"sesameledge.dev/sesameledge/dispatch"
 	"sesameledge.dev/sesameledge/forward"
@@ -88,13 +86,9 @@
 	}
 	ctx, cancel := context.WithTimeout(d.ctx, e.Wait+forwardMargin)
 	defer cancel()
-	stub, err := d.peers.Peer(address)
-	if err != nil {
-		return forward.OwnerFailed{Waiter: waiter, Reason: "no connection to " + e.Request.Ticket.Host, NotSent: true}
-	}
 	// The address stays empty if no stream was opened, so that nothing was sent.
 	var reached grpcpeer.Peer
-	reply, err := stub.Forward(ctx, encodeForward(e.Request, e.Wait), grpc.Peer(&reached))
+	reply, err := d.peers.Forward(ctx, address, encodeForward(e.Request, e.Wait), grpc.Peer(&reached))
 	d.observeForward(e, err)
 	if err != nil {
 		return forward.OwnerFailed{Waiter: waiter, Reason: "no answer from " + e.Request.Ticket.Host, NotSent: reached.Addr == nil}
@@ -102,8 +96,8 @@
 	if reply.WrongIncarnation {
 		return forward.OwnerReplaced{Waiter: waiter, Host: e.Request.Ticket.Host, Now: incarnation(reply.Incarnation)}
 	}
-	r := new(api.Reply)
-	if err := json.Unmarshal(reply.Reply, r); err != nil {
+	r := decodeReply(reply)
+	if r == nil {
 		return forward.OwnerFailed{Waiter: waiter, Reason: "unreadable answer from " + e.Request.Ticket.Host}
 	}
 	return forward.OwnerReplied{Waiter: waiter, Reply: r}
--- a/daemon/find_answer.go
+++ b/daemon/find_answer.go
@@ -9,6 +9,7 @@
 	"sesameledge.dev/sesameledge/core"
 	"sesameledge.dev/sesameledge/forward"
 	"sesameledge.dev/sesameledge/peer/peerpb"
+	"sesameledge.dev/sesameledge/ticket"
 )
 
 // searchedPeers bounds the peers that are asked for an answer. More than one is asked,
@@ -44,6 +45,11 @@
 	if err != nil || reply.WrongIncarnation {
 		return nil
 	}
+	return decodeReply(reply)
+}
+
+// decodeReply returns nil if the reply cannot be decoded.
+func decodeReply(reply *peerpb.ForwardReply) *api.Reply {
 	r := new(api.Reply)
 	if err := json.Unmarshal(reply.Reply, r); err != nil {
 		return nil
@@ -51,6 +57,13 @@
 	return r
 }
 
+// keepsAnswer reports whether this host keeps an answer of a drained host for the ticket.
+func (d *Daemon) keepsAnswer(id ticket.ID) bool {
+	kept := false
+	d.loop.query(func(now time.Duration, s *core.State) { kept = s.Forward.Keeps(now, id) })
+	return kept
+}
+
 // storedReply answers for a drained host, or returns nil.
 func (d *Daemon) storedReply(op operation) *api.Reply {
 	var reply *api.Reply
--- a/daemon/jobs.go
+++ b/daemon/jobs.go
@@ -36,37 +36,47 @@
 		return api.Refusal(err)
 	}
 	d.loop.send(ev)
-	waitEnd := time.NewTimer(op.wait)
-	defer waitEnd.Stop()
-	select {
-	case r := <-replies:
-		return r
-	case <-ctx.Done():
-		d.waiterGone(op.id, own, waiter)
-		return nil
-	case <-waitEnd.C:
-	}
-	if own {
-		d.loop.send(dispatch.WaiterTimeout{ID: op.id, Waiter: waiter})
-	}
-	return d.lastReply(ctx, op, own, waiter, replies)
+	return awaitReply(ctx, replies, op.wait, replyWait{
+		timedOut: func() {
+			if own {
+				d.loop.send(dispatch.WaiterTimeout{ID: op.id, Waiter: waiter})
+			}
+		},
+		gone:   func() { d.waiterGone(op.id, own, waiter) },
+		ticket: op.id,
+		field:  "ticket",
+	})
 }
 
-// lastReply waits for the reply that the reducer owes after the end of the wait.
-func (d *Daemon) lastReply(ctx context.Context, op operation, own bool, waiter dispatch.WaiterID, replies chan *api.Reply) *api.Reply {
-	margin := time.NewTimer(replyMargin)
-	defer margin.Stop()
-	select {
-	case r := <-replies:
-		return r
-	case <-ctx.Done():
-		d.waiterGone(op.id, own, waiter)
-		return nil
-	case <-margin.C:
-		d.waiterGone(op.id, own, waiter)
-		return &api.Reply{Schema: api.Schema, Ticket: op.id, Outcome: api.Unknown,
-			Reason: api.Errorf(api.CodeOwnerAway, "ticket", "no reply about the job came in time; ask again")}
+// replyWait says what to do while a request waits for its reply.
+type replyWait struct {
+	timedOut func() // at the end of the wait, after which the reducer owes a reply
+	gone     func() // when nobody waits any more
+	// ticket and field are those of the reply if the reducer's does not come in time.
+	ticket ticket.ID
+	field  string
+}
+
+// awaitReply returns the reply, or nil if the caller went away.
+func awaitReply(ctx context.Context, replies <-chan *api.Reply, wait time.Duration, w replyWait) *api.Reply {
+	for _, period := range []struct {
+		time time.Duration
+		over func()
+	}{{wait, w.timedOut}, {replyMargin, w.gone}} {
+		timer := time.NewTimer(period.time)
+		defer timer.Stop()
+		select {
+		case r := <-replies:
+			return r
+		case <-ctx.Done():
+			w.gone()
+			return nil
+		case <-timer.C:
+			period.over()
+		}
 	}
+	return &api.Reply{Schema: api.Schema, Ticket: w.ticket, Outcome: api.Unknown,
+		Reason: api.Errorf(api.CodeOwnerAway, w.field, "no reply about the job came in time; ask again")}
 }
 
 func (d *Daemon) waiterGone(id ticket.ID, own bool, waiter dispatch.WaiterID) {
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -26,13 +26,13 @@
 // Forward performs a request about a ticket of this incarnation. For a ticket of another one
 // it only gives an answer that this host keeps for a drained host.
 func (p *peerServer) Forward(ctx context.Context, req *peerpb.ForwardRequest) (*peerpb.ForwardReply, error) {
+	if incarnation(req.Incarnation) != p.d.incarnation {
+		return p.forOtherIncarnation(req)
+	}
 	op, err := p.d.forwardedOperation(req)
 	if err != nil {
 		return nil, err
 	}
-	if incarnation(req.Incarnation) != p.d.incarnation {
-		return p.forOtherIncarnation(op)
-	}
 	reply := p.d.perform(ctx, op)
 	if reply == nil {
 		return nil, status.Error(codes.Canceled, "the request was cancelled")
@@ -44,9 +44,17 @@
 	return encoded, err
 }
 
-func (p *peerServer) forOtherIncarnation(op operation) (*peerpb.ForwardReply, error) {
-	if reply := p.d.storedReply(op); reply != nil {
-		return p.encode(reply)
+// forOtherIncarnation decodes the request only if this host keeps an answer for its ticket. A
+// job of a newer schema version that it could not decode proves the same as any other.
+func (p *peerServer) forOtherIncarnation(req *peerpb.ForwardRequest) (*peerpb.ForwardReply, error) {
+	if p.d.keepsAnswer(ticket.ID(req.Ticket)) {
+		op, err := p.d.forwardedOperation(req)
+		if err != nil {
+			return nil, err
+		}
+		if reply := p.d.storedReply(op); reply != nil {
+			return p.encode(reply)
+		}
 	}
 	return &peerpb.ForwardReply{WrongIncarnation: true, Incarnation: uint64(p.d.incarnation)}, nil
 }
--- a/forward/store.go
+++ b/forward/store.go
@@ -59,13 +59,19 @@
 	return out
 }
 
+// Keeps reports whether the answer of a drained host is kept for the ticket.
+func (s *State) Keeps(now time.Duration, id ticket.ID) bool {
+	have, ok := s.stored.answers[id]
+	return ok && now < have.until
+}
+
 // StoredReply answers a request from the answers kept for drained hosts, or returns nil. It
 // does not answer a reused ticket with the result of another job.
 func (s *State) StoredReply(now time.Duration, req Request) *api.Reply {
-	have, ok := s.stored.answers[req.ID]
-	if !ok || now >= have.until {
+	if !s.Keeps(now, req.ID) {
 		return nil
 	}
+	have := s.stored.answers[req.ID]
 	if req.Operation == Submit && req.Digest != have.answer.Digest && !s.off.anyDigest {
 		return &api.Reply{Schema: api.Schema, Ticket: req.ID, Outcome: api.Unknown,
 			Reason: api.Errorf(api.CodeTicketReused, "ticket", "the ticket belongs to another job; take a new ticket")}
--- a/peer/client.go
+++ b/peer/client.go
@@ -80,13 +80,13 @@
 	return peerpb.NewPeerClient(conn), nil
 }
 
-// Forward sends a request to the owner of a ticket.
-func (c *Client) Forward(ctx context.Context, address string, req *peerpb.ForwardRequest) (*peerpb.ForwardReply, error) {
+// Forward sends a request about a ticket to a peer.
+func (c *Client) Forward(ctx context.Context, address string, req *peerpb.ForwardRequest, opts ...grpc.CallOption) (*peerpb.ForwardReply, error) {
 	stub, err := c.Peer(address)
 	if err != nil {
 		return nil, err
 	}
-	return stub.Forward(ctx, req)
+	return stub.Forward(ctx, req, opts...)
 }
 
 // Close closes all connections.
--- a/standin/configproof/handover_test.go
+++ b/standin/configproof/handover_test.go
@@ -11,6 +11,9 @@
 	"sesameledge.dev/sesameledge/client"
 	"sesameledge.dev/sesameledge/daemon"
 	"sesameledge.dev/sesameledge/member"
+	"sesameledge.dev/sesameledge/peer"
+	"sesameledge.dev/sesameledge/peer/peerpb"
+	"sesameledge.dev/sesameledge/standin/platformsim"
 	"sesameledge.dev/sesameledge/standin/testbed"
 	"sesameledge.dev/sesameledge/ticket"
 )
@@ -100,3 +103,19 @@
 		s.t.Errorf("host %d %s: %s %v %v", n, when, reply.Outcome, reply.Reason, err)
 	}
 }
+
+// TestReplacedOwnerIsProvedWithoutItsJob guards against a host that cannot decode the job of
+// a newer release and therefore does not say that it is another incarnation: the caller
+// would wait for the end of the ticket's lifetime. It holds no answer for the ticket.
+func TestReplacedOwnerIsProvedWithoutItsJob(t *testing.T) {
+	s := newSite(t, 1, platformsim.Config{}, nil)
+	s.start(0)
+	c := peer.NewClient(nil, new(peer.Traffic), "")
+	t.Cleanup(c.Close)
+	owner := ticket.Ticket{Host: "host-0", Incarnation: 1, Window: time.Second, MaxDeadline: time.Second, Seq: 1}
+	reply, err := c.Forward(t.Context(), s.settings[0].Listen.Peers, &peerpb.ForwardRequest{
+		Operation: peerpb.Operation_OPERATION_SUBMIT, Ticket: string(owner.ID()), Incarnation: 1, Job: []byte(`{"schema":99}`)})
+	if err != nil || !reply.WrongIncarnation {
+		t.Errorf("%v %v", reply, err)
+	}
+}
