--- a/command/confirm.go
+++ b/command/confirm.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"sesameledge.dev/sesameledge/daemon"
+	"sesameledge.dev/sesameledge/internal/pause"
 )
 
 // hostRevision is the part of an entry of GET /v1/hosts that matters here.
@@ -29,10 +30,8 @@
 			fmt.Fprintf(env.Out, "revision %d is in force on %d hosts\n", revision, hosts)
 			return nil
 		}
-		select {
-		case <-ctx.Done():
+		if !pause.For(ctx, confirmPoll) {
 			return exitWith(ExitUnknown, "revision %d is accepted but not confirmed by: %s", revision, strings.Join(missing, ", "))
-		case <-time.After(confirmPoll):
 		}
 	}
 }
--- a/command/publish.go
+++ b/command/publish.go
@@ -14,6 +14,7 @@
 	"sesameledge.dev/sesameledge/config"
 	"sesameledge.dev/sesameledge/daemon"
 	"sesameledge.dev/sesameledge/finding"
+	"sesameledge.dev/sesameledge/internal/pause"
 )
 
 // PublishArgs are the arguments that publishing commands share.
@@ -165,10 +166,8 @@
 				return reply
 			}
 		}
-		select {
-		case <-ctx.Done():
+		if !pause.For(ctx, lookupPoll) {
 			return &daemon.PublishReply{ID: id}
-		case <-time.After(lookupPoll):
 		}
 	}
 }
--- a/config/check.go
+++ b/config/check.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -30,13 +31,13 @@
 	if len(c.Teams) == 0 {
 		report("teams", "at least one team is required")
 	}
-	for _, name := range sortedKeys(c.Teams) {
+	for _, name := range slices.Sorted(maps.Keys(c.Teams)) {
 		checkTeam("teams."+name, name, c.Teams[name], report)
 	}
-	for _, name := range sortedKeys(c.Kinds) {
+	for _, name := range slices.Sorted(maps.Keys(c.Kinds)) {
 		c.checkKind("kinds."+name, name, c.Kinds[name], report)
 	}
-	for _, name := range sortedKeys(c.Groups) {
+	for _, name := range slices.Sorted(maps.Keys(c.Groups)) {
 		c.checkGroup("groups."+name, name, c.Groups[name], report)
 	}
 	c.checkPolicy(report)
--- a/config/config.go
+++ b/config/config.go
@@ -5,7 +5,6 @@
 package config
 
 import (
-	"sort"
 	"time"
 
 	"sesameledge.dev/sesameledge/finding"
@@ -93,12 +92,3 @@
 	})
 	return c
 }
-
-func sortedKeys[V any](m map[string]V) []string {
-	keys := make([]string, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
-	}
-	sort.Strings(keys)
-	return keys
-}
--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"sesameledge.dev/sesameledge/internal/defaults"
 	"sesameledge.dev/sesameledge/limit"
 	"sesameledge.dev/sesameledge/place"
 )
@@ -89,17 +90,9 @@
 // withDefaults fills in what the policy leaves open.
 func (p *Policy) withDefaults() *Policy {
 	out := *p
-	if out.MaxTasks == 0 {
-		out.MaxTasks = DefaultMaxTasks
-	}
-	if out.MaxAttempts == 0 {
-		out.MaxAttempts = DefaultMaxAttempts
-	}
-	if out.RetryDelay == 0 {
-		out.RetryDelay = DefaultRetryDelay
-	}
-	if out.MaxBytes == 0 {
-		out.MaxBytes = DefaultMaxBytes
-	}
+	defaults.Set(&out.MaxTasks, DefaultMaxTasks)
+	defaults.Set(&out.MaxAttempts, DefaultMaxAttempts)
+	defaults.Set(&out.RetryDelay, DefaultRetryDelay)
+	defaults.Set(&out.MaxBytes, DefaultMaxBytes)
 	return &out
 }
--- a/fit/options.go
+++ b/fit/options.go
@@ -1,6 +1,10 @@
 package fit
 
-import "time"
+import (
+	"time"
+
+	"sesameledge.dev/sesameledge/internal/defaults"
+)
 
 // Defaults of Options.
 const (
@@ -46,11 +50,7 @@
 }
 
 func (o Options) withDefaults() Options {
-	if o.CoreHeadroom == 0 {
-		o.CoreHeadroom = DefaultCoreHeadroom
-	}
-	if o.MemoryHeadroom == 0 {
-		o.MemoryHeadroom = DefaultMemoryHeadroom
-	}
+	defaults.Set(&o.CoreHeadroom, DefaultCoreHeadroom)
+	defaults.Set(&o.MemoryHeadroom, DefaultMemoryHeadroom)
 	return o
 }
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -6,6 +6,8 @@
 import (
 	"fmt"
 	"time"
+
+	"sesameledge.dev/sesameledge/internal/defaults"
 )
 
 // Team is the policy of a team.
@@ -93,15 +95,9 @@
 
 // SetPolicy replaces the policy.
 func (l *Limiter) SetPolicy(p Policy) {
-	if p.MaxWait == 0 {
-		p.MaxWait = DefaultMaxWait
-	}
-	if p.DeadlineUse == 0 {
-		p.DeadlineUse = DefaultDeadlineUse
-	}
-	if p.RetryShare == 0 {
-		p.RetryShare = DefaultRetryShare
-	}
+	defaults.Set(&p.MaxWait, DefaultMaxWait)
+	defaults.Set(&p.DeadlineUse, DefaultDeadlineUse)
+	defaults.Set(&p.RetryShare, DefaultRetryShare)
 	l.policy = p
 	l.retries.share = p.RetryShare
 }
--- a/member/member.go
+++ b/member/member.go
@@ -21,6 +21,7 @@
 	"sort"
 	"time"
 
+	"sesameledge.dev/sesameledge/internal/defaults"
 	"sesameledge.dev/sesameledge/ticket"
 )
 
@@ -107,15 +108,9 @@
 type Peer struct{ Host, Zone, Address string }
 
 func (o Options) withDefaults() Options {
-	if o.Interval == 0 {
-		o.Interval = DefaultInterval
-	}
-	if o.SuspectFor == 0 {
-		o.SuspectFor = DefaultSuspectFor
-	}
-	if o.Contacts == 0 {
-		o.Contacts = DefaultContacts
-	}
+	defaults.Set(&o.Interval, DefaultInterval)
+	defaults.Set(&o.SuspectFor, DefaultSuspectFor)
+	defaults.Set(&o.Contacts, DefaultContacts)
 	return o
 }
 
--- a/member/round.go
+++ b/member/round.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"maps"
 	"slices"
 	"sort"
 	"time"
@@ -126,11 +127,7 @@
 func (s *State) nextContact(now time.Duration) *peer {
 	s.refreshContacts(now)
 	var all []string
-	zones := make([]string, 0, len(s.contacts))
-	for zone := range s.contacts {
-		zones = append(zones, zone)
-	}
-	sort.Strings(zones)
+	zones := slices.Sorted(maps.Keys(s.contacts))
 	for i := range s.opts.Contacts {
 		for _, zone := range zones {
 			if i < len(s.contacts[zone]) {
@@ -163,12 +160,7 @@
 			delete(s.contacts, zone)
 		}
 	}
-	zones := make([]string, 0, len(byZone))
-	for zone := range byZone {
-		zones = append(zones, zone)
-	}
-	sort.Strings(zones)
-	for _, zone := range zones {
+	for _, zone := range slices.Sorted(maps.Keys(byZone)) {
 		s.contacts[zone] = s.drawContacts(now, s.contacts[zone], byZone[zone])
 	}
 }
--- a/place/policy.go
+++ b/place/policy.go
@@ -1,5 +1,7 @@
 package place
 
+import "sesameledge.dev/sesameledge/internal/defaults"
+
 // Placement names a way to choose the endpoint of a task.
 type Placement string
 
@@ -28,8 +30,6 @@
 	if p.Placement == "" {
 		p.Placement = Adaptive
 	}
-	if p.MaxEjected == 0 {
-		p.MaxEjected = DefaultMaxEjected
-	}
+	defaults.Set(&p.MaxEjected, DefaultMaxEjected)
 	s.policy = p
 }
--- a/standin/bench/load.go
+++ b/standin/bench/load.go
@@ -10,6 +10,7 @@
 
 	"sesameledge.dev/sesameledge/api"
 	"sesameledge.dev/sesameledge/client"
+	"sesameledge.dev/sesameledge/internal/pause"
 	"sesameledge.dev/sesameledge/standin/minionsim"
 	"sesameledge.dev/sesameledge/standin/testbed"
 	"sesameledge.dev/sesameledge/ticket"
@@ -195,12 +196,5 @@
 	if wait <= 0 {
 		return ctx.Err() == nil
 	}
-	t := time.NewTimer(wait)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return pause.For(ctx, wait)
 }
--- a/standin/bench/plot.go
+++ b/standin/bench/plot.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
+	"slices"
 
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
@@ -63,7 +65,7 @@
 	p.Legend.Top = true
 	p.Add(plotter.NewGrid())
 	var lines []any
-	for _, kind := range sortedKeys(rows[0].Kinds) {
+	for _, kind := range slices.Sorted(maps.Keys(rows[0].Kinds)) {
 		var points plotter.XYs
 		for _, s := range rows[1:] {
 			points = append(points, plotter.XY{X: 100 * s.Messages.Wasted, Y: s.Kinds[kind].P99})
--- a/standin/bench/report.go
+++ b/standin/bench/report.go
@@ -4,8 +4,9 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"os"
-	"sort"
+	"slices"
 	"strings"
 	"text/tabwriter"
 )
@@ -28,7 +29,7 @@
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(t, "scenario\tpolicy\tkind\tcomplete\tp50\tp99\tp99.9\tworst\t")
 	for _, s := range rows {
-		for _, kind := range sortedKeys(s.Kinds) {
+		for _, kind := range slices.Sorted(maps.Keys(s.Kinds)) {
 			q := s.Kinds[kind]
 			fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%.2f\t%.2f\t%.2f\t%.2f\t\n", s.Scenario, s.Policy, kind, q.Jobs, q.P50, q.P99, q.P999, q.Worst)
 		}
@@ -38,7 +39,7 @@
 	}
 	for _, s := range rows {
 		var parts []string
-		for _, name := range sortedKeys(s.Outcomes) {
+		for _, name := range slices.Sorted(maps.Keys(s.Outcomes)) {
 			parts = append(parts, fmt.Sprintf("%s %d", name, s.Outcomes[name]))
 		}
 		m := &s.Messages
@@ -58,12 +59,3 @@
 	}
 	return os.WriteFile(path, append(text, '\n'), 0o644)
 }
-
-func sortedKeys[V any](m map[string]V) []string {
-	keys := make([]string, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
-	}
-	sort.Strings(keys)
-	return keys
-}
--- a/standin/ownercost/load.go
+++ b/standin/ownercost/load.go
@@ -9,6 +9,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"sesameledge.dev/sesameledge/api"
+	"sesameledge.dev/sesameledge/internal/pause"
 )
 
 const (
@@ -66,7 +67,7 @@
 	at := time.Duration(0)
 	for {
 		at += time.Duration(rng.ExpFloat64() / rate * float64(time.Second))
-		if at >= period || !sleepUntil(ctx, began.Add(at)) {
+		if at >= period || !pause.For(ctx, time.Until(began.Add(at))) {
 			return
 		}
 		wg.Add(1)
@@ -79,13 +80,3 @@
 }
 
 // sleepUntil reports whether the time came before the context ended.
-func sleepUntil(ctx context.Context, at time.Time) bool {
-	timer := time.NewTimer(time.Until(at))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/standin/ownercost/outage.go
+++ b/standin/ownercost/outage.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"sesameledge.dev/sesameledge/api"
+	"sesameledge.dev/sesameledge/internal/pause"
 	"sesameledge.dev/sesameledge/standin/platformsim"
 	"sesameledge.dev/sesameledge/standin/testbed"
 )
@@ -37,7 +38,7 @@
 	if err := b.setOutage(ctx, platformsim.OutageUnavailable); err != nil {
 		return nil, err
 	}
-	sleepUntil(ctx, time.Now().Add(outageSettle))
+	pause.For(ctx, outageSettle)
 	var rows []outageRow
 	for _, w := range ways {
 		row, err := b.outageSlice(ctx, w)
--- a/standin/ownercost/proof.go
+++ b/standin/ownercost/proof.go
@@ -13,6 +13,7 @@
 	"sesameledge.dev/sesameledge/api"
 	"sesameledge.dev/sesameledge/backend"
 	"sesameledge.dev/sesameledge/client"
+	"sesameledge.dev/sesameledge/internal/pause"
 	"sesameledge.dev/sesameledge/settings"
 	"sesameledge.dev/sesameledge/standin/minionsim"
 	"sesameledge.dev/sesameledge/standin/testbed"
@@ -110,7 +111,7 @@
 // silence makes all connections to minions go silent at intervals.
 func silence(ctx context.Context, bed *testbed.Bed) {
 	req := minionsim.FaultRequest{Minion: "*", Fault: minionsim.FaultSilent}
-	for sleepUntil(ctx, time.Now().Add(silenceEvery)) {
+	for pause.For(ctx, silenceEvery) {
 		status, err := testbed.PostJSON(ctx, bed.MinionAdmin+"/admin/faults", req, nil)
 		if ctx.Err() == nil && (err != nil || status != http.StatusNoContent) {
 			panic(errors.Newf("the minions refused the fault: status %d, %v", status, err))
--- a/standin/ownercost/way.go
+++ b/standin/ownercost/way.go
@@ -8,8 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"sesameledge.dev/sesameledge/api"
 	"sesameledge.dev/sesameledge/client"
 	"sesameledge.dev/sesameledge/standin/testbed"
@@ -76,19 +74,7 @@
 }
 
 func (c *caller) getJSON(ctx context.Context, url string, into any) error {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return err
-	}
-	resp, err := c.transport.RoundTrip(req)
-	if err != nil {
-		return err
-	}
-	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode != http.StatusOK {
-		return errors.Newf("%s answered %s", url, resp.Status)
-	}
-	return errors.Wrapf(json.NewDecoder(resp.Body).Decode(into), "decoding %s", url)
+	return testbed.GetJSONWith(ctx, &http.Client{Transport: c.transport}, url, into)
 }
 
 // submit runs the n-th job at the n-th host in turn and returns its reply.
--- a/standin/platformsim/syncer.go
+++ b/standin/platformsim/syncer.go
@@ -7,6 +7,8 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/time/rate"
+
+	"sesameledge.dev/sesameledge/internal/pause"
 )
 
 // maxQueuedAppends bounds the appends that wait for the rate limit. At the default rate
@@ -43,12 +45,8 @@
 
 // sleep waits for the period or until the context ends, and returns the context's error.
 func sleep(ctx context.Context, period time.Duration) error {
-	timer := time.NewTimer(period)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
+	if !pause.For(ctx, period) {
 		return ctx.Err()
 	}
+	return nil
 }
--- a/standin/testbed/bed.go
+++ b/standin/testbed/bed.go
@@ -262,11 +262,16 @@
 
 // GetJSON reads a JSON value from a URL.
 func GetJSON(ctx context.Context, url string, into any) error {
+	return GetJSONWith(ctx, http.DefaultClient, url, into)
+}
+
+// GetJSONWith is GetJSON through a client.
+func GetJSONWith(ctx context.Context, client *http.Client, url string, into any) error {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return err
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := client.Do(req)
 	if err != nil {
 		return err
 	}
--- a/standin/workerload/generate.go
+++ b/standin/workerload/generate.go
@@ -10,6 +10,7 @@
 
 	"sesameledge.dev/sesameledge/api"
 	"sesameledge.dev/sesameledge/client"
+	"sesameledge.dev/sesameledge/internal/pause"
 	"sesameledge.dev/sesameledge/standin/platformsim"
 	"sesameledge.dev/sesameledge/standin/testbed"
 )
@@ -90,11 +91,11 @@
 // run submits jobs for the set time and returns when all have ended.
 func (g *generator) run(ctx context.Context) error {
 	var jobs sync.WaitGroup
-	pause, next := g.jobPause(), time.Now()
+	gap, next := g.jobPause(), time.Now()
 	end := next.Add(g.args.For)
 	warm := next.Add(min(warmUp, g.args.For/2))
 	for n := 0; next.Before(end) && ctx.Err() == nil; n++ {
-		sleep(ctx, time.Until(next))
+		pause.For(ctx, time.Until(next))
 		if g.warm == nil && time.Now().After(warm) {
 			var err error
 			if g.warm, err = totals(ctx, g.bed); err != nil {
@@ -103,7 +104,7 @@
 		}
 		job, longest := g.job()
 		jobs.Go(func() { g.submit(ctx, g.clients[n%len(g.clients)], job, longest) })
-		next = next.Add(time.Duration(g.rng.ExpFloat64() * float64(pause)))
+		next = next.Add(time.Duration(g.rng.ExpFloat64() * float64(gap)))
 	}
 	var err error
 	if g.end, err = totals(ctx, g.bed); err != nil {
--- a/standin/workerload/run.go
+++ b/standin/workerload/run.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"sesameledge.dev/sesameledge/internal/pause"
 	"sesameledge.dev/sesameledge/settings"
 	"sesameledge.dev/sesameledge/standin/platformsim"
 	"sesameledge.dev/sesameledge/standin/testbed"
@@ -100,9 +101,9 @@
 // runOutages lets the worker interface hang and answer 503 in turn.
 func runOutages(ctx context.Context, bed *testbed.Bed) {
 	kinds := []platformsim.Outage{platformsim.OutageHang, platformsim.OutageUnavailable}
-	for n := 0; sleep(ctx, outagePeriod-outageLength); n++ {
+	for n := 0; pause.For(ctx, outagePeriod-outageLength); n++ {
 		setOutage(ctx, bed, kinds[n%len(kinds)])
-		sleep(ctx, outageLength)
+		pause.For(ctx, outageLength)
 		setOutage(context.WithoutCancel(ctx), bed, platformsim.OutageOff)
 	}
 }
@@ -124,12 +125,3 @@
 	out := new(platformsim.TaskTotals)
 	return out, testbed.GetJSON(ctx, bed.PlatformURL+"/admin/tasks", out)
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-time.After(d):
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/standin/workerload/run_test.go
+++ b/standin/workerload/run_test.go
@@ -11,6 +11,7 @@
 
 	"sesameledge.dev/sesameledge/api"
 	"sesameledge.dev/sesameledge/client"
+	"sesameledge.dev/sesameledge/internal/pause"
 	"sesameledge.dev/sesameledge/settings"
 	"sesameledge.dev/sesameledge/standin/platformsim"
 	"sesameledge.dev/sesameledge/standin/testbed"
@@ -111,7 +112,7 @@
 }
 
 func awaitStarts(ctx context.Context, t *testing.T, bed *testbed.Bed, n int) {
-	for sleep(ctx, 20*time.Millisecond) {
+	for pause.For(ctx, 20*time.Millisecond) {
 		if got, err := totals(ctx, bed); err == nil && got.Starts >= n {
 			return
 		}
--- a/standin/zonecut/check.go
+++ b/standin/zonecut/check.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"slices"
 	"time"
@@ -191,18 +190,8 @@
 
 // whole checks that each task started and that the answer is the caller's own.
 func (r *report) whole(o *outcome, counts map[int]int) {
-	if len(o.reply.Tasks) != o.tasks || len(counts) != o.tasks {
-		r.find("%s: complete with %d results and %d started tasks of %d", o.name, len(o.reply.Tasks), len(counts), o.tasks)
-		return
-	}
-	for i, task := range o.reply.Tasks {
-		var result struct {
-			Echo string `json:"echo"`
-		}
-		want := fmt.Sprintf("%s task %d", o.name, i)
-		if err := json.Unmarshal(task.Result, &result); err != nil || result.Echo != want {
-			r.find("%s: task %d answered %s", o.name, i, task.Result)
-		}
+	for _, f := range testbed.CheckWhole(o.name, o.tasks, o.reply, counts) {
+		r.find("%s", f)
 	}
 }
 
--- a/standin/zonecut/watch.go
+++ b/standin/zonecut/watch.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"sesameledge.dev/sesameledge/daemon"
+	"sesameledge.dev/sesameledge/internal/pause"
 	"sesameledge.dev/sesameledge/standin/testbed"
 )
 
@@ -47,10 +48,7 @@
 		if testbed.GetJSON(ctx, h.OperatorsURL()+"/debug/state", &dump) == nil {
 			w.add(h.Settings.Host, dump.Config)
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(pollEvery):
-		}
+		pause.For(ctx, pollEvery)
 	}
 }
 
