--- a/daemon/claims.go
+++ b/daemon/claims.go
@@ -13,7 +13,7 @@
 	"sesameledge.dev/sesameledge/claim"
 	"sesameledge.dev/sesameledge/core"
 	"sesameledge.dev/sesameledge/internal/pause"
-	"sesameledge.dev/sesameledge/platform"
+	"sesameledge.dev/sesameledge/logapi"
 	"sesameledge.dev/sesameledge/ticket"
 )
 
@@ -31,7 +31,7 @@
 func (d *Daemon) newClaimsLog() *streamFollower {
 	return &streamFollower{
 		client: d.platform,
-		stream: platform.StreamClaims,
+		stream: logapi.StreamClaims,
 		poll:   claimsPoll,
 		logger: d.logs.platform,
 		next: func() (next uint64, started bool) {
@@ -45,7 +45,7 @@
 			level.Warn(d.logs.platform).Log("msg", "claims were dropped before this host read them; older keys are not served here", "first", first)
 			d.loop.send(core.ClaimsBounds{First: first, Next: next})
 		},
-		records: func(records []platform.Record) {
+		records: func(records []logapi.Record) {
 			for _, r := range records {
 				d.loop.send(core.ClaimRecord{Offset: r.Offset, Data: r.Data})
 			}
@@ -120,13 +120,13 @@
 	if err == nil {
 		// The first ticket is unique to this append: a claim is queued again only after
 		// its append has failed.
-		_, err = d.platform.Append(ctx, platform.StreamClaims, string(group[0].Ticket), data)
+		_, err = d.platform.Append(ctx, logapi.StreamClaims, string(group[0].Ticket), data)
 	}
 	if err == nil {
 		return
 	}
 	level.Warn(d.logs.platform).Log("msg", "an append of claims failed", "claims", len(group), "err", err)
-	failed := core.ClaimsNotAppended{MayBeAppended: errors.Is(err, platform.ErrAmbiguous)}
+	failed := core.ClaimsNotAppended{MayBeAppended: errors.Is(err, logapi.ErrAmbiguous)}
 	for i := range group {
 		failed.Tickets = append(failed.Tickets, group[i].Ticket)
 	}
--- a/daemon/config_follow.go
+++ b/daemon/config_follow.go
@@ -11,7 +11,7 @@
 
 	"sesameledge.dev/sesameledge/core"
 	"sesameledge.dev/sesameledge/internal/pause"
-	"sesameledge.dev/sesameledge/platform"
+	"sesameledge.dev/sesameledge/logapi"
 )
 
 // newConfigLog returns the follower of the config stream.
@@ -19,7 +19,7 @@
 	var due atomic.Bool
 	return &streamFollower{
 		client: d.platform,
-		stream: platform.StreamConfig,
+		stream: logapi.StreamConfig,
 		poll:   configPoll,
 		logger: d.logs.platform,
 		next: func() (next uint64, known bool) {
@@ -30,7 +30,7 @@
 			level.Info(d.logs.config).Log("msg", "the log no longer keeps the next records; looking for a snapshot", "first", first)
 			d.loop.send(core.ConfigTruncated{First: first})
 		},
-		records: func(records []platform.Record) {
+		records: func(records []logapi.Record) {
 			for _, r := range records {
 				d.loop.send(core.ConfigRecord{Offset: r.Offset, Data: r.Data})
 			}
@@ -69,7 +69,7 @@
 		next = s.Config.Next()
 	})
 	if err == nil {
-		_, err = d.platform.Append(ctx, platform.StreamConfig, fmt.Sprintf("snapshot-%d", next), data)
+		_, err = d.platform.Append(ctx, logapi.StreamConfig, fmt.Sprintf("snapshot-%d", next), data)
 	}
 	if err != nil {
 		level.Warn(d.logs.config).Log("msg", "a snapshot was not confirmed; it is tried again while due", "err", err)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -24,9 +24,9 @@
 	"sesameledge.dev/sesameledge/core"
 	"sesameledge.dev/sesameledge/dispatch"
 	"sesameledge.dev/sesameledge/internal/pause"
+	"sesameledge.dev/sesameledge/logapi"
 	"sesameledge.dev/sesameledge/peer"
 	"sesameledge.dev/sesameledge/peer/peerpb"
-	"sesameledge.dev/sesameledge/platform"
 	"sesameledge.dev/sesameledge/settings"
 	"sesameledge.dev/sesameledge/ticket"
 	"sesameledge.dev/sesameledge/worker"
@@ -42,7 +42,7 @@
 	logs        *logs
 	loop        *loop
 	backend     *backend.Client
-	platform    *platform.Client
+	platform    *logapi.Client
 	workers     *worker.Runner
 	peers       *peer.Client
 	ctx         context.Context
@@ -91,7 +91,7 @@
 		settings:    s,
 		incarnation: inc,
 		logs:        newLogs(w, s.Log.Format, s.Log.Level),
-		platform:    platform.NewClient(s.Platform.URL, s.Platform.Timeout),
+		platform:    logapi.NewClient(s.Platform.URL, s.Platform.Timeout),
 		ctx:         ctx,
 		cancel:      cancel,
 		drained:     make(chan struct{}),
@@ -215,13 +215,13 @@
 // renewRegistration keeps this host in the platform's list.
 func (d *Daemon) renewRegistration(ctx context.Context) {
 	for ctx.Err() == nil {
-		state := platform.HostLive
+		state := logapi.HostLive
 		if d.draining.Load() {
-			state = platform.HostLeaving
+			state = logapi.HostLeaving
 		}
-		err := d.platform.Register(ctx, platform.Host{
+		err := d.platform.Register(ctx, logapi.Host{
 			ID:       d.settings.Host,
-			Kind:     platform.KindEntry,
+			Kind:     logapi.KindEntry,
 			Address:  d.settings.Listen.PeerAddress(),
 			Identity: d.incarnation.String(),
 			Zone:     d.settings.Zone,
--- a/daemon/follower.go
+++ b/daemon/follower.go
@@ -11,7 +11,7 @@
 	"github.com/go-kit/log/level"
 
 	"sesameledge.dev/sesameledge/internal/pause"
-	"sesameledge.dev/sesameledge/platform"
+	"sesameledge.dev/sesameledge/logapi"
 )
 
 const (
@@ -31,7 +31,7 @@
 // streamFollower reads one stream of the log in order. The reducer's state decides which
 // offset comes next, so a snapshot can move the position.
 type streamFollower struct {
-	client *platform.Client
+	client *logapi.Client
 	stream string
 	poll   time.Duration // how long a read waits for new records
 	logger log.Logger
@@ -39,7 +39,7 @@
 	next      func() (uint64, bool)
 	start     func(first, next uint64)
 	truncated func(first, next uint64)
-	records   func([]platform.Record)
+	records   func([]logapi.Record)
 	replied   func(first, next uint64)
 
 	lastRead atomic.Int64 // when the log answered last, nanoseconds after began; 0 means never
@@ -89,9 +89,9 @@
 	}
 	asked := time.Now()
 	reply, err := f.client.Read(ctx, f.stream, next, wait)
-	var gone *platform.TruncatedError
+	var gone *logapi.TruncatedError
 	if errors.As(err, &gone) {
-		reply, err = &platform.ReadReply{First: gone.First, Next: gone.Next}, nil
+		reply, err = &logapi.ReadReply{First: gone.First, Next: gone.Next}, nil
 	}
 	if err != nil {
 		return false, err
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -7,9 +7,9 @@
 	"github.com/go-kit/log/level"
 
 	"sesameledge.dev/sesameledge/internal/pause"
+	"sesameledge.dev/sesameledge/logapi"
 	"sesameledge.dev/sesameledge/member"
 	"sesameledge.dev/sesameledge/place"
-	"sesameledge.dev/sesameledge/platform"
 	"sesameledge.dev/sesameledge/ticket"
 )
 
@@ -25,7 +25,7 @@
 
 // hostsReader reads the platform's list of hosts.
 type hostsReader struct {
-	client  *platform.Client
+	client  *logapi.Client
 	every   time.Duration // least pause between lists, and between requests that are not held
 	timeout time.Duration // of a request that is not held
 	tag     string        // of the last list
@@ -38,7 +38,7 @@
 }
 
 // read returns the list if it has changed, and the pause before the next read.
-func (h *hostsReader) read(ctx context.Context) (*platform.HostList, time.Duration, error) {
+func (h *hostsReader) read(ctx context.Context) (*logapi.HostList, time.Duration, error) {
 	wait, limit := time.Duration(0), h.timeout
 	if h.tag != "" && h.grace > 0 {
 		wait = h.hold()
@@ -103,10 +103,10 @@
 	}
 }
 
-func endpoints(hosts []platform.Host) []place.Endpoint {
+func endpoints(hosts []logapi.Host) []place.Endpoint {
 	var out []place.Endpoint
 	for i := range hosts {
-		if hosts[i].Kind == platform.KindMinion || hosts[i].Kind == platform.KindWorker {
+		if hosts[i].Kind == logapi.KindMinion || hosts[i].Kind == logapi.KindWorker {
 			out = append(out, hosts[i].Endpoint())
 		}
 	}
@@ -115,17 +115,17 @@
 
 // entryHosts returns the entry hosts of the platform's list. An identity that is not an
 // incarnation, from another version, becomes 0.
-func entryHosts(hosts []platform.Host) []member.Listed {
+func entryHosts(hosts []logapi.Host) []member.Listed {
 	var out []member.Listed
 	for _, h := range hosts {
-		if h.Kind != platform.KindEntry {
+		if h.Kind != logapi.KindEntry {
 			continue
 		}
 		inc, err := ticket.ParseIncarnation(h.Identity)
 		if err != nil {
 			inc = 0
 		}
-		out = append(out, member.Listed{Host: h.ID, Zone: h.Zone, Address: h.Address, Incarnation: inc, Leaving: h.State == platform.HostLeaving})
+		out = append(out, member.Listed{Host: h.ID, Zone: h.Zone, Address: h.Address, Incarnation: inc, Leaving: h.State == logapi.HostLeaving})
 	}
 	return out
 }
--- a/daemon/platform_test.go
+++ b/daemon/platform_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"sesameledge.dev/sesameledge/platform"
+	"sesameledge.dev/sesameledge/logapi"
 )
 
 // Guards against a busy loop with a platform that does not hold requests, refuses those
@@ -36,10 +36,10 @@
 					return
 				}
 				w.Header().Set("ETag", `"1"`)
-				writeJSON(w, http.StatusOK, platform.HostsReply{Version: 1})
+				writeJSON(w, http.StatusOK, logapi.HostsReply{Version: 1})
 			}))
 			defer server.Close()
-			reader := &hostsReader{client: platform.NewClient(server.URL, time.Second), every: every, timeout: time.Second}
+			reader := &hostsReader{client: logapi.NewClient(server.URL, time.Second), every: every, timeout: time.Second}
 			const length = 10 * every
 			for began := time.Now(); time.Since(began) < length; {
 				_, next, _ := reader.read(context.Background())
@@ -66,10 +66,10 @@
 			w.WriteHeader(http.StatusNotModified)
 			return
 		}
-		writeJSON(w, http.StatusOK, platform.HostsReply{Version: 1})
+		writeJSON(w, http.StatusOK, logapi.HostsReply{Version: 1})
 	}))
 	defer server.Close()
-	reader := &hostsReader{client: platform.NewClient(server.URL, 2*time.Second), timeout: 2 * time.Second}
+	reader := &hostsReader{client: logapi.NewClient(server.URL, 2*time.Second), timeout: 2 * time.Second}
 	for i := range 2 {
 		if _, _, err := reader.read(context.Background()); err != nil {
 			t.Errorf("read %d: %v", i+1, err)
--- a/daemon/publish.go
+++ b/daemon/publish.go
@@ -19,7 +19,7 @@
 	"sesameledge.dev/sesameledge/config"
 	"sesameledge.dev/sesameledge/core"
 	"sesameledge.dev/sesameledge/finding"
-	"sesameledge.dev/sesameledge/platform"
+	"sesameledge.dev/sesameledge/logapi"
 )
 
 // publishTimeout bounds the wait for the fold to judge a publication. It is longer than
@@ -206,8 +206,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
 	defer cancel()
-	_, err = d.platform.Append(ctx, platform.StreamConfig, rec.ID, data)
-	if err != nil && !errors.Is(err, platform.ErrAmbiguous) {
+	_, err = d.platform.Append(ctx, logapi.StreamConfig, rec.ID, data)
+	if err != nil && !errors.Is(err, logapi.ErrAmbiguous) {
 		return config.Outcome{}, err
 	}
 	if err != nil {
--- a/daemon/publisher_test.go
+++ b/daemon/publisher_test.go
@@ -17,7 +17,7 @@
 	"sesameledge.dev/sesameledge/config"
 	"sesameledge.dev/sesameledge/core"
 	"sesameledge.dev/sesameledge/internal/testcert"
-	"sesameledge.dev/sesameledge/platform"
+	"sesameledge.dev/sesameledge/logapi"
 	"sesameledge.dev/sesameledge/settings"
 )
 
@@ -62,7 +62,7 @@
 	data, _ := io.ReadAll(r.Body)
 	offset := p.appends.Add(1) - 1
 	p.daemon.loop.send(core.ConfigRecord{Offset: offset, Data: data})
-	writeJSON(w, http.StatusOK, platform.AppendReply{Offset: offset})
+	writeJSON(w, http.StatusOK, logapi.AppendReply{Offset: offset})
 }
 
 // publish sends a record with a client certificate and returns the status and error code.
--- /dev/null
+++ b/entry/workers.go
@@ -0,0 +1,112 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"sesameledge.dev/sesameledge/fleet"
+	"sesameledge.dev/sesameledge/host"
+	"sesameledge.dev/sesameledge/platform"
+	"sesameledge.dev/sesameledge/sched"
+)
+
+const (
+	// workerTimeout bounds a call to a worker, beyond the wait that the call asks for. It is
+	// many round trips, and leaves time to act within the lease.
+	workerTimeout = 300 * time.Millisecond
+	// workerIdle is how long an unused connection to a worker is kept. New ones cost a
+	// round trip and are priced.
+	workerIdle = 60 * time.Second
+	// workerConns bounds the unused connections to one worker.
+	workerConns = 8
+)
+
+// workerCalls calls workers and reports their answers as events.
+type workerCalls struct {
+	client *platform.Workers
+	conns  *perHost
+	send   func(any)
+}
+
+func newWorkerCalls(send func(any)) *workerCalls {
+	conns := &perHost{transports: make(map[string]*http.Transport)}
+	return &workerCalls{client: platform.NewWorkers(conns), conns: conns, send: send}
+}
+
+func (c *workerCalls) start(e sched.StartRun) {
+	sent := clock()
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), workerTimeout)
+		defer cancel()
+		reply := c.client.Start(ctx, e.Worker, e.Order)
+		c.distrust(e.Worker, reply)
+		c.send(host.WorkerEvent{Event: sched.Started{Worker: e.Worker.ID, Run: e.Order.Run, Sent: sent, Reply: reply}})
+	}()
+}
+
+func (c *workerCalls) stop(e sched.StopRun) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), workerTimeout)
+		defer cancel()
+		reply := c.client.Stop(ctx, e.Worker, e.Order)
+		c.distrust(e.Worker, reply)
+		c.send(host.WorkerEvent{Event: sched.Stopped{Worker: e.Worker.ID, Run: e.Order.Run, Reply: reply}})
+	}()
+}
+
+func (c *workerCalls) hold(e sched.HoldWorker) {
+	sent := clock()
+	go func() {
+		wait := time.Duration(e.Order.Wait) * time.Millisecond
+		ctx, cancel := context.WithTimeout(context.Background(), wait+workerTimeout)
+		defer cancel()
+		reply := c.client.Hold(ctx, e.Worker, e.Order)
+		c.distrust(e.Worker, reply.Reply)
+		c.send(host.WorkerEvent{Event: sched.Held{Worker: e.Worker.ID, Seq: e.Seq, Sent: sent, Reply: reply}})
+	}()
+}
+
+// distrust closes the unused connections to a worker that did not answer: they may have
+// gone silent together.
+func (c *workerCalls) distrust(w fleet.Worker, r fleet.Reply) {
+	if r.Verdict == fleet.NoAnswer {
+		c.conns.closeIdle(w.Addr)
+	}
+}
+
+// perHost is a transport that keeps the connections to each address apart.
+type perHost struct {
+	mu         sync.Mutex
+	transports map[string]*http.Transport
+}
+
+// RoundTrip implements http.RoundTripper.
+func (p *perHost) RoundTrip(r *http.Request) (*http.Response, error) {
+	return p.transport(r.URL.Host).RoundTrip(r)
+}
+
+func (p *perHost) transport(addr string) *http.Transport {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t := p.transports[addr]
+	if t == nil {
+		t = newTransport(workerConns, workerIdle)
+		p.transports[addr] = t
+	}
+	return t
+}
+
+func (p *perHost) closeIdle(addr string) { p.transport(addr).CloseIdleConnections() }
+
+func newTransport(conns int, idle time.Duration) *http.Transport {
+	dialer := &net.Dialer{Timeout: workerTimeout, KeepAlive: -1}
+	return &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: conns,
+		IdleConnTimeout:     idle,
+		DisableCompression:  true,
+	}
+}
--- /dev/null
+++ b/host/cells.go
@@ -0,0 +1,209 @@
+package host
+
+import (
+	"time"
+
+	"sesameledge.dev/sesameledge/mesh/meshpb"
+	"sesameledge.dev/sesameledge/owner"
+	"sesameledge.dev/sesameledge/sched"
+)
+
+const (
+	// fenceShift leaves room for a random part in a fencing token.
+	fenceShift = 10
+	// fenceJump lifts a token over one that a worker has seen and this host has not. It
+	// covers a clock that is ahead by a minute, and doubles with each loss.
+	fenceJump = int64(60000) << fenceShift
+	// maxLosses bounds the doubling.
+	maxLosses = 8
+	// retakeTime is the pause before a single worker that obeys another host is taken again.
+	retakeTime = 2 * time.Second
+)
+
+// lostWorker is a worker of an own cell that obeys another host.
+type lostWorker struct{ until time.Duration }
+
+// newFence returns a fencing token above all that the host knows of.
+func (s *State) newFence(now time.Duration) int64 {
+	ms := s.opts.UnixMillis + (now - s.opts.Started).Milliseconds()
+	fence := max(ms<<fenceShift, s.maxFence+1<<fenceShift)
+	if s.losses > 0 {
+		fence += fenceJump << (min(s.losses, maxLosses) - 1)
+	}
+	fence |= int64(s.rng.IntN(1 << fenceShift))
+	s.maxFence = fence
+	return fence
+}
+
+// decideCells takes cells without a commander and gives up those that obey another host.
+func (s *State) decideCells(now time.Duration) {
+	others := s.others()
+	for _, zone := range s.opts.Zones {
+		d, ok := s.owner.Decide(now, zone, others)
+		switch {
+		case ok && d.Take:
+			s.takeCell(now, zone, d.Reason)
+		case ok:
+			s.note("owner", "", "cell given up", "zone", zone, "reason", d.Reason)
+			s.owner.Lose(now, zone)
+			s.releaseAll(zone)
+		}
+		s.takeWorkers(now, zone, others)
+	}
+}
+
+func (s *State) takeCell(now time.Duration, zone, reason string) {
+	fence := s.newFence(now)
+	s.owner.Take(zone, fence)
+	s.stats.CellsTaken++
+	s.note("owner", "", "cell taken", "zone", zone, "fence", fence, "reason", reason)
+}
+
+// takeWorkers takes the workers of an own cell that no other host still uses.
+func (s *State) takeWorkers(now time.Duration, zone string, others []owner.Host) {
+	claim := s.owner.Claim(zone)
+	if claim == nil || claim.Releasing {
+		return
+	}
+	held := heldByOthers(zone, others)
+	claim.Commanded = 0
+	for id, e := range s.workers {
+		if e.info.Zone != zone || e.gone(now) {
+			continue
+		}
+		switch {
+		case s.sched.Commands(id):
+			if s.sched.Obeys(id) {
+				claim.Commanded++
+			}
+		case held[id] || now < s.lost[id].until:
+		default:
+			fence := claim.Fence
+			if _, lost := s.lost[id]; lost {
+				fence = s.newFence(now)
+				delete(s.lost, id)
+			}
+			s.updateDirectory(now)
+			s.sched.Step(now, sched.Take{Worker: id, Fence: fence})
+		}
+	}
+}
+
+// heldByOthers returns the workers that a host which hands over a cell still uses.
+func heldByOthers(zone string, others []owner.Host) map[string]bool {
+	held := make(map[string]bool)
+	for _, h := range others {
+		for _, c := range h.Claims {
+			if c.Zone != zone {
+				continue
+			}
+			for _, id := range c.Held {
+				held[id] = true
+			}
+		}
+	}
+	return held
+}
+
+// workerLost notes that a worker obeys another host. A cell that has lost most of its
+// workers is given up.
+func (s *State) workerLost(now time.Duration, id string) {
+	e := s.workers[id]
+	if e == nil {
+		return
+	}
+	s.lost[id] = lostWorker{until: now + retakeTime}
+	claim := s.owner.Claim(e.info.Zone)
+	if claim == nil {
+		return
+	}
+	total, lost := 0, 0
+	for other, oe := range s.workers {
+		if oe.info.Zone != e.info.Zone {
+			continue
+		}
+		total++
+		if l, ok := s.lost[other]; ok && now < l.until {
+			lost++
+		}
+	}
+	if 2*lost <= total {
+		return
+	}
+	s.losses++
+	s.stats.CellsLost++
+	s.note("owner", "", "cell lost", "zone", e.info.Zone, "fence", claim.Fence, "lost", lost, "workers", total)
+	s.owner.Lose(now, e.info.Zone)
+	s.releaseAll(e.info.Zone)
+}
+
+// releaseAll hands over the workers of a cell, each when its last run is over.
+func (s *State) releaseAll(zone string) {
+	for id, e := range s.workers {
+		if e.info.Zone == zone {
+			s.sched.Step(0, sched.Release{Worker: id})
+		}
+	}
+}
+
+// workerReleased notes that a worker can be taken by another host.
+func (s *State) workerReleased(now time.Duration, id string) {
+	e := s.workers[id]
+	if e == nil {
+		return
+	}
+	claim := s.owner.Claim(e.info.Zone)
+	if claim == nil || !claim.Releasing {
+		return
+	}
+	if len(s.heldWorkers(e.info.Zone)) == 0 {
+		s.note("owner", "", "cell handed over", "zone", e.info.Zone)
+		s.owner.Released(e.info.Zone)
+	}
+}
+
+// heldWorkers returns the workers of a cell that this host commands.
+func (s *State) heldWorkers(zone string) []string {
+	var held []string
+	for id, e := range s.workers {
+		if e.info.Zone == zone && s.sched.Commands(id) {
+			held = append(held, id)
+		}
+	}
+	return held
+}
+
+// drain hands over the cells and returns the jobs that have not begun.
+func (s *State) drain(now time.Duration) {
+	s.draining = true
+	s.owner.Drain()
+	s.sched.Drain(now)
+	for _, c := range s.owner.Claims() {
+		s.note("owner", "", "handing over a cell", "zone", c.Zone)
+		s.releaseAll(c.Zone)
+		if len(s.heldWorkers(c.Zone)) == 0 {
+			s.owner.Released(c.Zone)
+		}
+	}
+	for _, p := range s.sortedPeers() {
+		p.sentAt = -absentBeat // tells them at once
+	}
+}
+
+// status is what the host tells of itself.
+func (s *State) status(now time.Duration) *meshpb.Status {
+	st := &meshpb.Status{Draining: s.draining, MaxFence: s.maxFence, StoreReachable: s.store}
+	if s.config != nil {
+		st.ConfigVersion = s.config.Version
+	}
+	for _, c := range s.owner.Claims() {
+		cell := &meshpb.Cell{Zone: c.Zone, Fence: c.Fence, Releasing: c.Releasing, Commanded: int64(c.Commanded)}
+		if c.Releasing {
+			cell.Held = s.heldWorkers(c.Zone)
+		} else {
+			cell.Loads = s.loads(now, c.Zone)
+		}
+		st.Cells = append(st.Cells, cell)
+	}
+	return st
+}
--- /dev/null
+++ b/host/choose.go
@@ -0,0 +1,117 @@
+package host
+
+import (
+	"time"
+
+	"sesameledge.dev/sesameledge/mesh/meshpb"
+	"sesameledge.dev/sesameledge/owner"
+	"sesameledge.dev/sesameledge/sched"
+)
+
+const (
+	// distanceCost is the wait that a cell of another zone has to save to be chosen. It
+	// covers the way there and back, and the age of what is known of its load.
+	distanceCost = 8 * time.Millisecond
+)
+
+// cell is a place where a job can run.
+type cell struct {
+	zone string
+	host uint64
+	peer *peer // that commands it; nil: this host
+	load sched.Load
+	wait time.Duration
+	job  *job
+}
+
+// cells returns the cells with a commander that is heard.
+func (s *State) cells(now time.Duration) []*cell {
+	var list []*cell
+	hosts := s.others()
+	hosts = append(hosts, s.ownClaims())
+	for _, zone := range s.opts.Zones {
+		h, _, ok := owner.Holder(zone, hosts)
+		if !ok {
+			continue
+		}
+		c := &cell{zone: zone, host: h.ID}
+		if h.ID != s.opts.Self.ID {
+			c.peer = s.byID[h.ID]
+		}
+		list = append(list, c)
+	}
+	return list
+}
+
+func (s *State) ownClaims() owner.Host {
+	h := owner.Host{Name: s.opts.Self.Name, Zone: s.opts.Self.Zone, ID: s.opts.Self.ID, Draining: s.draining}
+	for _, c := range s.owner.Claims() {
+		h.Claims = append(h.Claims, *c)
+	}
+	return h
+}
+
+// chooseCell returns the cell where a job would begin first, the own zone's unless another
+// one saves more than the way there costs. It answers unequal load on the zones.
+func (s *State) chooseCell(now time.Duration, j *job) (*cell, bool) {
+	var best *cell
+	var bestCost time.Duration
+	for _, c := range s.cells(now) {
+		if j.refused[c.zone] || !s.readLoad(now, c, j.route.Service) {
+			continue
+		}
+		c.wait = c.load.Wait(int64(j.spec.Tasks) * j.spec.Need.CPU)
+		cost := c.wait
+		if c.zone != s.opts.Self.Zone {
+			cost += distanceCost
+		}
+		if best == nil || cost < bestCost {
+			best, bestCost = c, cost
+		}
+	}
+	return best, best != nil
+}
+
+// readLoad fills in what is known of the load of a cell.
+func (s *State) readLoad(now time.Duration, c *cell, service string) bool {
+	if c.peer == nil {
+		load, ok := s.sched.Loads(now, c.zone)[service]
+		c.load = load
+		return ok
+	}
+	for _, pc := range c.peer.status.GetCells() {
+		if pc.GetZone() != c.zone {
+			continue
+		}
+		for _, l := range pc.GetLoads() {
+			if l.GetService() != service {
+				continue
+			}
+			c.load = sched.Load{
+				Free: l.GetFree(), Capacity: l.GetCapacity(), Queued: l.GetQueued(), Rate: l.GetRate(),
+				Task: time.Duration(l.GetTaskMs()) * time.Millisecond,
+			}
+			c.load.Take(c.peer.assigned[c.zone])
+			return c.load.Capacity > 0
+		}
+	}
+	return false
+}
+
+// assign notes that a job goes to the cell, ahead of the next report of its load.
+func (c *cell) assign(j *job) {
+	if c.peer != nil {
+		c.peer.assigned[c.zone] += int64(j.spec.Tasks) * j.spec.Need.CPU
+	}
+}
+
+// loads is the load of an own cell for other hosts.
+func (s *State) loads(now time.Duration, zone string) []*meshpb.Load {
+	var list []*meshpb.Load
+	for service, l := range s.sched.Loads(now, zone) {
+		list = append(list, &meshpb.Load{
+			Service: service, Free: l.Free, Capacity: l.Capacity, Queued: l.Queued, Rate: l.Rate, TaskMs: l.Task.Milliseconds(),
+		})
+	}
+	return list
+}
--- /dev/null
+++ b/host/knowledge.go
@@ -0,0 +1,183 @@
+package host
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"sesameledge.dev/sesameledge/fleet"
+	"sesameledge.dev/sesameledge/mesh/meshpb"
+	"sesameledge.dev/sesameledge/sched"
+)
+
+const (
+	// removalGrace is how long a worker without an entry is kept. Entries that lapse while
+	// the store is away come back about two seconds after its return.
+	removalGrace = 2500 * time.Millisecond
+	// passOnDelay is how long a host may lag behind a configuration before a peer passes it
+	// on.
+	passOnDelay = 300 * time.Millisecond
+)
+
+// entry is a worker's entry in the store.
+type entry struct {
+	info    fleet.Worker
+	record  []byte
+	offset  int64
+	removed time.Duration // when its removal was read; 0: it is there
+}
+
+func (e *entry) gone(now time.Duration) bool {
+	return e.removed != 0 && now-e.removed > removalGrace
+}
+
+// readConfig puts a configuration in force unless a newer one is. It never steps back.
+func (s *State) readConfig(now time.Duration, record []byte, from string) {
+	config, err := s.opts.Decode.Config(record)
+	if err != nil {
+		s.note("config", "", "configuration ignored", "from", from, "err", err)
+		return
+	}
+	if s.config != nil && config.Version <= s.config.Version {
+		return
+	}
+	s.note("config", "", "configuration in force", "version", config.Version, "from", from, "routes", len(config.Routes))
+	s.config = config
+	s.record = record
+	s.adopted = now
+	s.emit(ConfigInForce{Config: config})
+}
+
+// readWorkers takes news of the workers from the store.
+func (s *State) readWorkers(now time.Duration, e WorkersRead) {
+	named := make(map[string]bool, len(e.Records))
+	for _, r := range e.Records {
+		named[r.ID] = true
+		s.readWorker(now, r)
+	}
+	if !e.Snapshot {
+		return
+	}
+	for id, old := range s.workers {
+		if !named[id] && old.removed == 0 {
+			s.note("store", "", "worker is not listed any more", "worker", id)
+			old.removed = now
+		}
+	}
+}
+
+// readWorker takes an entry that is newer than the one known.
+func (s *State) readWorker(now time.Duration, r WorkerRecord) {
+	old := s.workers[r.ID]
+	if old != nil && r.Offset < old.offset {
+		return
+	}
+	if len(r.Record) == 0 {
+		if old != nil && old.removed == 0 {
+			s.note("store", "", "worker removed", "worker", r.ID, "offset", r.Offset)
+			old.removed, old.offset = now, r.Offset
+		}
+		return
+	}
+	info, err := s.opts.Decode.Worker(r.ID, r.Record)
+	if err != nil {
+		s.note("store", "", "entry ignored", "worker", r.ID, "offset", r.Offset, "err", err)
+		if old != nil && old.removed == 0 {
+			old.removed, old.offset = now, r.Offset
+		}
+		return
+	}
+	if old == nil || !sameWorker(old.info, info) || old.removed != 0 {
+		s.changed = true
+	}
+	s.workers[r.ID] = &entry{info: info, record: r.Record, offset: r.Offset}
+}
+
+func sameWorker(a, b fleet.Worker) bool {
+	return a.Addr == b.Addr && a.Draining == b.Draining && a.Service == b.Service &&
+		a.Zone == b.Zone && a.Capacity == b.Capacity && a.Born == b.Born && slices.Equal(a.Labels, b.Labels)
+}
+
+// expireWorkers forgets workers whose entries stayed away.
+func (s *State) expireWorkers(now time.Duration) {
+	for id, e := range s.workers {
+		if e.gone(now) {
+			delete(s.workers, id)
+			delete(s.lost, id)
+			s.changed = true
+		}
+	}
+}
+
+// updateDirectory hands the known workers to the scheduler.
+func (s *State) updateDirectory(now time.Duration) {
+	if !s.changed {
+		return
+	}
+	s.changed = false
+	list := make([]fleet.Worker, 0, len(s.workers))
+	for _, e := range s.workers {
+		list = append(list, e.info)
+	}
+	slices.SortFunc(list, func(a, b fleet.Worker) int { return cmp.Compare(a.ID, b.ID) })
+	s.sched.Step(now, sched.Directory{Workers: list})
+}
+
+func (s *State) storeState(reachable bool) {
+	if s.store == reachable {
+		return
+	}
+	s.store = reachable
+	message := "store lost"
+	if reachable {
+		message = "store reached"
+	}
+	s.note("store", "", message)
+}
+
+// passOn gives hosts that lag behind what they need: the configuration, and the workers if
+// they cannot read the store.
+func (s *State) passOn(now time.Duration) {
+	for _, p := range s.sortedPeers() {
+		if !p.live {
+			continue
+		}
+		s.passOnConfig(now, p)
+		if !p.status.GetStoreReachable() {
+			s.passOnWorkers(p)
+		}
+	}
+}
+
+func (s *State) passOnConfig(now time.Duration, p *peer) {
+	if s.config == nil || now-s.adopted < passOnDelay || p.configTo >= s.config.Version ||
+		p.status.GetConfigVersion() >= s.config.Version {
+		return
+	}
+	p.configTo = s.config.Version
+	p.session.Send(&meshpb.Message{Kind: &meshpb.Message_Config{Config: &meshpb.Config{Version: s.config.Version, Record: s.record}}})
+}
+
+func (s *State) passOnWorkers(p *peer) {
+	list := &meshpb.Workers{}
+	newest := p.workersTo
+	for id, e := range s.workers {
+		if e.offset < p.workersTo || e.removed != 0 {
+			continue
+		}
+		newest = max(newest, e.offset+1)
+		list.Workers = append(list.Workers, &meshpb.Worker{Id: id, Record: e.record, Offset: e.offset})
+	}
+	if len(list.Workers) == 0 {
+		return
+	}
+	p.workersTo = newest
+	p.session.Send(&meshpb.Message{Kind: &meshpb.Message_Workers{Workers: list}})
+}
+
+// passedOn takes the workers that a peer knows.
+func (s *State) passedOn(now time.Duration, list *meshpb.Workers) {
+	for _, w := range list.GetWorkers() {
+		s.readWorker(now, WorkerRecord{ID: w.GetId(), Record: w.GetRecord(), Offset: w.GetOffset()})
+	}
+}
--- /dev/null
+++ b/host/peers.go
@@ -0,0 +1,227 @@
+package host
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"sesameledge.dev/sesameledge/mesh/meshpb"
+	"sesameledge.dev/sesameledge/owner"
+	"sesameledge.dev/sesameledge/sched"
+	"sesameledge.dev/sesameledge/session"
+)
+
+const (
+	// beatTime is the period of frames between hosts.
+	beatTime = 100 * time.Millisecond
+	// contactTime is the age of a contact at which a host counts as lost. With the lease of
+	// a worker it has to stay under the time after which callers send a job again.
+	contactTime = 450 * time.Millisecond
+	// redialTime is the age of a contact at which its connection is replaced.
+	redialTime = 250 * time.Millisecond
+	// redialPause is the least time between two connections to one host.
+	redialPause = 300 * time.Millisecond
+	// absentTime is the age of a contact from which frames are sent less often.
+	absentTime = 5 * time.Second
+	// absentBeat is the period of frames to a host that does not answer.
+	absentBeat = time.Second
+)
+
+// peer is another entry host.
+type peer struct {
+	info      *meshpb.Host // name, zone and process are empty until it is heard
+	session   *session.Session
+	status    *meshpb.Status
+	live      bool
+	met       time.Duration
+	sentAt    time.Duration // of the newest frame to it
+	redialed  time.Duration
+	statusAt  time.Duration
+	assigned  map[string]int64 // work handed to its cells since statusAt, by zone, in thousandths of a core times ms
+	configTo  int64            // newest configuration passed on to it
+	workersTo int64            // offset up to which workers were passed on to it
+}
+
+// meet notes a host that may be reached.
+func (s *State) meet(h *meshpb.Host) {
+	if h.GetAddr() == "" || h.GetAddr() == s.opts.Self.Addr || s.peers[h.GetAddr()] != nil {
+		return
+	}
+	s.peers[h.GetAddr()] = &peer{
+		info:     &meshpb.Host{Addr: h.GetAddr()},
+		session:  session.New(),
+		status:   &meshpb.Status{},
+		sentAt:   -absentBeat,
+		assigned: make(map[string]int64),
+	}
+}
+
+// sortedPeers returns the peers in a fixed order.
+func (s *State) sortedPeers() []*peer {
+	list := make([]*peer, 0, len(s.peers))
+	for _, p := range s.peers {
+		list = append(list, p)
+	}
+	slices.SortFunc(list, func(a, b *peer) int { return cmp.Compare(a.info.GetAddr(), b.info.GetAddr()) })
+	return list
+}
+
+// frame takes a frame of another host.
+func (s *State) frame(now time.Duration, f *meshpb.Frame) {
+	from := f.GetFrom()
+	if from.GetId() == s.opts.Self.ID || from.GetAddr() == "" {
+		return
+	}
+	s.stats.FramesIn++
+	s.meet(from)
+	p := s.peers[from.GetAddr()]
+	if p.info.GetId() != from.GetId() {
+		s.replaced(now, p, from)
+	}
+	if f.GetTo() != s.opts.Self.ID {
+		// Meant for an earlier process at this address, or from a host that does not know
+		// this one yet: only its own time stamp counts.
+		f.Echo, f.Ack, f.Messages = 0, 0, nil
+	}
+	messages := p.session.Take(now, f)
+	s.revive(now, p)
+	if f.GetStatus() != nil {
+		p.status = f.GetStatus()
+		p.statusAt = now
+		clear(p.assigned)
+		s.maxFence = max(s.maxFence, p.status.GetMaxFence())
+	}
+	for _, m := range messages {
+		s.message(now, p, m)
+	}
+}
+
+// replaced starts over with a new process at a known address.
+func (s *State) replaced(now time.Duration, p *peer, from *meshpb.Host) {
+	if p.info.GetId() != 0 {
+		s.note("mesh", "host restarted", "host", from.GetName(), "addr", from.GetAddr())
+		s.abandon(now, p)
+	}
+	delete(s.byID, p.info.GetId())
+	p.info = from
+	p.session = session.New()
+	p.live = false
+	p.met = now
+	p.configTo, p.workersTo = 0, 0
+	s.byID[from.GetId()] = p
+	p.session.Send(&meshpb.Message{Kind: &meshpb.Message_Hosts{Hosts: &meshpb.Hosts{Hosts: s.knownHosts()}}})
+}
+
+func (s *State) knownHosts() []*meshpb.Host {
+	var hosts []*meshpb.Host
+	for _, p := range s.sortedPeers() {
+		if p.info.GetId() != 0 {
+			hosts = append(hosts, p.info)
+		}
+	}
+	return hosts
+}
+
+func (s *State) fresh(now time.Duration, p *peer) bool {
+	return p.session.Contact() != 0 && now-p.session.Contact() <= contactTime
+}
+
+func (s *State) revive(now time.Duration, p *peer) {
+	if p.live || !s.fresh(now, p) {
+		return
+	}
+	p.live = true
+	s.note("mesh", "", "host in contact", "host", p.info.GetName(), "addr", p.info.GetAddr())
+}
+
+// loseContacts gives up the hosts that have been silent for too long. It comes before any
+// other event, so that a host that stood still does not act on what it knew before.
+func (s *State) loseContacts(now time.Duration) {
+	for _, p := range s.sortedPeers() {
+		if p.live && !s.fresh(now, p) {
+			s.note("mesh", "", "host lost", "host", p.info.GetName(), "addr", p.info.GetAddr(), "silent", now-p.session.Contact())
+			s.abandon(now, p)
+		}
+	}
+}
+
+// abandon ends what this host does for a lost host, and what that one did for it.
+func (s *State) abandon(now time.Duration, p *peer) {
+	p.live = false
+	if n := s.sched.CancelHost(now, p.info.GetId()); n > 0 {
+		s.note("mesh", "", "jobs of a lost host cancelled", "host", p.info.GetName(), "jobs", n)
+	}
+	s.commanderLost(now, p.info.GetId())
+}
+
+func (s *State) message(now time.Duration, p *peer, m *meshpb.Message) {
+	switch kind := m.GetKind().(type) {
+	case *meshpb.Message_Submit:
+		s.submitted(now, p, kind.Submit)
+	case *meshpb.Message_Cancel:
+		s.sched.Step(now, sched.Cancel{Key: sched.JobKey{Host: p.info.GetId(), Seq: kind.Cancel.GetSeq()}})
+	case *meshpb.Message_Outcome:
+		s.outcome(now, p.info.GetId(), kind.Outcome)
+	case *meshpb.Message_Config:
+		s.readConfig(now, kind.Config.GetRecord(), p.info.GetName())
+	case *meshpb.Message_Workers:
+		s.passedOn(now, kind.Workers)
+	case *meshpb.Message_Hosts:
+		for _, h := range kind.Hosts.GetHosts() {
+			s.meet(h)
+		}
+	}
+}
+
+// sendDue sends the frames that are due: heartbeats, and messages at once.
+func (s *State) sendDue(now time.Duration) {
+	for _, p := range s.sortedPeers() {
+		if !p.session.Due() && now-p.sentAt < s.beat(now, p) {
+			continue
+		}
+		s.redial(now, p)
+		f := &meshpb.Frame{
+			From:   &meshpb.Host{Name: s.opts.Self.Name, Zone: s.opts.Self.Zone, Addr: s.opts.Self.Addr, Id: s.opts.Self.ID},
+			To:     p.info.GetId(),
+			Status: s.status(now),
+		}
+		p.session.Fill(now, f)
+		p.sentAt = now
+		s.stats.FramesOut++
+		s.emit(SendFrame{Addr: p.info.GetAddr(), Frame: f})
+	}
+}
+
+func (s *State) beat(now time.Duration, p *peer) time.Duration {
+	if now-max(p.session.Contact(), p.met) > absentTime {
+		return absentBeat
+	}
+	return beatTime
+}
+
+// redial replaces the connection to a host that has gone silent.
+func (s *State) redial(now time.Duration, p *peer) {
+	since := max(p.session.Contact(), p.met)
+	if now-since < redialTime || now-p.redialed < redialPause {
+		return
+	}
+	p.redialed = now
+	s.stats.Redials++
+	s.emit(Redial{Addr: p.info.GetAddr()})
+}
+
+// others returns the live peers as package owner sees them.
+func (s *State) others() []owner.Host {
+	var list []owner.Host
+	for _, p := range s.sortedPeers() {
+		if !p.live {
+			continue
+		}
+		h := owner.Host{Name: p.info.GetName(), Zone: p.info.GetZone(), ID: p.info.GetId(), Draining: p.status.GetDraining()}
+		for _, c := range p.status.GetCells() {
+			h.Claims = append(h.Claims, owner.Claim{Zone: c.GetZone(), Fence: c.GetFence(), Releasing: c.GetReleasing(), Held: c.GetHeld(), Commanded: int(c.GetCommanded())})
+		}
+		list = append(list, h)
+	}
+	return list
+}
--- a/platform/wire.go
+++ b/logapi/wire.go
@@ -1,6 +1,6 @@
-// Package platform is the client of the platform's services: the append-only log, the
+// Package logapi is the client of the platform's services: the append-only log, the
 // list of hosts, and the workers. Its JSON messages are the platform's protocol.
-package platform
+package logapi
 
 import "sesameledge.dev/sesameledge/place"
 
--- /dev/null
+++ b/owner/owner.go
@@ -0,0 +1,181 @@
+// Package owner decides which host commands the workers of an availability zone, its cell.
+// Each host decides for itself from what the others announce; no decision needs agreement,
+// because a worker obeys only the highest fencing token it has seen. A wrong view therefore
+// costs a change of command, never a second commander.
+//
+// Command stays where it is while its holder lives, so hosts that join cause no change. A
+// cell without a live holder goes to the live host of its zone that ranks first in a hash
+// of cell and host.
+package owner
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// settleTime is how long a new process listens before it takes a cell.
+	settleTime = 800 * time.Millisecond
+	// retryTime is the pause before a host takes a cell again that it has lost.
+	retryTime = 2 * time.Second
+	// aloneRetry is that pause for a host that hears no other one. It is more likely cut off
+	// than the last one alive.
+	aloneRetry = 10 * time.Second
+)
+
+// Host is what a host knows of one that it hears, itself included.
+type Host struct {
+	Name     string
+	Zone     string
+	ID       uint64 // of its process
+	Draining bool
+	Claims   []Claim
+}
+
+// Claim is the announcement that a host commands a cell.
+type Claim struct {
+	Zone      string
+	Fence     int64
+	Releasing bool     // handed over worker by worker
+	Held      []string // workers not yet released
+	Commanded int      // workers that obey
+}
+
+// Decision is a change of this host's claims.
+type Decision struct {
+	Zone   string
+	Take   bool // otherwise the claim is given up
+	Reason string
+}
+
+// State holds this host's claims.
+type State struct {
+	self    Host
+	started time.Duration
+	claims  map[string]*Claim
+	retry   map[string]time.Duration // earliest time to take a cell again
+	lostAt  map[string]time.Duration
+}
+
+// New returns the state of a process that starts now.
+func New(now time.Duration, self Host) *State {
+	return &State{
+		self:    self,
+		started: now,
+		claims:  make(map[string]*Claim),
+		retry:   make(map[string]time.Duration),
+		lostAt:  make(map[string]time.Duration),
+	}
+}
+
+// Claim returns the claim on a zone's cell, or nil. The caller keeps Held and Commanded
+// up to date.
+func (s *State) Claim(zone string) *Claim { return s.claims[zone] }
+
+// Claims returns the claims in a fixed order.
+func (s *State) Claims() []*Claim {
+	list := make([]*Claim, 0, len(s.claims))
+	for _, c := range s.claims {
+		list = append(list, c)
+	}
+	slices.SortFunc(list, func(a, b *Claim) int { return cmp.Compare(a.Zone, b.Zone) })
+	return list
+}
+
+// Take notes that the host takes a cell under a fencing token.
+func (s *State) Take(zone string, fence int64) {
+	s.claims[zone] = &Claim{Zone: zone, Fence: fence}
+}
+
+// Lose notes that the workers of a cell obey another host.
+func (s *State) Lose(now time.Duration, zone string) {
+	delete(s.claims, zone)
+	s.retry[zone] = now + retryTime
+	s.lostAt[zone] = now
+}
+
+// Drain starts to hand over all cells.
+func (s *State) Drain() {
+	s.self.Draining = true
+	for _, c := range s.claims {
+		c.Releasing = true
+	}
+}
+
+// Released notes that a cell has been handed over completely.
+func (s *State) Released(zone string) { delete(s.claims, zone) }
+
+// Decide returns what to change about a zone's cell, given the other hosts that are heard.
+func (s *State) Decide(now time.Duration, zone string, others []Host) (Decision, bool) {
+	mine := s.claims[zone]
+	best, found := holder(zone, others)
+	switch {
+	case mine != nil && mine.Releasing:
+		return Decision{}, false
+	case mine != nil:
+		if found && mine.weaker(best) {
+			return Decision{Zone: zone, Reason: "another host commands more workers of the cell"}, true
+		}
+		return Decision{}, false
+	case found || s.self.Draining || now < s.started+settleTime || now < s.retry[zone]:
+		return Decision{}, false
+	case len(others) == 0 && s.lostAt[zone] != 0 && now < s.lostAt[zone]+aloneRetry:
+		return Decision{}, false
+	case s.rankedFirst(zone, others):
+		return Decision{Zone: zone, Take: true, Reason: "no host commands the cell"}, true
+	}
+	return Decision{}, false
+}
+
+// Holder returns the host whose claim on a zone's cell counts. A host that hands the cell
+// over does not hold it.
+func Holder(zone string, hosts []Host) (Host, Claim, bool) {
+	var host Host
+	var best Claim
+	found := false
+	for _, h := range hosts {
+		for _, c := range h.Claims {
+			if c.Zone != zone || c.Releasing || h.Draining {
+				continue
+			}
+			if !found || best.weaker(c) {
+				host, best, found = h, c, true
+			}
+		}
+	}
+	return host, best, found
+}
+
+func holder(zone string, hosts []Host) (Claim, bool) {
+	_, c, found := Holder(zone, hosts)
+	return c, found
+}
+
+// weaker orders claims on one cell: the host that more workers obey keeps it, so that one
+// returning from a partition does not take it away.
+func (c Claim) weaker(other Claim) bool {
+	if c.Commanded != other.Commanded {
+		return c.Commanded < other.Commanded
+	}
+	return c.Fence < other.Fence
+}
+
+// rankedFirst reports whether this host is the one to take a cell without a holder.
+func (s *State) rankedFirst(zone string, others []Host) bool {
+	if s.self.Zone != zone {
+		return false
+	}
+	mine := rank(zone, s.self.Name)
+	for _, h := range others {
+		if h.Zone == zone && !h.Draining && rank(zone, h.Name) < mine {
+			return false
+		}
+	}
+	return true
+}
+
+// rank orders the hosts of a cell.
+func rank(zone, host string) uint64 { return xxhash.Sum64String(zone + "\x00" + host) }
--- /dev/null
+++ b/sched/job.go
@@ -0,0 +1,222 @@
+package sched
+
+import (
+	"time"
+
+	"sesameledge.dev/sesameledge/fleet"
+)
+
+// lateFactor is the multiple of a job's objective up to which its answer is of use.
+const lateFactor = 3
+
+// job is a job in progress.
+type job struct {
+	key       JobKey
+	zone      string
+	spec      fleet.JobSpec
+	route     fleet.Route
+	arrived   time.Duration // when the caller's request arrived
+	deadline  time.Duration // when the caller stops waiting
+	base      time.Duration // predicted duration of a task on a worker of mean speed
+	objective time.Duration // answer time that the route promises, from arrived
+	waiting   []int         // tasks without a run
+	attempts  []int64       // newest attempt of each task
+	failures  []int         // runs of each task that ended failed
+	runs      int           // that may be at work
+	done      int           // tasks
+	begun     int           // starts that were not refused: tasks of the job may have run
+	finished  bool
+}
+
+// submit admits a job or refuses it at once.
+func (s *State) submit(now time.Duration, in Job) {
+	if s.jobs[in.Key] != nil {
+		return // sent again by the entry host
+	}
+	j := &job{
+		key: in.Key, zone: in.Zone, spec: in.Spec, route: in.Route,
+		arrived: now - in.Age, deadline: now + in.Left,
+		waiting:  make([]int, in.Spec.Tasks),
+		attempts: make([]int64, in.Spec.Tasks),
+		failures: make([]int, in.Spec.Tasks),
+	}
+	for i := range j.waiting {
+		j.waiting[i] = i
+	}
+	j.base = s.model.predict(in.Route.Name, in.Spec.Estimate)
+	j.objective = time.Duration(float64(j.base)*max(1, in.Route.SlackFactor)) + in.Route.Target
+	s.jobs[j.key] = j
+	if reason := s.refusal(now, j); reason != "" {
+		s.finish(now, j, Refused, reason)
+		return
+	}
+	s.queue = append(s.queue, j)
+	s.dirty = true
+}
+
+// cancel stops a job that nobody waits for.
+func (s *State) cancel(now time.Duration, key JobKey) {
+	if j := s.jobs[key]; j != nil {
+		s.finish(now, j, Aborted, "the caller is gone")
+	}
+}
+
+// finish ends a job for its caller and stops what is left of it.
+func (s *State) finish(now time.Duration, j *job, o Outcome, reason string) {
+	if j.finished {
+		return
+	}
+	j.finished = true
+	if o == Refused && j.begun > 0 {
+		o = Aborted
+	}
+	delete(s.jobs, j.key)
+	j.waiting = nil
+	if j.runs > 0 {
+		s.stopRuns(now, j)
+	}
+	s.count(o)
+	s.emit(Finish{Key: j.key, Outcome: o, Reason: reason})
+	s.dirty = true
+}
+
+func (s *State) count(o Outcome) {
+	switch o {
+	case Completed:
+		s.stats.Completed++
+	case Failed:
+		s.stats.Failed++
+	case Refused:
+		s.stats.Refused++
+	case Aborted:
+		s.stats.Aborted++
+	}
+}
+
+func (s *State) stopRuns(now time.Duration, j *job) {
+	for _, w := range s.order {
+		for _, r := range sortedRuns(w) {
+			if r.job == j && r.stop.wanted == 0 {
+				r.stop.wanted = now
+				s.sendStop(now, w, r.key, &r.stop)
+			}
+		}
+	}
+}
+
+// over ends a run and decides what becomes of its task.
+func (s *State) over(now time.Duration, w *worker, r *run, how fleet.How) {
+	delete(w.runs, r.key)
+	s.dirty = true
+	j := r.job
+	j.runs--
+	if how == fleet.EndDone {
+		s.stats.Done++
+		s.learn(now, w, r)
+	}
+	if j.finished {
+		return
+	}
+	switch how {
+	case fleet.EndDone:
+		j.done++
+		if j.done == j.spec.Tasks {
+			s.finish(now, j, Completed, "")
+		}
+		return
+	case fleet.EndFailed:
+		s.stats.FailedRuns++
+		w.noteFailure(now)
+		j.failures[r.index]++
+	}
+	if j.failures[r.index] >= j.route.MaxAttempts {
+		s.finish(now, j, Failed, "a task failed in all its attempts")
+		return
+	}
+	j.waiting = append(j.waiting, r.index)
+	if len(j.waiting) == 1 {
+		s.enqueue(j)
+	}
+}
+
+// enqueue puts a job back among those with waiting tasks.
+func (s *State) enqueue(j *job) {
+	for _, q := range s.queue {
+		if q == j {
+			return
+		}
+	}
+	s.queue = append(s.queue, j)
+}
+
+// unstart takes back a start that had no effect.
+func (j *job) unstart(*run) { j.begun-- }
+
+// newRun makes the run of a job's next waiting task.
+func (j *job) newRun(index int) fleet.RunKey {
+	j.attempts[index]++
+	return fleet.RunKey{Task: fleet.Task{Job: j.spec.ID, Index: index}, Attempt: j.attempts[index]}
+}
+
+// expire ends the waiting jobs that can no longer be answered in a useful time.
+func (s *State) expire(now time.Duration) {
+	for _, j := range s.sortedJobs() {
+		switch {
+		case now >= j.deadline:
+			s.giveUp(now, j, "the caller's time is up")
+		case len(j.waiting) > 0 && s.hopeless(now, j):
+			s.giveUp(now, j, "no longer possible in a useful time")
+		case j.begun == 0 && !s.served(j):
+			s.giveUp(now, j, "no worker of the service is at hand")
+		}
+	}
+}
+
+func (s *State) giveUp(now time.Duration, j *job, reason string) {
+	if j.begun > 0 {
+		s.finish(now, j, Failed, reason)
+		return
+	}
+	s.finish(now, j, Refused, reason)
+}
+
+// hopeless reports whether the job's answer would come too late even if its waiting tasks
+// started now on the fastest worker.
+func (s *State) hopeless(now time.Duration, j *job) bool {
+	quickest := time.Duration(float64(j.base) / s.model.fastest)
+	return now+quickest > min(j.deadline, j.arrived+lateFactor*j.objective)
+}
+
+// served reports whether any worker counts for the job.
+func (s *State) served(j *job) bool {
+	for _, w := range s.order {
+		if j.eligible(w) && w.counts() {
+			return true
+		}
+	}
+	return false
+}
+
+// Drain refuses new jobs and those that have not begun. Workers that are released serve the
+// others until these have ended.
+func (s *State) Drain(now time.Duration) {
+	s.draining = true
+	for _, j := range s.sortedJobs() {
+		if j.begun == 0 {
+			s.finish(now, j, Refused, "the host hands over its workers")
+		}
+	}
+	s.compactQueue()
+}
+
+// CancelHost gives up all jobs that came from a process.
+func (s *State) CancelHost(now time.Duration, host uint64) int {
+	n := 0
+	for _, j := range s.sortedJobs() {
+		if j.key.Host == host {
+			s.finish(now, j, Aborted, "the entry host is gone")
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/sched/load.go
@@ -0,0 +1,69 @@
+package sched
+
+import "time"
+
+// Load describes how busy the workers of a service in one zone are. Processors are in
+// thousandths of a core.
+type Load struct {
+	Free     int64         // unused
+	Capacity int64         // of the commanded workers
+	Queued   int64         // processors that waiting tasks need, times ms
+	Rate     int64         // processors that the workers give, with their speeds
+	Task     time.Duration // mean duration of a running task
+}
+
+// Take notes work that has been assigned and is not in the figures yet.
+func (l *Load) Take(need int64) {
+	used := min(l.Free, need)
+	l.Free -= used
+	l.Queued += (need - used) * max(1, l.Task.Milliseconds())
+}
+
+// Wait returns how long a job that needs so many processors waits until all its tasks have
+// begun.
+func (l Load) Wait(need int64) time.Duration {
+	rate := max(1, l.Rate)
+	wait := time.Duration(l.Queued/rate) * time.Millisecond
+	if short := need - l.Free; short > 0 {
+		wait += time.Duration(float64(l.Task) * float64(short) / float64(rate))
+	}
+	return wait
+}
+
+// Loads returns the load of a zone's workers by service.
+func (s *State) Loads(now time.Duration, zone string) map[string]Load {
+	loads := make(map[string]Load)
+	rates := make(map[string]float64)
+	running := make(map[string]float64)
+	for _, w := range s.order {
+		if !w.counts() || w.info.Zone != zone {
+			continue
+		}
+		l := loads[w.info.Service]
+		free := w.info.Capacity.CPU
+		for _, r := range w.runs {
+			free -= r.need.CPU
+			running[w.info.Service] += float64(r.need.CPU) * float64(r.predicted)
+		}
+		l.Capacity += w.info.Capacity.CPU
+		l.Free += max(0, free)
+		loads[w.info.Service] = l
+		rates[w.info.Service] += float64(w.info.Capacity.CPU) * packing * w.speed
+	}
+	for _, j := range s.queue {
+		l, ok := loads[j.route.Service]
+		if !ok || j.zone != zone {
+			continue
+		}
+		l.Queued += int64(len(j.waiting)) * j.spec.Need.CPU * j.base.Milliseconds()
+		loads[j.route.Service] = l
+	}
+	for service, l := range loads {
+		l.Rate = int64(rates[service])
+		if busy := l.Capacity - l.Free; busy > 0 {
+			l.Task = time.Duration(running[service] / float64(busy))
+		}
+		loads[service] = l
+	}
+	return loads
+}
--- /dev/null
+++ b/sched/place.go
@@ -0,0 +1,207 @@
+package sched
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"sesameledge.dev/sesameledge/fleet"
+)
+
+// packing is the share of a worker's processors that tasks of unlike size can use.
+const packing = 0.85
+
+// Place starts waiting tasks where there is room. Jobs come in the order in which they
+// have to begin to be answered in time; those that are late already come last, because
+// their answers are worth less. It answers bursts that fill all workers.
+func (s *State) Place(now time.Duration) {
+	if !s.dirty {
+		return
+	}
+	s.dirty = false
+	s.compactQueue()
+	if len(s.queue) == 0 {
+		return
+	}
+	usable := s.usableWorkers(now)
+	s.sortQueue(now)
+	for _, j := range s.queue {
+		s.placeJob(now, j, usable[pool{j.zone, j.route.Service}])
+	}
+	s.compactQueue()
+}
+
+func (s *State) compactQueue() {
+	s.queue = slices.DeleteFunc(s.queue, func(j *job) bool { return j.finished || len(j.waiting) == 0 })
+}
+
+// candidate is a worker with room.
+type candidate struct {
+	w    *worker
+	free fleet.Resources
+}
+
+// pool is the workers of a service in one zone.
+type pool struct{ zone, service string }
+
+// eligible reports whether the worker belongs to the job's service and cell.
+func (j *job) eligible(w *worker) bool {
+	return w.info.Zone == j.zone && w.info.Service == j.route.Service
+}
+
+func (s *State) usableWorkers(now time.Duration) map[pool][]*candidate {
+	pools := make(map[pool][]*candidate)
+	for _, w := range s.order {
+		if !w.usable(now) {
+			continue
+		}
+		p := pool{w.info.Zone, w.info.Service}
+		pools[p] = append(pools[p], &candidate{w: w, free: w.free()})
+	}
+	return pools
+}
+
+func (s *State) sortQueue(now time.Duration) {
+	slices.SortStableFunc(s.queue, func(a, b *job) int {
+		la, lb := a.late(now), b.late(now)
+		if la != lb {
+			if la {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Compare(a.latestStart(), b.latestStart())
+	})
+}
+
+// latestStart is when the job's tasks have to start for an answer in time.
+func (j *job) latestStart() time.Duration { return j.arrived + j.objective - j.base }
+
+func (j *job) late(now time.Duration) bool { return now > j.latestStart() }
+
+func (s *State) placeJob(now time.Duration, j *job, workers []*candidate) {
+	var left []int
+	for _, index := range j.waiting {
+		c := s.choose(j, workers)
+		if c == nil {
+			left = append(left, index)
+			continue
+		}
+		c.free = c.free.Sub(j.spec.Need)
+		s.start(now, j, index, c.w)
+	}
+	j.waiting = left
+}
+
+// choose returns the worker on which a task of the job ends first, or nil.
+func (s *State) choose(j *job, workers []*candidate) *candidate {
+	var best *candidate
+	var bestScore float64
+	for _, c := range workers {
+		if !c.free.Fits(j.spec.Need) || !j.allows(c.w) {
+			continue
+		}
+		score := c.w.speed
+		if j.spec.Rack != "" && c.w.info.Rack == j.spec.Rack {
+			score *= rackGain
+		}
+		score += loadWeight * float64(c.free.CPU) / float64(max(1, c.w.info.Capacity.CPU))
+		if best == nil || score > bestScore {
+			best, bestScore = c, score
+		}
+	}
+	return best
+}
+
+const (
+	// rackGain is how much faster a task runs near its data.
+	rackGain = 2
+	// loadWeight makes the emptier of two workers of like speed the better one.
+	loadWeight = 0.1
+)
+
+// allows reports whether the job's constraints permit the worker.
+func (j *job) allows(w *worker) bool {
+	if j.spec.Label != "" && !w.info.HasLabel(j.spec.Label) {
+		return false
+	}
+	if j.spec.MaxPerWorker <= 0 {
+		return true
+	}
+	n := 0
+	for _, r := range w.runs {
+		if r.job.spec.ID == j.spec.ID {
+			n++
+		}
+	}
+	return n < j.spec.MaxPerWorker
+}
+
+// start starts a task on a worker.
+func (s *State) start(now time.Duration, j *job, index int, w *worker) {
+	key := j.newRun(index)
+	until := w.leaseEnd(now, leaseTime)
+	w.grant(now, leaseTime)
+	r := &run{
+		key: key, job: j, index: index, need: j.spec.Need, sent: now, until: until,
+		predicted: time.Duration(float64(j.base) / w.speed),
+	}
+	w.runs[key] = r
+	j.runs++
+	j.begun++
+	s.stats.Starts++
+	w.nextHold = min(w.nextHold, now)
+	s.emit(StartRun{Worker: w.info, Order: fleet.StartOrder{Run: key, Payload: j.spec.Payload, Fence: w.fence, Until: until}})
+}
+
+// noteFailure keeps new tasks away from a worker on which one task after the other fails.
+func (w *worker) noteFailure(now time.Duration) {
+	w.failures++
+	if w.failures >= failuresInARow {
+		w.block(now)
+	}
+}
+
+// failuresInARow is the number of failed runs in a row that speak against a worker. Two in
+// a thousand fail on sound ones.
+const failuresInARow = 2
+
+// refusal says why a job has no prospect, or returns an empty string.
+func (s *State) refusal(now time.Duration, j *job) string {
+	if s.draining {
+		return "the host hands over its workers"
+	}
+	load, ok := s.Loads(now, j.zone)[j.route.Service]
+	if !ok || load.Capacity == 0 {
+		return "no worker of the service is at hand"
+	}
+	if !s.couldHold(j) {
+		return "no worker could hold a task of the job"
+	}
+	if now+load.Wait(int64(j.spec.Tasks)*j.spec.Need.CPU)+j.base > min(j.deadline, j.arrived+lateFactor*j.objective) {
+		return "the wait is too long"
+	}
+	return ""
+}
+
+func (s *State) couldHold(j *job) bool {
+	for _, w := range s.order {
+		if w.counts() && j.eligible(w) && w.info.Capacity.Fits(j.spec.Need) &&
+			(j.spec.Label == "" || w.info.HasLabel(j.spec.Label)) {
+			return true
+		}
+	}
+	return false
+}
+
+// sortedJobs returns the jobs in a fixed order.
+func (s *State) sortedJobs() []*job {
+	jobs := make([]*job, 0, len(s.jobs))
+	for _, j := range s.jobs {
+		jobs = append(jobs, j)
+	}
+	slices.SortFunc(jobs, func(a, b *job) int {
+		return cmp.Or(cmp.Compare(a.key.Host, b.key.Host), cmp.Compare(a.key.Seq, b.key.Seq))
+	})
+	return jobs
+}
--- a/standin/chaos/keyed.go
+++ b/standin/chaos/keyed.go
@@ -12,7 +12,7 @@
 
 	"sesameledge.dev/sesameledge/api"
 	"sesameledge.dev/sesameledge/claim"
-	"sesameledge.dev/sesameledge/platform"
+	"sesameledge.dev/sesameledge/logapi"
 	"sesameledge.dev/sesameledge/standin/minionsim"
 	"sesameledge.dev/sesameledge/standin/testbed"
 	"sesameledge.dev/sesameledge/ticket"
@@ -163,10 +163,10 @@
 // claims reads the claims stream and returns the tickets of each key.
 func (k *keyedLoad) claims(ctx context.Context) (map[string]map[ticket.ID]bool, error) {
 	out := make(map[string]map[ticket.ID]bool)
-	c := platform.NewClient(k.bed.PlatformURL, readTimeout)
+	c := logapi.NewClient(k.bed.PlatformURL, readTimeout)
 	defer c.Close()
 	for from := uint64(0); ; {
-		reply, err := c.Read(ctx, platform.StreamClaims, from, 0)
+		reply, err := c.Read(ctx, logapi.StreamClaims, from, 0)
 		if err != nil {
 			return nil, errors.Wrap(err, "reading the claims")
 		}
--- a/standin/configbench/publish.go
+++ b/standin/configbench/publish.go
@@ -12,7 +12,7 @@
 
 	"sesameledge.dev/sesameledge/config"
 	"sesameledge.dev/sesameledge/daemon"
-	"sesameledge.dev/sesameledge/platform"
+	"sesameledge.dev/sesameledge/logapi"
 	"sesameledge.dev/sesameledge/standin/platformsim"
 	"sesameledge.dev/sesameledge/standin/testbed"
 )
@@ -116,12 +116,12 @@
 // readLog replays the config stream by the rule alone: the first record of an identity is
 // accepted if its base is the number of revisions before it.
 func (b *bench) readLog(ctx context.Context) (accepted map[string]uint64, snapshots int, err error) {
-	client := platform.NewClient(b.bed.PlatformURL, time.Second)
+	client := logapi.NewClient(b.bed.PlatformURL, time.Second)
 	defer client.Close()
 	accepted = make(map[string]uint64)
 	seen := make(map[string]bool)
 	for next := uint64(0); ; {
-		reply, err := client.Read(ctx, platform.StreamConfig, next, 0)
+		reply, err := client.Read(ctx, logapi.StreamConfig, next, 0)
 		if err != nil || len(reply.Records) == 0 {
 			return accepted, snapshots, err
 		}
--- a/standin/configproof/keys_test.go
+++ b/standin/configproof/keys_test.go
@@ -12,7 +12,7 @@
 
 	"sesameledge.dev/sesameledge/api"
 	"sesameledge.dev/sesameledge/daemon"
-	"sesameledge.dev/sesameledge/platform"
+	"sesameledge.dev/sesameledge/logapi"
 	"sesameledge.dev/sesameledge/standin/minionsim"
 	"sesameledge.dev/sesameledge/standin/platformsim"
 	"sesameledge.dev/sesameledge/standin/testbed"
@@ -147,7 +147,7 @@
 			t.Errorf("%s was started %d times", id, tasks[0])
 		}
 	}
-	t.Logf("%d submissions of %d keys took %d appends", keys*callers, keys, len(s.records(platform.StreamClaims)))
+	t.Logf("%d submissions of %d keys took %d appends", keys*callers, keys, len(s.records(logapi.StreamClaims)))
 }
 
 // Guards against a refusal, or an answer at all, about a key while the log is out: another
--- a/standin/configproof/mark_test.go
+++ b/standin/configproof/mark_test.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"sesameledge.dev/sesameledge/daemon"
-	"sesameledge.dev/sesameledge/platform"
+	"sesameledge.dev/sesameledge/logapi"
 	"sesameledge.dev/sesameledge/standin/platformsim"
 	"sesameledge.dev/sesameledge/standin/proxysim"
 	"sesameledge.dev/sesameledge/standin/testbed"
@@ -25,14 +25,14 @@
 // marks registers minions past the host and marks them as leaving one after the other.
 type marks struct {
 	*site
-	client *platform.Client
+	client *logapi.Client
 	minion int
 }
 
 func newMarks(t *testing.T) *marks {
 	s := newSite(t, 1, platformsim.Config{HostLag: -1, HostTTL: time.Hour}, nil)
 	s.start(0)
-	m := &marks{site: s, client: platform.NewClient(s.sim.URL(), time.Second)}
+	m := &marks{site: s, client: logapi.NewClient(s.sim.URL(), time.Second)}
 	t.Cleanup(m.client.Close)
 	return m
 }
@@ -51,9 +51,9 @@
 
 func (m *marks) name() string { return fmt.Sprintf("minion-%d", m.minion) }
 
-func (m *marks) register(state platform.HostState) {
+func (m *marks) register(state logapi.HostState) {
 	m.t.Helper()
-	must(m.t, m.client.Register(context.Background(), platform.Host{ID: m.name(), Kind: platform.KindMinion,
+	must(m.t, m.client.Register(context.Background(), logapi.Host{ID: m.name(), Kind: logapi.KindMinion,
 		Address: "127.0.0.1:1", Identity: "a", Zone: "malabar", Group: "demo", State: state, Slots: 1}))
 }
 
@@ -76,11 +76,11 @@
 	var took []time.Duration
 	for range rounds {
 		m.minion++
-		m.register(platform.HostLive)
+		m.register(logapi.HostLive)
 		m.await(false)
 		time.Sleep(rand.N(hold)) // any phase of the host's requests
 		prepare()
-		m.register(platform.HostLeaving)
+		m.register(logapi.HostLeaving)
 		took = append(took, m.await(true))
 	}
 	slices.Sort(took)
--- a/standin/configproof/publish_test.go
+++ b/standin/configproof/publish_test.go
@@ -7,7 +7,7 @@
 	"testing"
 
 	"sesameledge.dev/sesameledge/config"
-	"sesameledge.dev/sesameledge/platform"
+	"sesameledge.dev/sesameledge/logapi"
 	"sesameledge.dev/sesameledge/settings"
 	"sesameledge.dev/sesameledge/standin/platformsim"
 )
@@ -28,7 +28,7 @@
 			t.Fatalf("host %d: status %d, %+v", host, status, reply)
 		}
 	}
-	if n := len(s.records(platform.StreamConfig)); n != 1 {
+	if n := len(s.records(logapi.StreamConfig)); n != 1 {
 		t.Fatalf("%d records in the log", n)
 	}
 	status, reply := s.publish(1, config.Record{ID: "two", Author: "bob"}, "")
@@ -70,7 +70,7 @@
 			t.Errorf("%+v: status %d, %+v", c.rec, status, reply)
 		}
 	}
-	if n := len(s.records(platform.StreamConfig)); n != 0 {
+	if n := len(s.records(logapi.StreamConfig)); n != 0 {
 		t.Fatalf("%d records in the log", n)
 	}
 	if status, reply := s.publish(0, config.Record{ID: "e"}, token); status != http.StatusOK {
--- a/standin/configproof/site_test.go
+++ b/standin/configproof/site_test.go
@@ -14,7 +14,7 @@
 
 	"sesameledge.dev/sesameledge/config"
 	"sesameledge.dev/sesameledge/daemon"
-	"sesameledge.dev/sesameledge/platform"
+	"sesameledge.dev/sesameledge/logapi"
 	"sesameledge.dev/sesameledge/settings"
 	"sesameledge.dev/sesameledge/standin/platformsim"
 	"sesameledge.dev/sesameledge/standin/proxysim"
@@ -172,9 +172,9 @@
 }
 
 // records reads a stream of the log as an operator would, past the hosts.
-func (s *site) records(stream string) []platform.Record {
+func (s *site) records(stream string) []logapi.Record {
 	s.t.Helper()
-	client := platform.NewClient(s.sim.URL(), time.Second)
+	client := logapi.NewClient(s.sim.URL(), time.Second)
 	defer client.Close()
 	reply, err := client.Read(context.Background(), stream, 0, 0)
 	must(s.t, err)
--- a/standin/gossipcost/requests.go
+++ b/standin/gossipcost/requests.go
@@ -7,7 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"sesameledge.dev/sesameledge/platform"
+	"sesameledge.dev/sesameledge/logapi"
 	"sesameledge.dev/sesameledge/standin/platformsim"
 )
 
@@ -29,7 +29,7 @@
 		return err
 	}
 	defer sim.Stop()
-	client := platform.NewClient(sim.URL(), time.Second)
+	client := logapi.NewClient(sim.URL(), time.Second)
 	defer client.Close()
 	requests, err := idleRequests(ctx, client)
 	if err != nil {
@@ -45,9 +45,9 @@
 	return nil
 }
 
-func idleRequests(ctx context.Context, client *platform.Client) ([]request, error) {
-	host := platform.Host{ID: "zone-1-host-1", Kind: platform.KindEntry, Address: "127.0.0.1:40001",
-		Identity: "0123456789abcdef", Zone: "zone-1", State: platform.HostLive}
+func idleRequests(ctx context.Context, client *logapi.Client) ([]request, error) {
+	host := logapi.Host{ID: "zone-1-host-1", Kind: logapi.KindEntry, Address: "127.0.0.1:40001",
+		Identity: "0123456789abcdef", Zone: "zone-1", State: logapi.HostLive}
 	if err := client.Register(ctx, host); err != nil {
 		return nil, err
 	}
@@ -59,14 +59,14 @@
 		{"host list, unchanged", func(ctx context.Context) error { _, err := client.Hosts(ctx, list.Tag, time.Millisecond); return err }},
 		{"registration, renewed", func(ctx context.Context) error { return client.Register(ctx, host) }},
 		{"read of a stream, no records", func(ctx context.Context) error {
-			_, err := client.Read(ctx, platform.StreamConfig, 0, time.Millisecond)
+			_, err := client.Read(ctx, logapi.StreamConfig, 0, time.Millisecond)
 			return err
 		}},
 	}, nil
 }
 
 // costOf returns the mean of the bytes sent and received for a request.
-func costOf(ctx context.Context, client *platform.Client, r request) (uint64, error) {
+func costOf(ctx context.Context, client *logapi.Client, r request) (uint64, error) {
 	if err := r.send(ctx); err != nil {
 		return 0, err
 	}
--- a/standin/minionsim/admin.go
+++ b/standin/minionsim/admin.go
@@ -3,7 +3,7 @@
 import (
 	"net/http"
 
-	"sesameledge.dev/sesameledge/platform"
+	"sesameledge.dev/sesameledge/logapi"
 	"sesameledge.dev/sesameledge/standin/simhttp"
 )
 
@@ -15,13 +15,13 @@
 
 // MinionView describes one minion in the answer of GET /admin/minions.
 type MinionView struct {
-	Host      platform.Host `json:"host"`
-	Speed     float64       `json:"speed"`
-	Up        bool          `json:"up"`
-	Running   int           `json:"running"`
-	Queued    int           `json:"queued"`
-	Fault     FaultRequest  `json:"fault"`
-	LateTasks LateTasks     `json:"tasks_while_leaving"`
+	Host      logapi.Host  `json:"host"`
+	Speed     float64      `json:"speed"`
+	Up        bool         `json:"up"`
+	Running   int          `json:"running"`
+	Queued    int          `json:"queued"`
+	Fault     FaultRequest `json:"fault"`
+	LateTasks LateTasks    `json:"tasks_while_leaving"`
 }
 
 func (f *Fleet) routes() http.Handler {
--- a/standin/minionsim/minion.go
+++ b/standin/minionsim/minion.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"sesameledge.dev/sesameledge/platform"
+	"sesameledge.dev/sesameledge/logapi"
 	"sesameledge.dev/sesameledge/standin/simhttp"
 )
 
@@ -134,16 +134,16 @@
 
 // Host returns the minion's entry in the platform's list. Its Identity is empty while
 // the process is down.
-func (m *Minion) Host() platform.Host {
+func (m *Minion) Host() logapi.Host {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	h := platform.Host{
+	h := logapi.Host{
 		ID:          m.ID,
-		Kind:        platform.KindMinion,
+		Kind:        logapi.KindMinion,
 		Address:     m.address,
 		Zone:        m.Zone,
 		Group:       m.cfg.Group,
-		State:       platform.HostLive,
+		State:       logapi.HostLive,
 		Slots:       m.cfg.Slots,
 		Connections: m.cfg.Connections,
 	}
@@ -151,7 +151,7 @@
 		h.Identity = m.process.identity
 	}
 	if !m.leavingAt.IsZero() {
-		h.State = platform.HostLeaving
+		h.State = logapi.HostLeaving
 	}
 	return h
 }
--- a/standin/minionsim/register.go
+++ b/standin/minionsim/register.go
@@ -9,7 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"sesameledge.dev/sesameledge/platform"
+	"sesameledge.dev/sesameledge/logapi"
 )
 
 // registerTimeout bounds one registration, so that a hanging platform does not keep a
@@ -46,8 +46,8 @@
 }
 
 // register posts the host to the platform's list.
-func register(base string, host platform.Host) error {
-	return post(base+platform.PathHosts, host)
+func register(base string, host logapi.Host) error {
+	return post(base+logapi.PathHosts, host)
 }
 
 // reportLeaving marks the minion as leaving in the platform's list.
@@ -55,8 +55,8 @@
 	if m.cfg.Platform == "" {
 		return nil
 	}
-	url := m.cfg.Platform + platform.PathHosts + "/" + m.ID + "/state"
-	return post(url, map[string]platform.HostState{"state": platform.HostLeaving})
+	url := m.cfg.Platform + logapi.PathHosts + "/" + m.ID + "/state"
+	return post(url, map[string]logapi.HostState{"state": logapi.HostLeaving})
 }
 
 // post sends v as JSON. A status other than 200 is an error.
--- a/standin/ownercost/meter.go
+++ b/standin/ownercost/meter.go
@@ -5,7 +5,7 @@
 	"strings"
 
 	"sesameledge.dev/sesameledge/daemon"
-	"sesameledge.dev/sesameledge/platform"
+	"sesameledge.dev/sesameledge/logapi"
 	"sesameledge.dev/sesameledge/standin/testbed"
 )
 
@@ -48,8 +48,8 @@
 
 // appends returns the number of records ever appended to the claims stream.
 func appends(ctx context.Context, bed *testbed.Bed) (uint64, error) {
-	path := strings.Replace(platform.PathRecords, "{stream}", platform.StreamClaims, 1)
-	var reply platform.ReadReply
+	path := strings.Replace(logapi.PathRecords, "{stream}", logapi.StreamClaims, 1)
+	var reply logapi.ReadReply
 	err := testbed.GetJSON(ctx, bed.PlatformURL+path+"?from=0&limit=1", &reply)
 	return reply.Next, err
 }
--- a/standin/platformsim/config.go
+++ b/standin/platformsim/config.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"sesameledge.dev/sesameledge/internal/defaults"
-	"sesameledge.dev/sesameledge/platform"
+	"sesameledge.dev/sesameledge/logapi"
 )
 
 // Defaults of Config.
@@ -22,15 +22,15 @@
 
 // Config sets up a Sim. Zero fields take the defaults.
 type Config struct {
-	Address    string          // loopback IP:port; default 127.0.0.1:0
-	AppendRate float64         // appends a second over all streams
-	SyncTime   time.Duration   // time that one synced append takes
-	Retention  int             // records kept of each stream
-	HostLag    time.Duration   // age of the served host list; negative for no lag
-	HostTTL    time.Duration   // a host that does not renew within it disappears
-	Workers    []platform.Host // workers of the platform; see the function Workers
-	UsageLag   time.Duration   // least age of the reported usage
-	Seed       uint64          // seeds the choice of lost answers
+	Address    string        // loopback IP:port; default 127.0.0.1:0
+	AppendRate float64       // appends a second over all streams
+	SyncTime   time.Duration // time that one synced append takes
+	Retention  int           // records kept of each stream
+	HostLag    time.Duration // age of the served host list; negative for no lag
+	HostTTL    time.Duration // a host that does not renew within it disappears
+	Workers    []logapi.Host // workers of the platform; see the function Workers
+	UsageLag   time.Duration // least age of the reported usage
+	Seed       uint64        // seeds the choice of lost answers
 }
 
 func (c Config) withDefaults() Config {
--- a/standin/platformsim/faults_test.go
+++ b/standin/platformsim/faults_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"sesameledge.dev/sesameledge/platform"
+	"sesameledge.dev/sesameledge/logapi"
 )
 
 // Guards against a lost answer whose append did not take effect, or the reverse: either
@@ -26,7 +26,7 @@
 	if lost < appends/4 || lost > appends*3/4 {
 		t.Errorf("%d of %d answers lost at probability 0.5", lost, appends)
 	}
-	var reply platform.ReadReply
+	var reply logapi.ReadReply
 	mustCall(t, "GET", records+"?from=0", "", &reply)
 	if len(reply.Records) != appends || reply.Records[9].AppendID != "id-of-9" {
 		t.Errorf("%d of %d appends took effect", len(reply.Records), appends)
@@ -38,7 +38,7 @@
 	s := startSim(t, Config{})
 	faults := s.URL() + "/admin/faults"
 	records := s.URL() + "/v1/streams/config/records?from=0"
-	hosts := s.URL() + platform.PathHosts
+	hosts := s.URL() + logapi.PathHosts
 
 	mustCall(t, "POST", faults, `{"service":"log","outage":"503"}`, nil)
 	if status := mustCall(t, "GET", records, "", nil); status != http.StatusServiceUnavailable {
--- a/standin/platformsim/hosts.go
+++ b/standin/platformsim/hosts.go
@@ -7,7 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"sesameledge.dev/sesameledge/platform"
+	"sesameledge.dev/sesameledge/logapi"
 )
 
 // errUnknownHost reports that no host with the identifier is registered.
@@ -20,19 +20,19 @@
 	ttl     time.Duration
 	current map[string]*registration
 	pending []hostChange // not yet in the served list, in order of time
-	served  map[string]platform.Host
+	served  map[string]logapi.Host
 	version uint64 // changes applied to the served list
 }
 
 type registration struct {
-	host    platform.Host
+	host    logapi.Host
 	renewed time.Time
 }
 
 // hostChange is one change of the list; a removal has only the identifier.
 type hostChange struct {
 	at      time.Time
-	host    platform.Host
+	host    logapi.Host
 	removed bool
 }
 
@@ -41,21 +41,21 @@
 		lag:     lag,
 		ttl:     ttl,
 		current: make(map[string]*registration),
-		served:  make(map[string]platform.Host),
+		served:  make(map[string]logapi.Host),
 	}
 }
 
 // register adds a host or renews it, and returns it as registered. A host that was
 // marked as leaving stays so until a new process with another identity registers.
-func (l *hostList) register(now time.Time, host platform.Host) platform.Host {
+func (l *hostList) register(now time.Time, host logapi.Host) logapi.Host {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if host.State == "" {
-		host.State = platform.HostLive
+		host.State = logapi.HostLive
 	}
 	old := l.current[host.ID]
-	if old != nil && old.host.Identity == host.Identity && old.host.State == platform.HostLeaving {
-		host.State = platform.HostLeaving
+	if old != nil && old.host.Identity == host.Identity && old.host.State == logapi.HostLeaving {
+		host.State = logapi.HostLeaving
 	}
 	l.current[host.ID] = &registration{host: host, renewed: now}
 	if old == nil || old.host != host {
@@ -65,7 +65,7 @@
 }
 
 // setState changes the state of a host. The error is errUnknownHost.
-func (l *hostList) setState(now time.Time, id string, state platform.HostState) error {
+func (l *hostList) setState(now time.Time, id string, state logapi.HostState) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	reg := l.current[id]
@@ -88,7 +88,7 @@
 			continue
 		}
 		delete(l.current, id)
-		l.pending = append(l.pending, hostChange{at: now, host: platform.Host{ID: id}, removed: true})
+		l.pending = append(l.pending, hostChange{at: now, host: logapi.Host{ID: id}, removed: true})
 	}
 }
 
@@ -109,16 +109,16 @@
 }
 
 // list returns the hosts as they were the lag ago, ordered by identifier.
-func (l *hostList) list(now time.Time) platform.HostsReply {
+func (l *hostList) list(now time.Time) logapi.HostsReply {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.applyUntil(now.Add(-l.lag))
-	hosts := make([]platform.Host, 0, len(l.served))
+	hosts := make([]logapi.Host, 0, len(l.served))
 	for _, h := range l.served {
 		hosts = append(hosts, h)
 	}
 	sort.Slice(hosts, func(i, j int) bool { return hosts[i].ID < hosts[j].ID })
-	return platform.HostsReply{Version: l.version, Hosts: hosts}
+	return logapi.HostsReply{Version: l.version, Hosts: hosts}
 }
 
 // versionAt returns the version of the list that is served at a time.
--- a/standin/platformsim/hosts_http.go
+++ b/standin/platformsim/hosts_http.go
@@ -8,13 +8,13 @@
 
 	"github.com/cockroachdb/errors"
 
-	"sesameledge.dev/sesameledge/platform"
+	"sesameledge.dev/sesameledge/logapi"
 	"sesameledge.dev/sesameledge/standin/simhttp"
 )
 
 // HostStateRequest changes the state of a host.
 type HostStateRequest struct {
-	State platform.HostState `json:"state"`
+	State logapi.HostState `json:"state"`
 }
 
 // hostsPoll is the pause between looks at the list while a request is held.
@@ -53,7 +53,7 @@
 }
 
 func (s *Sim) serveRegister(w http.ResponseWriter, r *http.Request) {
-	var host platform.Host
+	var host logapi.Host
 	if err := simhttp.ReadJSON(r, &host); err != nil {
 		simhttp.WriteError(w, http.StatusBadRequest, err)
 		return
@@ -63,7 +63,7 @@
 		return
 	}
 	host = s.hosts.register(time.Now(), host)
-	if r.Header.Get(platform.HeaderPrefer) == platform.PreferMinimal {
+	if r.Header.Get(logapi.HeaderPrefer) == logapi.PreferMinimal {
 		w.WriteHeader(http.StatusNoContent)
 		return
 	}
@@ -76,7 +76,7 @@
 		simhttp.WriteError(w, http.StatusBadRequest, err)
 		return
 	}
-	if req.State != platform.HostLive && req.State != platform.HostLeaving {
+	if req.State != logapi.HostLive && req.State != logapi.HostLeaving {
 		simhttp.WriteError(w, http.StatusBadRequest, errors.Newf("unknown state %q", req.State))
 		return
 	}
--- a/standin/platformsim/hosts_test.go
+++ b/standin/platformsim/hosts_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"sesameledge.dev/sesameledge/platform"
+	"sesameledge.dev/sesameledge/logapi"
 )
 
 // Guards against a list that is ahead of its lag, loses the leaving mark at the next
@@ -14,25 +14,25 @@
 	l := newHostList(time.Second, 3*time.Second)
 	start := time.Unix(1000, 0)
 	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
-	host := platform.Host{ID: "m", Identity: "a", Address: "127.0.0.1:1"}
+	host := logapi.Host{ID: "m", Identity: "a", Address: "127.0.0.1:1"}
 
 	l.register(at(0), host)
 	expectState(t, l, at(900), "")
-	expectState(t, l, at(1000), platform.HostLive)
+	expectState(t, l, at(1000), logapi.HostLive)
 
-	if err := l.setState(at(2000), "m", platform.HostLeaving); err != nil {
+	if err := l.setState(at(2000), "m", logapi.HostLeaving); err != nil {
 		t.Fatal(err)
 	}
 	l.register(at(2500), host)
-	expectState(t, l, at(2900), platform.HostLive)
-	expectState(t, l, at(3600), platform.HostLeaving)
+	expectState(t, l, at(2900), logapi.HostLive)
+	expectState(t, l, at(3600), logapi.HostLeaving)
 
 	host.Identity = "b"
 	l.register(at(4000), host)
-	expectState(t, l, at(5000), platform.HostLive)
+	expectState(t, l, at(5000), logapi.HostLive)
 
 	l.expire(at(7000))
-	expectState(t, l, at(8000), platform.HostLive)
+	expectState(t, l, at(8000), logapi.HostLive)
 	l.expire(at(7001))
 	expectState(t, l, at(8001), "")
 	if v := l.list(at(9000)).Version; v != 4 {
@@ -41,9 +41,9 @@
 }
 
 // expectState checks the state of host m in the served list; "" means absent.
-func expectState(t *testing.T, l *hostList, now time.Time, want platform.HostState) {
+func expectState(t *testing.T, l *hostList, now time.Time, want logapi.HostState) {
 	t.Helper()
-	var got platform.HostState
+	var got logapi.HostState
 	for _, h := range l.list(now).Hosts {
 		got = h.State
 	}
@@ -60,10 +60,10 @@
 		t.Fatal(err)
 	}
 	defer sim.Stop()
-	client := platform.NewClient(sim.URL(), 5*time.Second)
+	client := logapi.NewClient(sim.URL(), 5*time.Second)
 	defer client.Close()
 	ctx := context.Background()
-	host := platform.Host{ID: "m", Kind: platform.KindEntry, Identity: "a", Address: "127.0.0.1:1"}
+	host := logapi.Host{ID: "m", Kind: logapi.KindEntry, Identity: "a", Address: "127.0.0.1:1"}
 	if err := client.Register(ctx, host); err != nil {
 		t.Fatal(err)
 	}
@@ -76,11 +76,11 @@
 		t.Errorf("unchanged: %+v, %v after %v", unchanged, err, time.Since(began))
 	}
 	time.AfterFunc(100*time.Millisecond, func() {
-		host.State = platform.HostLeaving
+		host.State = logapi.HostLeaving
 		_ = client.Register(ctx, host)
 	})
 	changed, err := client.Hosts(ctx, list.Tag, 20*time.Second)
-	if err != nil || changed == nil || changed.Hosts[0].State != platform.HostLeaving {
+	if err != nil || changed == nil || changed.Hosts[0].State != logapi.HostLeaving {
 		t.Errorf("changed: %+v, %v", changed, err)
 	}
 }
--- a/standin/platformsim/lease.go
+++ b/standin/platformsim/lease.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"sesameledge.dev/sesameledge/platform"
+	"sesameledge.dev/sesameledge/logapi"
 )
 
 // lease permits its holder to run tasks until it lapses.
@@ -33,15 +33,15 @@
 
 // endedAfter returns the tasks of a lease that ended after a position, and a channel
 // that is closed when there are more. It fails with errLeaseInvalid for an unknown lease.
-func (p *workerPool) endedAfter(id string, after int) (platform.EndedReply, <-chan struct{}, error) {
+func (p *workerPool) endedAfter(id string, after int) (logapi.EndedReply, <-chan struct{}, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	l := p.leases[id]
 	if l == nil || after < 0 || after > len(l.ended) {
-		return platform.EndedReply{}, nil, errLeaseInvalid
+		return logapi.EndedReply{}, nil, errLeaseInvalid
 	}
 	last := min(len(l.ended), after+maxEnded)
-	reply := platform.EndedReply{Next: last, Lapsed: l.lapsed}
+	reply := logapi.EndedReply{Next: last, Lapsed: l.lapsed}
 	for _, t := range l.ended[after:last] {
 		reply.Tasks = append(reply.Tasks, t.view)
 	}
@@ -77,7 +77,7 @@
 	for _, w := range p.workers {
 		for _, t := range w.running {
 			if l := p.leases[t.view.Lease]; l.lapsed {
-				p.end(t, platform.TaskLapsed)
+				p.end(t, logapi.TaskLapsed)
 			}
 		}
 	}
--- a/standin/platformsim/log.go
+++ b/standin/platformsim/log.go
@@ -3,7 +3,7 @@
 import (
 	"sync"
 
-	"sesameledge.dev/sesameledge/platform"
+	"sesameledge.dev/sesameledge/logapi"
 )
 
 // logStore holds the streams of the log service.
@@ -15,7 +15,7 @@
 
 type stream struct {
 	first   uint64 // offset of records[0]
-	records []platform.Record
+	records []logapi.Record
 	grown   chan struct{} // closed at the next append
 }
 
@@ -38,7 +38,7 @@
 	defer l.mu.Unlock()
 	s := l.stream(name)
 	offset := s.next()
-	s.records = append(s.records, platform.Record{Offset: offset, AppendID: appendID, Data: data})
+	s.records = append(s.records, logapi.Record{Offset: offset, AppendID: appendID, Data: data})
 	s.truncate(l.retention)
 	close(s.grown)
 	s.grown = make(chan struct{})
@@ -47,11 +47,11 @@
 
 // read returns up to limit records from the offset on, whether the offset is still
 // kept, and a channel that is closed at the next append.
-func (l *logStore) read(name string, from uint64, limit int) (platform.ReadReply, bool, <-chan struct{}) {
+func (l *logStore) read(name string, from uint64, limit int) (logapi.ReadReply, bool, <-chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.stream(name)
-	reply := platform.ReadReply{First: s.first, Next: s.next(), Records: []platform.Record{}}
+	reply := logapi.ReadReply{First: s.first, Next: s.next(), Records: []logapi.Record{}}
 	if from < s.first {
 		return reply, false, s.grown
 	}
--- a/standin/platformsim/log_http.go
+++ b/standin/platformsim/log_http.go
@@ -10,7 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"sesameledge.dev/sesameledge/platform"
+	"sesameledge.dev/sesameledge/logapi"
 	"sesameledge.dev/sesameledge/standin/simhttp"
 )
 
@@ -32,8 +32,8 @@
 		simhttp.WriteError(w, http.StatusServiceUnavailable, err)
 		return
 	}
-	offset := s.log.append(r.PathValue("stream"), r.Header.Get(platform.HeaderAppendID), data)
-	simhttp.WriteJSON(w, http.StatusOK, platform.AppendReply{Offset: offset})
+	offset := s.log.append(r.PathValue("stream"), r.Header.Get(logapi.HeaderAppendID), data)
+	simhttp.WriteJSON(w, http.StatusOK, logapi.AppendReply{Offset: offset})
 }
 
 func (s *Sim) serveRead(w http.ResponseWriter, r *http.Request) {
@@ -53,7 +53,7 @@
 }
 
 // readOrWait reads records and waits for the first one if there is none.
-func (s *Sim) readOrWait(ctx context.Context, stream string, q readQuery) (platform.ReadReply, bool) {
+func (s *Sim) readOrWait(ctx context.Context, stream string, q readQuery) (logapi.ReadReply, bool) {
 	for {
 		reply, kept, grown := s.log.read(stream, q.from, q.limit)
 		if !kept || len(reply.Records) > 0 {
--- a/standin/platformsim/sim.go
+++ b/standin/platformsim/sim.go
@@ -6,7 +6,7 @@
 	"net/http"
 	"time"
 
-	"sesameledge.dev/sesameledge/platform"
+	"sesameledge.dev/sesameledge/logapi"
 	"sesameledge.dev/sesameledge/standin/simhttp"
 )
 
@@ -84,11 +84,11 @@
 	handle := func(service Service, pattern string, handler http.HandlerFunc) {
 		mux.HandleFunc(pattern, s.withFaults(service, handler))
 	}
-	handle(ServiceLog, "POST "+platform.PathRecords, s.serveAppend)
-	handle(ServiceLog, "GET "+platform.PathRecords, s.serveRead)
-	handle(ServiceHosts, "GET "+platform.PathHosts, s.serveHosts)
-	handle(ServiceHosts, "POST "+platform.PathHosts, s.serveRegister)
-	handle(ServiceHosts, "POST "+platform.PathHosts+"/{id}/state", s.serveHostState)
+	handle(ServiceLog, "POST "+logapi.PathRecords, s.serveAppend)
+	handle(ServiceLog, "GET "+logapi.PathRecords, s.serveRead)
+	handle(ServiceHosts, "GET "+logapi.PathHosts, s.serveHosts)
+	handle(ServiceHosts, "POST "+logapi.PathHosts, s.serveRegister)
+	handle(ServiceHosts, "POST "+logapi.PathHosts+"/{id}/state", s.serveHostState)
 	s.workerRoutes(handle)
 	mux.HandleFunc("GET "+pathTasksAdmin, s.serveTaskTotals)
 	mux.HandleFunc("POST "+pathWorkersAdmin, s.serveWorkerFault)
--- a/standin/platformsim/sim_test.go
+++ b/standin/platformsim/sim_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"sesameledge.dev/sesameledge/platform"
+	"sesameledge.dev/sesameledge/logapi"
 )
 
 func startSim(t *testing.T, cfg Config) *Sim {
@@ -30,7 +30,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	req.Header.Set(platform.HeaderAppendID, "id-of-"+body)
+	req.Header.Set(logapi.HeaderAppendID, "id-of-"+body)
 	client := http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	resp, err := client.Do(req)
 	if err != nil {
@@ -63,13 +63,13 @@
 	s := startSim(t, Config{Retention: 3})
 	records := s.URL() + "/v1/streams/config/records"
 	for i := range 5 {
-		var reply platform.AppendReply
+		var reply logapi.AppendReply
 		mustCall(t, "POST", records, fmt.Sprint(i), &reply)
 		if reply.Offset != uint64(i) {
 			t.Fatalf("append %d got offset %d", i, reply.Offset)
 		}
 	}
-	var reply platform.ReadReply
+	var reply logapi.ReadReply
 	if status := mustCall(t, "GET", records+"?from=1", "", &reply); status != http.StatusGone {
 		t.Fatalf("read of a truncated offset: status %d", status)
 	}
@@ -88,7 +88,7 @@
 	records := s.URL() + "/v1/streams/config/records"
 	done := make(chan int, 1)
 	go func() {
-		var reply platform.ReadReply
+		var reply logapi.ReadReply
 		_, _ = call(t, "GET", records+"?from=0&wait_ms=8000", "", &reply)
 		done <- len(reply.Records)
 	}()
@@ -120,7 +120,7 @@
 	if took := time.Since(began); took < (appends-1)*5*time.Millisecond {
 		t.Fatalf("%d appends at 200/s took %v", appends, took)
 	}
-	var reply platform.ReadReply
+	var reply logapi.ReadReply
 	mustCall(t, "GET", s.URL()+"/v1/streams/claims/records?from=0", "", &reply)
 	if len(reply.Records) != appends {
 		t.Fatalf("%d of %d appends are in the stream", len(reply.Records), appends)
--- a/standin/platformsim/usage.go
+++ b/standin/platformsim/usage.go
@@ -4,7 +4,7 @@
 	"sort"
 	"time"
 
-	"sesameledge.dev/sesameledge/platform"
+	"sesameledge.dev/sesameledge/logapi"
 )
 
 // samplePeriod is the least time between two usage samples of a worker.
@@ -13,17 +13,17 @@
 // sample is the usage of a worker at a time.
 type sample struct {
 	at    time.Time
-	usage platform.Usage
+	usage logapi.Usage
 }
 
 // usage sums up the use of the running tasks. A throttled task uses fewer cores.
-func (w *worker) usage() platform.Usage {
-	u := platform.Usage{Worker: w.host.ID, Accelerators: w.accelerators()}
+func (w *worker) usage() logapi.Usage {
+	u := logapi.Usage{Worker: w.host.ID, Accelerators: w.accelerators()}
 	for id, t := range w.running {
 		cores := t.payload.Cores * t.view.Speed
 		u.Cores += cores
 		u.MemoryMB += t.payload.MemoryMB
-		u.Tasks = append(u.Tasks, platform.TaskUsage{
+		u.Tasks = append(u.Tasks, logapi.TaskUsage{
 			Task:             id,
 			Lease:            t.view.Lease,
 			Label:            t.request.Label,
@@ -62,10 +62,10 @@
 
 // usages returns the latest usage of each worker that is at least as old as the lag, in
 // the configured order. A worker without such a sample is left out.
-func (p *workerPool) usages(now time.Time) []platform.Usage {
+func (p *workerPool) usages(now time.Time) []logapi.Usage {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	all := make([]platform.Usage, 0, len(p.order))
+	all := make([]logapi.Usage, 0, len(p.order))
 	for _, id := range p.order {
 		if s, ok := p.workers[id].served(now, p.usageLag); ok {
 			s.usage.AgeMS = now.Sub(s.at).Milliseconds()
--- a/standin/platformsim/worker_pool.go
+++ b/standin/platformsim/worker_pool.go
@@ -9,7 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"sesameledge.dev/sesameledge/platform"
+	"sesameledge.dev/sesameledge/logapi"
 )
 
 // Errors of the worker interface.
@@ -39,20 +39,20 @@
 }
 
 type worker struct {
-	host    platform.Host
+	host    logapi.Host
 	failAll bool
 	running map[string]*task
 	samples []sample // usage not yet served, oldest first; the first one is served
 }
 
 type task struct {
-	view    platform.TaskView
-	request platform.TaskStart
+	view    logapi.TaskView
+	request logapi.TaskStart
 	payload TaskPayload
 	resumed bool // a task resumed from this one's checkpoint
 }
 
-func newWorkerPool(hosts []platform.Host, usageLag time.Duration) *workerPool {
+func newWorkerPool(hosts []logapi.Host, usageLag time.Duration) *workerPool {
 	p := &workerPool{
 		usageLag: usageLag,
 		workers:  make(map[string]*worker, len(hosts)),
@@ -69,18 +69,18 @@
 
 // Workers returns n equal workers for Config.Workers, spread over the zones in turn,
 // with 8 workers to a rack.
-func Workers(n int, cores float64, memoryMB int64, accelerators int, group string, zones ...string) []platform.Host {
+func Workers(n int, cores float64, memoryMB int64, accelerators int, group string, zones ...string) []logapi.Host {
 	const rackSize = 8
-	hosts := make([]platform.Host, 0, n)
+	hosts := make([]logapi.Host, 0, n)
 	for i := range n {
 		zone := zones[i%len(zones)]
-		hosts = append(hosts, platform.Host{
+		hosts = append(hosts, logapi.Host{
 			ID:           fmt.Sprintf("worker-%03d", i),
-			Kind:         platform.KindWorker,
+			Kind:         logapi.KindWorker,
 			Identity:     fmt.Sprintf("worker-%03d.1", i),
 			Zone:         zone,
 			Group:        group,
-			State:        platform.HostLive,
+			State:        logapi.HostLive,
 			Cores:        cores,
 			MemoryMB:     memoryMB,
 			Accelerators: accelerators,
@@ -91,12 +91,12 @@
 }
 
 // start starts a task, or returns the known one with its identity.
-func (p *workerPool) start(now time.Time, lease string, req platform.TaskStart) (platform.TaskView, error) {
+func (p *workerPool) start(now time.Time, lease string, req logapi.TaskStart) (logapi.TaskView, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	w := p.workers[req.Worker]
 	if w == nil {
-		return platform.TaskView{}, errUnknownWorker
+		return logapi.TaskView{}, errUnknownWorker
 	}
 	if known := p.tasks[req.Task]; known != nil {
 		if known.view.Worker != req.Worker {
@@ -106,13 +106,13 @@
 	}
 	progress, err := p.admit(now, w, lease, req)
 	if err != nil {
-		return platform.TaskView{}, err
+		return logapi.TaskView{}, err
 	}
-	t := &task{request: req, view: platform.TaskView{
+	t := &task{request: req, view: logapi.TaskView{
 		Task:       req.Task,
 		Worker:     req.Worker,
 		Lease:      lease,
-		State:      platform.TaskRunning,
+		State:      logapi.TaskRunning,
 		Started:    true,
 		Speed:      1,
 		ProgressMS: progress,
@@ -139,7 +139,7 @@
 }
 
 // admit checks whether a new task may start, and returns the progress it resumes from.
-func (p *workerPool) admit(now time.Time, w *worker, lease string, req platform.TaskStart) (progressMS float64, err error) {
+func (p *workerPool) admit(now time.Time, w *worker, lease string, req logapi.TaskStart) (progressMS float64, err error) {
 	if l := p.leases[lease]; l == nil || !l.valid(now) {
 		return 0, errLeaseInvalid
 	}
@@ -150,7 +150,7 @@
 		return 0, nil
 	}
 	from := p.tasks[req.ResumeFrom]
-	if from == nil || from.view.State != platform.TaskCheckpointed || from.resumed {
+	if from == nil || from.view.State != logapi.TaskCheckpointed || from.resumed {
 		return 0, errNoCheckpoint
 	}
 	from.resumed = true
@@ -158,12 +158,12 @@
 }
 
 // read returns a task.
-func (p *workerPool) read(workerID, id string) (platform.TaskView, error) {
+func (p *workerPool) read(workerID, id string) (logapi.TaskView, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	t, err := p.find(workerID, id)
 	if err != nil {
-		return platform.TaskView{}, err
+		return logapi.TaskView{}, err
 	}
 	return t.view, nil
 }
@@ -181,42 +181,42 @@
 
 // stop stops a task. An unknown task is recorded as stopped and never starts on the
 // pool, so that a start request that is still on its way has no effect.
-func (p *workerPool) stop(workerID, id string) (platform.TaskView, error) {
+func (p *workerPool) stop(workerID, id string) (logapi.TaskView, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.workers[workerID] == nil {
-		return platform.TaskView{}, errUnknownWorker
+		return logapi.TaskView{}, errUnknownWorker
 	}
 	if p.tasks[id] == nil {
-		p.tasks[id] = &task{view: platform.TaskView{Task: id, Worker: workerID, State: platform.TaskStopped}}
+		p.tasks[id] = &task{view: logapi.TaskView{Task: id, Worker: workerID, State: logapi.TaskStopped}}
 	}
 	t, err := p.find(workerID, id)
 	if err != nil {
-		return platform.TaskView{}, errOtherWorker
+		return logapi.TaskView{}, errOtherWorker
 	}
-	p.end(t, platform.TaskStopped)
+	p.end(t, logapi.TaskStopped)
 	return t.view, nil
 }
 
 // throttle sets the speed of a running task.
-func (p *workerPool) throttle(workerID, id string, speed float64) (platform.TaskView, error) {
+func (p *workerPool) throttle(workerID, id string, speed float64) (logapi.TaskView, error) {
 	return p.change(workerID, id, func(t *task) { t.view.Speed = speed })
 }
 
 // checkpoint ends a running task and keeps its progress.
-func (p *workerPool) checkpoint(workerID, id string) (platform.TaskView, error) {
-	return p.change(workerID, id, func(t *task) { p.end(t, platform.TaskCheckpointed) })
+func (p *workerPool) checkpoint(workerID, id string) (logapi.TaskView, error) {
+	return p.change(workerID, id, func(t *task) { p.end(t, logapi.TaskCheckpointed) })
 }
 
 // change applies a change to a running task.
-func (p *workerPool) change(workerID, id string, apply func(*task)) (platform.TaskView, error) {
+func (p *workerPool) change(workerID, id string, apply func(*task)) (logapi.TaskView, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	t, err := p.find(workerID, id)
 	if err != nil {
-		return platform.TaskView{}, err
+		return logapi.TaskView{}, err
 	}
-	if t.view.State != platform.TaskRunning {
+	if t.view.State != logapi.TaskRunning {
 		return t.view, errNotRunning
 	}
 	apply(t)
@@ -224,8 +224,8 @@
 }
 
 // end ends a task if it runs, and tells the holder of its lease.
-func (p *workerPool) end(t *task, state platform.TaskState) {
-	if t.view.State != platform.TaskRunning {
+func (p *workerPool) end(t *task, state logapi.TaskState) {
+	if t.view.State != logapi.TaskRunning {
 		return
 	}
 	t.view.State = state
@@ -250,7 +250,7 @@
 	defer p.mu.Unlock()
 	totals := p.totalled
 	totals.Starts = p.starts
-	totals.States = make(map[platform.TaskState]int)
+	totals.States = make(map[logapi.TaskState]int)
 	for _, t := range p.tasks {
 		totals.States[t.view.State]++
 	}
--- a/standin/platformsim/worker_step.go
+++ b/standin/platformsim/worker_step.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"sesameledge.dev/sesameledge/platform"
+	"sesameledge.dev/sesameledge/logapi"
 )
 
 // workerStep is the resolution of run times on workers.
@@ -66,11 +66,11 @@
 func (p *workerPool) complete(t *task) {
 	t.view.ProgressMS = t.payload.RunMS
 	if t.payload.Fail {
-		p.end(t, platform.TaskFailed)
+		p.end(t, logapi.TaskFailed)
 		return
 	}
 	t.view.Result = t.payload.Echo
-	p.end(t, platform.TaskDone)
+	p.end(t, logapi.TaskDone)
 }
 
 // relieveMemory kills the largest tasks while the worker's memory does not suffice.
@@ -82,6 +82,6 @@
 				largest = t
 			}
 		}
-		p.end(largest, platform.TaskOutOfMemory)
+		p.end(largest, logapi.TaskOutOfMemory)
 	}
 }
--- a/standin/platformsim/worker_wire.go
+++ b/standin/platformsim/worker_wire.go
@@ -3,7 +3,7 @@
 import (
 	"encoding/json"
 
-	"sesameledge.dev/sesameledge/platform"
+	"sesameledge.dev/sesameledge/logapi"
 )
 
 const (
@@ -22,9 +22,9 @@
 
 // TaskTotals answers GET /admin/tasks.
 type TaskTotals struct {
-	Messages map[string]int             `json:"messages"` // requests received by path
-	Starts   int                        `json:"starts"`
-	States   map[platform.TaskState]int `json:"states"`
+	Messages map[string]int           `json:"messages"` // requests received by path
+	Starts   int                      `json:"starts"`
+	States   map[logapi.TaskState]int `json:"states"`
 	// Repeated counts the tasks that started more than once, under any identity. An
 	// identity is the task's name followed by a slash and the number of the attempt.
 	Repeated int `json:"repeated"`
--- a/standin/platformsim/workers_http.go
+++ b/standin/platformsim/workers_http.go
@@ -8,7 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"sesameledge.dev/sesameledge/platform"
+	"sesameledge.dev/sesameledge/logapi"
 	"sesameledge.dev/sesameledge/standin/simhttp"
 )
 
@@ -17,8 +17,8 @@
 
 func newMessageCounts() messageCounts {
 	counts := make(messageCounts)
-	for _, path := range []string{platform.PathLeases, platform.PathEnded, platform.PathStarts, platform.PathReads,
-		platform.PathStops, platform.PathThrottles, platform.PathCheckpoints, platform.PathUsage} {
+	for _, path := range []string{logapi.PathLeases, logapi.PathEnded, logapi.PathStarts, logapi.PathReads,
+		logapi.PathStops, logapi.PathThrottles, logapi.PathCheckpoints, logapi.PathUsage} {
 		counts[path] = new(atomic.Int64)
 	}
 	return counts
@@ -27,16 +27,16 @@
 func (s *Sim) workerRoutes(handle func(Service, string, http.HandlerFunc)) {
 	for method, paths := range map[string]map[string]http.HandlerFunc{
 		"GET": {
-			platform.PathEnded: s.serveEnded,
-			platform.PathUsage: s.serveUsage,
+			logapi.PathEnded: s.serveEnded,
+			logapi.PathUsage: s.serveUsage,
 		},
 		"POST": {
-			platform.PathLeases:      s.serveLease,
-			platform.PathStarts:      s.serveStarts,
-			platform.PathReads:       s.taskBatch(s.workers.read),
-			platform.PathStops:       s.taskBatch(s.workers.stop),
-			platform.PathThrottles:   s.serveThrottles,
-			platform.PathCheckpoints: s.taskBatch(s.workers.checkpoint),
+			logapi.PathLeases:      s.serveLease,
+			logapi.PathStarts:      s.serveStarts,
+			logapi.PathReads:       s.taskBatch(s.workers.read),
+			logapi.PathStops:       s.taskBatch(s.workers.stop),
+			logapi.PathThrottles:   s.serveThrottles,
+			logapi.PathCheckpoints: s.taskBatch(s.workers.checkpoint),
 		},
 	} {
 		for path, handler := range paths {
@@ -58,7 +58,7 @@
 }
 
 func (s *Sim) serveLease(w http.ResponseWriter, r *http.Request) {
-	var req platform.LeaseRequest
+	var req logapi.LeaseRequest
 	if !readRequest(w, r, &req) {
 		return
 	}
@@ -75,13 +75,13 @@
 }
 
 func (s *Sim) serveStarts(w http.ResponseWriter, r *http.Request) {
-	var req platform.StartBatch
+	var req logapi.StartBatch
 	if !readRequest(w, r, &req) {
 		return
 	}
-	var reply platform.TaskReply
+	var reply logapi.TaskReply
 	for _, t := range req.Tasks {
-		addAnswer(&reply, t.TaskID, func(string, string) (platform.TaskView, error) {
+		addAnswer(&reply, t.TaskID, func(string, string) (logapi.TaskView, error) {
 			return s.workers.start(time.Now(), req.Lease, t)
 		})
 	}
@@ -89,17 +89,17 @@
 }
 
 func (s *Sim) serveThrottles(w http.ResponseWriter, r *http.Request) {
-	var req platform.ThrottleBatch
+	var req logapi.ThrottleBatch
 	if !readRequest(w, r, &req) {
 		return
 	}
-	var reply platform.TaskReply
+	var reply logapi.TaskReply
 	for _, t := range req.Tasks {
 		if t.Speed <= 0 || t.Speed > 1 {
 			simhttp.WriteError(w, http.StatusBadRequest, errors.Newf("speed %v is not above 0 and at most 1", t.Speed))
 			return
 		}
-		addAnswer(&reply, t.TaskID, func(worker, id string) (platform.TaskView, error) {
+		addAnswer(&reply, t.TaskID, func(worker, id string) (logapi.TaskView, error) {
 			return s.workers.throttle(worker, id, t.Speed)
 		})
 	}
@@ -107,13 +107,13 @@
 }
 
 // taskBatch serves an operation on the tasks of a TaskBatch.
-func (s *Sim) taskBatch(operate func(worker, id string) (platform.TaskView, error)) http.HandlerFunc {
+func (s *Sim) taskBatch(operate func(worker, id string) (logapi.TaskView, error)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		var req platform.TaskBatch
+		var req logapi.TaskBatch
 		if !readRequest(w, r, &req) {
 			return
 		}
-		var reply platform.TaskReply
+		var reply logapi.TaskReply
 		for _, t := range req.Tasks {
 			addAnswer(&reply, t, operate)
 		}
@@ -184,18 +184,18 @@
 	simhttp.WriteJSON(w, http.StatusOK, f)
 }
 
-func addAnswer(reply *platform.TaskReply, t platform.TaskID, operate func(worker, id string) (platform.TaskView, error)) {
+func addAnswer(reply *logapi.TaskReply, t logapi.TaskID, operate func(worker, id string) (logapi.TaskView, error)) {
 	view, err := operate(t.Worker, t.Task)
-	reply.Answers = append(reply.Answers, platform.TaskAnswer{Refused: refusals[err], Task: view})
+	reply.Answers = append(reply.Answers, logapi.TaskAnswer{Refused: refusals[err], Task: view})
 }
 
 // refusals maps the errors of the worker pool; nil maps to no refusal.
-var refusals = map[error]platform.Refusal{
-	errUnknownWorker:  platform.RefusedWorker,
-	errUnknownTask:    platform.RefusedTask,
-	errLeaseInvalid:   platform.RefusedLease,
-	errOtherWorker:    platform.RefusedOtherWorker,
-	errNoAccelerators: platform.RefusedAccelerators,
-	errNotRunning:     platform.RefusedNotRunning,
-	errNoCheckpoint:   platform.RefusedCheckpoint,
+var refusals = map[error]logapi.Refusal{
+	errUnknownWorker:  logapi.RefusedWorker,
+	errUnknownTask:    logapi.RefusedTask,
+	errLeaseInvalid:   logapi.RefusedLease,
+	errOtherWorker:    logapi.RefusedOtherWorker,
+	errNoAccelerators: logapi.RefusedAccelerators,
+	errNotRunning:     logapi.RefusedNotRunning,
+	errNoCheckpoint:   logapi.RefusedCheckpoint,
 }
--- a/standin/platformsim/workers_test.go
+++ b/standin/platformsim/workers_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"sesameledge.dev/sesameledge/platform"
+	"sesameledge.dev/sesameledge/logapi"
 )
 
 type poolTest struct {
@@ -34,9 +34,9 @@
 	}
 }
 
-func startOf(worker, task string, payload TaskPayload) platform.TaskStart {
+func startOf(worker, task string, payload TaskPayload) logapi.TaskStart {
 	encoded, _ := json.Marshal(payload)
-	return platform.TaskStart{TaskID: platform.TaskID{Worker: worker, Task: task}, Payload: encoded}
+	return logapi.TaskStart{TaskID: logapi.TaskID{Worker: worker, Task: task}, Payload: encoded}
 }
 
 func (p *poolTest) start(task string, payload TaskPayload) {
@@ -47,7 +47,7 @@
 	}
 }
 
-func (p *poolTest) expect(task string, want platform.TaskState) {
+func (p *poolTest) expect(task string, want logapi.TaskState) {
 	p.Helper()
 	if v, err := p.pool.read("worker-000", task); err != nil || v.State != want {
 		p.Errorf("task %s: %+v, %v; want %s", task, v, err, want)
@@ -64,9 +64,9 @@
 		t.Fatal(err)
 	}
 	p.pass(4 * time.Second)
-	p.expect("a", platform.TaskRunning)
+	p.expect("a", logapi.TaskRunning)
 	p.pass(time.Second)
-	p.expect("a", platform.TaskLapsed)
+	p.expect("a", logapi.TaskLapsed)
 	if err := p.pool.renew(p.now, "lease", time.Second); !errors.Is(err, errLeaseInvalid) {
 		t.Errorf("renewal of a lapsed lease: %v", err)
 	}
@@ -83,7 +83,7 @@
 	p.start("a", TaskPayload{RunMS: 100, Cores: 1})
 	p.pass(200 * time.Millisecond)
 	p.start("a", TaskPayload{RunMS: 100, Cores: 1})
-	p.expect("a", platform.TaskDone)
+	p.expect("a", logapi.TaskDone)
 	req := startOf("worker-001", "a", TaskPayload{})
 	if _, err := p.pool.start(p.now, "lease", req); !errors.Is(err, errOtherWorker) {
 		t.Errorf("start on another worker: %v", err)
@@ -92,7 +92,7 @@
 		t.Errorf("stop before the start: %+v, %v", v, err)
 	}
 	p.start("b", TaskPayload{})
-	p.expect("b", platform.TaskStopped)
+	p.expect("b", logapi.TaskStopped)
 	if totals := p.pool.totals(); totals.Starts != 1 {
 		t.Errorf("totals %+v", totals)
 	}
@@ -138,30 +138,30 @@
 	}
 	p.start("large", TaskPayload{RunMS: 60_000, Cores: 1, MemoryMB: 700})
 	p.pass(workerStep)
-	p.expect("large", platform.TaskOutOfMemory)
-	p.expect("small", platform.TaskRunning)
+	p.expect("large", logapi.TaskOutOfMemory)
+	p.expect("small", logapi.TaskRunning)
 }
 
 // Guards against a start whose lost answer also loses the task, and against a task that
 // cannot be read back over HTTP.
 func TestLostStartIsReadBack(t *testing.T) {
 	s := startSim(t, Config{Workers: Workers(1, 4, 1000, 0, "g", "z")})
-	mustCall(t, "POST", s.URL()+platform.PathLeases, `{"lease":"l","ttl_ms":60000}`, nil)
+	mustCall(t, "POST", s.URL()+logapi.PathLeases, `{"lease":"l","ttl_ms":60000}`, nil)
 	mustCall(t, "POST", s.URL()+"/admin/faults", `{"service":"workers","lost_answer":1}`, nil)
 	start := `{"lease":"l","tasks":[{"worker":"worker-000","task":"t/0","cores":1,"memory_mb":0,"payload":{"run_ms":10,"echo":"hello"}}]}`
-	if _, err := call(t, "POST", s.URL()+platform.PathStarts, start, nil); err == nil {
+	if _, err := call(t, "POST", s.URL()+logapi.PathStarts, start, nil); err == nil {
 		t.Fatal("the answer was not lost")
 	}
 	mustCall(t, "POST", s.URL()+"/admin/faults", `{"service":"workers","lost_answer":0}`, nil)
-	if totals := s.TaskTotals(); totals.Messages[platform.PathStarts] != 1 || totals.Starts != 1 {
+	if totals := s.TaskTotals(); totals.Messages[logapi.PathStarts] != 1 || totals.Starts != 1 {
 		t.Errorf("totals %+v", totals)
 	}
-	var ended platform.EndedReply
+	var ended logapi.EndedReply
 	mustCall(t, "GET", s.URL()+"/v1/leases/l/ended?after=0&wait_ms=5000", "", &ended)
-	var reply platform.TaskReply
-	mustCall(t, "POST", s.URL()+platform.PathReads, `{"tasks":[{"worker":"worker-000","task":"t/0"}]}`, &reply)
-	for _, view := range []platform.TaskView{ended.Tasks[0], reply.Answers[0].Task} {
-		if !view.Started || view.State != platform.TaskDone || string(view.Result) != `"hello"` {
+	var reply logapi.TaskReply
+	mustCall(t, "POST", s.URL()+logapi.PathReads, `{"tasks":[{"worker":"worker-000","task":"t/0"}]}`, &reply)
+	for _, view := range []logapi.TaskView{ended.Tasks[0], reply.Answers[0].Task} {
+		if !view.Started || view.State != logapi.TaskDone || string(view.Result) != `"hello"` {
 			t.Errorf("read back: %+v", view)
 		}
 	}
--- a/standin/testbed/bed.go
+++ b/standin/testbed/bed.go
@@ -15,7 +15,7 @@
 
 	"sesameledge.dev/sesameledge/config"
 	"sesameledge.dev/sesameledge/daemon"
-	"sesameledge.dev/sesameledge/platform"
+	"sesameledge.dev/sesameledge/logapi"
 	"sesameledge.dev/sesameledge/settings"
 	"sesameledge.dev/sesameledge/standin/minionsim"
 )
@@ -110,7 +110,7 @@
 	if b.Platform, err = b.startProgram("platform", args...); err != nil {
 		return err
 	}
-	return awaitHTTP(ctx, b.PlatformURL+platform.PathHosts)
+	return awaitHTTP(ctx, b.PlatformURL+logapi.PathHosts)
 }
 
 func (b *Bed) startMinions(ctx context.Context) error {
--- a/standin/workerload/figures.go
+++ b/standin/workerload/figures.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"sesameledge.dev/sesameledge/api"
-	"sesameledge.dev/sesameledge/platform"
+	"sesameledge.dev/sesameledge/logapi"
 	"sesameledge.dev/sesameledge/standin/platformsim"
 )
 
@@ -21,11 +21,11 @@
 	MessagesPerTask float64            `json:"messages_per_task"`
 	ByPath          map[string]float64 `json:"messages_per_task_by_path"`
 	// Beyond is the response time beyond the longest task's run time, milliseconds.
-	BeyondP50   float64                    `json:"beyond_p50_ms"`
-	BeyondP99   float64                    `json:"beyond_p99_ms"`
-	Utilisation float64                    `json:"utilisation"`     // used cores / cores
-	OverCommit  float64                    `json:"over_commitment"` // cores wanted beyond a worker's / cores wanted
-	States      map[platform.TaskState]int `json:"task_states"`
+	BeyondP50   float64                  `json:"beyond_p50_ms"`
+	BeyondP99   float64                  `json:"beyond_p99_ms"`
+	Utilisation float64                  `json:"utilisation"`     // used cores / cores
+	OverCommit  float64                  `json:"over_commitment"` // cores wanted beyond a worker's / cores wanted
+	States      map[logapi.TaskState]int `json:"task_states"`
 }
 
 func (g *generator) figures(after *platformsim.TaskTotals) *figures {
--- a/standin/zonecut/gateway.go
+++ b/standin/zonecut/gateway.go
@@ -9,7 +9,7 @@
 	"net/url"
 	"strconv"
 
-	"sesameledge.dev/sesameledge/platform"
+	"sesameledge.dev/sesameledge/logapi"
 	"sesameledge.dev/sesameledge/standin/simhttp"
 )
 
@@ -50,10 +50,10 @@
 
 // rewrite replaces addresses in a reply with the host list.
 func (g *gateway) rewrite(r *http.Response) error {
-	if r.Request.Method != http.MethodGet || r.Request.URL.Path != platform.PathHosts || r.StatusCode != http.StatusOK {
+	if r.Request.Method != http.MethodGet || r.Request.URL.Path != logapi.PathHosts || r.StatusCode != http.StatusOK {
 		return nil
 	}
-	var list platform.HostsReply
+	var list logapi.HostsReply
 	err := json.NewDecoder(r.Body).Decode(&list)
 	_ = r.Body.Close()
 	if err != nil {
@@ -72,11 +72,11 @@
 	return nil
 }
 
-func (g *gateway) replace(hosts []platform.Host) error {
+func (g *gateway) replace(hosts []logapi.Host) error {
 	g.net.mu.Lock()
 	defer g.net.mu.Unlock()
 	for i, h := range hosts {
-		if h.Kind != platform.KindMinion {
+		if h.Kind != logapi.KindMinion {
 			continue
 		}
 		var err error
--- a/worker/attempt.go
+++ b/worker/attempt.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"sesameledge.dev/sesameledge/dispatch"
-	"sesameledge.dev/sesameledge/platform"
+	"sesameledge.dev/sesameledge/logapi"
 )
 
 // stage is how far an attempt has come.
@@ -21,7 +21,7 @@
 
 // attempt is one attempt until it has ended. Runner.mu guards the fields below start.
 type attempt struct {
-	id       platform.TaskID
+	id       logapi.TaskID
 	start    dispatch.StartAttempt
 	deadline time.Time // of the job
 
@@ -35,7 +35,7 @@
 
 func newAttempt(start dispatch.StartAttempt, now time.Time) *attempt {
 	return &attempt{
-		id:       platform.TaskID{Worker: string(start.Endpoint.ID), Task: identity(start.Task, start.Attempt)},
+		id:       logapi.TaskID{Worker: string(start.Endpoint.ID), Task: identity(start.Task, start.Attempt)},
 		start:    start,
 		deadline: now.Add(start.Remaining),
 	}
@@ -47,13 +47,13 @@
 	return fmt.Sprintf("%s/%d/%d", t.Ticket, t.Index, number)
 }
 
-func (a *attempt) taskStart() platform.TaskStart {
+func (a *attempt) taskStart() logapi.TaskStart {
 	s := &a.start
 	payload := s.Payload
 	if len(payload) == 0 {
 		payload = []byte("null")
 	}
-	return platform.TaskStart{
+	return logapi.TaskStart{
 		TaskID:       a.id,
 		Label:        s.Kind,
 		Cores:        s.Size.Cores,
@@ -79,8 +79,8 @@
 }
 
 // fromView returns the end that a task's view shows, or false while the task runs.
-func (a *attempt) fromView(v *platform.TaskView) (dispatch.AttemptEnded, bool) {
-	if v.State == platform.TaskRunning {
+func (a *attempt) fromView(v *logapi.TaskView) (dispatch.AttemptEnded, bool) {
+	if v.State == logapi.TaskRunning {
 		return dispatch.AttemptEnded{}, false
 	}
 	if !v.Started {
@@ -90,21 +90,21 @@
 	}
 	outcome, reason := dispatch.AttemptFailed, ""
 	switch v.State {
-	case platform.TaskDone:
+	case logapi.TaskDone:
 		out := a.ended(dispatch.AttemptCompleted, "")
 		if out.Result = v.Result; len(out.Result) == 0 {
 			out.Result = []byte("null")
 		}
 		return out, true
-	case platform.TaskFailed:
+	case logapi.TaskFailed:
 		return a.ended(outcome, "it failed on "+v.Worker), true
-	case platform.TaskStopped:
+	case logapi.TaskStopped:
 		reason = "it was stopped on " + v.Worker
-	case platform.TaskCheckpointed:
+	case logapi.TaskCheckpointed:
 		reason = "it was stopped on " + v.Worker + " for want of resources"
-	case platform.TaskLapsed:
+	case logapi.TaskLapsed:
 		reason = "its lease lapsed and the platform stopped it"
-	case platform.TaskOutOfMemory:
+	case logapi.TaskOutOfMemory:
 		reason = "it was killed because the memory of " + v.Worker + " ran out"
 	default:
 		outcome, reason = dispatch.AttemptUnknown, fmt.Sprintf("the platform reports the state %q", v.State)
--- a/worker/fake_test.go
+++ b/worker/fake_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"sesameledge.dev/sesameledge/internal/pause"
-	"sesameledge.dev/sesameledge/platform"
+	"sesameledge.dev/sesameledge/logapi"
 )
 
 var errNoAnswer = errors.New("no answer")
@@ -21,10 +21,10 @@
 	lostBack float64       // share of answers that are lost after the effect
 	late     float64       // share of the lost starts that arrive late
 	lateBy   time.Duration // how late
-	refuse   platform.Refusal
+	refuse   logapi.Refusal
 	runs     time.Duration
-	tasks    map[string]*platform.TaskView
-	ended    map[string][]platform.TaskView // by lease
+	tasks    map[string]*logapi.TaskView
+	ended    map[string][]logapi.TaskView // by lease
 	lapsed   map[string]bool
 	starts   map[string]int // by task name, that is the identity without the attempt
 	messages int
@@ -34,8 +34,8 @@
 	return &fakePlatform{
 		random: rand.New(rand.NewPCG(seed, 1)),
 		runs:   5 * time.Millisecond,
-		tasks:  make(map[string]*platform.TaskView),
-		ended:  make(map[string][]platform.TaskView),
+		tasks:  make(map[string]*logapi.TaskView),
+		ended:  make(map[string][]logapi.TaskView),
 		lapsed: make(map[string]bool),
 		starts: make(map[string]int),
 	}
@@ -59,13 +59,13 @@
 func (f *fakePlatform) RenewLease(_ context.Context, lease string, _ time.Duration) (err error) {
 	lost := f.message(func() {
 		if f.lapsed[lease] {
-			err = platform.ErrLeaseLapsed
+			err = logapi.ErrLeaseLapsed
 		}
 	})
 	return errors.Join(lost, err)
 }
 
-func (f *fakePlatform) StartTasks(_ context.Context, batch platform.StartBatch) (out []platform.TaskAnswer, err error) {
+func (f *fakePlatform) StartTasks(_ context.Context, batch logapi.StartBatch) (out []logapi.TaskAnswer, err error) {
 	arrived := false
 	err = f.message(func() {
 		arrived = true
@@ -87,64 +87,64 @@
 	return out, err
 }
 
-func (f *fakePlatform) start(lease string, t platform.TaskStart) platform.TaskAnswer {
+func (f *fakePlatform) start(lease string, t logapi.TaskStart) logapi.TaskAnswer {
 	if v := f.tasks[t.Task]; v != nil {
-		return platform.TaskAnswer{Task: *v}
+		return logapi.TaskAnswer{Task: *v}
 	}
 	if f.lapsed[lease] {
-		return platform.TaskAnswer{Refused: platform.RefusedLease}
+		return logapi.TaskAnswer{Refused: logapi.RefusedLease}
 	}
 	if f.refuse != "" {
-		return platform.TaskAnswer{Refused: f.refuse}
+		return logapi.TaskAnswer{Refused: f.refuse}
 	}
-	v := &platform.TaskView{Task: t.Task, Worker: t.Worker, Lease: lease, State: platform.TaskRunning, Started: true}
+	v := &logapi.TaskView{Task: t.Task, Worker: t.Worker, Lease: lease, State: logapi.TaskRunning, Started: true}
 	f.tasks[t.Task] = v
 	f.starts[taskName(t.Task)]++
 	time.AfterFunc(f.runs, func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		f.end(v, platform.TaskDone)
+		f.end(v, logapi.TaskDone)
 	})
-	return platform.TaskAnswer{Task: *v}
+	return logapi.TaskAnswer{Task: *v}
 }
 
-func (f *fakePlatform) end(v *platform.TaskView, state platform.TaskState) {
-	if v.State == platform.TaskRunning {
+func (f *fakePlatform) end(v *logapi.TaskView, state logapi.TaskState) {
+	if v.State == logapi.TaskRunning {
 		v.State = state
 		f.ended[v.Lease] = append(f.ended[v.Lease], *v)
 	}
 }
 
-func (f *fakePlatform) ReadTasks(_ context.Context, tasks []platform.TaskID) (out []platform.TaskAnswer, err error) {
+func (f *fakePlatform) ReadTasks(_ context.Context, tasks []logapi.TaskID) (out []logapi.TaskAnswer, err error) {
 	err = f.message(func() {
 		for _, t := range tasks {
 			if v := f.tasks[t.Task]; v != nil {
-				out = append(out, platform.TaskAnswer{Task: *v})
+				out = append(out, logapi.TaskAnswer{Task: *v})
 				continue
 			}
-			out = append(out, platform.TaskAnswer{Refused: platform.RefusedTask})
+			out = append(out, logapi.TaskAnswer{Refused: logapi.RefusedTask})
 		}
 	})
 	return out, err
 }
 
-func (f *fakePlatform) StopTasks(_ context.Context, tasks []platform.TaskID) (out []platform.TaskAnswer, err error) {
+func (f *fakePlatform) StopTasks(_ context.Context, tasks []logapi.TaskID) (out []logapi.TaskAnswer, err error) {
 	err = f.message(func() {
 		for _, t := range tasks {
 			v := f.tasks[t.Task]
 			if v == nil {
-				v = &platform.TaskView{Task: t.Task, Worker: t.Worker, State: platform.TaskStopped}
+				v = &logapi.TaskView{Task: t.Task, Worker: t.Worker, State: logapi.TaskStopped}
 				f.tasks[t.Task] = v
 			}
-			f.end(v, platform.TaskStopped)
-			out = append(out, platform.TaskAnswer{Task: *v})
+			f.end(v, logapi.TaskStopped)
+			out = append(out, logapi.TaskAnswer{Task: *v})
 		}
 	})
 	return out, err
 }
 
-func (f *fakePlatform) EndedTasks(ctx context.Context, lease string, after int, wait time.Duration) (*platform.EndedReply, error) {
-	reply := new(platform.EndedReply)
+func (f *fakePlatform) EndedTasks(ctx context.Context, lease string, after int, wait time.Duration) (*logapi.EndedReply, error) {
+	reply := new(logapi.EndedReply)
 	err := f.message(func() {})
 	for end := time.Now().Add(wait); err == nil; {
 		f.mu.Lock()
@@ -168,7 +168,7 @@
 	f.lapsed[lease] = true
 	for _, v := range f.tasks {
 		if v.Lease == lease {
-			f.end(v, platform.TaskLapsed)
+			f.end(v, logapi.TaskLapsed)
 		}
 	}
 }
@@ -179,16 +179,16 @@
 	return f.starts[name]
 }
 
-func (f *fakePlatform) Usage(context.Context) ([]platform.Usage, error) { return nil, errNoAnswer }
+func (f *fakePlatform) Usage(context.Context) ([]logapi.Usage, error) { return nil, errNoAnswer }
 
-func (f *fakePlatform) ThrottleTasks(context.Context, []platform.TaskSpeed) ([]platform.TaskAnswer, error) {
+func (f *fakePlatform) ThrottleTasks(context.Context, []logapi.TaskSpeed) ([]logapi.TaskAnswer, error) {
 	return nil, errNoAnswer
 }
 
-func (f *fakePlatform) CheckpointTasks(_ context.Context, tasks []platform.TaskID) ([]platform.TaskAnswer, error) {
+func (f *fakePlatform) CheckpointTasks(_ context.Context, tasks []logapi.TaskID) ([]logapi.TaskAnswer, error) {
 	return nil, f.message(func() {
 		for _, t := range tasks {
-			f.end(f.tasks[t.Task], platform.TaskCheckpointed)
+			f.end(f.tasks[t.Task], logapi.TaskCheckpointed)
 		}
 	})
 }
--- a/worker/follow.go
+++ b/worker/follow.go
@@ -4,7 +4,7 @@
 	"context"
 
 	"sesameledge.dev/sesameledge/internal/pause"
-	"sesameledge.dev/sesameledge/platform"
+	"sesameledge.dev/sesameledge/logapi"
 )
 
 // followLoop reads the ended tasks of a lease in batches, while there are any to expect.
@@ -49,7 +49,7 @@
 	return false
 }
 
-func (r *Runner) endTasks(views []platform.TaskView) {
+func (r *Runner) endTasks(views []logapi.TaskView) {
 	for i := range views {
 		r.mu.Lock()
 		a := r.attempts[views[i].Task]
--- a/worker/lease.go
+++ b/worker/lease.go
@@ -7,7 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"sesameledge.dev/sesameledge/internal/pause"
-	"sesameledge.dev/sesameledge/platform"
+	"sesameledge.dev/sesameledge/logapi"
 )
 
 // lease is a lease of this incarnation. Once it has lapsed, the next one takes its place;
@@ -63,7 +63,7 @@
 func (r *Runner) renew(ctx context.Context, l *lease) bool {
 	r.counters.leases.Add(1)
 	err := r.opts.Platform.RenewLease(ctx, l.id, r.opts.LeaseTTL)
-	if errors.Is(err, platform.ErrLeaseLapsed) {
+	if errors.Is(err, logapi.ErrLeaseLapsed) {
 		r.lapse(l)
 		return false
 	}
--- a/worker/relief.go
+++ b/worker/relief.go
@@ -4,7 +4,7 @@
 	"context"
 
 	"sesameledge.dev/sesameledge/dispatch"
-	"sesameledge.dev/sesameledge/platform"
+	"sesameledge.dev/sesameledge/logapi"
 )
 
 // Relieve throttles tasks, and checkpoints and stops tasks, with one message each. It
@@ -44,12 +44,12 @@
 }
 
 // reliefMessages looks the tasks up; those that have ended are left out.
-func (r *Runner) reliefMessages(e dispatch.RelieveWorkers) (speeds []platform.TaskSpeed, stops []platform.TaskID) {
+func (r *Runner) reliefMessages(e dispatch.RelieveWorkers) (speeds []logapi.TaskSpeed, stops []logapi.TaskID) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, t := range e.Throttle {
 		if a := r.byTask[t.Task]; a != nil && len(speeds) < r.opts.MaxBatch {
-			speeds = append(speeds, platform.TaskSpeed{TaskID: a.id, Speed: t.Speed})
+			speeds = append(speeds, logapi.TaskSpeed{TaskID: a.id, Speed: t.Speed})
 		}
 	}
 	for _, t := range e.Stop {
--- a/worker/resolve.go
+++ b/worker/resolve.go
@@ -6,7 +6,7 @@
 
 	"sesameledge.dev/sesameledge/dispatch"
 	"sesameledge.dev/sesameledge/internal/pause"
-	"sesameledge.dev/sesameledge/platform"
+	"sesameledge.dev/sesameledge/logapi"
 )
 
 // maxMisses is how many reads may miss a task before it is stopped by identity.
@@ -82,8 +82,8 @@
 	return pause
 }
 
-func ids(batch []*attempt) []platform.TaskID {
-	out := make([]platform.TaskID, len(batch))
+func ids(batch []*attempt) []logapi.TaskID {
+	out := make([]logapi.TaskID, len(batch))
 	for i, a := range batch {
 		out[i] = a.id
 	}
--- a/worker/runner.go
+++ b/worker/runner.go
@@ -15,20 +15,20 @@
 	"time"
 
 	"sesameledge.dev/sesameledge/dispatch"
-	"sesameledge.dev/sesameledge/platform"
+	"sesameledge.dev/sesameledge/logapi"
 )
 
 // Platform is the worker interface of the platform. After an error, an operation may
 // have taken effect.
 type Platform interface {
 	RenewLease(ctx context.Context, lease string, ttl time.Duration) error
-	StartTasks(ctx context.Context, batch platform.StartBatch) ([]platform.TaskAnswer, error)
-	ReadTasks(ctx context.Context, tasks []platform.TaskID) ([]platform.TaskAnswer, error)
-	StopTasks(ctx context.Context, tasks []platform.TaskID) ([]platform.TaskAnswer, error)
-	ThrottleTasks(ctx context.Context, tasks []platform.TaskSpeed) ([]platform.TaskAnswer, error)
-	CheckpointTasks(ctx context.Context, tasks []platform.TaskID) ([]platform.TaskAnswer, error)
-	Usage(ctx context.Context) ([]platform.Usage, error)
-	EndedTasks(ctx context.Context, lease string, after int, wait time.Duration) (*platform.EndedReply, error)
+	StartTasks(ctx context.Context, batch logapi.StartBatch) ([]logapi.TaskAnswer, error)
+	ReadTasks(ctx context.Context, tasks []logapi.TaskID) ([]logapi.TaskAnswer, error)
+	StopTasks(ctx context.Context, tasks []logapi.TaskID) ([]logapi.TaskAnswer, error)
+	ThrottleTasks(ctx context.Context, tasks []logapi.TaskSpeed) ([]logapi.TaskAnswer, error)
+	CheckpointTasks(ctx context.Context, tasks []logapi.TaskID) ([]logapi.TaskAnswer, error)
+	Usage(ctx context.Context) ([]logapi.Usage, error)
+	EndedTasks(ctx context.Context, lease string, after int, wait time.Duration) (*logapi.EndedReply, error)
 }
 
 // Runner runs attempts on workers. It is safe for concurrent use.
--- a/worker/runner_test.go
+++ b/worker/runner_test.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"sesameledge.dev/sesameledge/dispatch"
+	"sesameledge.dev/sesameledge/logapi"
 	"sesameledge.dev/sesameledge/place"
-	"sesameledge.dev/sesameledge/platform"
 	"sesameledge.dev/sesameledge/ticket"
 )
 
@@ -165,7 +165,7 @@
 // its job's deadline, as when the process was paused in between.
 func TestRefusedAndExpiredStartsAreNotStarted(t *testing.T) {
 	fake := newFake(1)
-	fake.refuse = platform.RefusedAccelerators
+	fake.refuse = logapi.RefusedAccelerators
 	h := newHarness(t, fake, Options{})
 	h.start(0, 1, time.Minute)
 	h.start(1, 1, -time.Millisecond)
--- a/worker/start.go
+++ b/worker/start.go
@@ -6,7 +6,7 @@
 
 	"sesameledge.dev/sesameledge/dispatch"
 	"sesameledge.dev/sesameledge/internal/pause"
-	"sesameledge.dev/sesameledge/platform"
+	"sesameledge.dev/sesameledge/logapi"
 )
 
 // startLoop sends queued starts in batches. Messages that wait for their answers do not
@@ -103,7 +103,7 @@
 	if len(batch) == 0 {
 		return
 	}
-	msg := platform.StartBatch{Lease: l.id, Tasks: make([]platform.TaskStart, len(batch))}
+	msg := logapi.StartBatch{Lease: l.id, Tasks: make([]logapi.TaskStart, len(batch))}
 	for i, a := range batch {
 		msg.Tasks[i] = a.taskStart()
 	}
@@ -138,14 +138,14 @@
 	wake(r.resolveWake)
 }
 
-func (r *Runner) startAnswered(a *attempt, answer *platform.TaskAnswer) {
+func (r *Runner) startAnswered(a *attempt, answer *logapi.TaskAnswer) {
 	switch answer.Refused {
 	case "":
 		r.observe(a, &answer.Task)
-	case platform.RefusedLease:
+	case logapi.RefusedLease:
 		r.lapse(a.lease)
 		r.finishBlameless(a, "the lease had lapsed before it started")
-	case platform.RefusedOtherWorker:
+	case logapi.RefusedOtherWorker:
 		r.finish(a, a.ended(dispatch.AttemptUnknown, "the platform knows it on another worker"))
 	default:
 		r.finish(a, a.ended(dispatch.AttemptNotStarted, "the platform refused it: "+string(answer.Refused)))
@@ -153,7 +153,7 @@
 }
 
 // observe takes note of a task's state as the platform reports it.
-func (r *Runner) observe(a *attempt, v *platform.TaskView) {
+func (r *Runner) observe(a *attempt, v *logapi.TaskView) {
 	if v.Task != a.id.Task || v.Worker != a.id.Worker {
 		r.counters.mismatched.Add(1)
 		return
--- a/worker/usage.go
+++ b/worker/usage.go
@@ -9,8 +9,8 @@
 	"sesameledge.dev/sesameledge/dispatch"
 	"sesameledge.dev/sesameledge/fit"
 	"sesameledge.dev/sesameledge/internal/pause"
+	"sesameledge.dev/sesameledge/logapi"
 	"sesameledge.dev/sesameledge/place"
-	"sesameledge.dev/sesameledge/platform"
 )
 
 // usageIdle is how long usage is still read after the last attempt.
@@ -39,7 +39,7 @@
 }
 
 // convert translates a report into the form that placement uses.
-func (r *Runner) convert(usage []platform.Usage) []fit.Usage {
+func (r *Runner) convert(usage []logapi.Usage) []fit.Usage {
 	out := make([]fit.Usage, len(usage))
 	for i, u := range usage {
 		out[i] = fit.Usage{Worker: place.EndpointID(u.Worker), Age: time.Duration(u.AgeMS) * time.Millisecond}
@@ -51,7 +51,7 @@
 	return out
 }
 
-func (r *Runner) convertTask(t *platform.TaskUsage) fit.TaskUsage {
+func (r *Runner) convertTask(t *logapi.TaskUsage) fit.TaskUsage {
 	out := fit.TaskUsage{
 		ID:       t.Task,
 		Own:      strings.HasPrefix(t.Lease, r.opts.Incarnation+"/"),
