Let a job that has begun run to its end; ignore foreign acknowledgements

Change: only the caller's time limit ends a job that has begun; a session ignores acknowledgements beyond what it has sent, and frames of replaced processes are dropped.

--- a/host/peers.go
+++ b/host/peers.go
@@ -38,6 +38,7 @@
 	redialed  time.Duration
 	statusAt  time.Duration
 	assigned  map[string]int64 // work handed to its cells since statusAt, by zone, in thousandths of a core times ms
+	former    map[uint64]bool  // processes that were replaced at this address
 	configTo  int64            // newest configuration passed on to it
 	workersTo int64            // offset up to which workers were passed on to it
 }
@@ -53,6 +54,7 @@
 		status:   &meshpb.Status{},
 		sentAt:   -absentBeat,
 		assigned: make(map[string]int64),
+		former:   make(map[uint64]bool),
 	}
 }
 
@@ -75,6 +77,9 @@
 	s.stats.FramesIn++
 	s.meet(from)
 	p := s.peers[from.GetAddr()]
+	if p.former[from.GetId()] {
+		return // left in a buffer by a process that has been replaced
+	}
 	if p.info.GetId() != from.GetId() {
 		s.replaced(now, p, from)
 	}
@@ -99,7 +104,8 @@
 // replaced starts over with a new process at a known address.
 func (s *State) replaced(now time.Duration, p *peer, from *meshpb.Host) {
 	if p.info.GetId() != 0 {
-		s.note("mesh", "host restarted", "host", from.GetName(), "addr", from.GetAddr())
+		s.note("mesh", "", "host restarted", "host", from.GetName(), "addr", from.GetAddr())
+		p.former[p.info.GetId()] = true
 		s.abandon(now, p)
 	}
 	delete(s.byID, p.info.GetId())
--- a/sched/job.go
+++ b/sched/job.go
@@ -158,28 +158,23 @@
 	return fleet.RunKey{Task: fleet.Task{Job: j.spec.ID, Index: index}, Attempt: j.attempts[index]}
 }
 
-// expire ends the waiting jobs that can no longer be answered in a useful time.
+// expire ends the jobs whose callers' time is up, and those that have not begun and can no
+// longer be answered in a useful time.
 func (s *State) expire(now time.Duration) {
 	for _, j := range s.sortedJobs() {
 		switch {
 		case now >= j.deadline:
-			s.giveUp(now, j, "the caller's time is up")
-		case len(j.waiting) > 0 && s.hopeless(now, j):
-			s.giveUp(now, j, "no longer possible in a useful time")
-		case j.begun == 0 && !s.served(j):
-			s.giveUp(now, j, "no worker of the service is at hand")
+			s.finish(now, j, Refused, "the caller's time is up")
+		case j.begun > 0:
+			// Its answer is of use to the caller also when it is late.
+		case s.hopeless(now, j):
+			s.finish(now, j, Refused, "no longer possible in a useful time")
+		case !s.served(j):
+			s.finish(now, j, Refused, "no worker of the service is at hand")
 		}
 	}
 }
 
-func (s *State) giveUp(now time.Duration, j *job, reason string) {
-	if j.begun > 0 {
-		s.finish(now, j, Failed, reason)
-		return
-	}
-	s.finish(now, j, Refused, reason)
-}
-
 // hopeless reports whether the job's answer would come too late even if its waiting tasks
 // started now on the fastest worker.
 func (s *State) hopeless(now time.Duration, j *job) bool {
--- a/session/session.go
+++ b/session/session.go
@@ -88,10 +88,10 @@
 }
 
 func (s *Session) acknowledged(now time.Duration, ack uint64) {
-	if ack < s.first {
-		return
+	if ack < s.first || ack > s.sent {
+		return // known, or of another session
 	}
-	n := min(ack-s.first+1, uint64(len(s.pending)))
+	n := ack - s.first + 1
 	s.pending = s.pending[n:]
 	s.first += n
 	s.sentAt = now
