Give cells to the largest hosts, keep tokens apart, beat only where jobs pass

Change: hosts tell their processors, cells go to the largest and are handed over to a much larger one that joins; hosts that pass no jobs to each other beat twice a second; the order part of a token rises before the random part is added. Test: TestFencesDiffer, TestStrongestTakes, TestHandOverToStronger, TestReturningHostYields, TestNoRetakeWhenAlone.

--- a/Makefile
+++ b/Makefile
@@ -33,7 +33,7 @@
 generate:
 	mkdir -p bin/gen
 	go build -o bin/gen google.golang.org/protobuf/cmd/protoc-gen-go google.golang.org/grpc/cmd/protoc-gen-go-grpc
-	PATH="$$PWD/bin/gen:$$PATH" protoc --go_out=. --go_opt=paths=source_relative --go-grpc_out=. --go-grpc_opt=paths=source_relative peer/peerpb/peer.proto
+	for f in peer/peerpb/peer.proto mesh/meshpb/mesh.proto; do PATH="$$PWD/bin/gen:$$PATH" protoc --go_out=. --go_opt=paths=source_relative --go-grpc_out=. --go-grpc_opt=paths=source_relative $$f || exit 1; done
 
 .PHONY: demo
 # Starts a small deployment, runs two jobs and checks them. KEEP=1 leaves it running.
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -20,6 +20,9 @@
 	Seeds  []string `yaml:"seeds"` // peer addresses of other hosts, perhaps stale
 	Store  string   `yaml:"store"` // address of the platform's store, IP:port
 	Memory int64    `yaml:"memory_mb"`
+	// Cores and CoreShare give the processors of the host: so many cores, each to this part.
+	Cores     float64 `yaml:"cores"`
+	CoreShare float64 `yaml:"core_share"`
 	// DrainTime is the time that a process has from SIGTERM to its end.
 	DrainTime time.Duration `yaml:"drain_time"`
 	Log       Log           `yaml:"log"`
@@ -54,7 +57,7 @@
 
 // ParseSettings decodes and checks the text of a settings file.
 func ParseSettings(path string, text []byte) (*Settings, error) {
-	s := &Settings{DrainTime: defaultDrainTime, Log: Log{LinesPerSecond: defaultLines}}
+	s := &Settings{Cores: 1, CoreShare: 1, DrainTime: defaultDrainTime, Log: Log{LinesPerSecond: defaultLines}}
 	list := new(finding.List)
 	doc := strictyaml.Decode(path, text, s, list)
 	if doc.Readable() {
@@ -77,6 +80,8 @@
 	require(len(s.Zones) > 0, "zones", "must name the zones of the deployment")
 	require(s.DrainTime > 0, "drain_time", "must be positive")
 	require(s.Memory >= 0, "memory_mb", "must not be negative")
+	require(s.Cores > 0, "cores", "must be positive")
+	require(s.CoreShare > 0 && s.CoreShare <= 1, "core_share", "must be over 0 and at most 1")
 	require(s.Log.LinesPerSecond > 0, "log.lines_per_second", "must be positive")
 	addresses := map[string]string{
 		"listen.callers": s.Listen.Callers, "listen.ready": s.Listen.Ready,
--- a/host/cells.go
+++ b/host/cells.go
@@ -9,11 +9,14 @@
 )
 
 const (
-	// fenceShift leaves room for a random part in a fencing token.
-	fenceShift = 10
+	// fenceShift leaves room for a random part in a fencing token. The whole stays below
+	// 2^53, which is exact in every JSON decoder.
+	fenceShift = 16
+	// fenceEpoch is the time of day in Unix ms from which tokens count.
+	fenceEpoch = 1735689600000
 	// fenceJump lifts a token over one that a worker has seen and this host has not. It
-	// covers a clock that is ahead by a minute, and doubles with each loss.
-	fenceJump = int64(60000) << fenceShift
+	// covers a clock that is ahead by that many ms, and doubles with each loss.
+	fenceJump = int64(60000)
 	// maxLosses bounds the doubling.
 	maxLosses = 8
 	// retakeTime is the pause before a single worker that obeys another host is taken again.
@@ -23,39 +26,69 @@
 // lostWorker is a worker of an own cell that obeys another host.
 type lostWorker struct{ until time.Duration }
 
-// newFence returns a fencing token above all that the host knows of.
+// newFence returns a fencing token above all that the host knows of. Its random part keeps
+// apart hosts that take a cell at the same time.
 func (s *State) newFence(now time.Duration) int64 {
-	ms := s.opts.UnixMillis + (now - s.opts.Started).Milliseconds()
-	fence := max(ms<<fenceShift, s.maxFence+1<<fenceShift)
+	ms := s.opts.UnixMillis - fenceEpoch + (now - s.opts.Started).Milliseconds()
+	order := max(ms, s.maxFence>>fenceShift+1)
 	if s.losses > 0 {
-		fence += fenceJump << (min(s.losses, maxLosses) - 1)
+		order += fenceJump << (min(s.losses, maxLosses) - 1)
 	}
-	fence |= int64(s.rng.IntN(1 << fenceShift))
-	s.maxFence = fence
-	return fence
+	s.maxFence = order<<fenceShift | s.rng.Int64N(1<<fenceShift)
+	return s.maxFence
 }
 
 // decideCells takes cells without a commander and gives up those that obey another host.
 func (s *State) decideCells(now time.Duration) {
-	others := s.others()
+	others := s.others(now)
 	for _, zone := range s.opts.Zones {
 		d, ok := s.owner.Decide(now, zone, others)
-		switch {
-		case ok && d.Take:
-			s.takeCell(now, zone, d.Reason)
-		case ok:
-			s.note("owner", "", "cell given up", "zone", zone, "reason", d.Reason)
-			s.owner.Lose(now, zone)
-			s.releaseAll(zone)
+		if ok {
+			s.changeCell(now, zone, d)
 		}
 		s.takeWorkers(now, zone, others)
 	}
 }
 
+func (s *State) changeCell(now time.Duration, zone string, d owner.Decision) {
+	switch d.Kind {
+	case owner.TakeCell:
+		s.takeCell(now, zone, d.Reason)
+	case owner.HandOver:
+		s.note("owner", "", "handing over a cell", "zone", zone, "reason", d.Reason)
+		s.owner.HandOver(zone)
+		s.handOver(now, zone)
+		s.beatAll()
+	case owner.GiveUp:
+		s.note("owner", "", "cell given up", "zone", zone, "reason", d.Reason)
+		s.owner.Lose(now, zone)
+		s.handOver(now, zone)
+	}
+}
+
+// handOver returns the jobs of a cell that have not begun and releases its workers, each
+// when its last run is over.
+func (s *State) handOver(now time.Duration, zone string) {
+	s.sched.Close(now, zone)
+	s.releaseAll(zone)
+	if len(s.heldWorkers(zone)) == 0 {
+		s.owner.Released(zone)
+	}
+}
+
+// beatAll makes frames to all hosts due.
+func (s *State) beatAll() {
+	for _, p := range s.peers {
+		p.sentAt = -absentBeat
+	}
+}
+
 func (s *State) takeCell(now time.Duration, zone, reason string) {
 	fence := s.newFence(now)
 	s.owner.Take(zone, fence)
+	s.sched.Open(zone)
 	s.stats.CellsTaken++
+	s.beatAll()
 	s.note("owner", "", "cell taken", "zone", zone, "fence", fence, "reason", reason)
 }
 
@@ -134,7 +167,7 @@
 	s.stats.CellsLost++
 	s.note("owner", "", "cell lost", "zone", e.info.Zone, "fence", claim.Fence, "lost", lost, "workers", total)
 	s.owner.Lose(now, e.info.Zone)
-	s.releaseAll(e.info.Zone)
+	s.handOver(now, e.info.Zone)
 }
 
 // releaseAll hands over the workers of a cell, each when its last run is over.
@@ -177,17 +210,11 @@
 func (s *State) drain(now time.Duration) {
 	s.draining = true
 	s.owner.Drain()
-	s.sched.Drain(now)
 	for _, c := range s.owner.Claims() {
-		s.note("owner", "", "handing over a cell", "zone", c.Zone)
-		s.releaseAll(c.Zone)
-		if len(s.heldWorkers(c.Zone)) == 0 {
-			s.owner.Released(c.Zone)
-		}
-	}
-	for _, p := range s.sortedPeers() {
-		p.sentAt = -absentBeat // tells them at once
+		s.note("owner", "", "handing over a cell", "zone", c.Zone, "reason", "the host shuts down")
+		s.handOver(now, c.Zone)
 	}
+	s.beatAll()
 }
 
 // status is what the host tells of itself.
--- a/host/choose.go
+++ b/host/choose.go
@@ -27,7 +27,7 @@
 // cells returns the cells with a commander that is heard.
 func (s *State) cells(now time.Duration) []*cell {
 	var list []*cell
-	hosts := s.others()
+	hosts := s.others(now)
 	hosts = append(hosts, s.ownClaims())
 	for _, zone := range s.opts.Zones {
 		h, _, ok := owner.Holder(zone, hosts)
@@ -44,7 +44,7 @@
 }
 
 func (s *State) ownClaims() owner.Host {
-	h := owner.Host{Name: s.opts.Self.Name, Zone: s.opts.Self.Zone, ID: s.opts.Self.ID, Draining: s.draining}
+	h := owner.Host{Name: s.opts.Self.Name, Zone: s.opts.Self.Zone, ID: s.opts.Self.ID, Weight: s.opts.Self.Weight, Draining: s.draining}
 	for _, c := range s.owner.Claims() {
 		h.Claims = append(h.Claims, *c)
 	}
--- /dev/null
+++ b/host/fence_test.go
@@ -0,0 +1,42 @@
+package host
+
+import (
+	"testing"
+	"time"
+
+	"sesameledge.dev/sesameledge/fleet"
+)
+
+// newTestState returns a host of a zone without workers.
+func newTestState(name string, id uint64) *State {
+	return New(Options{
+		Self:       Self{Name: name, Zone: "z", Addr: "127.0.0.1:1", ID: id, Weight: 400},
+		Zones:      []string{"z"},
+		Seed:       id,
+		UnixMillis: 1767225600000,
+		Decode: Decoders{
+			Config: func([]byte) (*fleet.Config, error) { return nil, nil },
+			Worker: func(id string, _ []byte) (fleet.Worker, error) { return fleet.Worker{ID: id, Zone: "z"}, nil },
+		},
+	})
+}
+
+// TestFencesDiffer guards against two hosts that take a cell at the same time, having heard
+// of the same highest token, under one and the same token: a worker obeys both then, and
+// each counts only its own tasks against the worker's capacity.
+func TestFencesDiffer(t *testing.T) {
+	const known = 1824261241136128 | 1<<10 - 1
+	seen := make(map[int64]uint64)
+	for id := uint64(1); id <= 50; id++ {
+		s := newTestState("h", id)
+		s.maxFence = known << 6
+		fence := s.newFence(time.Second)
+		if fence <= known<<6 {
+			t.Fatalf("token %d is not above %d", fence, known<<6)
+		}
+		if other, ok := seen[fence]; ok {
+			t.Fatalf("hosts %d and %d have the same token %d", other, id, fence)
+		}
+		seen[fence] = id
+	}
+}
--- a/host/host.go
+++ b/host/host.go
@@ -23,6 +23,8 @@
 	Zone string
 	Addr string // for other hosts, IP:port
 	ID   uint64 // random identity of the process
+	// Weight is the host's processors in thousandths of a core. Cells go to large hosts.
+	Weight int64
 }
 
 // Decoders decode what hosts pass on without reading it.
@@ -79,7 +81,7 @@
 		opts:    opts,
 		peers:   make(map[string]*peer),
 		byID:    make(map[uint64]*peer),
-		owner:   owner.New(opts.Started, owner.Host{Name: opts.Self.Name, Zone: opts.Self.Zone, ID: opts.Self.ID}),
+		owner:   owner.New(opts.Started, owner.Host{Name: opts.Self.Name, Zone: opts.Self.Zone, ID: opts.Self.ID, Weight: opts.Self.Weight}),
 		sched:   sched.New(opts.Seed),
 		workers: make(map[string]*entry),
 		jobs:    make(map[uint64]*job),
--- a/host/peers.go
+++ b/host/peers.go
@@ -17,8 +17,13 @@
 	// contactTime is the age of a contact at which a host counts as lost. With the lease of
 	// a worker it has to stay under the time after which callers send a job again.
 	contactTime = 450 * time.Millisecond
-	// redialTime is the age of a contact at which its connection is replaced.
-	redialTime = 250 * time.Millisecond
+	// distantBeat and distantContact hold between hosts that pass no jobs to each other.
+	distantBeat    = 500 * time.Millisecond
+	distantContact = 2 * time.Second
+	// closeGrace is the time in which the heartbeats of two hosts become frequent.
+	closeGrace = 300 * time.Millisecond
+	// redialShare is the part of the time to a loss after which a connection is replaced.
+	redialShare = 0.55
 	// redialPause is the least time between two connections to one host.
 	redialPause = 300 * time.Millisecond
 	// absentTime is the age of a contact from which frames are sent less often.
@@ -38,6 +43,8 @@
 	redialed  time.Duration
 	statusAt  time.Duration
 	assigned  map[string]int64 // work handed to its cells since statusAt, by zone, in thousandths of a core times ms
+	closeAt   time.Duration    // when jobs began to pass; 0: they do not
+	closer    bool             // heartbeats have been frequent for closeGrace
 	former    map[uint64]bool  // processes that were replaced at this address
 	configTo  int64            // newest configuration passed on to it
 	workersTo int64            // offset up to which workers were passed on to it
@@ -129,7 +136,35 @@
 }
 
 func (s *State) fresh(now time.Duration, p *peer) bool {
-	return p.session.Contact() != 0 && now-p.session.Contact() <= contactTime
+	return p.session.Contact() != 0 && now-p.session.Contact() <= s.patience(p)
+}
+
+// close reports whether jobs may pass between this host and the peer: one of them commands
+// a cell. Other pairs exchange heartbeats less often, so that the traffic of a deployment
+// grows with its hosts and not with their square.
+func (s *State) close(p *peer) bool {
+	return len(p.status.GetCells()) > 0 || len(s.owner.Claims()) > 0
+}
+
+// patience is the age of a contact at which the peer counts as lost.
+func (s *State) patience(p *peer) time.Duration {
+	if s.close(p) && p.closer {
+		return contactTime
+	}
+	return distantContact
+}
+
+// noteClose notes when two hosts begin to pass jobs, so that the heartbeats between them can
+// become as frequent as that takes before the contact is judged by it.
+func (s *State) noteClose(now time.Duration, p *peer) {
+	switch isClose := s.close(p); {
+	case !isClose:
+		p.closeAt, p.closer = 0, false
+	case p.closeAt == 0:
+		p.closeAt = now
+	case now-p.closeAt >= closeGrace:
+		p.closer = true
+	}
 }
 
 func (s *State) revive(now time.Duration, p *peer) {
@@ -144,6 +179,7 @@
 // other event, so that a host that stood still does not act on what it knew before.
 func (s *State) loseContacts(now time.Duration) {
 	for _, p := range s.sortedPeers() {
+		s.noteClose(now, p)
 		if p.live && !s.fresh(now, p) {
 			s.note("mesh", "", "host lost", "host", p.info.GetName(), "addr", p.info.GetAddr(), "silent", now-p.session.Contact())
 			s.abandon(now, p)
@@ -187,7 +223,7 @@
 		}
 		s.redial(now, p)
 		f := &meshpb.Frame{
-			From:   &meshpb.Host{Name: s.opts.Self.Name, Zone: s.opts.Self.Zone, Addr: s.opts.Self.Addr, Id: s.opts.Self.ID},
+			From:   &meshpb.Host{Name: s.opts.Self.Name, Zone: s.opts.Self.Zone, Addr: s.opts.Self.Addr, Id: s.opts.Self.ID, Weight: s.opts.Self.Weight},
 			To:     p.info.GetId(),
 			Status: s.status(now),
 		}
@@ -199,16 +235,20 @@
 }
 
 func (s *State) beat(now time.Duration, p *peer) time.Duration {
-	if now-max(p.session.Contact(), p.met) > absentTime {
+	switch {
+	case now-max(p.session.Contact(), p.met) > absentTime:
 		return absentBeat
+	case s.close(p):
+		return beatTime
+	default:
+		return distantBeat
 	}
-	return beatTime
 }
 
 // redial replaces the connection to a host that has gone silent.
 func (s *State) redial(now time.Duration, p *peer) {
 	since := max(p.session.Contact(), p.met)
-	if now-since < redialTime || now-p.redialed < redialPause {
+	if now-since < time.Duration(redialShare*float64(s.patience(p))) || now-p.redialed < redialPause {
 		return
 	}
 	p.redialed = now
@@ -217,13 +257,13 @@
 }
 
 // others returns the live peers as package owner sees them.
-func (s *State) others() []owner.Host {
+func (s *State) others(now time.Duration) []owner.Host {
 	var list []owner.Host
 	for _, p := range s.sortedPeers() {
 		if !p.live {
 			continue
 		}
-		h := owner.Host{Name: p.info.GetName(), Zone: p.info.GetZone(), ID: p.info.GetId(), Draining: p.status.GetDraining()}
+		h := owner.Host{Name: p.info.GetName(), Zone: p.info.GetZone(), ID: p.info.GetId(), Weight: p.info.GetWeight(), Age: now - p.met, Draining: p.status.GetDraining()}
 		for _, c := range p.status.GetCells() {
 			h.Claims = append(h.Claims, owner.Claim{Zone: c.GetZone(), Fence: c.GetFence(), Releasing: c.GetReleasing(), Held: c.GetHeld(), Commanded: int(c.GetCommanded())})
 		}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -4,8 +4,8 @@
 // costs a change of command, never a second commander.
 //
 // Command stays where it is while its holder lives, so hosts that join cause no change. A
-// cell without a live holder goes to the live host of its zone that ranks first in a hash
-// of cell and host.
+// cell without a live holder goes to the live host of its zone that is the
+// largest; a much larger one that joins is given the cell in good order.
 package owner
 
 import (
@@ -24,13 +24,17 @@
 	// aloneRetry is that pause for a host that hears no other one. It is more likely cut off
 	// than the last one alive.
 	aloneRetry = 10 * time.Second
+	// steadyTime is how long a larger host has to be in contact before it is given a cell.
+	steadyTime = 4 * time.Second
 )
 
 // Host is what a host knows of one that it hears, itself included.
 type Host struct {
 	Name     string
 	Zone     string
-	ID       uint64 // of its process
+	ID       uint64        // of its process
+	Weight   int64         // processors, in thousandths of a core
+	Age      time.Duration // since it was first heard
 	Draining bool
 	Claims   []Claim
 }
@@ -44,10 +48,19 @@
 	Commanded int      // workers that obey
 }
 
+// Kind of a decision.
+type Kind int
+
+// The decisions.
+const (
+	TakeCell Kind = iota + 1
+	HandOver      // worker by worker, each when its last run is over
+	GiveUp        // at once; the workers obey another host
+)
+
 // Decision is a change of this host's claims.
 type Decision struct {
-	Zone   string
-	Take   bool // otherwise the claim is given up
+	Kind   Kind
 	Reason string
 }
 
@@ -105,6 +118,13 @@
 	}
 }
 
+// HandOver starts to hand over a cell.
+func (s *State) HandOver(zone string) {
+	if c := s.claims[zone]; c != nil {
+		c.Releasing = true
+	}
+}
+
 // Released notes that a cell has been handed over completely.
 func (s *State) Released(zone string) { delete(s.claims, zone) }
 
@@ -117,7 +137,10 @@
 		return Decision{}, false
 	case mine != nil:
 		if found && mine.weaker(best) {
-			return Decision{Zone: zone, Reason: "another host commands more workers of the cell"}, true
+			return Decision{Kind: GiveUp, Reason: "another host commands more workers of the cell"}, true
+		}
+		if s.muchStronger(zone, others) {
+			return Decision{Kind: HandOver, Reason: "a larger host can command the cell"}, true
 		}
 		return Decision{}, false
 	case found || s.self.Draining || now < s.started+settleTime || now < s.retry[zone]:
@@ -125,7 +148,7 @@
 	case len(others) == 0 && s.lostAt[zone] != 0 && now < s.lostAt[zone]+aloneRetry:
 		return Decision{}, false
 	case s.rankedFirst(zone, others):
-		return Decision{Zone: zone, Take: true, Reason: "no host commands the cell"}, true
+		return Decision{Kind: TakeCell, Reason: "no host commands the cell"}, true
 	}
 	return Decision{}, false
 }
@@ -163,19 +186,36 @@
 	return c.Fence < other.Fence
 }
 
-// rankedFirst reports whether this host is the one to take a cell without a holder.
+// rankedFirst reports whether this host is the one to take a cell without a holder: the
+// largest of its zone, and of several such the first in a hash of cell and host.
 func (s *State) rankedFirst(zone string, others []Host) bool {
 	if s.self.Zone != zone {
 		return false
 	}
-	mine := rank(zone, s.self.Name)
 	for _, h := range others {
-		if h.Zone == zone && !h.Draining && rank(zone, h.Name) < mine {
+		if h.Zone == zone && !h.Draining && ranksBefore(zone, h, s.self) {
 			return false
 		}
 	}
 	return true
 }
 
-// rank orders the hosts of a cell.
-func rank(zone, host string) uint64 { return xxhash.Sum64String(zone + "\x00" + host) }
+func ranksBefore(zone string, a, b Host) bool {
+	if a.Weight != b.Weight {
+		return a.Weight > b.Weight
+	}
+	return hash(zone, a.Name) < hash(zone, b.Name)
+}
+
+// muchStronger reports whether a host of the zone is so much larger than this one that a
+// change of command pays.
+func (s *State) muchStronger(zone string, others []Host) bool {
+	for _, h := range others {
+		if h.Zone == zone && !h.Draining && h.Age >= steadyTime && 2*h.Weight >= 3*s.self.Weight && h.Weight > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func hash(zone, host string) uint64 { return xxhash.Sum64String(zone + "\x00" + host) }
--- /dev/null
+++ b/owner/owner_test.go
@@ -0,0 +1,68 @@
+package owner
+
+import (
+	"testing"
+	"time"
+)
+
+const later = time.Minute
+
+func newState(self Host) *State { return New(0, self) }
+
+// TestStrongestTakes guards against a cell that is commanded by a host too small for it.
+func TestStrongestTakes(t *testing.T) {
+	small := Host{Name: "small", Zone: "z", ID: 1, Weight: 144}
+	large := Host{Name: "large", Zone: "z", ID: 2, Weight: 800}
+	if d, ok := newState(small).Decide(later, "z", []Host{large}); ok {
+		t.Errorf("the small host decides %+v", d)
+	}
+	if d, ok := newState(large).Decide(later, "z", []Host{small}); !ok || d.Kind != TakeCell {
+		t.Errorf("the large host decides %+v, %v", d, ok)
+	}
+}
+
+// TestHandOverToStronger guards against a cell that stays with a small host after the large
+// one has come back.
+func TestHandOverToStronger(t *testing.T) {
+	s := newState(Host{Name: "small", Zone: "z", ID: 1, Weight: 144})
+	large := Host{Name: "large", Zone: "z", ID: 2, Weight: 800}
+	s.Take("z", 5)
+	if d, ok := s.Decide(later, "z", []Host{large}); ok {
+		t.Errorf("handed over before the large host has lived for a while: %+v", d)
+	}
+	large.Age = 10 * time.Second
+	d, ok := s.Decide(later, "z", []Host{large})
+	if !ok || d.Kind != HandOver {
+		t.Errorf("got %+v, %v", d, ok)
+	}
+	equal := Host{Name: "equal", Zone: "z", ID: 3, Weight: 150, Age: time.Minute}
+	if d, ok := s.Decide(later, "z", []Host{equal}); ok {
+		t.Errorf("handed over to a host of like size: %+v", d)
+	}
+}
+
+// TestReturningHostYields guards against a host that comes back from a partition and takes
+// the cell away from the one that its workers obey.
+func TestReturningHostYields(t *testing.T) {
+	s := newState(Host{Name: "a", Zone: "z", ID: 1})
+	s.Take("z", 9)
+	other := Host{Name: "b", Zone: "z", ID: 2, Claims: []Claim{{Zone: "z", Fence: 5, Commanded: 16}}}
+	if d, ok := s.Decide(later, "z", []Host{other}); !ok || d.Kind != GiveUp {
+		t.Errorf("got %+v, %v", d, ok)
+	}
+}
+
+// TestNoRetakeWhenAlone guards against a host that is cut off and takes its workers back
+// again and again from the host that is not.
+func TestNoRetakeWhenAlone(t *testing.T) {
+	s := newState(Host{Name: "a", Zone: "z", ID: 1})
+	s.Take("z", 9)
+	s.Lose(later, "z")
+	if d, ok := s.Decide(later+retryTime+1, "z", nil); ok {
+		t.Errorf("took the cell back while alone: %+v", d)
+	}
+	b := Host{Name: "b", Zone: "y", ID: 2}
+	if d, ok := s.Decide(later+retryTime+1, "z", []Host{b}); !ok || d.Kind != TakeCell {
+		t.Errorf("got %+v, %v", d, ok)
+	}
+}
--- a/sched/job.go
+++ b/sched/job.go
@@ -192,18 +192,34 @@
 	return false
 }
 
-// Drain refuses new jobs and those that have not begun. Workers that are released serve the
-// others until these have ended.
-func (s *State) Drain(now time.Duration) {
-	s.draining = true
+// Close refuses new jobs for a zone's workers and those that have not begun. Workers that are
+// released serve the others until these have ended.
+func (s *State) Close(now time.Duration, zone string) {
+	s.closed[zone] = true
 	for _, j := range s.sortedJobs() {
-		if j.begun == 0 {
-			s.finish(now, j, Refused, "the host hands over its workers")
+		if j.zone == zone && j.begun == 0 {
+			s.finish(now, j, Refused, reasonHandover)
 		}
 	}
 	s.compactQueue()
 }
 
+// Open takes jobs for a zone's workers again.
+func (s *State) Open(zone string) { delete(s.closed, zone) }
+
+// reasonHandover refuses jobs while a cell changes hands.
+const reasonHandover = "the cell changes hands"
+
+// waits reports whether a task waits for a worker of a zone.
+func (s *State) waits(zone string) bool {
+	for _, j := range s.queue {
+		if j.zone == zone && !j.finished && len(j.waiting) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // CancelHost gives up all jobs that came from a process.
 func (s *State) CancelHost(now time.Duration, host uint64) int {
 	n := 0
--- a/sched/place.go
+++ b/sched/place.go
@@ -168,8 +168,8 @@
 
 // refusal says why a job has no prospect, or returns an empty string.
 func (s *State) refusal(now time.Duration, j *job) string {
-	if s.draining {
-		return "the host hands over its workers"
+	if s.closed[j.zone] {
+		return reasonHandover
 	}
 	load, ok := s.Loads(now, j.zone)[j.route.Service]
 	if !ok || load.Capacity == 0 {
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -35,16 +35,16 @@
 
 // State is the state machine. Use New.
 type State struct {
-	workers  map[string]*worker
-	jobs     map[JobKey]*job
-	queue    []*job // with tasks that wait
-	model    *model
-	rng      *rand.Rand
-	out      []Effect
-	dirty    bool // there may be room for waiting tasks
-	order    []*worker
-	stats    Stats
-	draining bool
+	workers map[string]*worker
+	jobs    map[JobKey]*job
+	queue   []*job // with tasks that wait
+	model   *model
+	rng     *rand.Rand
+	out     []Effect
+	dirty   bool // there may be room for waiting tasks
+	order   []*worker
+	stats   Stats
+	closed  map[string]bool // zones whose workers are being handed over
 }
 
 // Stats counts what the state machine has done.
@@ -58,6 +58,7 @@
 	return &State{
 		workers: make(map[string]*worker),
 		jobs:    make(map[JobKey]*job),
+		closed:  make(map[string]bool),
 		model:   newModel(),
 		rng:     rand.New(rand.NewPCG(seed, seed)),
 	}
@@ -177,7 +178,7 @@
 }
 
 func (s *State) leaveIfEmpty(w *worker) {
-	if w.phase != phaseLeaving || len(w.runs) > 0 || s.draining && len(s.queue) > 0 {
+	if w.phase != phaseLeaving || len(w.runs) > 0 || s.closed[w.info.Zone] && s.waits(w.info.Zone) {
 		return
 	}
 	w.phase = phaseNone
