--- a/entry/drain.go
+++ b/entry/drain.go
@@ -72,3 +72,19 @@
 	_ = h.logger.Log("part", "entry", "msg", "stopped", "after", clock()-started)
 	close(h.logStop)
 }
+
+// Close ends the host at once, as the loss of its process does: open requests are broken
+// off, and what it commands is left to its leases.
+func (h *Host) Close() {
+	h.once.Do(func() {
+		defer close(h.drained)
+		h.cancel()
+		h.mesh.Stop()
+		h.links.Close()
+		for _, server := range h.servers {
+			_ = server.Close() // closing a listener fails only if it is closed
+		}
+		h.loop.close()
+		close(h.logStop)
+	})
+}
--- a/host/choose.go
+++ b/host/choose.go
@@ -21,7 +21,6 @@
 	peer *peer // that commands it; nil: this host
 	load sched.Load
 	wait time.Duration
-	job  *job
 }
 
 // cells returns the cells with a commander that is heard.
--- a/sched/hold.go
+++ b/sched/hold.go
@@ -17,13 +17,14 @@
 		// Reads only: nothing of this host runs there.
 	case len(w.runs) > 0:
 		order.Wait = int(holdWait.Milliseconds())
-		if !w.withhold(now) {
+		if !w.withhold(now) && !w.stale(now) {
 			order.Until = w.leaseEnd(now, leaseTime)
 			w.grant(now, leaseTime)
 		}
-	case w.cursor == w.acked:
+	case w.cursor == w.acked && !w.wanted:
 		return
 	}
+	w.wanted = false
 	if len(w.foreign) > 0 {
 		order.Wait = int(stopRepeat.Milliseconds())
 	}
@@ -77,6 +78,7 @@
 	s.reborn(now, w, e.Reply.Born)
 	w.observe(now, e.Reply.Clock)
 	w.nextHold = now
+	s.dirty = true
 	w.acked = max(w.acked, w.asking)
 	for _, f := range e.Reply.Finished {
 		if f.Number <= w.cursor {
@@ -98,7 +100,9 @@
 	}
 }
 
-// reborn ends the runs of a worker's earlier incarnation.
+// reborn takes note of a new incarnation of a worker. Runs that the earlier one has listed
+// are over. Of the others it is not known which incarnation has their orders: they are
+// stopped unless the new one lists them.
 func (s *State) reborn(now time.Duration, w *worker, born int64) {
 	if born == 0 || born == w.born {
 		return
@@ -109,7 +113,15 @@
 		w.clock, w.clockAt = 0, 0
 		w.foreign = make(map[fleet.RunKey]*foreignRun)
 		for _, r := range sortedRuns(w) {
-			s.over(now, w, r, fleet.EndUnknown)
+			if r.born == w.born {
+				s.over(now, w, r, fleet.EndUnknown)
+				continue
+			}
+			r.until = 0
+			r.stop.acked = 0
+			if r.confirmed == 0 && r.doubt == 0 {
+				r.doubt = now
+			}
 		}
 	}
 	w.born = born
@@ -132,6 +144,7 @@
 		running[row.Run] = true
 		if r := w.runs[row.Run]; r != nil {
 			r.progress(now, row.Percent)
+			r.born = w.born
 			continue
 		}
 		if w.foreign[row.Run] == nil {
@@ -170,7 +183,7 @@
 		}
 		confirmed := r.confirmed != 0 && r.confirmed < e.Sent
 		stopped := r.stop.acked != 0 && r.stop.acked < e.Sent
-		expired := r.confirmed == 0 && r.sent < e.Sent && e.Reply.Clock > r.until
+		expired := r.confirmed == 0 && r.sent < e.Sent && r.until != 0 && e.Reply.Clock > r.until
 		if !confirmed && !stopped && !expired {
 			continue
 		}
--- /dev/null
+++ b/sched/machine_test.go
@@ -0,0 +1,430 @@
+package sched
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"sesameledge.dev/sesameledge/fleet"
+)
+
+// modelWorker is the oracle: a worker that obeys the highest fencing token, guards nothing,
+// and runs what it is told until it ends, is stopped or its lease ends.
+type modelWorker struct {
+	id       string
+	born     int64
+	rate     float64 // of its clock
+	fence    int64
+	lease    int64 // on its clock
+	running  map[fleet.RunKey]fleet.Resources
+	barred   map[fleet.Task]int64 // highest attempt that was stopped or has ended
+	finished []fleet.Finished
+	number   int64
+	capacity fleet.Resources
+	started  time.Duration // of the process; its clock begins then
+	down     time.Duration // no process until then
+}
+
+func (w *modelWorker) clock(now time.Duration) int64 {
+	return 1 + int64(float64((now-w.started).Milliseconds())*w.rate)
+}
+
+// expire ends everything if the lease has ended.
+func (w *modelWorker) expire(now time.Duration) {
+	if w.clock(now) >= w.lease {
+		for _, key := range w.keys() {
+			w.end(key, fleet.EndLapsed)
+		}
+	}
+}
+
+func (w *modelWorker) keys() []fleet.RunKey {
+	var keys []fleet.RunKey
+	for key := range w.running {
+		keys = append(keys, key)
+	}
+	slices.SortFunc(keys, func(a, b fleet.RunKey) int {
+		if a.Task.Job != b.Task.Job {
+			return int(a.Attempt - b.Attempt)
+		}
+		return a.Task.Index - b.Task.Index
+	})
+	return keys
+}
+
+func (w *modelWorker) end(key fleet.RunKey, how fleet.How) {
+	delete(w.running, key)
+	w.barred[key.Task] = max(w.barred[key.Task], key.Attempt)
+	w.number++
+	w.finished = append(w.finished, fleet.Finished{Number: w.number, Run: key, How: how})
+}
+
+func (w *modelWorker) extend(now time.Duration, until int64) {
+	w.lease = max(w.lease, min(until, w.clock(now)+1000))
+}
+
+func (w *modelWorker) start(now time.Duration, o fleet.StartOrder, need fleet.Resources) fleet.Verdict {
+	w.expire(now)
+	switch {
+	case o.Fence < w.fence:
+		return fleet.Fenced
+	case o.Until <= w.clock(now):
+		return fleet.Expired
+	}
+	w.fence = o.Fence
+	w.extend(now, o.Until)
+	if _, there := w.running[o.Run]; there {
+		return fleet.Accepted
+	}
+	if w.barred[o.Run.Task] >= o.Run.Attempt {
+		return fleet.Superseded
+	}
+	w.running[o.Run] = need
+	return fleet.Accepted
+}
+
+func (w *modelWorker) stop(now time.Duration, o fleet.StopOrder) fleet.Verdict {
+	w.expire(now)
+	if o.Fence < w.fence {
+		return fleet.Fenced
+	}
+	w.fence = o.Fence
+	if _, there := w.running[o.Run]; there {
+		w.end(o.Run, fleet.EndStopped)
+	}
+	w.barred[o.Run.Task] = max(w.barred[o.Run.Task], o.Run.Attempt)
+	return fleet.Accepted
+}
+
+func (w *modelWorker) hold(now time.Duration, o fleet.HoldOrder) fleet.HoldReply {
+	w.expire(now)
+	if o.Fence < w.fence {
+		return fleet.HoldReply{Reply: fleet.Reply{Verdict: fleet.Fenced, Clock: w.clock(now), Born: w.born}}
+	}
+	w.fence = o.Fence
+	if o.Until > 0 {
+		w.extend(now, o.Until)
+	}
+	w.finished = slices.DeleteFunc(w.finished, func(f fleet.Finished) bool { return f.Number <= o.Ack })
+	reply := fleet.HoldReply{Reply: fleet.Reply{Verdict: fleet.Accepted, Clock: w.clock(now), Born: w.born}}
+	for _, key := range w.keys() {
+		reply.Running = append(reply.Running, fleet.Running{Run: key, Percent: 1})
+	}
+	reply.Finished = slices.Clone(w.finished)
+	return reply
+}
+
+// schedMachine drives the scheduler against model workers over a network that delays, loses
+// and carries out late.
+type schedMachine struct {
+	s        *State
+	now      time.Duration
+	workers  []*modelWorker
+	calls    []call
+	late     []call
+	jobs     map[JobKey]int // submitted: tasks
+	needs    map[string]fleet.Resources
+	done     map[fleet.Task]bool
+	outcomes map[JobKey]Outcome
+	seq      uint64
+	fence    int64
+	number   int
+}
+
+// call is an order on its way.
+type call struct {
+	effect Effect
+	sent   time.Duration
+	number int
+}
+
+func newSchedMachine() *schedMachine {
+	m := &schedMachine{
+		s: New(1), now: time.Minute, jobs: make(map[JobKey]int), needs: make(map[string]fleet.Resources),
+		done: make(map[fleet.Task]bool), outcomes: make(map[JobKey]Outcome), fence: 10,
+	}
+	for i := range 3 {
+		m.workers = append(m.workers, &modelWorker{
+			id: fmt.Sprintf("w%d", i), born: 1, rate: []float64{1, 0.98, 1}[i],
+			running: make(map[fleet.RunKey]fleet.Resources), barred: make(map[fleet.Task]int64),
+			capacity: fleet.Resources{CPU: int64(64000 + 32000*(i%2)), Memory: 1000},
+		})
+	}
+	m.directory(-1)
+	for _, w := range m.workers {
+		m.step(Take{Worker: w.id, Fence: m.fence})
+	}
+	return m
+}
+
+// directory lists the workers; the one with the given index drains.
+func (m *schedMachine) directory(draining int) {
+	var list []fleet.Worker
+	for i, w := range m.workers {
+		list = append(list, fleet.Worker{ID: w.id, Service: "s", Zone: "z", Capacity: w.capacity, Draining: i == draining})
+	}
+	m.step(Directory{Workers: list})
+}
+
+func (m *schedMachine) step(ev Event) {
+	m.s.Step(m.now, ev)
+	m.s.Place(m.now)
+	for _, e := range m.s.Ready() {
+		switch e := e.(type) {
+		case StartRun, StopRun, HoldWorker:
+			m.number++
+			m.calls = append(m.calls, call{effect: e, sent: m.now, number: m.number})
+		case Finish:
+			m.outcomes[e.Key] = e.Outcome
+		}
+	}
+}
+
+func (m *schedMachine) worker(id string) *modelWorker {
+	for _, w := range m.workers {
+		if w.id == id {
+			return w
+		}
+	}
+	return nil
+}
+
+// workerOf returns the worker that an order is for.
+func (m *schedMachine) workerOf(c call) *modelWorker {
+	switch e := c.effect.(type) {
+	case StartRun:
+		return m.worker(e.Worker.ID)
+	case StopRun:
+		return m.worker(e.Worker.ID)
+	case HoldWorker:
+		return m.worker(e.Worker.ID)
+	}
+	return nil
+}
+
+// deliver carries an order out and, unless its answer is lost, returns it. An order that was
+// under way for too long, or that finds no process, is lost for good.
+func (m *schedMachine) deliver(c call, answer bool) {
+	if w := m.workerOf(c); m.now < w.down || m.now-c.sent > callLimit {
+		m.lose(c)
+		return
+	}
+	switch e := c.effect.(type) {
+	case StartRun:
+		w := m.worker(e.Worker.ID)
+		v := w.start(m.now, e.Order, m.needs[e.Order.Run.Task.Job])
+		m.answerStart(c, e, fleet.Reply{Verdict: v, Clock: w.clock(m.now), Born: w.born}, answer)
+	case StopRun:
+		w := m.worker(e.Worker.ID)
+		reply := fleet.Reply{Verdict: w.stop(m.now, e.Order), Clock: w.clock(m.now), Born: w.born}
+		if !answer {
+			reply = fleet.Reply{}
+		}
+		m.step(Stopped{Worker: w.id, Run: e.Order.Run, Reply: reply})
+	case HoldWorker:
+		w := m.worker(e.Worker.ID)
+		reply := w.hold(m.now, e.Order)
+		if !answer {
+			reply = fleet.HoldReply{}
+		}
+		m.step(Held{Worker: w.id, Seq: e.Seq, Sent: c.sent, Reply: reply})
+	}
+}
+
+func (m *schedMachine) answerStart(c call, e StartRun, reply fleet.Reply, answer bool) {
+	if !answer {
+		reply = fleet.Reply{}
+	}
+	m.step(Started{Worker: e.Worker.ID, Run: e.Order.Run, Sent: c.sent, Reply: reply})
+}
+
+// lose drops an order; it may be carried out later, unless there was no process to take it.
+func (m *schedMachine) lose(c call) {
+	if m.workerOf(c).down <= c.sent {
+		m.late = append(m.late, c)
+	}
+	switch e := c.effect.(type) {
+	case StartRun:
+		m.answerStart(c, e, fleet.Reply{}, false)
+	case StopRun:
+		m.step(Stopped{Worker: e.Worker.ID, Run: e.Order.Run})
+	case HoldWorker:
+		m.step(Held{Worker: e.Worker.ID, Seq: e.Seq, Sent: c.sent})
+	}
+}
+
+// carryOutLate carries out an order whose sender has long given it up.
+func (m *schedMachine) carryOutLate(c call) {
+	if m.now < m.workerOf(c).down {
+		return
+	}
+	switch e := c.effect.(type) {
+	case StartRun:
+		m.worker(e.Worker.ID).start(m.now, e.Order, m.needs[e.Order.Run.Task.Job])
+	case StopRun:
+		m.worker(e.Worker.ID).stop(m.now, e.Order)
+	case HoldWorker:
+		m.worker(e.Worker.ID).hold(m.now, e.Order)
+	}
+}
+
+// restart ends a worker's process with all that it runs and the orders that it holds, and
+// starts another one a second later.
+func (m *schedMachine) restart(w *modelWorker) {
+	up := m.now + restartTime
+	*w = modelWorker{
+		id: w.id, born: w.born + 1, rate: w.rate, capacity: w.capacity, started: up, down: up,
+		running: make(map[fleet.RunKey]fleet.Resources), barred: make(map[fleet.Task]int64),
+	}
+	m.late = slices.DeleteFunc(m.late, func(c call) bool { return m.workerOf(c) == w })
+}
+
+func (m *schedMachine) pass(d time.Duration) {
+	m.now += d
+	for _, w := range m.workers {
+		w.expire(m.now)
+	}
+	// The shell gives a call up when its time is over.
+	for _, c := range slices.Clone(m.calls) {
+		if m.now-c.sent > callTime(c) {
+			m.calls = slices.DeleteFunc(m.calls, func(o call) bool { return o.number == c.number })
+			m.lose(c)
+		}
+	}
+	m.step(Tick{})
+}
+
+// callLimit is how long the shell waits for an answer, beyond the wait that an order asks for.
+const callLimit = 300 * time.Millisecond
+
+func callTime(c call) time.Duration {
+	if h, ok := c.effect.(HoldWorker); ok {
+		return callLimit + time.Duration(h.Order.Wait)*time.Millisecond
+	}
+	return callLimit
+}
+
+func (m *schedMachine) check(t *rapid.T) {
+	at := make(map[fleet.Task]string)
+	for _, w := range m.workers {
+		used := fleet.Resources{}
+		for key, need := range w.running {
+			used = used.Add(need)
+			if other := at[key.Task]; other != "" {
+				t.Fatalf("task %v runs on %s and %s", key.Task, other, w.id)
+			}
+			at[key.Task] = w.id
+		}
+		if !w.capacity.Fits(used) {
+			t.Fatalf("worker %s runs %+v of %+v", w.id, used, w.capacity)
+		}
+	}
+	for key, outcome := range m.outcomes {
+		if outcome != Completed {
+			continue
+		}
+		for i := range m.jobs[key] {
+			if !m.done[fleet.Task{Job: jobName(key), Index: i}] {
+				t.Fatalf("job %v is complete without task %d", key, i)
+			}
+		}
+	}
+}
+
+func jobName(key JobKey) string { return fmt.Sprintf("job%d", key.Seq) }
+
+// TestMachine guards the invariants of the package against lost and late orders, lost
+// answers, workers that restart, slow clocks and a rival commander.
+func TestMachine(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newSchedMachine()
+		pick := func(t *rapid.T) (call, bool) {
+			if len(m.calls) == 0 {
+				return call{}, false
+			}
+			i := rapid.IntRange(0, len(m.calls)-1).Draw(t, "call")
+			c := m.calls[i]
+			m.calls = slices.Delete(m.calls, i, i+1)
+			return c, true
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"submit": func(t *rapid.T) {
+				m.seq++
+				key := JobKey{Host: 1, Seq: m.seq}
+				m.jobs[key] = rapid.IntRange(1, 6).Draw(t, "tasks")
+				need := fleet.Resources{CPU: rapid.Int64Range(20000, 41000).Draw(t, "cpu"), Memory: 64}
+				m.needs[jobName(key)] = need
+				m.step(Submit{Job: Job{
+					Key: key, Zone: "z", Left: 3 * time.Second,
+					Spec:  fleet.JobSpec{ID: jobName(key), Tasks: m.jobs[key], Need: need, Estimate: 300 * time.Millisecond},
+					Route: fleet.Route{Name: "r", Service: "s", MaxAttempts: 3, SlackFactor: 1.6, Target: 500 * time.Millisecond},
+				}})
+			},
+			"cancel": func(t *rapid.T) {
+				if m.seq > 0 {
+					m.step(Cancel{Key: JobKey{Host: 1, Seq: rapid.Uint64Range(1, m.seq).Draw(t, "job")}})
+				}
+			},
+			"deliver": func(t *rapid.T) {
+				if c, ok := pick(t); ok {
+					m.deliver(c, true)
+				}
+			},
+			"deliverMore": func(t *rapid.T) {
+				for range 5 {
+					if c, ok := pick(t); ok {
+						m.deliver(c, true)
+					}
+				}
+			},
+			"loseAnswer": func(t *rapid.T) {
+				if c, ok := pick(t); ok {
+					m.deliver(c, false)
+				}
+			},
+			"loseOrder": func(t *rapid.T) {
+				if c, ok := pick(t); ok {
+					m.lose(c)
+				}
+			},
+			"carryOutLate": func(t *rapid.T) {
+				if len(m.late) > 0 {
+					i := rapid.IntRange(0, len(m.late)-1).Draw(t, "late")
+					m.carryOutLate(m.late[i])
+				}
+			},
+			"end": func(t *rapid.T) {
+				w := m.workers[rapid.IntRange(0, len(m.workers)-1).Draw(t, "worker")]
+				if keys := w.keys(); len(keys) > 0 {
+					key := keys[rapid.IntRange(0, len(keys)-1).Draw(t, "run")]
+					how := rapid.SampledFrom([]fleet.How{fleet.EndDone, fleet.EndDone, fleet.EndFailed}).Draw(t, "how")
+					m.done[key.Task] = m.done[key.Task] || how == fleet.EndDone
+					w.end(key, how)
+				}
+			},
+			"restart": func(t *rapid.T) {
+				w := m.workers[rapid.IntRange(0, len(m.workers)-1).Draw(t, "worker")]
+				m.restart(w)
+			},
+			"rival": func(t *rapid.T) {
+				m.fence += 10
+				w := m.workers[rapid.IntRange(0, len(m.workers)-1).Draw(t, "worker")]
+				w.hold(m.now, fleet.HoldOrder{Fence: m.fence})
+				for _, key := range w.keys() {
+					w.stop(m.now, fleet.StopOrder{Run: key, Fence: m.fence})
+				}
+			},
+			"take": func(t *rapid.T) {
+				m.fence += 10
+				m.step(Take{Worker: m.workers[rapid.IntRange(0, len(m.workers)-1).Draw(t, "worker")].id, Fence: m.fence})
+			},
+			"drain":      func(t *rapid.T) { m.directory(rapid.IntRange(-1, 2).Draw(t, "worker")) },
+			"pass":       func(t *rapid.T) { m.pass(time.Duration(rapid.IntRange(1, 60).Draw(t, "ms")) * time.Millisecond) },
+			"standStill": func(t *rapid.T) { m.pass(time.Duration(rapid.IntRange(200, 3000).Draw(t, "ms")) * time.Millisecond) },
+			"":           m.check,
+		})
+	})
+}
--- a/sched/place.go
+++ b/sched/place.go
@@ -55,6 +55,12 @@
 		if !w.usable(now) {
 			continue
 		}
+		if w.stale(now) {
+			w.wanted = true
+			w.nextHold = now
+			s.hold(now, w)
+			continue
+		}
 		p := pool{w.info.Zone, w.info.Service}
 		pools[p] = append(pools[p], &candidate{w: w, free: w.free()})
 	}
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -16,8 +16,6 @@
 	phaseLeaving              // takes no new tasks; given up when empty
 )
 
-var phaseNames = [...]string{"none", "taking", "held", "leaving"}
-
 // worker is what the host knows of a worker.
 type worker struct {
 	info  fleet.Worker
@@ -40,6 +38,7 @@
 	holdSent time.Duration
 	holding  bool
 	nextHold time.Duration // earliest time of the next hold
+	wanted   bool          // tasks wait for a fresh reading of the clock
 
 	misses  int           // calls without an answer since the last answer
 	blocked time.Duration // no new tasks until then
@@ -60,7 +59,8 @@
 	sent      time.Duration
 	predicted time.Duration // duration on this worker
 	confirmed time.Duration // when the worker was first known to run it; 0: not yet
-	until     int64         // the start's own lease on the worker's clock
+	until     int64         // the start's own lease on the worker's clock; 0: not comparable
+	born      int64         // incarnation that has listed the run; 0: none
 	percent   float64
 	percentAt time.Duration
 	doubt     time.Duration // when its start went unanswered; 0: it did not
@@ -92,6 +92,11 @@
 	w.leaseBound = max(w.leaseBound, now+time.Duration(float64(d)/clockRate))
 }
 
+// stale reports whether the worker has been silent for so long that it may have started
+// again, with another clock. Leases that are reckoned on the old clock could then allow an
+// order to be carried out seconds late.
+func (w *worker) stale(now time.Duration) bool { return now-w.clockAt > restartTime }
+
 // observe takes a reading of the worker's clock. Its latest possible time is now.
 func (w *worker) observe(now time.Duration, clock int64) {
 	if clock == 0 {
