Let the model worker take its time to stop, and a rival start tasks

Cause: two mutations of the scheduler (tasks placed beside another host's runs, and a stop taken as done before a later list) were not found by the machine test. Change: the model takes 50 ms for a stop, and a rival commander starts runs of its own.

--- a/sched/machine_test.go
+++ b/sched/machine_test.go
@@ -18,9 +18,11 @@
 	born     int64
 	rate     float64 // of its clock
 	fence    int64
+	rival    int64 // fencing token of a rival commander; 0: there was none
 	lease    int64 // on its clock
 	running  map[fleet.RunKey]fleet.Resources
-	barred   map[fleet.Task]int64 // highest attempt that was stopped or has ended
+	stopping map[fleet.RunKey]time.Duration // being stopped until then; they still count
+	barred   map[fleet.Task]int64           // highest attempt that was stopped or has ended
 	finished []fleet.Finished
 	number   int64
 	capacity fleet.Resources
@@ -32,8 +34,13 @@
 	return 1 + int64(float64((now-w.started).Milliseconds())*w.rate)
 }
 
-// expire ends everything if the lease has ended.
+// expire ends what has been stopped, and everything if the lease has ended.
 func (w *modelWorker) expire(now time.Duration) {
+	for _, key := range w.keys() {
+		if until, ok := w.stopping[key]; ok && now >= until {
+			w.end(key, fleet.EndStopped)
+		}
+	}
 	if w.clock(now) >= w.lease {
 		for _, key := range w.keys() {
 			w.end(key, fleet.EndLapsed)
@@ -57,6 +64,7 @@
 
 func (w *modelWorker) end(key fleet.RunKey, how fleet.How) {
 	delete(w.running, key)
+	delete(w.stopping, key)
 	w.barred[key.Task] = max(w.barred[key.Task], key.Attempt)
 	w.number++
 	w.finished = append(w.finished, fleet.Finished{Number: w.number, Run: key, How: how})
@@ -92,8 +100,8 @@
 		return fleet.Fenced
 	}
 	w.fence = o.Fence
-	if _, there := w.running[o.Run]; there {
-		w.end(o.Run, fleet.EndStopped)
+	if _, there := w.running[o.Run]; there && w.stopping[o.Run] == 0 {
+		w.stopping[o.Run] = now + stopTime
 	}
 	w.barred[o.Run.Task] = max(w.barred[o.Run.Task], o.Run.Attempt)
 	return fleet.Accepted
@@ -117,6 +125,22 @@
 	return reply
 }
 
+// stopTime is how long a worker takes to stop a run.
+const stopTime = 50 * time.Millisecond
+
+// rivalRun starts a run for another host, if there is room for it.
+func (w *modelWorker) rivalRun(now time.Duration, fence int64, number int) {
+	need := fleet.Resources{CPU: 30000, Memory: 64}
+	left := w.capacity
+	for _, used := range w.running {
+		left = left.Sub(used)
+	}
+	if left.Fits(need) {
+		run := fleet.RunKey{Task: fleet.Task{Job: "rival", Index: number}, Attempt: 1}
+		w.start(now, fleet.StartOrder{Run: run, Fence: fence, Until: w.clock(now) + 1000}, need)
+	}
+}
+
 // schedMachine drives the scheduler against model workers over a network that delays, loses
 // and carries out late.
 type schedMachine struct {
@@ -149,7 +173,7 @@
 	for i := range 3 {
 		m.workers = append(m.workers, &modelWorker{
 			id: fmt.Sprintf("w%d", i), born: 1, rate: []float64{1, 0.98, 1}[i],
-			running: make(map[fleet.RunKey]fleet.Resources), barred: make(map[fleet.Task]int64),
+			running: make(map[fleet.RunKey]fleet.Resources), stopping: make(map[fleet.RunKey]time.Duration), barred: make(map[fleet.Task]int64),
 			capacity: fleet.Resources{CPU: int64(64000 + 32000*(i%2)), Memory: 1000},
 		})
 	}
@@ -277,7 +301,7 @@
 	up := m.now + restartTime
 	*w = modelWorker{
 		id: w.id, born: w.born + 1, rate: w.rate, capacity: w.capacity, started: up, down: up,
-		running: make(map[fleet.RunKey]fleet.Resources), barred: make(map[fleet.Task]int64),
+		running: make(map[fleet.RunKey]fleet.Resources), stopping: make(map[fleet.RunKey]time.Duration), barred: make(map[fleet.Task]int64),
 	}
 	m.late = slices.DeleteFunc(m.late, func(c call) bool { return m.workerOf(c) == w })
 }
@@ -409,6 +433,13 @@
 				w := m.workers[rapid.IntRange(0, len(m.workers)-1).Draw(t, "worker")]
 				m.restart(w)
 			},
+			"rivalStarts": func(t *rapid.T) {
+				w := m.workers[rapid.IntRange(0, len(m.workers)-1).Draw(t, "worker")]
+				if w.rival != 0 && w.fence == w.rival {
+					m.number++
+					w.rivalRun(m.now, w.rival, m.number)
+				}
+			},
 			"rival": func(t *rapid.T) {
 				m.fence += 10
 				w := m.workers[rapid.IntRange(0, len(m.workers)-1).Draw(t, "worker")]
@@ -416,6 +447,7 @@
 				for _, key := range w.keys() {
 					w.stop(m.now, fleet.StopOrder{Run: key, Fence: m.fence})
 				}
+				w.rival = m.fence
 			},
 			"take": func(t *rapid.T) {
 				m.fence += 10
