Test that foreign runs keep tasks away from a worker

Cause: the machine test rarely reaches a worker with another host's runs. Change: a directed test. It fails if both the phase and the foreign runs are ignored; either check alone keeps the promise. Conclusion: the two checks are redundant on purpose.

--- /dev/null
+++ b/sched/foreign_test.go
@@ -0,0 +1,56 @@
+package sched
+
+import (
+	"testing"
+	"time"
+
+	"sesameledge.dev/sesameledge/fleet"
+)
+
+// deliverAll carries out the orders that are under way, but not those that follow from them.
+func (m *schedMachine) deliverAll() {
+	calls := m.calls
+	m.calls = nil
+	for _, c := range calls {
+		m.deliver(c, true)
+	}
+}
+
+// TestForeignRunsKeepTasksAway guards against tasks that are placed beside the runs of a
+// former commander, whose size is not known, before these are stopped.
+func TestForeignRunsKeepTasksAway(t *testing.T) {
+	m := newSchedMachine()
+	m.deliverAll()
+	w := m.workers[0]
+	w.hold(m.now, fleet.HoldOrder{Fence: 1000})
+	w.rivalRun(m.now, 1000, 1)
+	m.step(Take{Worker: w.id, Fence: 2000})
+	take := m.calls[0]
+	m.calls = m.calls[1:]
+	m.deliver(take, true)
+	key := JobKey{Host: 1, Seq: 1}
+	need := fleet.Resources{CPU: 40000, Memory: 64}
+	m.jobs[key] = 6
+	m.needs[jobName(key)] = need
+	m.step(Submit{Job: Job{
+		Key: key, Zone: "z", Left: 3 * time.Second,
+		Spec:  fleet.JobSpec{ID: jobName(key), Tasks: 6, Need: need, Estimate: 300 * time.Millisecond},
+		Route: fleet.Route{Name: "r", Service: "s", MaxAttempts: 3, SlackFactor: 1.6, Target: 3 * time.Second},
+	}})
+	started := make(map[string]int)
+	for _, c := range m.calls {
+		if start, ok := c.effect.(StartRun); ok {
+			started[start.Worker.ID]++
+		}
+	}
+	if started[w.id] != 0 || started["w1"] == 0 {
+		t.Fatalf("starts by worker: %v; none belongs on %s", started, w.id)
+	}
+	for range 4 {
+		m.deliverAll()
+		m.pass(stopTime)
+	}
+	if got := len(w.running); got != 1 {
+		t.Fatalf("%d tasks run on %s after the foreign run has ended, want 1", got, w.id)
+	}
+}
