--- a/sched/hold.go
+++ b/sched/hold.go
@@ -94,7 +94,7 @@
 		s.note("", "worker taken", "worker", w.info.ID, "fence", w.fence)
 		s.dirty = true
 	}
-	if len(w.runs) == 0 {
+	if len(w.runs) == 0 && len(w.foreign) == 0 {
 		w.nextHold = now + ackDelay
 		s.leaveIfEmpty(w)
 	}
