Add figures, a state dump, placement lines and the explain command

Cause: a failed request could be followed only by reading the logs of all hosts by hand, and neither figures nor state were served. Change: counters and latency histograms at /debug/vars, the state at /debug/state, a line for each placement and each failed run, the host in each line, and 'sesameledge explain ID'.

--- a/command/command.go
+++ b/command/command.go
@@ -37,6 +37,7 @@
 	Hosts   *HostsCmd   `arg:"subcommand:hosts" help:"list the entry hosts"`
 	Status  *StatusCmd  `arg:"subcommand:status" help:"summarise each entry host given"`
 	Dump    *DumpCmd    `arg:"subcommand:dump" help:"print the state of an entry host"`
+	Explain *ExplainCmd `arg:"subcommand:explain" help:"tell the path of a request from the logs of the entry hosts"`
 	Drain   *DrainCmd   `arg:"subcommand:drain" help:"shut an entry host down gracefully"`
 	Version *VersionCmd `arg:"subcommand:version" help:"print the version"`
 
--- a/entry/host.go
+++ b/entry/host.go
@@ -54,6 +54,7 @@
 	mesh     *mesh.Server
 	cancel   context.CancelFunc
 	tasks    sync.WaitGroup
+	metrics  *metrics
 	logStop  chan struct{}
 	drained  chan struct{}
 	once     sync.Once
@@ -66,16 +67,16 @@
 		debug.SetMemoryLimit(int64(float64(s.Memory<<20) * memoryShare))
 	}
 	debug.SetGCPercent(gcPercent)
-	h := &Host{settings: s, id: randomID(), writer: newLogWriter(s.Log.LinesPerSecond), logStop: make(chan struct{}), drained: make(chan struct{})}
-	h.logger = newLogger(h.writer)
+	h := &Host{settings: s, id: randomID(), metrics: newMetrics(), writer: newLogWriter(s.Log.LinesPerSecond), logStop: make(chan struct{}), drained: make(chan struct{})}
+	h.logger = newLogger(h.writer, s.Host)
 	go h.writer.run(out, h.logStop)
 	h.conns = newTransport(4, workerIdle)
 	h.store = platform.NewStore(s.Store, h.conns)
 	h.links = mesh.NewLinks(peerIP(s))
 	h.ingress = &ingress{host: h}
 	h.loop = newLoop(h.newState(), h.logger, h)
-	h.workers = newWorkerCalls(h.loop.send)
-	_ = h.logger.Log("part", "entry", "msg", "started", "host", s.Host, "zone", s.Zone, "id", h.id)
+	h.workers = newWorkerCalls(h.metrics, h.loop.send)
+	_ = h.logger.Log("part", "entry", "msg", "started", "zone", s.Zone, "id", h.id)
 	go h.loop.serve()
 	ctx, cancel := context.WithCancel(context.Background())
 	h.cancel = cancel
--- a/entry/ingress.go
+++ b/entry/ingress.go
@@ -147,8 +147,10 @@
 	answer := make(chan host.Answer, 1)
 	seq := make(chan uint64, 1)
 	in.host.loop.send(arrival{event: host.Arrived{Spec: spec, Route: route, Left: timeLeft(r, route)}, seq: seq, answer: answer})
+	began := clock()
 	select {
 	case a := <-answer:
+		in.host.metrics.observeAnswer(a.Outcome, clock()-began)
 		in.answer(w, a)
 	case <-r.Context().Done():
 		select {
--- a/entry/logs.go
+++ b/entry/logs.go
@@ -93,7 +93,7 @@
 	return l.total
 }
 
-// newLogger returns a logger of structured lines. Each has the part that it comes from.
-func newLogger(w io.Writer) log.Logger {
-	return log.With(log.NewLogfmtLogger(w), "ts", log.DefaultTimestampUTC)
+// newLogger returns a logger of structured lines. Each has the host and the part that it comes from.
+func newLogger(w io.Writer, host string) log.Logger {
+	return log.With(log.NewLogfmtLogger(w), "ts", log.DefaultTimestampUTC, "host", host)
 }
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -1,7 +1,7 @@
 package entry
 
 import (
-	"expvar"
+	"encoding/json"
 	"net/http"
 	"time"
 
@@ -26,9 +26,15 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-// operators returns the handler of the metrics address.
-func (h *Host) operators() http.Handler {
-	mux := http.NewServeMux()
-	mux.Handle("GET /debug/vars", expvar.Handler())
-	return mux
+// serveState answers with the state of the process.
+func (h *Host) serveState(w http.ResponseWriter, _ *http.Request) {
+	var dump host.Dump
+	if !h.loop.query(func(now time.Duration, s *host.State) { dump = s.Dump(now) }) {
+		http.Error(w, "the host has stopped", http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	_ = encoder.Encode(dump) // the reader is gone
 }
--- a/entry/workers.go
+++ b/entry/workers.go
@@ -26,14 +26,15 @@
 
 // workerCalls calls workers and reports their answers as events.
 type workerCalls struct {
-	client *platform.Workers
-	conns  *perHost
-	send   func(any)
+	client  *platform.Workers
+	conns   *perHost
+	metrics *metrics
+	send    func(any)
 }
 
-func newWorkerCalls(send func(any)) *workerCalls {
+func newWorkerCalls(m *metrics, send func(any)) *workerCalls {
 	conns := &perHost{transports: make(map[string]*http.Transport)}
-	return &workerCalls{client: platform.NewWorkers(conns), conns: conns, send: send}
+	return &workerCalls{client: platform.NewWorkers(conns), conns: conns, metrics: m, send: send}
 }
 
 func (c *workerCalls) start(e sched.StartRun) {
@@ -42,16 +43,19 @@
 		ctx, cancel := context.WithTimeout(context.Background(), workerTimeout)
 		defer cancel()
 		reply := c.client.Start(ctx, e.Worker, e.Order)
+		c.metrics.observe("worker.start", clock()-sent)
 		c.distrust(e.Worker, reply)
 		c.send(host.WorkerEvent{Event: sched.Started{Worker: e.Worker.ID, Run: e.Order.Run, Sent: sent, Reply: reply}})
 	}()
 }
 
 func (c *workerCalls) stop(e sched.StopRun) {
+	sent := clock()
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), workerTimeout)
 		defer cancel()
 		reply := c.client.Stop(ctx, e.Worker, e.Order)
+		c.metrics.observe("worker.stop", clock()-sent)
 		c.distrust(e.Worker, reply)
 		c.send(host.WorkerEvent{Event: sched.Stopped{Worker: e.Worker.ID, Run: e.Order.Run, Reply: reply}})
 	}()
--- a/host/jobs.go
+++ b/host/jobs.go
@@ -58,7 +58,7 @@
 		return
 	}
 	s.stats.PassedOn++
-	s.note("jobs", j.spec.RequestID, "job passed on", "job", j.spec.ID, "zone", c.zone, "host", c.peer.info.GetName(), "wait", c.wait, "age", now-c.peer.statusAt)
+	s.note("jobs", j.spec.RequestID, "job passed on", "job", j.spec.ID, "zone", c.zone, "to", c.peer.info.GetName(), "wait", c.wait, "age", now-c.peer.statusAt)
 	c.peer.session.Send(&meshpb.Message{Kind: &meshpb.Message_Submit{Submit: s.submission(now, j)}})
 }
 
--- a/host/peers.go
+++ b/host/peers.go
@@ -111,7 +111,7 @@
 // replaced starts over with a new process at a known address.
 func (s *State) replaced(now time.Duration, p *peer, from *meshpb.Host) {
 	if p.info.GetId() != 0 {
-		s.note("mesh", "", "host restarted", "host", from.GetName(), "addr", from.GetAddr())
+		s.note("mesh", "", "host restarted", "peer", from.GetName(), "addr", from.GetAddr())
 		p.former[p.info.GetId()] = true
 		s.abandon(now, p)
 	}
@@ -172,7 +172,7 @@
 		return
 	}
 	p.live = true
-	s.note("mesh", "", "host in contact", "host", p.info.GetName(), "addr", p.info.GetAddr())
+	s.note("mesh", "", "host in contact", "peer", p.info.GetName(), "addr", p.info.GetAddr())
 }
 
 // loseContacts gives up the hosts that have been silent for too long. It comes before any
@@ -181,7 +181,7 @@
 	for _, p := range s.sortedPeers() {
 		s.noteClose(now, p)
 		if p.live && !s.fresh(now, p) {
-			s.note("mesh", "", "host lost", "host", p.info.GetName(), "addr", p.info.GetAddr(), "silent", now-p.session.Contact())
+			s.note("mesh", "", "host lost", "peer", p.info.GetName(), "addr", p.info.GetAddr(), "silent", now-p.session.Contact())
 			s.abandon(now, p)
 		}
 	}
@@ -191,7 +191,7 @@
 func (s *State) abandon(now time.Duration, p *peer) {
 	p.live = false
 	if n := s.sched.CancelHost(now, p.info.GetId()); n > 0 {
-		s.note("mesh", "", "jobs of a lost host cancelled", "host", p.info.GetName(), "jobs", n)
+		s.note("mesh", "", "jobs of a lost host cancelled", "peer", p.info.GetName(), "jobs", n)
 	}
 	s.commanderLost(now, p.info.GetId())
 }
--- a/sched/job.go
+++ b/sched/job.go
@@ -125,6 +125,7 @@
 		}
 		return
 	case fleet.EndFailed:
+		s.note(j.spec.RequestID, "run failed", "job", j.spec.ID, "task", r.key.Task, "attempt", r.key.Attempt, "worker", w.info.ID, "failures", j.failures[r.index]+1, "of", j.route.MaxAttempts)
 		s.stats.FailedRuns++
 		w.noteFailure(now)
 		j.failures[r.index]++
--- a/sched/place.go
+++ b/sched/place.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 	"time"
 
 	"sesameledge.dev/sesameledge/fleet"
@@ -87,6 +88,7 @@
 
 func (s *State) placeJob(now time.Duration, j *job, workers []*candidate) {
 	var left []int
+	var on []string
 	for _, index := range j.waiting {
 		c := s.choose(j, workers)
 		if c == nil {
@@ -95,8 +97,13 @@
 		}
 		c.free = c.free.Sub(j.spec.Need)
 		s.start(now, j, index, c.w)
+		on = append(on, c.w.info.ID)
 	}
 	j.waiting = left
+	if len(on) > 0 {
+		s.note(j.spec.RequestID, "tasks started", "job", j.spec.ID, "tasks", len(on), "waiting", len(left),
+			"age", now-j.arrived, "objective", j.objective, "predicted", j.base, "workers", strings.Join(on, ","))
+	}
 }
 
 // choose returns the worker on which a task of the job ends first, or nil.
