--- a/entry/settings.go
+++ b/entry/settings.go
@@ -83,12 +83,14 @@
 	require(s.Cores > 0, "cores", "must be positive")
 	require(s.CoreShare > 0 && s.CoreShare <= 1, "core_share", "must be over 0 and at most 1")
 	require(s.Log.LinesPerSecond > 0, "log.lines_per_second", "must be positive")
-	addresses := map[string]string{
-		"listen.callers": s.Listen.Callers, "listen.ready": s.Listen.Ready,
-		"listen.peers": s.Listen.Peers, "listen.metrics": s.Listen.Metrics, "store": s.Store,
-	}
-	for field, addr := range addresses {
-		require(validAddress(addr), field, "must be an address of the form IP:port")
+	for _, a := range []struct{ field, addr string }{
+		{"listen.callers", s.Listen.Callers},
+		{"listen.ready", s.Listen.Ready},
+		{"listen.peers", s.Listen.Peers},
+		{"listen.metrics", s.Listen.Metrics},
+		{"store", s.Store},
+	} {
+		require(validAddress(a.addr), a.field, "must be an address of the form IP:port")
 	}
 	for _, addr := range s.Seeds {
 		require(validAddress(addr), "seeds", "must hold addresses of the form IP:port")
