Take free cells 350 ms after the start and let jobs wait for that

Cause: after all processes were killed, jobs were refused until the cells were taken, 800 ms after the start and more. Change: 350 ms in place of 800 ms; a job waits 400 ms for a commander in place of 200 ms.

--- a/host/jobs.go
+++ b/host/jobs.go
@@ -12,7 +12,7 @@
 
 const (
 	// placeWait is how long a job may wait for a cell to take it, while command changes.
-	placeWait = 200 * time.Millisecond
+	placeWait = 400 * time.Millisecond
 	// answerGrace is how long after the caller's time limit its own host gives an answer if
 	// the host that runs the job has not.
 	answerGrace = 50 * time.Millisecond
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -18,7 +18,7 @@
 
 const (
 	// settleTime is how long a new process listens before it takes a cell.
-	settleTime = 800 * time.Millisecond
+	settleTime = 350 * time.Millisecond
 	// retryTime is the pause before a host takes a cell again that it has lost.
 	retryTime = 2 * time.Second
 	// aloneRetry is that pause for a host that hears no other one. It is more likely cut off
