Keep starved hosts from taking cells; make idle hosts cheaper

Change: a host that has lost all others waits 3 s before it takes a cell; hosts that pass no jobs to each other beat once a second; peers are kept sorted, the status is built once a step; idle hosts tick every 100 ms and read the workers every 1.2 s. Test: TestStarvedHostWaits.

--- a/entry/drain.go
+++ b/entry/drain.go
@@ -44,7 +44,7 @@
 // idle reports whether the host has nothing left to do for anyone.
 func (h *Host) idle() bool {
 	idle := false
-	h.loop.query(func(_ time.Duration, s *host.State) { idle = s.OpenJobs() == 0 && s.Commands() == 0 })
+	h.loop.query(func(_ time.Duration, s *host.State) { idle = s.OpenJobs() == 0 && s.Cells() == 0 })
 	return idle && h.ingress.open.Load() == 0
 }
 
--- a/entry/host.go
+++ b/entry/host.go
@@ -139,9 +139,9 @@
 func (h *Host) follow(ctx context.Context) {
 	h.task(func() { h.announce(ctx) })
 	for _, f := range []*follower{
-		{topic: platform.TopicOperator, wait: configWait, take: h.takeConfig, state: h.storeState(0)},
-		{topic: platform.TopicWorkers, pause: workersPause, take: h.takeWorkers, state: h.storeState(1)},
-		{topic: platform.TopicHosts, pause: hostsPause, take: h.takeHosts, state: func(bool) {}},
+		{topic: platform.TopicOperator, wait: configWait, pause: every(0), take: h.takeConfig, state: h.storeState(0)},
+		{topic: platform.TopicWorkers, pause: h.workersPeriod, take: h.takeWorkers, state: h.storeState(1)},
+		{topic: platform.TopicHosts, pause: every(hostsPause), take: h.takeHosts, state: func(bool) {}},
 	} {
 		f.store, f.conns, f.logger = h.store, h.conns, h.logger
 		h.task(func() { f.run(ctx) })
--- a/entry/loop.go
+++ b/entry/loop.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -15,8 +16,10 @@
 	queueEvents = 4096
 	// batchEvents bounds the events that are applied between two rounds of placement.
 	batchEvents = 256
-	// tickTime is the period of the state machine's clock.
-	tickTime = 25 * time.Millisecond
+	// tickTime is the period of the state machine's clock while it has jobs or cells,
+	// idleTickTime otherwise.
+	tickTime     = 25 * time.Millisecond
+	idleTickTime = 100 * time.Millisecond
 )
 
 // loop feeds events to the state machine, one at a time, and carries out its effects.
@@ -29,6 +32,8 @@
 	run     effects
 	stop    chan struct{}
 	ended   chan struct{}
+	// commanding tells other goroutines whether the host commands a cell.
+	commanding atomic.Bool
 }
 
 // effects are what the state machine asks of the shell.
@@ -93,9 +98,15 @@
 
 func (l *loop) serve() {
 	defer close(l.ended)
-	ticker := time.NewTicker(tickTime)
+	ticker := time.NewTicker(idleTickTime)
 	defer ticker.Stop()
+	busy := false
 	for {
+		if b := l.state.Busy(); b != busy {
+			busy = b
+			ticker.Reset(tickPeriod(busy))
+		}
+		l.commanding.Store(l.state.Cells() > 0)
 		select {
 		case ev := <-l.events:
 			l.batch(ev)
@@ -107,6 +118,13 @@
 	}
 }
 
+func tickPeriod(busy bool) time.Duration {
+	if busy {
+		return tickTime
+	}
+	return idleTickTime
+}
+
 // batch applies an event and those that wait behind it.
 func (l *loop) batch(first any) {
 	now := clock()
--- a/entry/store.go
+++ b/entry/store.go
@@ -20,9 +20,11 @@
 	storeTimeout = 1500 * time.Millisecond
 	// configWait is how long the store may hold a read of the configuration.
 	configWait = 10 * time.Second
-	// workersPause is the time between two reads of the workers' entries. A leaving worker
-	// has to be known well within its notice.
-	workersPause = 600 * time.Millisecond
+	// workersPause is the time between two reads of the workers' entries on a host that
+	// commands a cell, idleWorkersPause on others. A leaving worker has to be known well
+	// within its notice, also after a change of command.
+	workersPause     = 600 * time.Millisecond
+	idleWorkersPause = 1200 * time.Millisecond
 	// hostsPause is the time between two reads of the hosts' entries.
 	hostsPause = 5 * time.Second
 	// retryMin and retryMax bound the pause after a call that failed.
@@ -35,8 +37,8 @@
 	store  *platform.Store
 	conns  *http.Transport
 	topic  string
-	wait   time.Duration // that the store may hold a read
-	pause  time.Duration // between two reads
+	wait   time.Duration        // that the store may hold a read
+	pause  func() time.Duration // between two reads
 	logger log.Logger
 	take   func(records []platform.Record, snapshot bool)
 	state  func(reachable bool)
@@ -53,7 +55,7 @@
 			from = next
 			backoff = retryMin
 			f.state(true)
-			pause.For(ctx, f.pause)
+			pause.For(ctx, f.pause())
 			continue
 		}
 		if ctx.Err() != nil {
@@ -89,6 +91,16 @@
 	return next, err
 }
 
+// workersPeriod is the time until the next read of the workers' entries.
+func (h *Host) workersPeriod() time.Duration {
+	if h.loop.commanding.Load() {
+		return workersPause
+	}
+	return idleWorkersPause
+}
+
+func every(d time.Duration) func() time.Duration { return func() time.Duration { return d } }
+
 // takeConfig hands the operator's configuration to the loop.
 func (h *Host) takeConfig(records []platform.Record, _ bool) {
 	for _, r := range records {
--- a/host/dump.go
+++ b/host/dump.go
@@ -65,7 +65,7 @@
 	for _, c := range s.owner.Claims() {
 		d.Cells = append(d.Cells, CellDump{Zone: c.Zone, Fence: c.Fence, Releasing: c.Releasing, Held: s.heldWorkers(c.Zone), Commanded: c.Commanded})
 	}
-	for _, p := range s.sortedPeers() {
+	for _, p := range s.order {
 		d.Peers = append(d.Peers, s.dumpPeer(now, p))
 	}
 	for _, j := range s.sortedJobs() {
--- a/host/host.go
+++ b/host/host.go
@@ -50,6 +50,7 @@
 type State struct {
 	opts     Options
 	peers    map[string]*peer // by address
+	order    []*peer          // by address
 	byID     map[uint64]*peer // those heard, by process
 	owner    *owner.State
 	sched    *sched.State
@@ -115,8 +116,11 @@
 	return len(s.cells(s.opts.Started)) > 0
 }
 
-// Commands returns the number of runs and cells that the host still commands.
-func (s *State) Commands() (cells int) { return len(s.owner.Claims()) }
+// Cells returns the number of cells that the host commands or still hands over.
+func (s *State) Cells() int { return len(s.owner.Claims()) }
+
+// Busy reports whether the host has anything to time closely: cells or callers' jobs.
+func (s *State) Busy() bool { return len(s.jobs) > 0 || s.Cells() > 0 }
 
 func (s *State) emit(e Effect) { s.out = append(s.out, e) }
 
--- a/host/knowledge.go
+++ b/host/knowledge.go
@@ -138,7 +138,7 @@
 // passOn gives hosts that lag behind what they need: the configuration, and the workers if
 // they cannot read the store.
 func (s *State) passOn(now time.Duration) {
-	for _, p := range s.sortedPeers() {
+	for _, p := range s.order {
 		if !p.live {
 			continue
 		}
--- a/host/peers.go
+++ b/host/peers.go
@@ -18,8 +18,8 @@
 	// a worker it has to stay under the time after which callers send a job again.
 	contactTime = 450 * time.Millisecond
 	// distantBeat and distantContact hold between hosts that pass no jobs to each other.
-	distantBeat    = 500 * time.Millisecond
-	distantContact = 2 * time.Second
+	distantBeat    = 1 * time.Second
+	distantContact = 4 * time.Second
 	// closeGrace is the time in which the heartbeats of two hosts become frequent.
 	closeGrace = 300 * time.Millisecond
 	// redialShare is the part of the time to a loss after which a connection is replaced.
@@ -63,16 +63,8 @@
 		assigned: make(map[string]int64),
 		former:   make(map[uint64]bool),
 	}
-}
-
-// sortedPeers returns the peers in a fixed order.
-func (s *State) sortedPeers() []*peer {
-	list := make([]*peer, 0, len(s.peers))
-	for _, p := range s.peers {
-		list = append(list, p)
-	}
-	slices.SortFunc(list, func(a, b *peer) int { return cmp.Compare(a.info.GetAddr(), b.info.GetAddr()) })
-	return list
+	s.order = append(s.order, s.peers[h.GetAddr()])
+	slices.SortFunc(s.order, func(a, b *peer) int { return cmp.Compare(a.info.GetAddr(), b.info.GetAddr()) })
 }
 
 // frame takes a frame of another host.
@@ -127,7 +119,7 @@
 
 func (s *State) knownHosts() []*meshpb.Host {
 	var hosts []*meshpb.Host
-	for _, p := range s.sortedPeers() {
+	for _, p := range s.order {
 		if p.info.GetId() != 0 {
 			hosts = append(hosts, p.info)
 		}
@@ -178,7 +170,7 @@
 // loseContacts gives up the hosts that have been silent for too long. It comes before any
 // other event, so that a host that stood still does not act on what it knew before.
 func (s *State) loseContacts(now time.Duration) {
-	for _, p := range s.sortedPeers() {
+	for _, p := range s.order {
 		s.noteClose(now, p)
 		if p.live && !s.fresh(now, p) {
 			s.note("mesh", "", "host lost", "peer", p.info.GetName(), "addr", p.info.GetAddr(), "silent", now-p.session.Contact())
@@ -217,15 +209,19 @@
 
 // sendDue sends the frames that are due: heartbeats, and messages at once.
 func (s *State) sendDue(now time.Duration) {
-	for _, p := range s.sortedPeers() {
+	var status *meshpb.Status
+	for _, p := range s.order {
 		if !p.session.Due() && now-p.sentAt < s.beat(now, p) {
 			continue
 		}
 		s.redial(now, p)
+		if status == nil {
+			status = s.status(now)
+		}
 		f := &meshpb.Frame{
 			From:   &meshpb.Host{Name: s.opts.Self.Name, Zone: s.opts.Self.Zone, Addr: s.opts.Self.Addr, Id: s.opts.Self.ID, Weight: s.opts.Self.Weight},
 			To:     p.info.GetId(),
-			Status: s.status(now),
+			Status: status,
 		}
 		p.session.Fill(now, f)
 		p.sentAt = now
@@ -259,7 +255,7 @@
 // others returns the live peers as package owner sees them.
 func (s *State) others(now time.Duration) []owner.Host {
 	var list []owner.Host
-	for _, p := range s.sortedPeers() {
+	for _, p := range s.order {
 		if !p.live {
 			continue
 		}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -24,6 +24,8 @@
 	// aloneRetry is that pause for a host that hears no other one. It is more likely cut off
 	// than the last one alive.
 	aloneRetry = 10 * time.Second
+	// aloneTime is how long a host that has lost all others waits before it takes a cell.
+	aloneTime = 3 * time.Second
 	// steadyTime is how long a larger host has to be in contact before it is given a cell.
 	steadyTime = 4 * time.Second
 )
@@ -71,6 +73,7 @@
 	claims  map[string]*Claim
 	retry   map[string]time.Duration // earliest time to take a cell again
 	lostAt  map[string]time.Duration
+	heard   time.Duration // when any other host was last heard; 0: never
 }
 
 // New returns the state of a process that starts now.
@@ -130,6 +133,9 @@
 
 // Decide returns what to change about a zone's cell, given the other hosts that are heard.
 func (s *State) Decide(now time.Duration, zone string, others []Host) (Decision, bool) {
+	if len(others) > 0 {
+		s.heard = now
+	}
 	mine := s.claims[zone]
 	best, found := holder(zone, others)
 	switch {
@@ -145,6 +151,8 @@
 		return Decision{}, false
 	case found || s.self.Draining || now < s.started+settleTime || now < s.retry[zone]:
 		return Decision{}, false
+	case len(others) == 0 && s.heard != 0 && now < s.heard+aloneTime:
+		return Decision{}, false
 	case len(others) == 0 && s.lostAt[zone] != 0 && now < s.lostAt[zone]+aloneRetry:
 		return Decision{}, false
 	case s.rankedFirst(zone, others):
--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -66,3 +66,20 @@
 		t.Errorf("got %+v, %v", d, ok)
 	}
 }
+
+// TestStarvedHostWaits guards against a host that hears nobody, because it is cut off or short
+// of processor time, and takes the cell away from a larger one.
+func TestStarvedHostWaits(t *testing.T) {
+	s := newState(Host{Name: "small", Zone: "z", ID: 1, Weight: 144})
+	large := Host{Name: "large", Zone: "z", ID: 2, Weight: 800}
+	s.Decide(later, "z", []Host{large})
+	if d, ok := s.Decide(later+time.Second, "z", nil); ok {
+		t.Errorf("took the cell after a second of silence: %+v", d)
+	}
+	if _, ok := s.Decide(later+aloneTime+time.Second, "z", nil); !ok {
+		t.Error("never takes the cell of a zone that is cut off without its commander")
+	}
+	if _, ok := newState(Host{Name: "only", Zone: "z", ID: 1}).Decide(later, "z", nil); !ok {
+		t.Error("the only host of a deployment does not take the cell")
+	}
+}
