Dial a new process at once; small hosts wait for larger ones that the store names

Cause: after all machines were lost, a host had no contact with its neighbour for 470 ms: its connection waited after a refused attempt, so both took the cell. Change: the first frame of a new process replaces the connection to it; entries of hosts tell their processors, and a host waits 1.5 s if a much larger one of its zone is known.

--- a/entry/host.go
+++ b/entry/host.go
@@ -101,7 +101,7 @@
 func (h *Host) newState() *host.State {
 	s := h.settings
 	return host.New(host.Options{
-		Self:       host.Self{Name: s.Host, Zone: s.Zone, Addr: s.Listen.Peers, ID: h.id, Weight: int64(s.Cores * s.CoreShare * 1000)},
+		Self:       host.Self{Name: s.Host, Zone: s.Zone, Addr: s.Listen.Peers, ID: h.id, Weight: s.weight()},
 		Zones:      s.Zones,
 		Seeds:      s.Seeds,
 		Decode:     host.Decoders{Config: platform.DecodeConfig, Worker: platform.DecodeWorker},
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -97,6 +97,9 @@
 	}
 }
 
+// weight returns the processors of the host in thousandths of a core.
+func (s *Settings) weight() int64 { return int64(s.Cores * s.CoreShare * 1000) }
+
 func validAddress(addr string) bool {
 	host, _, err := net.SplitHostPort(addr)
 	return err == nil && net.ParseIP(host) != nil
--- a/entry/store.go
+++ b/entry/store.go
@@ -132,7 +132,7 @@
 			_ = h.logger.Log("part", "store", "msg", "entry of a host ignored", "key", r.Key, "err", err)
 			continue
 		}
-		ev.Hosts = append(ev.Hosts, &meshpb.Host{Name: known.Name, Zone: known.Zone, Addr: known.Addr, Id: known.ID})
+		ev.Hosts = append(ev.Hosts, &meshpb.Host{Name: known.Name, Zone: known.Zone, Addr: known.Addr, Id: known.ID, Weight: known.Weight})
 	}
 	h.loop.send(ev)
 }
@@ -140,7 +140,7 @@
 // announce writes this host's entry until the store has taken it. A repeated entry changes
 // nothing.
 func (h *Host) announce(ctx context.Context) {
-	entry := platform.Host{Name: h.settings.Host, Zone: h.settings.Zone, Addr: h.settings.Listen.Peers, ID: h.id}
+	entry := platform.Host{Name: h.settings.Host, Zone: h.settings.Zone, Addr: h.settings.Listen.Peers, ID: h.id, Weight: h.settings.weight()}
 	backoff := retryMin
 	for {
 		call, cancel := context.WithTimeout(ctx, storeTimeout)
--- a/host/peers.go
+++ b/host/peers.go
@@ -52,6 +52,9 @@
 
 // meet notes a host that may be reached.
 func (s *State) meet(h *meshpb.Host) {
+	if h.GetZone() != "" {
+		s.owner.Expect(h.GetZone(), h.GetWeight())
+	}
 	if h.GetAddr() == "" || h.GetAddr() == s.opts.Self.Addr || s.peers[h.GetAddr()] != nil {
 		return
 	}
@@ -114,6 +117,8 @@
 	p.met = now
 	p.configTo, p.workersTo = 0, 0
 	s.byID[from.GetId()] = p
+	p.redialed = now
+	s.emit(Redial{Addr: from.GetAddr()}) // the connection may wait after failed attempts
 	p.session.Send(&meshpb.Message{Kind: &meshpb.Message_Hosts{Hosts: &meshpb.Hosts{Hosts: s.knownHosts()}}})
 }
 
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -19,6 +19,9 @@
 const (
 	// settleTime is how long a new process listens before it takes a cell.
 	settleTime = 350 * time.Millisecond
+	// expectTime is how long it waits if a much larger host of the zone is known and has not
+	// been heard.
+	expectTime = 1500 * time.Millisecond
 	// retryTime is the pause before a host takes a cell again that it has lost.
 	retryTime = 2 * time.Second
 	// aloneRetry is that pause for a host that hears no other one. It is more likely cut off
@@ -27,7 +30,7 @@
 	// aloneTime is how long a host that has lost all others waits before it takes a cell.
 	aloneTime = 3 * time.Second
 	// steadyTime is how long a larger host has to be in contact before it is given a cell.
-	steadyTime = 4 * time.Second
+	steadyTime = 2 * time.Second
 )
 
 // Host is what a host knows of one that it hears, itself included.
@@ -73,7 +76,8 @@
 	claims  map[string]*Claim
 	retry   map[string]time.Duration // earliest time to take a cell again
 	lostAt  map[string]time.Duration
-	heard   time.Duration // when any other host was last heard; 0: never
+	largest map[string]int64 // weight of the largest known host, by zone
+	heard   time.Duration    // when any other host was last heard; 0: never
 }
 
 // New returns the state of a process that starts now.
@@ -84,9 +88,27 @@
 		claims:  make(map[string]*Claim),
 		retry:   make(map[string]time.Duration),
 		lostAt:  make(map[string]time.Duration),
+		largest: make(map[string]int64),
 	}
 }
 
+// Expect notes that a host of a zone is known, whether it is heard or not.
+func (s *State) Expect(zone string, weight int64) {
+	s.largest[zone] = max(s.largest[zone], weight)
+}
+
+// settled reports whether the process has listened for long enough to take a zone's cell.
+func (s *State) settled(now time.Duration, zone string) bool {
+	if muchLarger(s.largest[zone], s.self.Weight) {
+		return now >= s.started+expectTime
+	}
+	return now >= s.started+settleTime
+}
+
+// muchLarger reports whether a weight is so much larger than another one that a change of
+// command pays.
+func muchLarger(a, b int64) bool { return a > 0 && 2*a >= 3*b }
+
 // Claim returns the claim on a zone's cell, or nil. The caller keeps Held and Commanded
 // up to date.
 func (s *State) Claim(zone string) *Claim { return s.claims[zone] }
@@ -149,7 +171,7 @@
 			return Decision{Kind: HandOver, Reason: "a larger host can command the cell"}, true
 		}
 		return Decision{}, false
-	case found || s.self.Draining || now < s.started+settleTime || now < s.retry[zone]:
+	case found || s.self.Draining || !s.settled(now, zone) || now < s.retry[zone]:
 		return Decision{}, false
 	case len(others) == 0 && s.heard != 0 && now < s.heard+aloneTime:
 		return Decision{}, false
@@ -219,7 +241,7 @@
 // change of command pays.
 func (s *State) muchStronger(zone string, others []Host) bool {
 	for _, h := range others {
-		if h.Zone == zone && !h.Draining && h.Age >= steadyTime && 2*h.Weight >= 3*s.self.Weight && h.Weight > 0 {
+		if h.Zone == zone && !h.Draining && h.Age >= steadyTime && muchLarger(h.Weight, s.self.Weight) {
 			return true
 		}
 	}
--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -83,3 +83,17 @@
 		t.Error("the only host of a deployment does not take the cell")
 	}
 }
+
+// TestSmallHostWaitsForLarge guards against a cell that a small host takes after all processes
+// have started again, shortly before the larger one is heard.
+func TestSmallHostWaitsForLarge(t *testing.T) {
+	s := newState(Host{Name: "small", Zone: "z", ID: 1, Weight: 144})
+	s.Expect("z", 800)
+	other := Host{Name: "other", Zone: "z", ID: 2, Weight: 100}
+	if d, ok := s.Decide(settleTime, "z", []Host{other}); ok {
+		t.Errorf("took the cell at once: %+v", d)
+	}
+	if _, ok := s.Decide(expectTime, "z", []Host{other}); !ok {
+		t.Error("never takes the cell")
+	}
+}
