Let tasks wait for workers on which they end in time

Change: a task takes the fastest worker on which it ends in time, waits for one during half of its slack, and then takes any.

--- a/sched/place.go
+++ b/sched/place.go
@@ -107,7 +107,7 @@
 	var left []int
 	var on []string
 	for _, index := range j.waiting {
-		c := s.choose(j, workers)
+		c := s.choose(now, j, workers)
 		if c == nil {
 			left = append(left, index)
 			continue
@@ -123,31 +123,76 @@
 	}
 }
 
-// choose returns the worker on which a task of the job ends first, or nil.
-func (s *State) choose(j *job, workers []*candidate) *candidate {
+// choose returns the best worker for a task of the job, or nil: the fastest on which the task
+// ends in time. If there is none, the task waits for such a one while its slack allows, and
+// then takes the fastest that is free. It answers workers of unlike speeds, on the slow ones of
+// which long tasks are always late.
+func (s *State) choose(now time.Duration, j *job, workers []*candidate) *candidate {
 	var best *candidate
 	var bestScore float64
 	for _, c := range workers {
 		if !c.free.Fits(j.spec.Need) || !j.allows(c.w) {
 			continue
 		}
-		score := c.w.speed
-		if j.spec.Rack != "" && c.w.info.Rack == j.spec.Rack {
-			score *= rackGain
-		}
-		score += loadWeight * float64(c.free.CPU) / float64(max(1, c.w.info.Capacity.CPU))
-		if best == nil || score > bestScore {
+		score := j.score(now, c)
+		if score > bestScore {
 			best, bestScore = c, score
 		}
 	}
 	return best
 }
 
+// score rates a worker for a task of the job.
+func (j *job) score(now time.Duration, c *candidate) float64 {
+	speed := c.w.speed
+	if j.spec.Rack != "" && c.w.info.Rack != j.spec.Rack {
+		speed /= rackFactor
+	}
+	emptiness := loadWeight * float64(c.free.CPU) / float64(max(1, c.w.info.Capacity.CPU))
+	switch {
+	case j.inTime(now, speed):
+		return inTimeBonus + speed + emptiness
+	case j.canWait(now):
+		return 0
+	default:
+		return speed + emptiness
+	}
+}
+
+// canWait reports whether the job's tasks may wait for workers on which they end in time.
+func (j *job) canWait(now time.Duration) bool {
+	slack := float64(j.objective - j.base)
+	return now < j.arrived+time.Duration(waitShare*slack)
+}
+
+// inTime reports whether a task that starts now on a worker of a speed ends within the
+// objective. The objective grows with the task, so an error of the prediction counts only as
+// far as the worker is slower, or faster, than the objective allows.
+func (j *job) inTime(now time.Duration, speed float64) bool {
+	excess := (1/(speedMargin*speed) - max(1, j.route.SlackFactor)) * float64(j.base)
+	if excess > 0 {
+		excess *= longTask
+	} else {
+		excess *= shortTask
+	}
+	return float64(j.route.Target)-float64(now-j.arrived) > excess
+}
+
 const (
-	// rackGain is how much faster a task runs near its data.
-	rackGain = 2
+	// rackFactor is how much longer a task runs away from its data.
+	rackFactor = 2
 	// loadWeight makes the emptier of two workers of like speed the better one.
 	loadWeight = 0.1
+	// inTimeBonus is above every speed.
+	inTimeBonus = 10
+	// longTask and shortTask are how far a task may be above or below its prediction.
+	longTask  = 1.2
+	shortTask = 0.6
+	// speedMargin allows for the error of a worker's speed.
+	speedMargin = 0.95
+	// waitShare is the part of a job's slack that its tasks wait for a worker on which they
+	// end in time, before they take any.
+	waitShare = 0.5
 )
 
 // allows reports whether the job's constraints permit the worker.
