Keep fencing tokens in the store; retry soon after a failed take

Change: a host writes the token of a cell that it takes into its entry, which others read at their start; a cell that is lost right after it was taken is tried again after 150 ms, doubling. Test: TestTokensOfLostProcessesAreKnown, TestRetriesSoonAfterFailedTake.

--- a/entry/host.go
+++ b/entry/host.go
@@ -33,6 +33,8 @@
 	// gcPercent lets the heap grow more between collections than the default, since it is
 	// small against the limit and collections delay calls.
 	gcPercent = 200
+	// queueFences bounds the tokens that wait while the store is away. The newest counts.
+	queueFences = 64
 	// headerTimeout and idleTimeout hold until a configuration names others.
 	headerTimeout = 3 * time.Second
 	idleTimeout   = 60 * time.Second
@@ -55,6 +57,7 @@
 	cancel   context.CancelFunc
 	tasks    sync.WaitGroup
 	metrics  *metrics
+	fences   chan int64 // tokens to announce
 	logStop  chan struct{}
 	drained  chan struct{}
 	once     sync.Once
@@ -67,7 +70,7 @@
 		debug.SetMemoryLimit(int64(float64(s.Memory<<20) * memoryShare))
 	}
 	debug.SetGCPercent(gcPercent)
-	h := &Host{settings: s, id: randomID(), metrics: newMetrics(), writer: newLogWriter(s.Log.LinesPerSecond), logStop: make(chan struct{}), drained: make(chan struct{})}
+	h := &Host{settings: s, id: randomID(), metrics: newMetrics(), fences: make(chan int64, queueFences), writer: newLogWriter(s.Log.LinesPerSecond), logStop: make(chan struct{}), drained: make(chan struct{})}
 	h.logger = newLogger(h.writer, s.Host)
 	go h.writer.run(out, h.logStop)
 	h.conns = newTransport(4, workerIdle)
@@ -170,6 +173,13 @@
 func (h *Host) stopRun(e sched.StopRun)       { h.workers.stop(e) }
 func (h *Host) holdWorker(e sched.HoldWorker) { h.workers.hold(e) }
 func (h *Host) sendFrame(e host.SendFrame)    { h.links.Send(e.Addr, e.Frame) }
+func (h *Host) announceFence(e host.Announce) {
+	select {
+	case h.fences <- e.Fence:
+	default:
+		_ = h.logger.Log("part", "store", "msg", "fencing token not announced", "fence", e.Fence)
+	}
+}
 func (h *Host) redial(e host.Redial)          { h.links.Redial(e.Addr) }
 func (h *Host) configInForce(c *fleet.Config) { h.ingress.routes.Store(newRoutes(c)) }
 
--- a/entry/loop.go
+++ b/entry/loop.go
@@ -43,6 +43,7 @@
 	holdWorker(sched.HoldWorker)
 	sendFrame(host.SendFrame)
 	redial(host.Redial)
+	announceFence(host.Announce)
 	configInForce(*fleet.Config)
 }
 
@@ -175,6 +176,8 @@
 		l.run.sendFrame(e)
 	case host.Redial:
 		l.run.redial(e)
+	case host.Announce:
+		l.run.announceFence(e)
 	case host.ConfigInForce:
 		l.run.configInForce(e.Config)
 	case host.Note:
--- a/entry/store.go
+++ b/entry/store.go
@@ -133,21 +133,34 @@
 			continue
 		}
 		ev.Hosts = append(ev.Hosts, &meshpb.Host{Name: known.Name, Zone: known.Zone, Addr: known.Addr, Id: known.ID, Weight: known.Weight})
+		ev.MaxFence = max(ev.MaxFence, known.Fence)
 	}
 	h.loop.send(ev)
 }
 
-// announce writes this host's entry until the store has taken it. A repeated entry changes
-// nothing.
+// announce writes this host's entry until the store has taken it, at first and for each
+// fencing token. A repeated entry changes nothing.
 func (h *Host) announce(ctx context.Context) {
 	entry := platform.Host{Name: h.settings.Host, Zone: h.settings.Zone, Addr: h.settings.Listen.Peers, ID: h.id, Weight: h.settings.weight()}
+	for {
+		h.writeEntry(ctx, entry)
+		select {
+		case fence := <-h.fences:
+			entry.Fence = max(entry.Fence, fence)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (h *Host) writeEntry(ctx context.Context, entry platform.Host) {
 	backoff := retryMin
 	for {
 		call, cancel := context.WithTimeout(ctx, storeTimeout)
 		err := h.store.Append(call, platform.TopicHosts, entry.Name, entry.Encode())
 		cancel()
 		if err == nil {
-			_ = h.logger.Log("part", "store", "msg", "host announced", "addr", entry.Addr)
+			_ = h.logger.Log("part", "store", "msg", "host announced", "addr", entry.Addr, "fence", entry.Fence)
 			return
 		}
 		_ = h.logger.Log("part", "store", "msg", "announcing the host failed", "err", err)
--- a/host/cells.go
+++ b/host/cells.go
@@ -85,7 +85,8 @@
 
 func (s *State) takeCell(now time.Duration, zone, reason string) {
 	fence := s.newFence(now)
-	s.owner.Take(zone, fence)
+	s.owner.Take(now, zone, fence)
+	s.emit(Announce{Fence: fence})
 	s.sched.Open(zone)
 	s.stats.CellsTaken++
 	s.beatAll()
--- a/host/event.go
+++ b/host/event.go
@@ -25,8 +25,12 @@
 // FrameIn is a frame of another host.
 type FrameIn struct{ Frame *meshpb.Frame }
 
-// HostsKnown names hosts that may be reached.
-type HostsKnown struct{ Hosts []*meshpb.Host }
+// HostsKnown names hosts that may be reached, and the highest fencing token that any of them
+// has announced.
+type HostsKnown struct {
+	Hosts    []*meshpb.Host
+	MaxFence int64
+}
 
 // ConfigRead is a configuration as it lies in the store, or as a peer passed it on.
 type ConfigRead struct{ Record []byte }
@@ -88,6 +92,10 @@
 // Redial replaces the connection to an address, which has gone silent.
 type Redial struct{ Addr string }
 
+// Announce writes the host's entry in the store with the fencing token of a cell that it
+// takes, so that tokens outlive the processes that know them.
+type Announce struct{ Fence int64 }
+
 // ConfigInForce puts a configuration in force for the requests that arrive from now on.
 type ConfigInForce struct{ Config *fleet.Config }
 
--- a/host/fence_test.go
+++ b/host/fence_test.go
@@ -40,3 +40,23 @@
 		seen[fence] = id
 	}
 }
+
+// TestTokensOfLostProcessesAreKnown guards against a deployment that stays without workers
+// after all its processes were lost: the workers have seen tokens that no living process
+// knows, and refuse lower ones.
+func TestTokensOfLostProcessesAreKnown(t *testing.T) {
+	s := newTestState("h", 1)
+	seen := s.newFence(0) + 1<<40
+	s.Step(time.Second, HostsKnown{MaxFence: seen})
+	announced := int64(0)
+	for now := time.Second; now < 2*time.Second; now += 100 * time.Millisecond {
+		for _, e := range s.Step(now, Tick{}) {
+			if a, ok := e.(Announce); ok {
+				announced = a.Fence
+			}
+		}
+	}
+	if announced <= seen {
+		t.Fatalf("the token %d was announced for a cell; workers have seen %d", announced, seen)
+	}
+}
--- a/host/host.go
+++ b/host/host.go
@@ -152,6 +152,7 @@
 	case FrameIn:
 		s.frame(now, e.Frame)
 	case HostsKnown:
+		s.maxFence = max(s.maxFence, e.MaxFence)
 		for _, h := range e.Hosts {
 			s.meet(h)
 		}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -24,6 +24,13 @@
 	expectTime = 1500 * time.Millisecond
 	// retryTime is the pause before a host takes a cell again that it has lost.
 	retryTime = 2 * time.Second
+	// quickRetry is that pause after a cell was lost as soon as it was taken, most likely to a
+	// token of a process that is gone. It doubles with each such loss.
+	quickRetry = 150 * time.Millisecond
+	// maxDoublings bounds the doubling.
+	maxDoublings = 4
+	// firmTime is the age of a claim from which its loss is due to a living host.
+	firmTime = time.Second
 	// aloneRetry is that pause for a host that hears no other one. It is more likely cut off
 	// than the last one alive.
 	aloneRetry = 10 * time.Second
@@ -76,6 +83,8 @@
 	claims  map[string]*Claim
 	retry   map[string]time.Duration // earliest time to take a cell again
 	lostAt  map[string]time.Duration
+	takenAt map[string]time.Duration
+	quick   map[string]uint  // losses in a row right after a take
 	largest map[string]int64 // weight of the largest known host, by zone
 	heard   time.Duration    // when any other host was last heard; 0: never
 }
@@ -88,6 +97,8 @@
 		claims:  make(map[string]*Claim),
 		retry:   make(map[string]time.Duration),
 		lostAt:  make(map[string]time.Duration),
+		takenAt: make(map[string]time.Duration),
+		quick:   make(map[string]uint),
 		largest: make(map[string]int64),
 	}
 }
@@ -124,15 +135,23 @@
 }
 
 // Take notes that the host takes a cell under a fencing token.
-func (s *State) Take(zone string, fence int64) {
+func (s *State) Take(now time.Duration, zone string, fence int64) {
 	s.claims[zone] = &Claim{Zone: zone, Fence: fence}
+	s.takenAt[zone] = now
 }
 
 // Lose notes that the workers of a cell obey another host.
 func (s *State) Lose(now time.Duration, zone string) {
 	delete(s.claims, zone)
-	s.retry[zone] = now + retryTime
 	s.lostAt[zone] = now
+	pause := retryTime
+	if now-s.takenAt[zone] < firmTime {
+		pause = min(pause, quickRetry<<min(s.quick[zone], maxDoublings))
+		s.quick[zone]++
+	} else {
+		s.quick[zone] = 0
+	}
+	s.retry[zone] = now + pause
 }
 
 // Drain starts to hand over all cells.
--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -26,7 +26,7 @@
 func TestHandOverToStronger(t *testing.T) {
 	s := newState(Host{Name: "small", Zone: "z", ID: 1, Weight: 144})
 	large := Host{Name: "large", Zone: "z", ID: 2, Weight: 800}
-	s.Take("z", 5)
+	s.Take(0, "z", 5)
 	if d, ok := s.Decide(later, "z", []Host{large}); ok {
 		t.Errorf("handed over before the large host has lived for a while: %+v", d)
 	}
@@ -45,7 +45,7 @@
 // the cell away from the one that its workers obey.
 func TestReturningHostYields(t *testing.T) {
 	s := newState(Host{Name: "a", Zone: "z", ID: 1})
-	s.Take("z", 9)
+	s.Take(0, "z", 9)
 	other := Host{Name: "b", Zone: "z", ID: 2, Claims: []Claim{{Zone: "z", Fence: 5, Commanded: 16}}}
 	if d, ok := s.Decide(later, "z", []Host{other}); !ok || d.Kind != GiveUp {
 		t.Errorf("got %+v, %v", d, ok)
@@ -56,7 +56,7 @@
 // again and again from the host that is not.
 func TestNoRetakeWhenAlone(t *testing.T) {
 	s := newState(Host{Name: "a", Zone: "z", ID: 1})
-	s.Take("z", 9)
+	s.Take(0, "z", 9)
 	s.Lose(later, "z")
 	if d, ok := s.Decide(later+retryTime+1, "z", nil); ok {
 		t.Errorf("took the cell back while alone: %+v", d)
@@ -97,3 +97,22 @@
 		t.Error("never takes the cell")
 	}
 }
+
+// TestRetriesSoonAfterFailedTake guards against a zone that goes unserved for seconds because
+// its workers have seen a token that no living host knows.
+func TestRetriesSoonAfterFailedTake(t *testing.T) {
+	s := newState(Host{Name: "a", Zone: "z", ID: 1})
+	b := []Host{{Name: "b", Zone: "y", ID: 2}}
+	now := later
+	tries := 0
+	for ; now < later+2*time.Second; now += 50 * time.Millisecond {
+		if d, ok := s.Decide(now, "z", b); ok && d.Kind == TakeCell {
+			tries++
+			s.Take(now, "z", int64(tries))
+			s.Lose(now+20*time.Millisecond, "z")
+		}
+	}
+	if tries < 4 || tries > 8 {
+		t.Errorf("%d attempts in 2 s", tries)
+	}
+}
