Do not start a job after its caller was told that it is lost

Change: a submission tells when it was measured and is refused if it, with the silence of the contact, is older than the time after which hosts count as lost; its waiting time is added to its age; submissions of answered jobs are withdrawn from the queue; a full queue refuses. 'explain' leaves out lines that a lost process did not finish.

--- a/command/explain.go
+++ b/command/explain.go
@@ -1,6 +1,8 @@
 package command
 
 import (
+	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -68,25 +70,36 @@
 	return all, nil
 }
 
-// readLog reads the lines that carry a time. Others, such as those of other programs, are
-// left out.
+// readLog reads the lines that carry a time. Others are left out: those of other programs, and
+// those that a lost process did not finish.
 func readLog(name string, r io.Reader) ([]logLine, error) {
-	decoder := logfmt.NewDecoder(r)
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(nil, maxLineBytes)
 	var lines []logLine
+	for scanner.Scan() {
+		if l, ok := parseLine(scanner.Bytes()); ok {
+			lines = append(lines, l)
+		}
+	}
+	return lines, errors.Wrapf(scanner.Err(), "reading %s", name)
+}
+
+// maxLineBytes bounds a line of a log.
+const maxLineBytes = 1 << 20
+
+func parseLine(text []byte) (logLine, bool) {
+	decoder := logfmt.NewDecoder(bytes.NewReader(text))
+	l := logLine{fields: make(map[string]string)}
 	for decoder.ScanRecord() {
-		l := logLine{fields: make(map[string]string)}
 		for decoder.ScanKeyval() {
 			key := string(decoder.Key())
 			l.keys = append(l.keys, key)
 			l.fields[key] = string(decoder.Value())
 		}
-		at, err := time.Parse(time.RFC3339Nano, l.fields["ts"])
-		if err == nil {
-			l.at = at
-			lines = append(lines, l)
-		}
 	}
-	return lines, errors.Wrapf(decoder.Err(), "reading %s", name)
+	at, err := time.Parse(time.RFC3339Nano, l.fields["ts"])
+	l.at = at
+	return l, err == nil && decoder.Err() == nil
 }
 
 // related returns the lines about a request: those that name it, its job or a task of it.
--- a/host/jobs.go
+++ b/host/jobs.go
@@ -57,9 +57,18 @@
 		s.submitLocal(now, j)
 		return
 	}
+	s.passJob(now, j, c)
+}
+
+// passJob hands a job to the host that commands a cell.
+func (s *State) passJob(now time.Duration, j *job, c *cell) {
+	submit := &meshpb.Message{Kind: &meshpb.Message_Submit{Submit: s.submission(now, j)}}
+	if !c.peer.session.Send(submit) {
+		s.refusedBy(now, j, "the host that commands the cell takes no messages")
+		return
+	}
 	s.stats.PassedOn++
 	s.note("jobs", j.spec.RequestID, "job passed on", "job", j.spec.ID, "zone", c.zone, "to", c.peer.info.GetName(), "wait", c.wait, "age", now-c.peer.statusAt)
-	c.peer.session.Send(&meshpb.Message{Kind: &meshpb.Message_Submit{Submit: s.submission(now, j)}})
 }
 
 func (s *State) submitLocal(now time.Duration, j *job) {
@@ -76,7 +85,7 @@
 		Seq: j.seq, Zone: j.zone, JobId: j.spec.ID, RequestId: j.spec.RequestID, Payload: j.spec.Payload,
 		Tasks: int32(j.spec.Tasks), Cpu: j.spec.Need.CPU, Memory: j.spec.Need.Memory, Gpu: j.spec.Need.GPU,
 		EstimateNs: int64(j.spec.Estimate), Rack: j.spec.Rack, Label: j.spec.Label, MaxPerWorker: int32(j.spec.MaxPerWorker),
-		AgeNs: int64(now - j.arrived), LeftNs: int64(j.until - now),
+		AgeNs: int64(now - j.arrived), LeftNs: int64(j.until - now), Measured: int64(now),
 		Route: &meshpb.Route{
 			Name: j.route.Name, Service: j.route.Service, Priority: int32(j.route.Priority),
 			MaxAttempts: int32(j.route.MaxAttempts), SlackFactor: j.route.SlackFactor, TargetNs: int64(j.route.Target),
@@ -84,8 +93,15 @@
 	}
 }
 
-// submitted takes a job of another host's caller.
-func (s *State) submitted(now time.Duration, p *peer, m *meshpb.Submit) {
+// submitted takes a job of another host's caller, unless the message was under way for so long
+// that its host may have answered the caller for want of contact.
+func (s *State) submitted(now time.Duration, p *peer, f *meshpb.Frame, m *meshpb.Submit) {
+	waited := time.Duration(f.GetSent() - m.GetMeasured())
+	if silent := now - time.Duration(f.GetEcho()); waited+silent > contactTime {
+		s.note("jobs", m.GetRequestId(), "stale job refused", "job", m.GetJobId(), "from", p.info.GetName(), "waited", waited, "silent", silent)
+		s.finished(now, sched.Finish{Key: sched.JobKey{Host: p.info.GetId(), Seq: m.GetSeq()}, Outcome: sched.Refused, Reason: "the job arrived late"})
+		return
+	}
 	r := m.GetRoute()
 	s.sched.Step(now, sched.Submit{Job: sched.Job{
 		Key:  sched.JobKey{Host: p.info.GetId(), Seq: m.GetSeq()},
@@ -100,7 +116,7 @@
 			Name: r.GetName(), Service: r.GetService(), Priority: int(r.GetPriority()),
 			MaxAttempts: int(r.GetMaxAttempts()), SlackFactor: r.GetSlackFactor(), Target: time.Duration(r.GetTargetNs()),
 		},
-		Age: time.Duration(m.GetAgeNs()), Left: time.Duration(m.GetLeftNs()),
+		Age: time.Duration(m.GetAgeNs()) + waited, Left: time.Duration(m.GetLeftNs()) - waited,
 	}})
 }
 
@@ -127,9 +143,14 @@
 		s.answer(now, j, result, o.GetReason())
 		return
 	}
-	s.note("jobs", j.spec.RequestID, "job refused by a cell", "job", j.spec.ID, "zone", j.zone, "reason", o.GetReason())
+	s.refusedBy(now, j, o.GetReason())
+}
+
+// refusedBy hands a job to another cell after its own has refused it.
+func (s *State) refusedBy(now time.Duration, j *job, reason string) {
+	s.note("jobs", j.spec.RequestID, "job refused by a cell", "job", j.spec.ID, "zone", j.zone, "reason", reason)
 	j.refused[j.zone] = true
-	j.reason = o.GetReason()
+	j.reason = reason
 	j.host = 0
 	s.assign(now, j)
 }
@@ -171,14 +192,23 @@
 	case j.host == s.opts.Self.ID:
 		s.sched.Step(now, sched.Cancel{Key: sched.JobKey{Host: j.host, Seq: j.seq}})
 	case p != nil:
+		p.withdraw(j.seq)
 		p.session.Send(&meshpb.Message{Kind: &meshpb.Message_Cancel{Cancel: &meshpb.Cancel{Seq: j.seq}}})
 	}
 }
 
+// withdraw drops the submission of a job that was not acknowledged.
+func (p *peer) withdraw(seq uint64) {
+	p.session.Withdraw(func(m *meshpb.Message) bool {
+		return m.GetSubmit() != nil && m.GetSubmit().GetSeq() == seq
+	})
+}
+
 // commanderLost answers the jobs that a lost host had.
 func (s *State) commanderLost(now time.Duration, id uint64) {
 	for _, j := range s.sortedJobs() {
 		if j.host == id && id != 0 {
+			s.withdraw(now, j)
 			s.answer(now, j, sched.Aborted, "the host that ran the job is lost")
 		}
 	}
--- a/host/peers.go
+++ b/host/peers.go
@@ -99,7 +99,7 @@
 		s.maxFence = max(s.maxFence, p.status.GetMaxFence())
 	}
 	for _, m := range messages {
-		s.message(now, p, m)
+		s.message(now, p, f, m)
 	}
 }
 
@@ -193,10 +193,10 @@
 	s.commanderLost(now, p.info.GetId())
 }
 
-func (s *State) message(now time.Duration, p *peer, m *meshpb.Message) {
+func (s *State) message(now time.Duration, p *peer, f *meshpb.Frame, m *meshpb.Message) {
 	switch kind := m.GetKind().(type) {
 	case *meshpb.Message_Submit:
-		s.submitted(now, p, kind.Submit)
+		s.submitted(now, p, f, kind.Submit)
 	case *meshpb.Message_Cancel:
 		s.sched.Step(now, sched.Cancel{Key: sched.JobKey{Host: p.info.GetId(), Seq: kind.Cancel.GetSeq()}})
 	case *meshpb.Message_Outcome:
--- a/session/session.go
+++ b/session/session.go
@@ -8,6 +8,7 @@
 package session
 
 import (
+	"slices"
 	"time"
 
 	"sesameledge.dev/sesameledge/mesh/meshpb"
@@ -45,6 +46,17 @@
 	return true
 }
 
+// Withdraw drops the queued messages that are no longer meant, whether they were sent or not.
+// Empty messages take their
+// numbers, so that the receiver sees no gap.
+func (s *Session) Withdraw(void func(*meshpb.Message) bool) {
+	for i, m := range s.pending {
+		if void(m) {
+			s.pending[i] = &meshpb.Message{}
+		}
+	}
+}
+
 // Due reports whether messages wait for their first frame.
 func (s *Session) Due() bool { return s.sent+1 < s.first+uint64(len(s.pending)) }
 
@@ -62,7 +74,7 @@
 		return
 	}
 	f.First = from
-	f.Messages = s.pending[from-s.first:]
+	f.Messages = slices.Clone(s.pending[from-s.first:]) // read after later changes
 	if from == s.first {
 		s.sentAt = now
 	}
