Pass on only changed entries, from commanders only

Cause: each of 42 hosts sent every heartbeat of 350 workers to each host that could not read the store; hosts with 19 Mbit/s and 0.144 cores lost contact with all others, took cells away from the large ones and refused their callers. The configuration was repeated by all as well. Change: entries are passed on when what they say has changed, by hosts that command a cell; the configuration by these, and by hosts of the same zone if it is still missing after 900 ms; a host that knows a much larger one of its zone waits 15 s before it takes the cell alone.

--- a/host/knowledge.go
+++ b/host/knowledge.go
@@ -17,6 +17,8 @@
 	// passOnDelay is how long a host may lag behind a configuration before a peer passes it
 	// on.
 	passOnDelay = 300 * time.Millisecond
+	// standInDelay is that time for hosts without a cell.
+	standInDelay = 900 * time.Millisecond
 )
 
 // entry is a worker's entry in the store.
@@ -24,6 +26,7 @@
 	info    fleet.Worker
 	record  []byte
 	offset  int64
+	news    int64         // offset of the newest record that changed info
 	removed time.Duration // when its removal was read; 0: it is there
 }
 
@@ -87,10 +90,13 @@
 		}
 		return
 	}
-	if old == nil || !sameWorker(old.info, info) || old.removed != 0 {
+	e := &entry{info: info, record: r.Record, offset: r.Offset, news: r.Offset}
+	if old != nil && sameWorker(old.info, info) && old.removed == 0 {
+		e.news = old.news
+	} else {
 		s.changed = true
 	}
-	s.workers[r.ID] = &entry{info: info, record: r.Record, offset: r.Offset}
+	s.workers[r.ID] = e
 }
 
 func sameWorker(a, b fleet.Worker) bool {
@@ -136,7 +142,8 @@
 }
 
 // passOn gives hosts that lag behind what they need: the configuration, and the workers if
-// they cannot read the store.
+// they cannot read the store. Hosts that command a cell do so, since the others would only
+// repeat it; hosts of the same zone step in for the configuration.
 func (s *State) passOn(now time.Duration) {
 	for _, p := range s.order {
 		if !p.live {
@@ -150,8 +157,13 @@
 }
 
 func (s *State) passOnConfig(now time.Duration, p *peer) {
-	if s.config == nil || now-s.adopted < passOnDelay || p.configTo >= s.config.Version ||
-		p.status.GetConfigVersion() >= s.config.Version {
+	if s.config == nil || p.configTo >= s.config.Version || p.status.GetConfigVersion() >= s.config.Version {
+		return
+	}
+	switch age := now - s.adopted; {
+	case s.Cells() > 0 && age < passOnDelay:
+		return
+	case s.Cells() == 0 && (age < standInDelay || p.info.GetZone() != s.opts.Self.Zone):
 		return
 	}
 	p.configTo = s.config.Version
@@ -159,20 +171,27 @@
 }
 
 func (s *State) passOnWorkers(p *peer) {
-	list := &meshpb.Workers{}
+	if list := s.workersFor(p); len(list) > 0 {
+		p.session.Send(&meshpb.Message{Kind: &meshpb.Message_Workers{Workers: &meshpb.Workers{Workers: list}}})
+	}
+}
+
+// workersFor returns the entries that have changed since they were passed on to a peer.
+func (s *State) workersFor(p *peer) []*meshpb.Worker {
+	if s.Cells() == 0 {
+		return nil
+	}
+	var list []*meshpb.Worker
 	newest := p.workersTo
 	for id, e := range s.workers {
-		if e.offset < p.workersTo || e.removed != 0 {
+		if e.news < p.workersTo || e.removed != 0 {
 			continue
 		}
-		newest = max(newest, e.offset+1)
-		list.Workers = append(list.Workers, &meshpb.Worker{Id: id, Record: e.record, Offset: e.offset})
-	}
-	if len(list.Workers) == 0 {
-		return
+		newest = max(newest, e.news+1)
+		list = append(list, &meshpb.Worker{Id: id, Record: e.record, Offset: e.offset})
 	}
 	p.workersTo = newest
-	p.session.Send(&meshpb.Message{Kind: &meshpb.Message_Workers{Workers: list}})
+	return list
 }
 
 // passedOn takes the workers that a peer knows.
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -36,6 +36,8 @@
 	aloneRetry = 10 * time.Second
 	// aloneTime is how long a host that has lost all others waits before it takes a cell.
 	aloneTime = 3 * time.Second
+	// starvedTime is that time for a host that knows a much larger one of its zone.
+	starvedTime = 15 * time.Second
 	// steadyTime is how long a larger host has to be in contact before it is given a cell.
 	steadyTime = 2 * time.Second
 )
@@ -116,6 +118,15 @@
 	return now >= s.started+settleTime
 }
 
+// patience returns how long the host waits without hearing any other one. One that knows a
+// much larger host of the zone is more likely short of processor time.
+func (s *State) patience(zone string) time.Duration {
+	if muchLarger(s.largest[zone], s.self.Weight) {
+		return starvedTime
+	}
+	return aloneTime
+}
+
 // muchLarger reports whether a weight is so much larger than another one that a change of
 // command pays.
 func muchLarger(a, b int64) bool { return a > 0 && 2*a >= 3*b }
@@ -192,7 +203,7 @@
 		return Decision{}, false
 	case found || s.self.Draining || !s.settled(now, zone) || now < s.retry[zone]:
 		return Decision{}, false
-	case len(others) == 0 && s.heard != 0 && now < s.heard+aloneTime:
+	case len(others) == 0 && s.heard != 0 && now < s.heard+s.patience(zone):
 		return Decision{}, false
 	case len(others) == 0 && s.lostAt[zone] != 0 && now < s.lostAt[zone]+aloneRetry:
 		return Decision{}, false
--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -79,6 +79,10 @@
 	if _, ok := s.Decide(later+aloneTime+time.Second, "z", nil); !ok {
 		t.Error("never takes the cell of a zone that is cut off without its commander")
 	}
+	s.Expect("z", 800)
+	if d, ok := s.Decide(later+aloneTime+time.Second, "z", nil); ok {
+		t.Errorf("took the cell of a much larger host after seconds of silence: %+v", d)
+	}
 	if _, ok := newState(Host{Name: "only", Zone: "z", ID: 1}).Decide(later, "z", nil); !ok {
 		t.Error("the only host of a deployment does not take the cell")
 	}
