--- a/cmd/sesameledged/main.go
+++ b/cmd/sesameledged/main.go
@@ -45,9 +45,9 @@
 		parser.Fail("no settings file")
 	}
 	if args.Entry {
-		os.Exit(runEntry(args))
+		os.Exit(run(args, entry.LoadSettings, startEntry))
 	}
-	os.Exit(run(args))
+	os.Exit(run(args, settings.Load, startDaemon))
 }
 
 // process is a daemon that can be drained.
@@ -56,9 +56,10 @@
 	Drained() <-chan struct{}
 }
 
-// runEntry runs an entry host on the platform.
-func runEntry(args arguments) int {
-	s, err := entry.LoadSettings(args.Settings)
+// run loads the settings, and unless they are only to be checked runs a process with them until
+// it is drained.
+func run[S any](args arguments, load func(path string) (S, error), start func(args arguments, s S) (process, error)) int {
+	s, err := load(args.Settings)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitSettings
@@ -67,34 +68,31 @@
 		fmt.Printf("%s: ok\n", args.Settings)
 		return 0
 	}
-	h, err := entry.Start(s, os.Stdout)
+	p, err := start(args, s)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailure
 	}
-	go reload(h, args.Settings)
-	return wait(h)
+	return wait(p)
 }
 
-func run(args arguments) int {
-	s, err := settings.Load(args.Settings)
+// startEntry starts an entry host on the platform.
+func startEntry(args arguments, s *entry.Settings) (process, error) {
+	h, err := entry.Start(s, os.Stdout)
 	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return exitSettings
-	}
-	if args.Check {
-		fmt.Printf("%s: ok\n", args.Settings)
-		return 0
+		return nil, err
 	}
+	go reload(h, args.Settings)
+	return h, nil
+}
+
+// startDaemon starts a daemon with the product's own interface.
+func startDaemon(_ arguments, s *settings.Settings) (process, error) {
 	d, err := daemon.New(s, os.Stderr)
-	if err == nil {
-		err = d.Start()
-	}
 	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return exitFailure
+		return nil, err
 	}
-	return wait(d)
+	return d, d.Start()
 }
 
 // reload reads the settings again on each SIGHUP.
--- a/command/explain.go
+++ b/command/explain.go
@@ -193,8 +193,8 @@
 		}
 	}
 	for _, message := range troubles {
-		for _, l := range shown {
-			if l.fields["msg"] == message {
+		for _, l := range slices.Concat(own, shown) {
+			if l.fields["msg"] == message && !l.at.Before(own[0].at) && !l.at.After(own[len(own)-1].at) {
 				return outcome + "; before that: " + strings.TrimSpace(l.render(own[0].at))
 			}
 		}
--- a/sched/place.go
+++ b/sched/place.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -105,7 +106,7 @@
 
 func (s *State) placeJob(now time.Duration, j *job, workers []*candidate) {
 	var left []int
-	var on []string
+	var on, speeds []string
 	for _, index := range j.waiting {
 		c := s.choose(now, j, workers)
 		if c == nil {
@@ -115,11 +116,12 @@
 		c.free = c.free.Sub(j.spec.Need)
 		s.start(now, j, index, c.w)
 		on = append(on, c.w.info.ID)
+		speeds = append(speeds, strconv.FormatFloat(c.w.speed, 'f', 1, 64))
 	}
 	j.waiting = left
 	if len(on) > 0 {
 		s.note(j.spec.RequestID, "tasks started", "job", j.spec.ID, "tasks", len(on), "waiting", len(left),
-			"age", now-j.arrived, "objective", j.objective, "predicted", j.base, "workers", strings.Join(on, ","))
+			"age", now-j.arrived, "objective", j.objective, "predicted", j.base, "workers", strings.Join(on, ","), "speeds", strings.Join(speeds, ","))
 	}
 }
 
