Rename parts of the host's state after what they hold

Cause: the first names (meet, close, abandon, revive, news) needed explaining or hid a builtin. Change: names only.

--- a/host/host.go
+++ b/host/host.go
@@ -90,7 +90,7 @@
 		rng:     rand.New(rand.NewPCG(opts.Seed, opts.Self.ID)),
 	}
 	for _, addr := range opts.Seeds {
-		s.meet(&meshpb.Host{Addr: addr})
+		s.addPeer(&meshpb.Host{Addr: addr})
 	}
 	return s
 }
@@ -130,7 +130,7 @@
 
 // Step applies the events of a batch and returns the effects.
 func (s *State) Step(now time.Duration, events ...Event) []Effect {
-	s.loseContacts(now)
+	s.expireContacts(now)
 	for _, ev := range events {
 		s.apply(now, ev)
 		s.settle(now)
@@ -154,7 +154,7 @@
 	case HostsKnown:
 		s.maxFence = max(s.maxFence, e.MaxFence)
 		for _, h := range e.Hosts {
-			s.meet(h)
+			s.addPeer(h)
 		}
 	case ConfigRead:
 		s.readConfig(now, e.Record, "store")
--- a/host/knowledge.go
+++ b/host/knowledge.go
@@ -23,11 +23,11 @@
 
 // entry is a worker's entry in the store.
 type entry struct {
-	info    fleet.Worker
-	record  []byte
-	offset  int64
-	news    int64         // offset of the newest record that changed info
-	removed time.Duration // when its removal was read; 0: it is there
+	info      fleet.Worker
+	record    []byte
+	offset    int64
+	changedAt int64         // offset of the newest record that changed info
+	removed   time.Duration // when its removal was read; 0: it is there
 }
 
 func (e *entry) gone(now time.Duration) bool {
@@ -90,9 +90,9 @@
 		}
 		return
 	}
-	e := &entry{info: info, record: r.Record, offset: r.Offset, news: r.Offset}
+	e := &entry{info: info, record: r.Record, offset: r.Offset, changedAt: r.Offset}
 	if old != nil && sameWorker(old.info, info) && old.removed == 0 {
-		e.news = old.news
+		e.changedAt = old.changedAt
 	} else {
 		s.changed = true
 	}
@@ -184,10 +184,10 @@
 	var list []*meshpb.Worker
 	newest := p.workersTo
 	for id, e := range s.workers {
-		if e.news < p.workersTo || e.removed != 0 {
+		if e.changedAt < p.workersTo || e.removed != 0 {
 			continue
 		}
-		newest = max(newest, e.news+1)
+		newest = max(newest, e.changedAt+1)
 		list = append(list, &meshpb.Worker{Id: id, Record: e.record, Offset: e.offset})
 	}
 	p.workersTo = newest
--- a/host/peers.go
+++ b/host/peers.go
@@ -20,8 +20,8 @@
 	// distantBeat and distantContact hold between hosts that pass no jobs to each other.
 	distantBeat    = 1 * time.Second
 	distantContact = 4 * time.Second
-	// closeGrace is the time in which the heartbeats of two hosts become frequent.
-	closeGrace = 300 * time.Millisecond
+	// frequentGrace is the time in which the heartbeats of two hosts become frequent.
+	frequentGrace = 300 * time.Millisecond
 	// redialShare is the part of the time to a loss after which a connection is replaced.
 	redialShare = 0.55
 	// redialPause is the least time between two connections to one host.
@@ -34,24 +34,24 @@
 
 // peer is another entry host.
 type peer struct {
-	info      *meshpb.Host // name, zone and process are empty until it is heard
-	session   *session.Session
-	status    *meshpb.Status
-	live      bool
-	met       time.Duration
-	sentAt    time.Duration // of the newest frame to it
-	redialed  time.Duration
-	statusAt  time.Duration
-	assigned  map[string]int64 // work handed to its cells since statusAt, by zone, in thousandths of a core times ms
-	closeAt   time.Duration    // when jobs began to pass; 0: they do not
-	closer    bool             // heartbeats have been frequent for closeGrace
-	former    map[uint64]bool  // processes that were replaced at this address
-	configTo  int64            // newest configuration passed on to it
-	workersTo int64            // offset up to which workers were passed on to it
+	info       *meshpb.Host // name, zone and process are empty until it is heard
+	session    *session.Session
+	status     *meshpb.Status
+	live       bool
+	firstHeard time.Duration
+	sentAt     time.Duration // of the newest frame to it
+	redialed   time.Duration
+	statusAt   time.Duration
+	assigned   map[string]int64 // work handed to its cells since statusAt, by zone, in thousandths of a core times ms
+	jobsSince  time.Duration    // when jobs began to pass; 0: they do not
+	frequent   bool             // heartbeats have been frequent for frequentGrace
+	former     map[uint64]bool  // processes that were replaced at this address
+	configTo   int64            // newest configuration passed on to it
+	workersTo  int64            // offset up to which workers were passed on to it
 }
 
-// meet notes a host that may be reached.
-func (s *State) meet(h *meshpb.Host) {
+// addPeer notes a host that may be reached.
+func (s *State) addPeer(h *meshpb.Host) {
 	if h.GetZone() != "" {
 		s.owner.Expect(h.GetZone(), h.GetWeight())
 	}
@@ -77,7 +77,7 @@
 		return
 	}
 	s.stats.FramesIn++
-	s.meet(from)
+	s.addPeer(from)
 	p := s.peers[from.GetAddr()]
 	if p.former[from.GetId()] {
 		return // left in a buffer by a process that has been replaced
@@ -91,7 +91,7 @@
 		f.Echo, f.Ack, f.Messages = 0, 0, nil
 	}
 	messages := p.session.Take(now, f)
-	s.revive(now, p)
+	s.markLive(now, p)
 	if f.GetStatus() != nil {
 		p.status = f.GetStatus()
 		p.statusAt = now
@@ -108,13 +108,13 @@
 	if p.info.GetId() != 0 {
 		s.note("mesh", "", "host restarted", "peer", from.GetName(), "addr", from.GetAddr())
 		p.former[p.info.GetId()] = true
-		s.abandon(now, p)
+		s.dropPeer(now, p)
 	}
 	delete(s.byID, p.info.GetId())
 	p.info = from
 	p.session = session.New()
 	p.live = false
-	p.met = now
+	p.firstHeard = now
 	p.configTo, p.workersTo = 0, 0
 	s.byID[from.GetId()] = p
 	p.redialed = now
@@ -136,35 +136,35 @@
 	return p.session.Contact() != 0 && now-p.session.Contact() <= s.patience(p)
 }
 
-// close reports whether jobs may pass between this host and the peer: one of them commands
+// passesJobs reports whether jobs may pass between this host and the peer: one of them commands
 // a cell. Other pairs exchange heartbeats less often, so that the traffic of a deployment
 // grows with its hosts and not with their square.
-func (s *State) close(p *peer) bool {
+func (s *State) passesJobs(p *peer) bool {
 	return len(p.status.GetCells()) > 0 || len(s.owner.Claims()) > 0
 }
 
 // patience is the age of a contact at which the peer counts as lost.
 func (s *State) patience(p *peer) time.Duration {
-	if s.close(p) && p.closer {
+	if s.passesJobs(p) && p.frequent {
 		return contactTime
 	}
 	return distantContact
 }
 
-// noteClose notes when two hosts begin to pass jobs, so that the heartbeats between them can
+// noteJobs notes when two hosts begin to pass jobs, so that the heartbeats between them can
 // become as frequent as that takes before the contact is judged by it.
-func (s *State) noteClose(now time.Duration, p *peer) {
-	switch isClose := s.close(p); {
-	case !isClose:
-		p.closeAt, p.closer = 0, false
-	case p.closeAt == 0:
-		p.closeAt = now
-	case now-p.closeAt >= closeGrace:
-		p.closer = true
+func (s *State) noteJobs(now time.Duration, p *peer) {
+	switch passes := s.passesJobs(p); {
+	case !passes:
+		p.jobsSince, p.frequent = 0, false
+	case p.jobsSince == 0:
+		p.jobsSince = now
+	case now-p.jobsSince >= frequentGrace:
+		p.frequent = true
 	}
 }
 
-func (s *State) revive(now time.Duration, p *peer) {
+func (s *State) markLive(now time.Duration, p *peer) {
 	if p.live || !s.fresh(now, p) {
 		return
 	}
@@ -172,20 +172,20 @@
 	s.note("mesh", "", "host in contact", "peer", p.info.GetName(), "addr", p.info.GetAddr())
 }
 
-// loseContacts gives up the hosts that have been silent for too long. It comes before any
+// expireContacts gives up the hosts that have been silent for too long. It comes before any
 // other event, so that a host that stood still does not act on what it knew before.
-func (s *State) loseContacts(now time.Duration) {
+func (s *State) expireContacts(now time.Duration) {
 	for _, p := range s.order {
-		s.noteClose(now, p)
+		s.noteJobs(now, p)
 		if p.live && !s.fresh(now, p) {
 			s.note("mesh", "", "host lost", "peer", p.info.GetName(), "addr", p.info.GetAddr(), "silent", now-p.session.Contact())
-			s.abandon(now, p)
+			s.dropPeer(now, p)
 		}
 	}
 }
 
-// abandon ends what this host does for a lost host, and what that one did for it.
-func (s *State) abandon(now time.Duration, p *peer) {
+// dropPeer ends what this host does for a lost host, and what that one did for it.
+func (s *State) dropPeer(now time.Duration, p *peer) {
 	p.live = false
 	if n := s.sched.CancelHost(now, p.info.GetId()); n > 0 {
 		s.note("mesh", "", "jobs of a lost host cancelled", "peer", p.info.GetName(), "jobs", n)
@@ -207,7 +207,7 @@
 		s.passedOn(now, kind.Workers)
 	case *meshpb.Message_Hosts:
 		for _, h := range kind.Hosts.GetHosts() {
-			s.meet(h)
+			s.addPeer(h)
 		}
 	}
 }
@@ -237,9 +237,9 @@
 
 func (s *State) beat(now time.Duration, p *peer) time.Duration {
 	switch {
-	case now-max(p.session.Contact(), p.met) > absentTime:
+	case now-max(p.session.Contact(), p.firstHeard) > absentTime:
 		return absentBeat
-	case s.close(p):
+	case s.passesJobs(p):
 		return beatTime
 	default:
 		return distantBeat
@@ -248,7 +248,7 @@
 
 // redial replaces the connection to a host that has gone silent.
 func (s *State) redial(now time.Duration, p *peer) {
-	since := max(p.session.Contact(), p.met)
+	since := max(p.session.Contact(), p.firstHeard)
 	if now-since < time.Duration(redialShare*float64(s.patience(p))) || now-p.redialed < redialPause {
 		return
 	}
@@ -264,7 +264,7 @@
 		if !p.live {
 			continue
 		}
-		h := owner.Host{Name: p.info.GetName(), Zone: p.info.GetZone(), ID: p.info.GetId(), Weight: p.info.GetWeight(), Age: now - p.met, Draining: p.status.GetDraining()}
+		h := owner.Host{Name: p.info.GetName(), Zone: p.info.GetZone(), ID: p.info.GetId(), Weight: p.info.GetWeight(), Age: now - p.firstHeard, Draining: p.status.GetDraining()}
 		for _, c := range p.status.GetCells() {
 			h.Claims = append(h.Claims, owner.Claim{Zone: c.GetZone(), Fence: c.GetFence(), Releasing: c.GetReleasing(), Held: c.GetHeld(), Commanded: int(c.GetCommanded())})
 		}
--- a/sched/place_test.go
+++ b/sched/place_test.go
@@ -8,8 +8,8 @@
 	"sesameledge.dev/sesameledge/fleet"
 )
 
-// yard is a pool of workers that carry out starts at once and answer looks when asked to.
-type yard struct {
+// testPool is a pool of workers that carry out starts at once and answer looks when asked to.
+type testPool struct {
 	s       *State
 	now     time.Duration
 	running map[string]map[fleet.RunKey]bool // by worker
@@ -17,9 +17,9 @@
 	ended   map[JobKey]Outcome
 }
 
-// newYard returns workers with the given capacities in cores.
-func newYard(cores ...int64) *yard {
-	y := &yard{s: New(1), now: time.Minute, running: make(map[string]map[fleet.RunKey]bool), ended: make(map[JobKey]Outcome)}
+// newTestPool returns workers with the given capacities in cores.
+func newTestPool(cores ...int64) *testPool {
+	y := &testPool{s: New(1), now: time.Minute, running: make(map[string]map[fleet.RunKey]bool), ended: make(map[JobKey]Outcome)}
 	var list []fleet.Worker
 	for i, c := range cores {
 		id := fmt.Sprintf("w%d", i)
@@ -33,12 +33,12 @@
 	return y
 }
 
-func (y *yard) step(ev Event) {
+func (y *testPool) step(ev Event) {
 	y.s.Step(y.now, ev)
 	y.place()
 }
 
-func (y *yard) place() {
+func (y *testPool) place() {
 	y.s.Place(y.now)
 	for _, e := range y.s.Ready() {
 		switch e := e.(type) {
@@ -56,7 +56,7 @@
 	}
 }
 
-func (y *yard) answer(worker string, seq uint64, finished ...fleet.Finished) {
+func (y *testPool) answer(worker string, seq uint64, finished ...fleet.Finished) {
 	reply := fleet.HoldReply{Reply: fleet.Reply{Verdict: fleet.Accepted, Clock: y.now.Milliseconds(), Born: 1}, Finished: finished}
 	for key := range y.running[worker] {
 		reply.Running = append(reply.Running, fleet.Running{Run: key, Percent: 10})
@@ -65,7 +65,7 @@
 }
 
 // end ends all runs of a worker as done.
-func (y *yard) end(worker string) {
+func (y *testPool) end(worker string) {
 	var finished []fleet.Finished
 	for key := range y.running[worker] {
 		finished = append(finished, fleet.Finished{Number: y.s.workers[worker].cursor + int64(len(finished)) + 1, Run: key, How: fleet.EndDone})
@@ -74,7 +74,7 @@
 	y.answer(worker, y.s.workers[worker].holdSeq, finished...)
 }
 
-func (y *yard) submit(seq uint64, route string, tasks int, takes time.Duration) JobKey {
+func (y *testPool) submit(seq uint64, route string, tasks int, takes time.Duration) JobKey {
 	key := JobKey{Host: 1, Seq: seq}
 	y.step(Submit{Job: Job{
 		Key: key, Zone: "z", Left: 10 * time.Second,
@@ -87,7 +87,7 @@
 // TestLongTaskWaitsForFastWorker guards against long tasks on a slow worker, where they are
 // late for certain, while a fast one becomes free in time.
 func TestLongTaskWaitsForFastWorker(t *testing.T) {
-	y := newYard(32, 32)
+	y := newTestPool(32, 32)
 	y.s.workers["w0"].speed = 0.6
 	y.s.workers["w1"].speed = 1.6
 	y.submit(1, "short", 1, 60*time.Millisecond)
@@ -109,7 +109,7 @@
 // TestLongTaskTakesAnyWorkerInTheEnd guards against tasks that wait for a fast worker until
 // nobody has use for their answer.
 func TestLongTaskTakesAnyWorkerInTheEnd(t *testing.T) {
-	y := newYard(32)
+	y := newTestPool(32)
 	y.s.workers["w0"].speed = 0.6
 	y.submit(1, "long", 1, 900*time.Millisecond)
 	if len(y.starts) != 0 {
@@ -126,7 +126,7 @@
 // rare ones among them. It guards against a queue in which everything is late: the rare ones
 // are served in time, and the cheap ones beyond the capacity are refused at once.
 func TestBurstOfCheapJobs(t *testing.T) {
-	y := newYard(64, 64, 64, 64) // 8 tasks at a time
+	y := newTestPool(64, 64, 64, 64) // 8 tasks at a time
 	for i := range 200 {
 		y.s.importance.see(y.now, &job{route: fleet.Route{Name: "cheap"}, spec: fleet.JobSpec{Tasks: 2, Need: fleet.Resources{CPU: 27000}}, base: 200 * time.Millisecond})
 		if i%16 == 0 {
@@ -154,7 +154,7 @@
 
 // TestHangingTaskIsMoved guards against a job that waits for a task which stands still.
 func TestHangingTaskIsMoved(t *testing.T) {
-	y := newYard(32, 32)
+	y := newTestPool(32, 32)
 	y.submit(1, "short", 1, 100*time.Millisecond)
 	stuck := y.starts[0].Worker.ID
 	for range 10 {
