Read the configuration with waits of 0.8 s

Change: waits of 0.8 s, a time limit of 0.7 s beyond, pauses of 0.5 s at most. Test: TestConfigAfterSilence timed out after 10 s before, passes in 1.7 s.

--- a/entry/store.go
+++ b/entry/store.go
@@ -16,10 +16,12 @@
 )
 
 const (
-	// storeTimeout bounds a call to the store, beyond the wait that the call asks for.
-	storeTimeout = 1500 * time.Millisecond
-	// configWait is how long the store may hold a read of the configuration.
-	configWait = 10 * time.Second
+	// storeTimeout bounds a call to the store, beyond the wait that the call asks for. A slow
+	// store takes some 300 ms.
+	storeTimeout = 700 * time.Millisecond
+	// configWait is how long the store may hold a read of the configuration. A read that is open
+	// while the store falls silent is never answered, and a change has to be in force in 2 s.
+	configWait = 800 * time.Millisecond
 	// workersPause is the time between two reads of the workers' entries on a host that
 	// commands a cell, idleWorkersPause on others. A leaving worker has to be known well
 	// within its notice, also after a change of command.
@@ -29,7 +31,7 @@
 	hostsPause = 5 * time.Second
 	// retryMin and retryMax bound the pause after a call that failed.
 	retryMin = 100 * time.Millisecond
-	retryMax = 1 * time.Second
+	retryMax = 500 * time.Millisecond
 )
 
 // follower reads a topic of the store.
--- a/standin/fleetsim/store.go
+++ b/standin/fleetsim/store.go
@@ -21,6 +21,8 @@
 	topics map[string]*topic
 	down   bool
 	lose   bool // appends are done and not answered
+	silent bool // calls are not answered
+	spells int  // times of silence so far
 	reads  int
 }
 
@@ -48,6 +50,24 @@
 	s.down = down
 }
 
+// SetSilent makes the store leave calls unanswered, also those that are open, or answer new ones
+// again.
+func (s *Store) SetSilent(silent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if silent && !s.silent {
+		s.spells++
+	}
+	s.silent = silent
+}
+
+// hushed reports whether the store is silent, or has been since a spell was counted.
+func (s *Store) hushed(spells int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.silent || s.spells != spells
+}
+
 // LoseAnswers makes the store do appends without answering them, or answer again.
 func (s *Store) LoseAnswers(lose bool) {
 	s.mu.Lock()
@@ -106,9 +126,13 @@
 // ServeHTTP implements http.Handler.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
-	down := s.down
+	down, spells := s.down, s.spells
 	s.reads++
 	s.mu.Unlock()
+	if s.hushed(spells) {
+		<-r.Context().Done()
+		return
+	}
 	if down {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -117,7 +141,7 @@
 	case "POST /log-append":
 		s.serveAppend(w, r)
 	case "GET /log-read":
-		s.serveRead(w, r)
+		s.serveRead(w, r, spells)
 	case "GET /log-newest":
 		s.serveNewest(w, r)
 	default:
@@ -175,7 +199,7 @@
 // pageItems is the number of keys in a page. It is small, so that tests see several.
 const pageItems = 3
 
-func (s *Store) serveRead(w http.ResponseWriter, r *http.Request) {
+func (s *Store) serveRead(w http.ResponseWriter, r *http.Request, spells int) {
 	query := r.URL.Query()
 	from, err := strconv.ParseInt(query.Get("from"), 10, 64)
 	if err != nil {
@@ -185,6 +209,10 @@
 	wait, _ := strconv.Atoi(query.Get("waitMs")) // absent: no wait
 	deadline := time.After(time.Duration(wait) * time.Millisecond)
 	for {
+		if s.hushed(spells) {
+			<-r.Context().Done()
+			return
+		}
 		s.mu.Lock()
 		t := s.topic(query.Get("topic"))
 		end := t.first + int64(len(t.records))
--- a/standin/fleettest/fleet_test.go
+++ b/standin/fleettest/fleet_test.go
@@ -243,3 +243,20 @@
 		t.Errorf("%d tasks were started", n)
 	}
 }
+
+// TestConfigAfterSilence guards against a read of the configuration that was open when the store
+// fell silent: its answer never comes, and a change would be in force only after its time limit.
+func TestConfigAfterSilence(t *testing.T) {
+	b, names := threeHosts(t)
+	b.store.SetSilent(true)
+	time.Sleep(200 * time.Millisecond)
+	b.store.SetSilent(false)
+	b.publish("/other/")
+	changed := time.Now()
+	for _, name := range names {
+		b.await("the change is in force on "+name, func() bool { return b.status(name, "/other/") == http.StatusOK })
+	}
+	if took := time.Since(changed); took > 2*time.Second {
+		t.Errorf("the change was in force after %v; 2 s are promised", took)
+	}
+}
