--- a/entry/operators.go
+++ b/entry/operators.go
@@ -17,7 +17,7 @@
 	}
 	serving := false
 	if !h.ingress.draining.Load() {
-		h.loop.query(func(_ time.Duration, s *host.State) { serving = s.Serving() })
+		h.loop.query(func(now time.Duration, s *host.State) { serving = s.Serving(now) })
 	}
 	if !serving {
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/host/cells.go
+++ b/host/cells.go
@@ -23,9 +23,6 @@
 	retakeTime = 2 * time.Second
 )
 
-// lostWorker is a worker of an own cell that obeys another host.
-type lostWorker struct{ until time.Duration }
-
 // newFence returns a fencing token above all that the host knows of. Its random part keeps
 // apart hosts that take a cell at the same time.
 func (s *State) newFence(now time.Duration) int64 {
@@ -110,7 +107,7 @@
 			if s.sched.Obeys(id) {
 				claim.Commanded++
 			}
-		case held[id] || now < s.lost[id].until:
+		case held[id] || now < s.lost[id]:
 		default:
 			fence := claim.Fence
 			if _, lost := s.lost[id]; lost {
@@ -146,7 +143,7 @@
 	if e == nil {
 		return
 	}
-	s.lost[id] = lostWorker{until: now + retakeTime}
+	s.lost[id] = now + retakeTime
 	claim := s.owner.Claim(e.info.Zone)
 	if claim == nil {
 		return
@@ -157,7 +154,7 @@
 			continue
 		}
 		total++
-		if l, ok := s.lost[other]; ok && now < l.until {
+		if now < s.lost[other] {
 			lost++
 		}
 	}
--- a/host/host.go
+++ b/host/host.go
@@ -61,7 +61,7 @@
 	changed  bool // the directory has to be handed to the scheduler
 	store    bool // the store answers
 	jobs     map[uint64]*job
-	lost     map[string]lostWorker
+	lost     map[string]time.Duration // workers of own cells that obey another host, until when they are left to it
 	maxFence int64
 	losses   uint
 	draining bool
@@ -83,10 +83,10 @@
 		peers:   make(map[string]*peer),
 		byID:    make(map[uint64]*peer),
 		owner:   owner.New(opts.Started, owner.Host{Name: opts.Self.Name, Zone: opts.Self.Zone, ID: opts.Self.ID, Weight: opts.Self.Weight}),
-		sched:   sched.New(opts.Seed),
+		sched:   sched.New(),
 		workers: make(map[string]*entry),
 		jobs:    make(map[uint64]*job),
-		lost:    make(map[string]lostWorker),
+		lost:    make(map[string]time.Duration),
 		rng:     rand.New(rand.NewPCG(opts.Seed, opts.Self.ID)),
 	}
 	for _, addr := range opts.Seeds {
@@ -109,11 +109,11 @@
 
 // Serving reports whether the host can take jobs: it knows the configuration and a host
 // that commands workers.
-func (s *State) Serving() bool {
+func (s *State) Serving(now time.Duration) bool {
 	if s.config == nil || s.draining {
 		return false
 	}
-	return len(s.cells(s.opts.Started)) > 0
+	return len(s.cells(now)) > 0
 }
 
 // Cells returns the number of cells that the host commands or still hands over.
--- a/sched/hold.go
+++ b/sched/hold.go
@@ -33,7 +33,6 @@
 	w.holdSeq++
 	w.holding = true
 	w.asking = order.Ack
-	w.holdSent = now
 	s.emit(HoldWorker{Worker: w.info, Seq: w.holdSeq, Order: order})
 }
 
@@ -257,7 +256,7 @@
 	case fleet.Invalid:
 		r.job.failures[r.index] = r.job.route.MaxAttempts
 	}
-	r.job.unstart(r)
+	r.job.begun-- // the start had no effect
 	s.over(now, w, r, fleet.EndUnknown)
 }
 
--- a/sched/job.go
+++ b/sched/job.go
@@ -151,9 +151,6 @@
 	s.queue = append(s.queue, j)
 }
 
-// unstart takes back a start that had no effect.
-func (j *job) unstart(*run) { j.begun-- }
-
 // newRun makes the run of a job's next waiting task.
 func (j *job) newRun(index int) fleet.RunKey {
 	j.attempts[index]++
@@ -169,7 +166,7 @@
 			s.finish(now, j, Refused, "the caller's time is up")
 		case j.begun > 0:
 			// Its answer is of use to the caller also when it is late.
-		case s.hopeless(now, j):
+		case j.hopeless(now):
 			s.finish(now, j, Refused, "no longer possible in a useful time")
 		case !s.served(j):
 			s.finish(now, j, Refused, "no worker of the service is at hand")
@@ -177,11 +174,9 @@
 	}
 }
 
-// hopeless reports whether the job's answer would come too late even if its waiting tasks
-// started now on the fastest worker.
-func (s *State) hopeless(now time.Duration, j *job) bool {
-	quickest := time.Duration(float64(j.base) / s.model.fastest)
-	return now+quickest > min(j.deadline, j.arrived+lateFactor*j.objective)
+// hopeless reports whether the job's answer would come too late even if its tasks started now.
+func (j *job) hopeless(now time.Duration) bool {
+	return now+j.base > min(j.deadline, j.arrived+lateFactor*j.objective)
 }
 
 // served reports whether any worker counts for the job.
--- a/sched/machine_test.go
+++ b/sched/machine_test.go
@@ -167,7 +167,7 @@
 
 func newSchedMachine() *schedMachine {
 	m := &schedMachine{
-		s: New(1), now: time.Minute, jobs: make(map[JobKey]int), needs: make(map[string]fleet.Resources),
+		s: New(), now: time.Minute, jobs: make(map[JobKey]int), needs: make(map[string]fleet.Resources),
 		done: make(map[fleet.Task]bool), outcomes: make(map[JobKey]Outcome), fence: 10,
 	}
 	for i := range 3 {
--- a/sched/model.go
+++ b/sched/model.go
@@ -9,8 +9,7 @@
 // from job to job, so they are weighed against what the route's tasks took so far. It
 // answers load whose declared durations are wrong.
 type model struct {
-	routes  map[string]*routeModel
-	fastest float64 // speed of the fastest worker
+	routes map[string]*routeModel
 }
 
 // routeModel holds means of logarithms, since durations spread by factors.
@@ -34,7 +33,7 @@
 )
 
 func newModel() *model {
-	return &model{routes: make(map[string]*routeModel), fastest: 1}
+	return &model{routes: make(map[string]*routeModel)}
 }
 
 // predict returns the expected duration of a task on a worker of mean speed.
@@ -76,7 +75,6 @@
 	if took <= 0 {
 		return
 	}
-	w.hangs = 0
 	w.failures = 0
 	j := r.job
 	s.model.learn(j.route.Name, j.spec.Estimate, took, w.speed)
--- a/sched/place_test.go
+++ b/sched/place_test.go
@@ -19,7 +19,7 @@
 
 // newTestPool returns workers with the given capacities in cores.
 func newTestPool(cores ...int64) *testPool {
-	y := &testPool{s: New(1), now: time.Minute, running: make(map[string]map[fleet.RunKey]bool), ended: make(map[JobKey]Outcome)}
+	y := &testPool{s: New(), now: time.Minute, running: make(map[string]map[fleet.RunKey]bool), ended: make(map[JobKey]Outcome)}
 	var list []fleet.Worker
 	for i, c := range cores {
 		id := fmt.Sprintf("w%d", i)
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -42,7 +41,6 @@
 	queue      []*job // with tasks that wait
 	model      *model
 	importance *importance
-	rng        *rand.Rand
 	out        []Effect
 	dirty      bool // there may be room for waiting tasks
 	order      []*worker
@@ -57,14 +55,13 @@
 }
 
 // New returns an empty state machine.
-func New(seed uint64) *State {
+func New() *State {
 	return &State{
 		workers:    make(map[string]*worker),
 		jobs:       make(map[JobKey]*job),
 		closed:     make(map[string]bool),
 		model:      newModel(),
 		importance: newImportance(),
-		rng:        rand.New(rand.NewPCG(seed, seed)),
 	}
 }
 
@@ -247,7 +244,6 @@
 		}
 		if r.stop.wanted == 0 && s.hangs(now, r) {
 			s.stats.Hangs++
-			w.hangs++
 			w.block(now)
 			s.note(r.job.spec.RequestID, "run makes no progress", "worker", w.info.ID, "task", r.key.Task, "percent", r.percent, "age", now-r.sent)
 			r.stop.wanted = now
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -35,7 +35,6 @@
 	asking int64 // cursor in the hold that is open
 
 	holdSeq  uint64
-	holdSent time.Duration
 	holding  bool
 	nextHold time.Duration // earliest time of the next hold
 	wanted   bool          // tasks wait for a fresh reading of the clock
@@ -45,7 +44,6 @@
 	backoff time.Duration
 
 	speed    float64 // against the mean of all workers
-	hangs    int     // tasks in a row that made no progress
 	failures int     // runs in a row that ended failed
 	removed  bool    // no longer in the directory
 }
