Remove what nothing reads; one formula, backoff and test log where there were two

Cause: read once more, the change held the formula of the shortage twice, the pause between failed calls to the store twice, a buffer for logs under test that daemon's tests had, a wait group that nobody waits for, times and limits that nothing reads, and parameters that nothing uses. Change: Load.Wait calls shortage; pause.Backoff; testlog.Buffer; the rest is gone. A comment said that a configuration sets the time limits of connections, which it does not.

--- a/daemon/handshake_test.go
+++ b/daemon/handshake_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"sesameledge.dev/sesameledge/internal/testcert"
+	"sesameledge.dev/sesameledge/internal/testlog"
 	"sesameledge.dev/sesameledge/settings"
 )
 
@@ -30,7 +31,7 @@
 // another part's name, or that flood the log.
 func TestHandshakeErrorsAreLoggedAndCounted(t *testing.T) {
 	const tries = 12
-	out, at := new(lockedBuffer), freeAddresses(t, 4)
+	out, at := new(testlog.Buffer), freeAddresses(t, 4)
 	pair := testcert.New(t).Issue("server", 2)
 	s := settings.Defaults()
 	s.Host, s.Zone = "host", "zone"
--- a/daemon/tls_test.go
+++ b/daemon/tls_test.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"bytes"
 	"context"
 	"crypto/tls"
 	"crypto/x509"
@@ -9,13 +8,13 @@
 	"net/http"
 	"os"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
 	"github.com/go-kit/log"
 
 	"sesameledge.dev/sesameledge/internal/testcert"
+	"sesameledge.dev/sesameledge/internal/testlog"
 	"sesameledge.dev/sesameledge/member"
 	"sesameledge.dev/sesameledge/peer"
 	"sesameledge.dev/sesameledge/peer/peerpb"
@@ -23,9 +22,9 @@
 )
 
 // source opens a key source whose log lines go to the returned buffer.
-func source(t *testing.T, pair settings.KeyPair) (*keySource, *lockedBuffer) {
+func source(t *testing.T, pair settings.KeyPair) (*keySource, *testlog.Buffer) {
 	t.Helper()
-	out := new(lockedBuffer)
+	out := new(testlog.Buffer)
 	s, err := newKeySource(pair, log.NewLogfmtLogger(out))
 	if err != nil {
 		t.Fatal(err)
@@ -33,23 +32,6 @@
 	return s, out
 }
 
-type lockedBuffer struct {
-	mu sync.Mutex
-	b  bytes.Buffer
-}
-
-func (l *lockedBuffer) Write(p []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.b.Write(p)
-}
-
-func (l *lockedBuffer) String() string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.b.String()
-}
-
 // listen serves HTTPS with a key source and returns the address.
 func listen(t *testing.T, keys *keySource) string {
 	t.Helper()
--- a/entry/host.go
+++ b/entry/host.go
@@ -35,7 +35,7 @@
 	gcPercent = 200
 	// queueFences bounds the tokens that wait while the store is away. The newest counts.
 	queueFences = 64
-	// headerTimeout and idleTimeout hold until a configuration names others.
+	// headerTimeout and idleTimeout bound the connections of callers.
 	headerTimeout = 3 * time.Second
 	idleTimeout   = 60 * time.Second
 )
@@ -55,7 +55,6 @@
 	servers  []*http.Server
 	mesh     *mesh.Server
 	cancel   context.CancelFunc
-	tasks    sync.WaitGroup
 	metrics  *metrics
 	fences   chan int64 // tokens to announce
 	logStop  chan struct{}
@@ -140,14 +139,14 @@
 
 // follow reads the store.
 func (h *Host) follow(ctx context.Context) {
-	h.task(func() { h.announce(ctx) })
+	go h.announce(ctx)
 	for _, f := range []*follower{
 		{topic: platform.TopicOperator, wait: configWait, pause: every(0), take: h.takeConfig, state: h.storeState(0)},
 		{topic: platform.TopicWorkers, pause: h.workersPeriod, take: h.takeWorkers, state: h.storeState(1)},
 		{topic: platform.TopicHosts, pause: every(hostsPause), take: h.takeHosts, state: func(bool) {}},
 	} {
 		f.store, f.conns, f.logger = h.store, h.conns, h.logger
-		h.task(func() { f.run(ctx) })
+		go f.run(ctx)
 	}
 }
 
@@ -155,20 +154,11 @@
 // counts as reachable if both the configuration and the workers can be read.
 func (h *Host) storeState(read int) func(bool) {
 	return func(reachable bool) {
-		if h.reads[read].Swap(reachable) != reachable || reachable {
-			h.loop.send(host.StoreState{Reachable: h.reads[0].Load() && h.reads[1].Load()})
-		}
+		h.reads[read].Store(reachable)
+		h.loop.send(host.StoreState{Reachable: h.reads[0].Load() && h.reads[1].Load()})
 	}
 }
 
-func (h *Host) task(run func()) {
-	h.tasks.Add(1)
-	go func() {
-		defer h.tasks.Done()
-		run()
-	}()
-}
-
 func (h *Host) startRun(e sched.StartRun)     { h.workers.start(e) }
 func (h *Host) stopRun(e sched.StopRun)       { h.workers.stop(e) }
 func (h *Host) holdWorker(e sched.HoldWorker) { h.workers.hold(e) }
--- a/entry/store.go
+++ b/entry/store.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -49,13 +48,13 @@
 // run reads the topic until ctx ends: first the newest record of each key, then what
 // follows.
 func (f *follower) run(ctx context.Context) {
-	backoff := retryMin
+	retry := pause.NewBackoff(retryMin, retryMax)
 	from := int64(-1)
 	for ctx.Err() == nil {
 		next, err := f.read(ctx, from)
 		if err == nil {
 			from = next
-			backoff = retryMin
+			retry.Reset()
 			f.state(true)
 			pause.For(ctx, f.pause())
 			continue
@@ -71,8 +70,7 @@
 		_ = f.logger.Log("part", "store", "msg", "read failed", "topic", f.topic, "from", from, "err", err)
 		f.state(false)
 		f.conns.CloseIdleConnections()
-		pause.For(ctx, backoff/2+rand.N(backoff))
-		backoff = min(2*backoff, retryMax)
+		retry.Wait(ctx)
 	}
 }
 
@@ -156,7 +154,7 @@
 }
 
 func (h *Host) writeEntry(ctx context.Context, entry platform.Host) {
-	backoff := retryMin
+	retry := pause.NewBackoff(retryMin, retryMax)
 	for {
 		call, cancel := context.WithTimeout(ctx, storeTimeout)
 		err := h.store.Append(call, platform.TopicHosts, entry.Name, entry.Encode())
@@ -166,9 +164,8 @@
 			return
 		}
 		_ = h.logger.Log("part", "store", "msg", "announcing the host failed", "err", err)
-		if !pause.For(ctx, backoff/2+rand.N(backoff)) {
+		if !retry.Wait(ctx) {
 			return
 		}
-		backoff = min(2*backoff, retryMax)
 	}
 }
--- a/entry/workers.go
+++ b/entry/workers.go
@@ -50,7 +50,7 @@
 		reply := c.client.Start(ctx, e.Worker, e.Order)
 		c.metrics.observe("worker.start", clock()-sent)
 		c.distrust(e.Worker, reply)
-		c.send(host.WorkerEvent{Event: sched.Started{Worker: e.Worker.ID, Run: e.Order.Run, Sent: sent, Reply: reply}})
+		c.send(host.WorkerEvent{Event: sched.Started{Worker: e.Worker.ID, Run: e.Order.Run, Reply: reply}})
 	}()
 }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -39,10 +39,7 @@
 
 // RequestLimits bound what a caller may send.
 type RequestLimits struct {
-	BodyBytes   int64
-	HeaderBytes int
-	HeaderTime  time.Duration
-	IdleTime    time.Duration
+	BodyBytes int64
 }
 
 // Resources of a worker or a task.
--- a/fleet/worker_call.go
+++ b/fleet/worker_call.go
@@ -5,16 +5,16 @@
 
 // The verdicts. All but Accepted and NoAnswer mean that the call has had no effect.
 const (
-	NoAnswer         Verdict = iota // it may have been carried out, or may be later
-	Accepted                        //
-	Fenced                          // the worker has seen a higher fencing token
-	Superseded                      // that run or a higher one has been stopped or has ended there
-	Expired                         // the lease in the call lies in the past
-	NoRoom                          //
-	NoTicket                        // the policy's ticket is missing
-	Invalid                         // the worker cannot read the call
-	Unhealthy                       // the worker refuses for now
-	OtherIncarnation                // another process answers at that address
+	NoAnswer Verdict = iota // it may have been carried out, or may be later
+	Accepted
+	Fenced     // the worker has seen a higher fencing token
+	Superseded // that run or a higher one has been stopped or has ended there
+	Expired    // the lease in the call lies in the past
+	NoRoom
+	NoTicket         // the policy's ticket is missing
+	Invalid          // the worker cannot read the call
+	Unhealthy        // the worker refuses for now
+	OtherIncarnation // another process answers at that address
 )
 
 var verdictNames = [...]string{"no answer", "accepted", "fenced", "superseded", "expired", "no room", "no ticket", "invalid", "unhealthy", "other incarnation"}
--- a/host/cells.go
+++ b/host/cells.go
@@ -67,7 +67,7 @@
 // when its last run is over.
 func (s *State) handOver(now time.Duration, zone string) {
 	s.sched.Close(now, zone)
-	s.releaseAll(zone)
+	s.releaseAll(now, zone)
 	if len(s.heldWorkers(zone)) == 0 {
 		s.owner.Released(zone)
 	}
@@ -169,16 +169,16 @@
 }
 
 // releaseAll hands over the workers of a cell, each when its last run is over.
-func (s *State) releaseAll(zone string) {
+func (s *State) releaseAll(now time.Duration, zone string) {
 	for id, e := range s.workers {
 		if e.info.Zone == zone {
-			s.sched.Step(0, sched.Release{Worker: id})
+			s.sched.Step(now, sched.Release{Worker: id})
 		}
 	}
 }
 
 // workerReleased notes that a worker can be taken by another host.
-func (s *State) workerReleased(now time.Duration, id string) {
+func (s *State) workerReleased(id string) {
 	e := s.workers[id]
 	if e == nil {
 		return
@@ -216,7 +216,7 @@
 }
 
 // status is what the host tells of itself.
-func (s *State) status(now time.Duration) *meshpb.Status {
+func (s *State) status() *meshpb.Status {
 	st := &meshpb.Status{Draining: s.draining, MaxFence: s.maxFence, StoreReachable: s.store}
 	if s.config != nil {
 		st.ConfigVersion = s.config.Version
@@ -226,7 +226,7 @@
 		if c.Releasing {
 			cell.Held = s.heldWorkers(c.Zone)
 		} else {
-			cell.Loads = s.loads(now, c.Zone)
+			cell.Loads = s.loads(c.Zone)
 		}
 		st.Cells = append(st.Cells, cell)
 	}
--- a/host/choose.go
+++ b/host/choose.go
@@ -56,7 +56,7 @@
 	var best *cell
 	var bestCost time.Duration
 	for _, c := range s.cells(now) {
-		if j.refused[c.zone] || !s.readLoad(now, c, j.route.Service) {
+		if j.refused[c.zone] || !s.readLoad(c, j.route.Service) {
 			continue
 		}
 		c.wait = c.load.Wait(int64(j.spec.Tasks) * j.spec.Need.CPU)
@@ -72,9 +72,9 @@
 }
 
 // readLoad fills in what is known of the load of a cell.
-func (s *State) readLoad(now time.Duration, c *cell, service string) bool {
+func (s *State) readLoad(c *cell, service string) bool {
 	if c.peer == nil {
-		load, ok := s.sched.Loads(now, c.zone)[service]
+		load, ok := s.sched.Loads(c.zone)[service]
 		c.load = load
 		return ok
 	}
@@ -105,9 +105,9 @@
 }
 
 // loads is the load of an own cell for other hosts.
-func (s *State) loads(now time.Duration, zone string) []*meshpb.Load {
+func (s *State) loads(zone string) []*meshpb.Load {
 	var list []*meshpb.Load
-	for service, l := range s.sched.Loads(now, zone) {
+	for service, l := range s.sched.Loads(zone) {
 		list = append(list, &meshpb.Load{
 			Service: service, Free: l.Free, Capacity: l.Capacity, Queued: l.Queued, Rate: l.Rate, TaskMs: l.Task.Milliseconds(),
 		})
--- a/host/cut_test.go
+++ b/host/cut_test.go
@@ -53,7 +53,7 @@
 		case sched.StartRun:
 			p.started++
 			reply := fleet.Reply{Verdict: fleet.Accepted, Clock: p.now.Milliseconds(), Born: 1}
-			p.step(i, WorkerEvent{Event: sched.Started{Worker: "w", Run: e.Order.Run, Sent: p.now, Reply: reply}})
+			p.step(i, WorkerEvent{Event: sched.Started{Worker: "w", Run: e.Order.Run, Reply: reply}})
 		case sched.HoldWorker:
 			if e.Order.Wait == 0 {
 				reply := fleet.HoldReply{Reply: fleet.Reply{Verdict: fleet.Accepted, Clock: p.now.Milliseconds(), Born: 1}}
--- a/host/event.go
+++ b/host/event.go
@@ -11,7 +11,7 @@
 // Event is an input of the state machine.
 type Event interface{ hostEvent() }
 
-// Arrived is a caller's job. It is answered by exactly one Answer unless Left comes first.
+// Arrived is a caller's job. It is answered by exactly one Answer unless CallerGone comes first.
 type Arrived struct {
 	Seq   uint64
 	Spec  fleet.JobSpec
--- a/host/host.go
+++ b/host/host.go
@@ -189,7 +189,7 @@
 		case sched.Fenced:
 			s.workerLost(now, e.Worker)
 		case sched.Released:
-			s.workerReleased(now, e.Worker)
+			s.workerReleased(e.Worker)
 		case sched.Note:
 			s.note("sched", e.Request, e.Message, e.Fields...)
 		default:
--- a/host/peers.go
+++ b/host/peers.go
@@ -221,7 +221,7 @@
 		}
 		s.redial(now, p)
 		if status == nil {
-			status = s.status(now)
+			status = s.status()
 		}
 		f := &meshpb.Frame{
 			From:   &meshpb.Host{Name: s.opts.Self.Name, Zone: s.opts.Self.Zone, Addr: s.opts.Self.Addr, Id: s.opts.Self.ID, Weight: s.opts.Self.Weight},
--- a/sched/event.go
+++ b/sched/event.go
@@ -63,7 +63,6 @@
 type Started struct {
 	Worker string
 	Run    fleet.RunKey
-	Sent   time.Duration
 	Reply  fleet.Reply
 }
 
--- a/sched/hold.go
+++ b/sched/hold.go
@@ -102,7 +102,6 @@
 	if w.phase == phaseTaking && len(w.foreign) == 0 {
 		w.phase = phaseHeld
 		s.note("", "worker taken", "worker", w.info.ID, "fence", w.fence)
-		s.dirty = true
 	}
 	if len(w.runs) == 0 && len(w.foreign) == 0 {
 		w.nextHold = now + ackDelay
@@ -168,7 +167,6 @@
 	for key := range w.foreign {
 		if !running[key] {
 			delete(w.foreign, key)
-			s.dirty = true
 		}
 	}
 	return running
--- a/sched/job.go
+++ b/sched/job.go
@@ -47,7 +47,7 @@
 	j.objective = time.Duration(float64(j.base)*max(1, in.Route.SlackFactor)) + in.Route.Target
 	s.jobs[j.key] = j
 	s.importance.see(now, j)
-	if reason := s.refusal(now, j); reason != "" {
+	if reason := s.refusal(j); reason != "" {
 		s.finish(now, j, Refused, reason)
 		return
 	}
--- a/sched/load.go
+++ b/sched/load.go
@@ -22,16 +22,20 @@
 // Wait returns how long a job that needs so many processors waits until all its tasks have
 // begun.
 func (l Load) Wait(need int64) time.Duration {
-	rate := max(1, l.Rate)
-	wait := time.Duration(l.Queued/rate) * time.Millisecond
-	if short := need - l.Free; short > 0 {
-		wait += time.Duration(float64(l.Task) * float64(short) / float64(rate))
+	queued := time.Duration(l.Queued/max(1, l.Rate)) * time.Millisecond
+	return queued + l.shortage(need)
+}
+
+// shortage returns how long it takes until tasks that need so many processors have begun.
+func (l Load) shortage(need int64) time.Duration {
+	if need <= l.Free {
+		return 0
 	}
-	return wait
+	return time.Duration(float64(l.Task) * float64(need-l.Free) / float64(max(1, l.Rate)))
 }
 
 // Loads returns the load of a zone's workers by service.
-func (s *State) Loads(now time.Duration, zone string) map[string]Load {
+func (s *State) Loads(zone string) map[string]Load {
 	loads := make(map[string]Load)
 	rates := make(map[string]float64)
 	running := make(map[string]float64)
--- a/sched/machine_test.go
+++ b/sched/machine_test.go
@@ -262,7 +262,7 @@
 	if !answer {
 		reply = fleet.Reply{}
 	}
-	m.step(Started{Worker: e.Worker.ID, Run: e.Order.Run, Sent: c.sent, Reply: reply})
+	m.step(Started{Worker: e.Worker.ID, Run: e.Order.Run, Reply: reply})
 }
 
 // lose drops an order; it may be carried out later, unless there was no process to take it.
--- a/sched/place.go
+++ b/sched/place.go
@@ -244,11 +244,11 @@
 const failuresInARow = 2
 
 // refusal says why a job has no prospect, or returns an empty string.
-func (s *State) refusal(now time.Duration, j *job) string {
+func (s *State) refusal(j *job) string {
 	if s.closed[j.zone] {
 		return reasonHandover
 	}
-	load, ok := s.Loads(now, j.zone)[j.route.Service]
+	load, ok := s.Loads(j.zone)[j.route.Service]
 	if !ok || load.Capacity == 0 {
 		return "no worker of the service is at hand"
 	}
--- a/sched/place_test.go
+++ b/sched/place_test.go
@@ -45,7 +45,7 @@
 		case StartRun:
 			y.starts = append(y.starts, e)
 			y.running[e.Worker.ID][e.Order.Run] = true
-			y.step(Started{Worker: e.Worker.ID, Run: e.Order.Run, Sent: y.now, Reply: fleet.Reply{Verdict: fleet.Accepted, Clock: y.now.Milliseconds()}})
+			y.step(Started{Worker: e.Worker.ID, Run: e.Order.Run, Reply: fleet.Reply{Verdict: fleet.Accepted, Clock: y.now.Milliseconds()}})
 		case HoldWorker:
 			if e.Order.Wait == 0 {
 				y.answer(e.Worker.ID, e.Seq)
--- a/sched/shed.go
+++ b/sched/shed.go
@@ -66,7 +66,7 @@
 // its work, among it and those before it, is refused. It answers load above the capacity:
 // without it every job waits until it is late, and nobody is served in time.
 func (s *State) shed(now time.Duration, p pool) {
-	load, ok := s.Loads(now, p.zone)[p.service]
+	load, ok := s.Loads(p.zone)[p.service]
 	if !ok {
 		return
 	}
@@ -107,11 +107,3 @@
 	}
 	return least
 }
-
-// shortage returns how long it takes until tasks that need so many processors have begun.
-func (l Load) shortage(need int64) time.Duration {
-	if need <= l.Free {
-		return 0
-	}
-	return time.Duration(float64(l.Task) * float64(need-l.Free) / float64(max(1, l.Rate)))
-}
--- a/session/session.go
+++ b/session/session.go
@@ -30,7 +30,6 @@
 	received uint64            // number of the newest message taken
 	stamp    int64             // newest time stamp of the other side
 	echoed   time.Duration     // newest own time stamp that came back
-	heard    bool
 }
 
 // New returns the state towards a process of which nothing is known.
@@ -83,7 +82,6 @@
 
 // Take takes a frame and returns its new messages.
 func (s *Session) Take(now time.Duration, f *meshpb.Frame) []*meshpb.Message {
-	s.heard = true
 	s.stamp = max(s.stamp, f.GetSent())
 	s.echoed = max(s.echoed, time.Duration(f.GetEcho()))
 	s.acknowledged(now, f.GetAck())
@@ -109,9 +107,6 @@
 	s.sentAt = now
 }
 
-// Heard reports whether a frame of the process has ever arrived.
-func (s *Session) Heard() bool { return s.heard }
-
 // Contact returns the newest time at which a frame left that the process has certainly
 // received and answered. 0 means never.
 func (s *Session) Contact() time.Duration { return s.echoed }
--- a/standin/fleetsim/store.go
+++ b/standin/fleetsim/store.go
@@ -23,7 +23,6 @@
 	lose   bool // appends are done and not answered
 	silent bool // calls are not answered
 	spells int  // times of silence so far
-	reads  int
 }
 
 // topic is a keyed topic.
@@ -127,7 +126,6 @@
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	down, spells := s.down, s.spells
-	s.reads++
 	s.mu.Unlock()
 	if s.hushed(spells) {
 		<-r.Context().Done()
--- a/standin/fleettest/bed_test.go
+++ b/standin/fleettest/bed_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"sesameledge.dev/sesameledge/entry"
+	"sesameledge.dev/sesameledge/internal/testlog"
 	"sesameledge.dev/sesameledge/standin/fleetsim"
 )
 
@@ -44,29 +45,12 @@
 type node struct {
 	host     *entry.Host
 	settings *entry.Settings
-	log      *lockedBuffer
+	log      *testlog.Buffer
 }
 
 // taken reports whether the host's log says that it commands workers.
 func (n *node) taken() bool { return strings.Contains(n.log.String(), `msg="worker taken"`) }
 
-type lockedBuffer struct {
-	mu sync.Mutex
-	b  bytes.Buffer
-}
-
-func (l *lockedBuffer) Write(p []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.b.Write(p)
-}
-
-func (l *lockedBuffer) String() string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.b.String()
-}
-
 var zones = []string{"north", "south"}
 
 func newBed(t *testing.T, workersPerZone int) *bed {
@@ -133,7 +117,7 @@
 	for _, n := range b.hosts {
 		s.Seeds = append(s.Seeds, n.settings.Listen.Peers)
 	}
-	n := &node{settings: s, log: new(lockedBuffer)}
+	n := &node{settings: s, log: new(testlog.Buffer)}
 	var err error
 	if n.host, err = entry.Start(s, n.log); err != nil {
 		b.t.Fatalf("starting %s: %v", name, err)
