Count a former commander's lease after a change of command

After a takeover the former commander's may outlast what this host has granted; its runs were taken for lapsed and their tasks started again while they were at work. Change: taking a worker counts a lease of 1 s from the look. Test: TestLeaseOfFormerCommander failed before (second start after 720 ms).

--- a/sched/hold.go
+++ b/sched/hold.go
@@ -99,6 +99,10 @@
 	}
 	running := s.listedRunning(now, w, e.Reply.Running)
 	s.absent(now, w, e, running)
+	if w.phase == phaseTaking {
+		// The former commander may have extended the lease until just now, and it never shortens.
+		w.grant(now, maxLease)
+	}
 	if w.phase == phaseTaking && len(w.foreign) == 0 {
 		w.phase = phaseHeld
 		s.note("", "worker taken", "worker", w.info.ID, "fence", w.fence)
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -15,6 +15,8 @@
 	// leaseTime plus the time in which the loss of an entry host is noticed is less than the
 	// time after which a caller sends a job again.
 	leaseTime = 700 * time.Millisecond
+	// maxLease is the longest lease that a worker allows.
+	maxLease = time.Second
 	// restartTime is the least time in which a worker starts again.
 	restartTime = time.Second
 	// stopPatience is how long a stop may stay unanswered while the lease is extended.
