--- a/Makefile
+++ b/Makefile
@@ -53,7 +53,7 @@
 fuzz:
 	@echo "seed $(SEED)"
 	go test -timeout 30m -run Fuzz ./dispatch ./forward -rapid.seed=$(SEED) -rapid.checks=$(FUZZ_CHECKS) -rapid.steps=80
-	go test -timeout 30m ./claim ./config ./core ./fit ./member ./place ./ticket -rapid.seed=$(SEED) -rapid.checks=$(MACHINE_CHECKS)
+	go test -timeout 30m ./claim ./config ./core ./fit ./host ./member ./place ./sched ./ticket -rapid.seed=$(SEED) -rapid.checks=$(MACHINE_CHECKS)
 
 .PHONY: chaos
 # Disturbs deployments of real processes with a fresh seed, which it prints. CHAOS passes
--- a/sched/foreign_test.go
+++ b/sched/foreign_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"sesameledge.dev/sesameledge/fleet"
+	"sesameledge.dev/sesameledge/internal/workermodel"
 )
 
 // deliverAll carries out the orders that are under way, but not those that follow from them.
@@ -22,9 +23,9 @@
 	m := newSchedMachine()
 	m.deliverAll()
 	w := m.workers[0]
-	w.hold(m.now, fleet.HoldOrder{Fence: 1000})
-	w.rivalRun(m.now, 1000, 1)
-	m.step(Take{Worker: w.id, Fence: 2000})
+	w.Hold(m.now, fleet.HoldOrder{Fence: 1000})
+	rivalRun(w, m.now, 1000, 1)
+	m.step(Take{Worker: w.ID, Fence: 2000})
 	take := m.calls[0]
 	m.calls = m.calls[1:]
 	m.deliver(take, true)
@@ -43,14 +44,14 @@
 			started[start.Worker.ID]++
 		}
 	}
-	if started[w.id] != 0 || started["w1"] == 0 {
-		t.Fatalf("starts by worker: %v; none belongs on %s", started, w.id)
+	if started[w.ID] != 0 || started["w1"] == 0 {
+		t.Fatalf("starts by worker: %v; none belongs on %s", started, w.ID)
 	}
 	for range 4 {
 		m.deliverAll()
-		m.pass(stopTime)
+		m.pass(workermodel.StopTime)
 	}
-	if got := len(w.running); got != 1 {
-		t.Fatalf("%d tasks run on %s after the foreign run has ended, want 1", got, w.id)
+	if got := len(w.Running()); got != 1 {
+		t.Fatalf("%d tasks run on %s after the foreign run has ended, want 1", got, w.ID)
 	}
 }
--- a/sched/job.go
+++ b/sched/job.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"slices"
 	"time"
 
 	"sesameledge.dev/sesameledge/fleet"
@@ -23,6 +24,7 @@
 	attempts  []int64       // newest attempt of each task
 	failures  []int         // runs of each task that ended failed
 	runs      int           // that may be at work
+	live      []bool        // tasks with such a run
 	done      int           // tasks
 	begun     int           // starts that were not refused: tasks of the job may have run
 	finished  bool
@@ -38,6 +40,7 @@
 		arrived: now - in.Age, deadline: now + in.Left,
 		waiting:  make([]int, in.Spec.Tasks),
 		attempts: make([]int64, in.Spec.Tasks),
+		live:     make([]bool, in.Spec.Tasks),
 		failures: make([]int, in.Spec.Tasks),
 	}
 	for i := range j.waiting {
@@ -111,6 +114,7 @@
 	s.dirty = true
 	j := r.job
 	j.runs--
+	j.live[r.index] = false
 	if how == fleet.EndDone {
 		s.stats.Done++
 		s.learn(now, w, r)
@@ -143,12 +147,9 @@
 
 // enqueue puts a job back among those with waiting tasks.
 func (s *State) enqueue(j *job) {
-	for _, q := range s.queue {
-		if q == j {
-			return
-		}
+	if !slices.Contains(s.queue, j) {
+		s.queue = append(s.queue, j)
 	}
-	s.queue = append(s.queue, j)
 }
 
 // newRun makes the run of a job's next waiting task.
--- a/sched/load.go
+++ b/sched/load.go
@@ -38,7 +38,7 @@
 func (s *State) Loads(zone string) map[string]Load {
 	loads := make(map[string]Load)
 	rates := make(map[string]float64)
-	running := make(map[string]float64)
+	running := make(map[string]int64) // processors of the running tasks, times their durations in µs
 	for _, w := range s.order {
 		if !w.counts() || w.info.Zone != zone {
 			continue
@@ -47,7 +47,7 @@
 		free := w.info.Capacity.CPU
 		for _, r := range w.runs {
 			free -= r.need.CPU
-			running[w.info.Service] += float64(r.need.CPU) * float64(r.predicted)
+			running[w.info.Service] += r.need.CPU * r.predicted.Microseconds()
 		}
 		l.Capacity += w.info.Capacity.CPU
 		l.Free += max(0, free)
@@ -65,7 +65,7 @@
 	for service, l := range loads {
 		l.Rate = int64(rates[service])
 		if busy := l.Capacity - l.Free; busy > 0 {
-			l.Task = time.Duration(running[service] / float64(busy))
+			l.Task = time.Duration(running[service]/busy) * time.Microsecond
 		}
 		loads[service] = l
 	}
--- a/sched/machine_test.go
+++ b/sched/machine_test.go
@@ -9,135 +9,15 @@
 	"pgregory.net/rapid"
 
 	"sesameledge.dev/sesameledge/fleet"
+	"sesameledge.dev/sesameledge/internal/workermodel"
 )
 
-// modelWorker is the oracle: a worker that obeys the highest fencing token, guards nothing,
-// and runs what it is told until it ends, is stopped or its lease ends.
-type modelWorker struct {
-	id       string
-	born     int64
-	rate     float64 // of its clock
-	fence    int64
-	rival    int64 // fencing token of a rival commander; 0: there was none
-	lease    int64 // on its clock
-	running  map[fleet.RunKey]fleet.Resources
-	stopping map[fleet.RunKey]time.Duration // being stopped until then; they still count
-	barred   map[fleet.Task]int64           // highest attempt that was stopped or has ended
-	finished []fleet.Finished
-	number   int64
-	capacity fleet.Resources
-	started  time.Duration // of the process; its clock begins then
-	down     time.Duration // no process until then
-}
-
-func (w *modelWorker) clock(now time.Duration) int64 {
-	return 1 + int64(float64((now-w.started).Milliseconds())*w.rate)
-}
-
-// expire ends what has been stopped, and everything if the lease has ended.
-func (w *modelWorker) expire(now time.Duration) {
-	for _, key := range w.keys() {
-		if until, ok := w.stopping[key]; ok && now >= until {
-			w.end(key, fleet.EndStopped)
-		}
-	}
-	if w.clock(now) >= w.lease {
-		for _, key := range w.keys() {
-			w.end(key, fleet.EndLapsed)
-		}
-	}
-}
-
-func (w *modelWorker) keys() []fleet.RunKey {
-	var keys []fleet.RunKey
-	for key := range w.running {
-		keys = append(keys, key)
-	}
-	slices.SortFunc(keys, func(a, b fleet.RunKey) int {
-		if a.Task.Job != b.Task.Job {
-			return int(a.Attempt - b.Attempt)
-		}
-		return a.Task.Index - b.Task.Index
-	})
-	return keys
-}
-
-func (w *modelWorker) end(key fleet.RunKey, how fleet.How) {
-	delete(w.running, key)
-	delete(w.stopping, key)
-	w.barred[key.Task] = max(w.barred[key.Task], key.Attempt)
-	w.number++
-	w.finished = append(w.finished, fleet.Finished{Number: w.number, Run: key, How: how})
-}
-
-func (w *modelWorker) extend(now time.Duration, until int64) {
-	w.lease = max(w.lease, min(until, w.clock(now)+1000))
-}
-
-func (w *modelWorker) start(now time.Duration, o fleet.StartOrder, need fleet.Resources) fleet.Verdict {
-	w.expire(now)
-	switch {
-	case o.Fence < w.fence:
-		return fleet.Fenced
-	case o.Until <= w.clock(now):
-		return fleet.Expired
-	}
-	w.fence = o.Fence
-	w.extend(now, o.Until)
-	if _, there := w.running[o.Run]; there {
-		return fleet.Accepted
-	}
-	if w.barred[o.Run.Task] >= o.Run.Attempt {
-		return fleet.Superseded
-	}
-	w.running[o.Run] = need
-	return fleet.Accepted
-}
-
-func (w *modelWorker) stop(now time.Duration, o fleet.StopOrder) fleet.Verdict {
-	w.expire(now)
-	if o.Fence < w.fence {
-		return fleet.Fenced
-	}
-	w.fence = o.Fence
-	if _, there := w.running[o.Run]; there && w.stopping[o.Run] == 0 {
-		w.stopping[o.Run] = now + stopTime
-	}
-	w.barred[o.Run.Task] = max(w.barred[o.Run.Task], o.Run.Attempt)
-	return fleet.Accepted
-}
-
-func (w *modelWorker) hold(now time.Duration, o fleet.HoldOrder) fleet.HoldReply {
-	w.expire(now)
-	if o.Fence < w.fence {
-		return fleet.HoldReply{Reply: fleet.Reply{Verdict: fleet.Fenced, Clock: w.clock(now), Born: w.born}}
-	}
-	w.fence = o.Fence
-	if o.Until > 0 {
-		w.extend(now, o.Until)
-	}
-	w.finished = slices.DeleteFunc(w.finished, func(f fleet.Finished) bool { return f.Number <= o.Ack })
-	reply := fleet.HoldReply{Reply: fleet.Reply{Verdict: fleet.Accepted, Clock: w.clock(now), Born: w.born}}
-	for _, key := range w.keys() {
-		reply.Running = append(reply.Running, fleet.Running{Run: key, Percent: 1})
-	}
-	reply.Finished = slices.Clone(w.finished)
-	return reply
-}
-
-// stopTime is how long a worker takes to stop a run.
-const stopTime = 50 * time.Millisecond
-
 // rivalRun starts a run for another host, if there is room for it.
-func (w *modelWorker) rivalRun(now time.Duration, fence int64, number int) {
+func rivalRun(w *workermodel.Worker, now time.Duration, fence int64, number int) {
 	need := fleet.Resources{CPU: 30000, Memory: 64}
-	left := w.capacity
-	for _, used := range w.running {
-		left = left.Sub(used)
-	}
-	if left.Fits(need) {
+	if w.Free().Fits(need) {
 		run := fleet.RunKey{Task: fleet.Task{Job: "rival", Index: number}, Attempt: 1}
-		w.start(now, fleet.StartOrder{Run: run, Fence: fence, Until: w.clock(now) + 1000}, need)
+		w.Start(now, fleet.StartOrder{Run: run, Fence: fence, Until: w.Clock(now) + workermodel.MaxLease}, need)
 	}
 }
 
@@ -146,7 +26,8 @@
 type schedMachine struct {
 	s        *State
 	now      time.Duration
-	workers  []*modelWorker
+	workers  []*workermodel.Worker
+	rivals   map[string]int64 // fencing token of a rival commander, by worker
 	calls    []call
 	late     []call
 	jobs     map[JobKey]int // submitted: tasks
@@ -168,18 +49,15 @@
 func newSchedMachine() *schedMachine {
 	m := &schedMachine{
 		s: New(), now: time.Minute, jobs: make(map[JobKey]int), needs: make(map[string]fleet.Resources),
-		done: make(map[fleet.Task]bool), outcomes: make(map[JobKey]Outcome), fence: 10,
+		done: make(map[fleet.Task]bool), outcomes: make(map[JobKey]Outcome), rivals: make(map[string]int64), fence: 10,
 	}
 	for i := range 3 {
-		m.workers = append(m.workers, &modelWorker{
-			id: fmt.Sprintf("w%d", i), born: 1, rate: []float64{1, 0.98, 1}[i],
-			running: make(map[fleet.RunKey]fleet.Resources), stopping: make(map[fleet.RunKey]time.Duration), barred: make(map[fleet.Task]int64),
-			capacity: fleet.Resources{CPU: int64(64000 + 32000*(i%2)), Memory: 1000},
-		})
+		capacity := fleet.Resources{CPU: int64(64000 + 32000*(i%2)), Memory: 1000}
+		m.workers = append(m.workers, workermodel.New(fmt.Sprintf("w%d", i), capacity, []float64{1, 0.98, 1}[i]))
 	}
 	m.directory(-1)
 	for _, w := range m.workers {
-		m.step(Take{Worker: w.id, Fence: m.fence})
+		m.step(Take{Worker: w.ID, Fence: m.fence})
 	}
 	return m
 }
@@ -188,7 +66,7 @@
 func (m *schedMachine) directory(draining int) {
 	var list []fleet.Worker
 	for i, w := range m.workers {
-		list = append(list, fleet.Worker{ID: w.id, Service: "s", Zone: "z", Capacity: w.capacity, Draining: i == draining})
+		list = append(list, fleet.Worker{ID: w.ID, Service: "s", Zone: "z", Capacity: w.Capacity, Draining: i == draining})
 	}
 	m.step(Directory{Workers: list})
 }
@@ -207,9 +85,9 @@
 	}
 }
 
-func (m *schedMachine) worker(id string) *modelWorker {
+func (m *schedMachine) worker(id string) *workermodel.Worker {
 	for _, w := range m.workers {
-		if w.id == id {
+		if w.ID == id {
 			return w
 		}
 	}
@@ -217,7 +95,7 @@
 }
 
 // workerOf returns the worker that an order is for.
-func (m *schedMachine) workerOf(c call) *modelWorker {
+func (m *schedMachine) workerOf(c call) *workermodel.Worker {
 	switch e := c.effect.(type) {
 	case StartRun:
 		return m.worker(e.Worker.ID)
@@ -232,29 +110,28 @@
 // deliver carries an order out and, unless its answer is lost, returns it. An order that was
 // under way for too long, or that finds no process, is lost for good.
 func (m *schedMachine) deliver(c call, answer bool) {
-	if w := m.workerOf(c); m.now < w.down || m.now-c.sent > callLimit {
+	if w := m.workerOf(c); m.now < w.Down || m.now-c.sent > callLimit {
 		m.lose(c)
 		return
 	}
 	switch e := c.effect.(type) {
 	case StartRun:
 		w := m.worker(e.Worker.ID)
-		v := w.start(m.now, e.Order, m.needs[e.Order.Run.Task.Job])
-		m.answerStart(c, e, fleet.Reply{Verdict: v, Clock: w.clock(m.now), Born: w.born}, answer)
+		m.answerStart(c, e, w.Start(m.now, e.Order, m.needs[e.Order.Run.Task.Job]), answer)
 	case StopRun:
 		w := m.worker(e.Worker.ID)
-		reply := fleet.Reply{Verdict: w.stop(m.now, e.Order), Clock: w.clock(m.now), Born: w.born}
+		reply := w.Stop(m.now, e.Order)
 		if !answer {
 			reply = fleet.Reply{}
 		}
-		m.step(Stopped{Worker: w.id, Run: e.Order.Run, Reply: reply})
+		m.step(Stopped{Worker: w.ID, Run: e.Order.Run, Reply: reply})
 	case HoldWorker:
 		w := m.worker(e.Worker.ID)
-		reply := w.hold(m.now, e.Order)
+		reply := w.Hold(m.now, e.Order)
 		if !answer {
 			reply = fleet.HoldReply{}
 		}
-		m.step(Held{Worker: w.id, Seq: e.Seq, Sent: c.sent, Reply: reply})
+		m.step(Held{Worker: w.ID, Seq: e.Seq, Sent: c.sent, Reply: reply})
 	}
 }
 
@@ -267,7 +144,7 @@
 
 // lose drops an order; it may be carried out later, unless there was no process to take it.
 func (m *schedMachine) lose(c call) {
-	if m.workerOf(c).down <= c.sent {
+	if m.workerOf(c).Down <= c.sent {
 		m.late = append(m.late, c)
 	}
 	switch e := c.effect.(type) {
@@ -282,34 +159,31 @@
 
 // carryOutLate carries out an order whose sender has long given it up.
 func (m *schedMachine) carryOutLate(c call) {
-	if m.now < m.workerOf(c).down {
+	if m.now < m.workerOf(c).Down {
 		return
 	}
 	switch e := c.effect.(type) {
 	case StartRun:
-		m.worker(e.Worker.ID).start(m.now, e.Order, m.needs[e.Order.Run.Task.Job])
+		m.worker(e.Worker.ID).Start(m.now, e.Order, m.needs[e.Order.Run.Task.Job])
 	case StopRun:
-		m.worker(e.Worker.ID).stop(m.now, e.Order)
+		m.worker(e.Worker.ID).Stop(m.now, e.Order)
 	case HoldWorker:
-		m.worker(e.Worker.ID).hold(m.now, e.Order)
+		m.worker(e.Worker.ID).Hold(m.now, e.Order)
 	}
 }
 
 // restart ends a worker's process with all that it runs and the orders that it holds, and
 // starts another one a second later.
-func (m *schedMachine) restart(w *modelWorker) {
-	up := m.now + restartTime
-	*w = modelWorker{
-		id: w.id, born: w.born + 1, rate: w.rate, capacity: w.capacity, started: up, down: up,
-		running: make(map[fleet.RunKey]fleet.Resources), stopping: make(map[fleet.RunKey]time.Duration), barred: make(map[fleet.Task]int64),
-	}
+func (m *schedMachine) restart(w *workermodel.Worker) {
+	w.Restart(m.now + restartTime)
+	delete(m.rivals, w.ID)
 	m.late = slices.DeleteFunc(m.late, func(c call) bool { return m.workerOf(c) == w })
 }
 
 func (m *schedMachine) pass(d time.Duration) {
 	m.now += d
 	for _, w := range m.workers {
-		w.expire(m.now)
+		w.Expire(m.now)
 	}
 	// The shell gives a call up when its time is over.
 	for _, c := range slices.Clone(m.calls) {
@@ -332,19 +206,14 @@
 }
 
 func (m *schedMachine) check(t *rapid.T) {
-	at := make(map[fleet.Task]string)
-	for _, w := range m.workers {
-		used := fleet.Resources{}
-		for key, need := range w.running {
-			used = used.Add(need)
-			if other := at[key.Task]; other != "" {
-				t.Fatalf("task %v runs on %s and %s", key.Task, other, w.id)
-			}
-			at[key.Task] = w.id
-		}
-		if !w.capacity.Fits(used) {
-			t.Fatalf("worker %s runs %+v of %+v", w.id, used, w.capacity)
-		}
+	if err := workermodel.Check(m.workers); err != nil {
+		t.Fatal(err)
+	}
+	if err := m.s.Check(); err != nil {
+		t.Fatal(err)
+	}
+	if n := m.s.Stats().Violations; n > 0 {
+		t.Fatalf("%d starts were stopped by an internal check", n)
 	}
 	for key, outcome := range m.outcomes {
 		if outcome != Completed {
@@ -422,11 +291,11 @@
 			},
 			"end": func(t *rapid.T) {
 				w := m.workers[rapid.IntRange(0, len(m.workers)-1).Draw(t, "worker")]
-				if keys := w.keys(); len(keys) > 0 {
+				if keys := w.Running(); len(keys) > 0 {
 					key := keys[rapid.IntRange(0, len(keys)-1).Draw(t, "run")]
 					how := rapid.SampledFrom([]fleet.How{fleet.EndDone, fleet.EndDone, fleet.EndFailed}).Draw(t, "how")
 					m.done[key.Task] = m.done[key.Task] || how == fleet.EndDone
-					w.end(key, how)
+					w.End(key, how)
 				}
 			},
 			"restart": func(t *rapid.T) {
@@ -435,23 +304,23 @@
 			},
 			"rivalStarts": func(t *rapid.T) {
 				w := m.workers[rapid.IntRange(0, len(m.workers)-1).Draw(t, "worker")]
-				if w.rival != 0 && w.fence == w.rival {
+				if rival := m.rivals[w.ID]; rival != 0 && w.Fence == rival {
 					m.number++
-					w.rivalRun(m.now, w.rival, m.number)
+					rivalRun(w, m.now, rival, m.number)
 				}
 			},
 			"rival": func(t *rapid.T) {
 				m.fence += 10
 				w := m.workers[rapid.IntRange(0, len(m.workers)-1).Draw(t, "worker")]
-				w.hold(m.now, fleet.HoldOrder{Fence: m.fence})
-				for _, key := range w.keys() {
-					w.stop(m.now, fleet.StopOrder{Run: key, Fence: m.fence})
+				w.Hold(m.now, fleet.HoldOrder{Fence: m.fence})
+				for _, key := range w.Running() {
+					w.Stop(m.now, fleet.StopOrder{Run: key, Fence: m.fence})
 				}
-				w.rival = m.fence
+				m.rivals[w.ID] = m.fence
 			},
 			"take": func(t *rapid.T) {
 				m.fence += 10
-				m.step(Take{Worker: m.workers[rapid.IntRange(0, len(m.workers)-1).Draw(t, "worker")].id, Fence: m.fence})
+				m.step(Take{Worker: m.workers[rapid.IntRange(0, len(m.workers)-1).Draw(t, "worker")].ID, Fence: m.fence})
 			},
 			"drain":      func(t *rapid.T) { m.directory(rapid.IntRange(-1, 2).Draw(t, "worker")) },
 			"pass":       func(t *rapid.T) { m.pass(time.Duration(rapid.IntRange(1, 60).Draw(t, "ms")) * time.Millisecond) },
--- a/sched/place.go
+++ b/sched/place.go
@@ -113,6 +113,10 @@
 			left = append(left, index)
 			continue
 		}
+		if err := s.startError(now, j, index, c.w); err != nil {
+			s.violated(now, j, index, c.w, err)
+			return
+		}
 		c.free = c.free.Sub(j.spec.Need)
 		s.start(now, j, index, c.w)
 		on = append(on, c.w.info.ID)
@@ -225,6 +229,7 @@
 	}
 	w.runs[key] = r
 	j.runs++
+	j.live[index] = true
 	j.begun++
 	s.stats.Starts++
 	w.nextHold = min(w.nextHold, now)
--- a/sched/place_test.go
+++ b/sched/place_test.go
@@ -168,3 +168,32 @@
 		}
 	}
 }
+
+// TestStartThatBreaksAnInvariantIsStopped guards against a fault of the placement that reaches a
+// worker: the job is given up, and nothing is started.
+func TestStartThatBreaksAnInvariantIsStopped(t *testing.T) {
+	m := newSchedMachine()
+	m.deliverAll()
+	m.directory(0)
+	key := JobKey{Host: 1, Seq: 1}
+	j := &job{
+		key: key, zone: "z", deadline: m.now + time.Second,
+		spec:    fleet.JobSpec{ID: "job1", Tasks: 1, Need: fleet.Resources{CPU: 1000, Memory: 1}},
+		route:   fleet.Route{Name: "r", Service: "s", MaxAttempts: 3, Target: time.Second},
+		waiting: []int{0}, attempts: make([]int64, 1), failures: make([]int, 1), live: make([]bool, 1),
+	}
+	m.s.jobs[key] = j
+	draining := m.s.workers["w0"]
+	m.s.placeJob(m.now, j, []*candidate{{w: draining, free: draining.info.Capacity}})
+	for _, e := range m.s.Ready() {
+		switch e := e.(type) {
+		case StartRun:
+			t.Errorf("started %v", e.Order.Run)
+		case Finish:
+			m.outcomes[e.Key] = e.Outcome
+		}
+	}
+	if m.outcomes[key] != Aborted || m.s.Stats().Violations != 1 {
+		t.Errorf("outcome %v, %d violations", m.outcomes[key], m.s.Stats().Violations)
+	}
+}
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -54,6 +55,8 @@
 type Stats struct {
 	Starts, Done, FailedRuns, Lapsed, Lost, Hangs, Doubts, Stops, Foreign int64
 	Completed, Failed, Refused, Aborted                                   int64
+	// Violations counts starts that an internal check has stopped.
+	Violations int64
 }
 
 // New returns an empty state machine.
@@ -229,15 +232,18 @@
 	for _, r := range w.runs {
 		runs = append(runs, r)
 	}
-	slices.SortFunc(runs, func(a, b *run) int {
-		return cmp.Or(
-			cmp.Compare(a.key.Task.Job, b.key.Task.Job),
-			cmp.Compare(a.key.Task.Index, b.key.Task.Index),
-			cmp.Compare(a.key.Attempt, b.key.Attempt))
-	})
+	slices.SortFunc(runs, func(a, b *run) int { return compareRuns(a.key, b.key) })
 	return runs
 }
 
+func compareRuns(a, b fleet.RunKey) int {
+	return cmp.Or(
+		cmp.Compare(a.Task.Job, b.Task.Job),
+		cmp.Compare(a.Task.Index, b.Task.Index),
+		cmp.Compare(a.Attempt, b.Attempt),
+		cmp.Compare(a.Task.Unread, b.Task.Unread))
+}
+
 // checkRuns sends due stops and gives up runs that make no progress.
 func (s *State) checkRuns(now time.Duration, w *worker) {
 	for _, r := range sortedRuns(w) {
@@ -254,8 +260,8 @@
 			s.sendStop(now, w, r.key, &r.stop)
 		}
 	}
-	for key, f := range w.foreign {
-		if f.stop.due(now) {
+	for _, key := range slices.SortedFunc(maps.Keys(w.foreign), compareRuns) {
+		if f := w.foreign[key]; f.stop.due(now) {
 			s.sendStop(now, w, key, &f.stop)
 		}
 	}
