Fuzz several entry hosts against model workers; make the reducer of a host deterministic

Cause: package host had directed tests only, and went through its workers in the order of a map, so a failure could not be played again. Change: a world of hosts, model workers, callers and a store in virtual time, with clocks that differ, and a rapid machine that kills, freezes (also between decisions and their effects), drains and cuts hosts, silences connections, restarts and drains workers, and leaves orders unanswered. It checks capacity, one run of a task at a time, true refusals, whole answers, configurations that never go back, and service after the last fault. Workers are kept in a list ordered by name.

--- a/host/cells.go
+++ b/host/cells.go
@@ -98,11 +98,11 @@
 	}
 	held := heldByOthers(zone, others)
 	claim.Commanded = 0
-	for id, e := range s.workers {
+	for _, e := range s.entries() {
 		if e.info.Zone != zone || e.gone(now) {
 			continue
 		}
-		switch {
+		switch id := e.info.ID; {
 		case s.sched.Commands(id):
 			if s.sched.Obeys(id) {
 				claim.Commanded++
@@ -149,12 +149,12 @@
 		return
 	}
 	total, lost := 0, 0
-	for other, oe := range s.workers {
-		if oe.info.Zone != e.info.Zone {
+	for _, other := range s.entries() {
+		if other.info.Zone != e.info.Zone {
 			continue
 		}
 		total++
-		if now < s.lost[other] {
+		if now < s.lost[other.info.ID] {
 			lost++
 		}
 	}
@@ -170,9 +170,9 @@
 
 // releaseAll hands over the workers of a cell, each when its last run is over.
 func (s *State) releaseAll(now time.Duration, zone string) {
-	for id, e := range s.workers {
+	for _, e := range s.entries() {
 		if e.info.Zone == zone {
-			s.sched.Step(now, sched.Release{Worker: id})
+			s.sched.Step(now, sched.Release{Worker: e.info.ID})
 		}
 	}
 }
@@ -196,9 +196,9 @@
 // heldWorkers returns the workers of a cell that this host commands.
 func (s *State) heldWorkers(zone string) []string {
 	var held []string
-	for id, e := range s.workers {
-		if e.info.Zone == zone && s.sched.Commands(id) {
-			held = append(held, id)
+	for _, e := range s.entries() {
+		if e.info.Zone == zone && s.sched.Commands(e.info.ID) {
+			held = append(held, e.info.ID)
 		}
 	}
 	return held
--- a/host/choose.go
+++ b/host/choose.go
@@ -1,6 +1,8 @@
 package host
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"sesameledge.dev/sesameledge/mesh/meshpb"
@@ -107,7 +109,9 @@
 // loads is the load of an own cell for other hosts.
 func (s *State) loads(zone string) []*meshpb.Load {
 	var list []*meshpb.Load
-	for service, l := range s.sched.Loads(zone) {
+	loads := s.sched.Loads(zone)
+	for _, service := range slices.Sorted(maps.Keys(loads)) {
+		l := loads[service]
 		list = append(list, &meshpb.Load{
 			Service: service, Free: l.Free, Capacity: l.Capacity, Queued: l.Queued, Rate: l.Rate, TaskMs: l.Task.Milliseconds(),
 		})
--- a/host/host.go
+++ b/host/host.go
@@ -58,8 +58,9 @@
 	record   []byte // of config
 	adopted  time.Duration
 	workers  map[string]*entry
-	changed  bool // the directory has to be handed to the scheduler
-	store    bool // the store answers
+	listed   []*entry // workers, by name; nil: to be made again
+	changed  bool     // the directory has to be handed to the scheduler
+	store    bool     // the store answers
 	jobs     map[uint64]*job
 	lost     map[string]time.Duration // workers of own cells that obey another host, until when they are left to it
 	maxFence int64
--- a/host/knowledge.go
+++ b/host/knowledge.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -34,6 +35,14 @@
 	return e.removed != 0 && now-e.removed > removalGrace
 }
 
+// entries returns the known workers in a fixed order, so that runs repeat.
+func (s *State) entries() []*entry {
+	if s.listed == nil {
+		s.listed = slices.SortedFunc(maps.Values(s.workers), func(a, b *entry) int { return cmp.Compare(a.info.ID, b.info.ID) })
+	}
+	return s.listed
+}
+
 // readConfig puts a configuration in force unless a newer one is. It never steps back.
 func (s *State) readConfig(now time.Duration, record []byte, from string) {
 	config, err := s.opts.Decode.Config(record)
@@ -61,9 +70,9 @@
 	if !e.Snapshot {
 		return
 	}
-	for id, old := range s.workers {
-		if !named[id] && old.removed == 0 {
-			s.note("store", "", "worker is not listed any more", "worker", id)
+	for _, old := range s.entries() {
+		if !named[old.info.ID] && old.removed == 0 {
+			s.note("store", "", "worker is not listed any more", "worker", old.info.ID)
 			old.removed = now
 		}
 	}
@@ -97,6 +106,7 @@
 		s.changed = true
 	}
 	s.workers[r.ID] = e
+	s.listed = nil
 }
 
 func sameWorker(a, b fleet.Worker) bool {
@@ -106,10 +116,11 @@
 
 // expireWorkers forgets workers whose entries stayed away.
 func (s *State) expireWorkers(now time.Duration) {
-	for id, e := range s.workers {
+	for _, e := range s.entries() {
 		if e.gone(now) {
-			delete(s.workers, id)
-			delete(s.lost, id)
+			delete(s.workers, e.info.ID)
+			delete(s.lost, e.info.ID)
+			s.listed = nil
 			s.changed = true
 		}
 	}
@@ -122,10 +133,9 @@
 	}
 	s.changed = false
 	list := make([]fleet.Worker, 0, len(s.workers))
-	for _, e := range s.workers {
+	for _, e := range s.entries() {
 		list = append(list, e.info)
 	}
-	slices.SortFunc(list, func(a, b fleet.Worker) int { return cmp.Compare(a.ID, b.ID) })
 	s.sched.Step(now, sched.Directory{Workers: list})
 }
 
@@ -183,12 +193,12 @@
 	}
 	var list []*meshpb.Worker
 	newest := p.workersTo
-	for id, e := range s.workers {
+	for _, e := range s.entries() {
 		if e.changedAt < p.workersTo || e.removed != 0 {
 			continue
 		}
 		newest = max(newest, e.changedAt+1)
-		list = append(list, &meshpb.Worker{Id: id, Record: e.record, Offset: e.offset})
+		list = append(list, &meshpb.Worker{Id: e.info.ID, Record: e.record, Offset: e.offset})
 	}
 	p.workersTo = newest
 	return list
--- /dev/null
+++ b/host/machine_test.go
@@ -0,0 +1,360 @@
+package host
+
+import (
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"sesameledge.dev/sesameledge/sched"
+)
+
+// healTime is the time after the last fault in which a deployment serves again.
+const healTime = 6 * time.Second
+
+// answerTime is how long callers wait and send their jobs again after that.
+const answerTime = maxResends * (resendTime + 4*time.Second)
+
+// hostMachine disturbs a world. Faults last until an action ends them.
+type hostMachine struct{ w *world }
+
+func (m *hostMachine) host(t *rapid.T) *worldHost {
+	return m.w.hosts[rapid.IntRange(0, len(m.w.hosts)-1).Draw(t, "host")]
+}
+
+func (m *hostMachine) worker(t *rapid.T) *worldWorker {
+	return m.w.workers[rapid.IntRange(0, len(m.w.workers)-1).Draw(t, "worker")]
+}
+
+func drawTime(t *rapid.T, label string, low, high int) time.Duration {
+	return time.Duration(rapid.IntRange(low, high).Draw(t, label)) * time.Millisecond
+}
+
+func (m *hostMachine) submit(t *rapid.T) {
+	h := m.host(t)
+	for range rapid.IntRange(1, 4).Draw(t, "jobs") {
+		m.w.submit(h, rapid.IntRange(1, 4).Draw(t, "tasks"), drawTime(t, "takes", 20, 2500), rapid.IntRange(0, 9).Draw(t, "failing") == 0)
+	}
+}
+
+// leave closes the connection of a caller.
+func (m *hostMachine) leave(t *rapid.T) {
+	h := m.host(t)
+	returns := rapid.Bool().Draw(t, "returns")
+	for seq := h.seq; seq > 0; seq-- {
+		if h.open[seq] != nil {
+			h.leave(seq, returns)
+			return
+		}
+	}
+}
+
+func (m *hostMachine) restart(h *worldHost, down time.Duration) {
+	h.kill()
+	life := h.life
+	m.w.after(down, func() {
+		if h.life == life {
+			h.boot()
+		}
+	})
+}
+
+func (m *hostMachine) kill(t *rapid.T) {
+	m.restart(m.host(t), bootTime+drawTime(t, "down", 0, 2000))
+}
+
+func (m *hostMachine) killAll(t *rapid.T) {
+	down := bootTime + drawTime(t, "down", 0, 2000)
+	for _, h := range m.w.hosts {
+		m.restart(h, down)
+	}
+}
+
+// freeze stops a process, perhaps between its decisions and their effects.
+func (m *hostMachine) freeze(t *rapid.T) {
+	h := m.host(t)
+	if h.state == nil || h.frozen {
+		return
+	}
+	if rapid.Bool().Draw(t, "between") {
+		h.stalled = true
+	} else {
+		h.frozen = true
+	}
+	life := h.life
+	m.w.after(drawTime(t, "for", 50, 4000), func() {
+		if h.life == life {
+			h.wake()
+		}
+	})
+}
+
+// drain stops a process as its platform does: with notice, and by force when that is over.
+func (m *hostMachine) drain(t *rapid.T) {
+	h := m.host(t)
+	if h.state == nil || h.draining {
+		return
+	}
+	h.draining = true
+	life := h.life
+	h.deliver(life, Drain{})
+	deadline := m.w.now + 6*time.Second
+	var poll func()
+	poll = func() {
+		switch {
+		case h.life != life:
+		case m.w.now >= deadline || !h.frozen && h.state.OpenJobs() == 0 && h.state.Cells() == 0:
+			m.restart(h, bootTime)
+		default:
+			m.w.after(20*time.Millisecond, poll)
+		}
+	}
+	m.w.after(20*time.Millisecond, poll)
+}
+
+// until runs the end of a fault after a time.
+func (m *hostMachine) until(t *rapid.T, end func()) {
+	m.w.after(drawTime(t, "for", 50, 5000), end)
+}
+
+// cut partitions a host from another one, one way or both.
+func (m *hostMachine) cut(t *rapid.T) {
+	a, b := m.host(t), m.host(t)
+	if a == b {
+		return
+	}
+	links := []*worldLink{m.w.links[[2]int{a.index, b.index}]}
+	if rapid.Bool().Draw(t, "both") {
+		links = append(links, m.w.links[[2]int{b.index, a.index}])
+	}
+	for _, link := range links {
+		link.cut = true
+	}
+	m.until(t, func() {
+		for _, link := range links {
+			link.heal(m.w)
+		}
+	})
+}
+
+// cutHost partitions a host from all others and perhaps from the store.
+func (m *hostMachine) cutHost(t *rapid.T) {
+	h := m.host(t)
+	h.storeCut = rapid.Bool().Draw(t, "store")
+	m.setLinks(func(a, b *worldHost) bool { return a == h || b == h }, true)
+	m.until(t, func() {
+		h.storeCut = false
+		m.setLinks(func(a, b *worldHost) bool { return a == h || b == h }, false)
+	})
+}
+
+// cutZone partitions the zones from each other and perhaps one of them from the store.
+func (m *hostMachine) cutZone(t *rapid.T) {
+	store := rapid.Bool().Draw(t, "store")
+	m.setZoneCut(true, store)
+	m.until(t, func() { m.setZoneCut(false, false) })
+}
+
+func (m *hostMachine) setZoneCut(cut, store bool) {
+	m.setLinks(func(a, b *worldHost) bool { return a.zone != b.zone }, cut)
+	for _, ww := range m.w.workers {
+		ww.zoneCut = cut
+	}
+	for _, h := range m.w.hosts {
+		h.storeCut = store && h.zone == worldZones[0]
+	}
+}
+
+// setLinks cuts or heals the links that match.
+func (m *hostMachine) setLinks(match func(a, b *worldHost) bool, cut bool) {
+	for _, a := range m.w.hosts {
+		for _, b := range m.w.hosts {
+			switch link := m.w.links[[2]int{a.index, b.index}]; {
+			case a == b || !match(a, b):
+			case cut:
+				link.cut = true
+			default:
+				link.heal(m.w)
+			}
+		}
+	}
+}
+
+// silence lets an open connection go silent; new ones work.
+func (m *hostMachine) silence(t *rapid.T) {
+	if a, b := m.host(t), m.host(t); a != b {
+		m.w.links[[2]int{a.index, b.index}].silent = true
+	}
+}
+
+// disturb makes a worker, or all of them, leave orders unanswered, or cuts it off.
+func (m *hostMachine) disturb(t *rapid.T) {
+	workers := []*worldWorker{m.worker(t)}
+	if rapid.Bool().Draw(t, "all") {
+		workers = m.w.workers
+	}
+	how := rapid.IntRange(0, 2).Draw(t, "how")
+	for _, ww := range workers {
+		switch how {
+		case 0:
+			ww.late = 0.4
+		case 1:
+			ww.deaf = 0.4
+		case 2:
+			ww.cut = true
+		}
+	}
+	m.until(t, func() {
+		for _, ww := range workers {
+			ww.late, ww.deaf, ww.cut = 0, 0, false
+		}
+	})
+}
+
+func (m *hostMachine) restartWorker(t *rapid.T) {
+	ww := m.worker(t)
+	ww.Restart(m.w.now + drawTime(t, "down", 1000, 3000))
+	ww.waiters = nil
+}
+
+func (m *hostMachine) drainWorker(t *rapid.T) {
+	ww := m.worker(t)
+	ww.info.Draining = !ww.info.Draining
+	m.w.list(ww)
+}
+
+// heal ends all faults of networks and workers.
+func (m *hostMachine) heal() {
+	m.setZoneCut(false, false)
+	m.setLinks(func(*worldHost, *worldHost) bool { return true }, false)
+	for _, ww := range m.w.workers {
+		ww.late, ww.deaf, ww.cut = 0, 0, false
+	}
+}
+
+// recover ends all faults and expects the deployment to serve.
+func (m *hostMachine) recover(t *rapid.T) {
+	m.heal()
+	m.w.load = 0
+	for _, h := range m.w.hosts {
+		h.wake()
+	}
+	for _, ww := range m.w.workers {
+		if ww.info.Draining {
+			ww.info.Draining = false
+			m.w.list(ww)
+		}
+	}
+	m.w.pass(healTime)
+	m.w.check()
+	m.check(t)
+	for _, h := range m.w.hosts {
+		if h.state == nil {
+			h.boot()
+		}
+	}
+	m.w.pass(healTime)
+	for waited := time.Duration(0); m.openJob() != "" && waited < answerTime; waited += time.Second {
+		m.w.pass(time.Second)
+	}
+	if id := m.openJob(); id != "" {
+		t.Fatalf("%s has no answer %v after the last fault", id, 2*healTime+answerTime)
+	}
+	for _, h := range m.w.hosts {
+		j := m.w.submit(h, 1, 50*time.Millisecond, false)
+		m.w.pass(500 * time.Millisecond)
+		if len(j.outcomes) != 1 || j.outcomes[0] != sched.Completed {
+			t.Fatalf("host %s does not serve after the last fault: %v %s", h.name, j.outcomes, j.reason)
+		}
+	}
+	m.check(t)
+}
+
+// openJob returns a job whose caller waits, or an empty string.
+func (m *hostMachine) openJob() string {
+	for _, id := range slices.Sorted(maps.Keys(m.w.jobs)) {
+		if m.w.jobs[id].open > 0 {
+			return id
+		}
+	}
+	return ""
+}
+
+func (m *hostMachine) check(t *rapid.T) {
+	if m.w.broken != nil {
+		t.Fatal(m.w.broken)
+	}
+	for _, h := range m.w.hosts {
+		if h.state == nil {
+			continue
+		}
+		if err := h.state.Sched().Check(); err != nil {
+			t.Fatalf("host %s: %v", h.name, err)
+		}
+		if n := h.state.Sched().Stats().Violations; n > 0 {
+			t.Fatalf("host %s: %d starts were stopped by an internal check", h.name, n)
+		}
+	}
+}
+
+// TestMachine guards the promises of entry hosts to callers and workers: no worker over its
+// capacity, no task twice at one time, true refusals, whole answers, a configuration that never
+// goes back, and service after the faults are over. Hosts are killed, frozen, drained and cut
+// off; workers restart, leave, and carry orders out late; callers leave and return.
+func TestMachine(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &hostMachine{w: newWorld(rapid.Uint64().Draw(t, "seed"), 2, 2)}
+		m.w.pass(2 * time.Second)
+		m.w.load = drawTime(t, "load", 20, 200)
+		t.Repeat(map[string]func(*rapid.T){
+			"submit":        m.submit,
+			"leave":         m.leave,
+			"kill":          m.kill,
+			"killAll":       m.killAll,
+			"freeze":        m.freeze,
+			"drain":         m.drain,
+			"cut":           m.cut,
+			"cutHost":       m.cutHost,
+			"cutZone":       m.cutZone,
+			"silence":       m.silence,
+			"disturb":       m.disturb,
+			"restartWorker": m.restartWorker,
+			"drainWorker":   m.drainWorker,
+			"publish":       func(*rapid.T) { m.w.version++ },
+			"pass":          func(t *rapid.T) { m.w.pass(drawTime(t, "ms", 1, 100)) },
+			"passLong":      func(t *rapid.T) { m.w.pass(drawTime(t, "ms", 100, 1500)) },
+			"passAgain":     func(t *rapid.T) { m.w.pass(drawTime(t, "ms", 100, 3000)) },
+			"":              m.check,
+		})
+		m.recover(t)
+	})
+}
+
+// TestSameEventsSameEffects guards against decisions that depend on the order of a map: a
+// failure that the fuzzer finds could not be played again.
+func TestSameEventsSameEffects(t *testing.T) {
+	play := func() []string {
+		w := newWorld(7, 2, 4)
+		w.tracing = true
+		w.load = 10 * time.Millisecond
+		w.pass(3 * time.Second)
+		w.workers[0].late = 0.5
+		w.hosts[0].kill()
+		w.pass(2 * time.Second)
+		w.hosts[0].boot()
+		w.workers[0].late = 0
+		w.pass(5 * time.Second)
+		return w.trace
+	}
+	first, second := play(), play()
+	for i := range min(len(first), len(second)) {
+		if first[i] != second[i] {
+			t.Fatalf("effect %d differs:\n%s\n%s", i, first[i], second[i])
+		}
+	}
+	if len(first) != len(second) || len(first) < 1000 {
+		t.Fatalf("%d and %d effects", len(first), len(second))
+	}
+}
