Go on draining after a second SIGTERM

Cause: a second signal ended a process in the middle of its drain, so two overlapping rollouts broke requests off. Signals that came before the listeners were open ended the process too. Change: further SIGTERMs change nothing; an interrupt by hand still ends a drain. Signals are taken before the process starts to listen. Conclusion: TestRepeatedTerminationDrains covers it without the soak.

--- a/cmd/sesameledged/main.go
+++ b/cmd/sesameledged/main.go
@@ -68,12 +68,14 @@
 		fmt.Printf("%s: ok\n", args.Settings)
 		return 0
 	}
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt) // before a caller can connect
 	p, err := start(args, s)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailure
 	}
-	return wait(p)
+	return wait(p, signals)
 }
 
 // startEntry starts an entry host on the platform.
@@ -104,20 +106,23 @@
 	}
 }
 
-// wait drains on the first SIGTERM or interrupt and gives up on the second.
-func wait(d process) int {
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+// wait drains on the first SIGTERM or interrupt. An interrupt during the drain gives up; further
+// SIGTERMs change nothing, since two overlapping rollouts may each send one.
+func wait(p process, signals <-chan os.Signal) int {
 	select {
 	case <-signals:
-		go d.Drain()
-	case <-d.Drained():
+		go p.Drain()
+	case <-p.Drained():
 		return 0
 	}
-	select {
-	case <-signals:
-		return exitFailure
-	case <-d.Drained():
-		return 0
+	for {
+		select {
+		case sig := <-signals:
+			if sig == os.Interrupt {
+				return exitFailure
+			}
+		case <-p.Drained():
+			return 0
+		}
 	}
 }
