Let entry hosts tell others an address that differs from the one listened on

Cause: the soak puts a proxy in front of the peers' listener of each host, and hosts told others the address that they listen on. Change: listen.advertise, by default listen.peers, checked with the settings. Conclusion: covered by TestSettings and by the soak.

--- a/entry/host.go
+++ b/entry/host.go
@@ -103,7 +103,7 @@
 func (h *Host) newState() *host.State {
 	s := h.settings
 	return host.New(host.Options{
-		Self:       host.Self{Name: s.Host, Zone: s.Zone, Addr: s.Listen.Peers, ID: h.id, Weight: s.weight()},
+		Self:       host.Self{Name: s.Host, Zone: s.Zone, Addr: s.Listen.peers(), ID: h.id, Weight: s.weight()},
 		Zones:      s.Zones,
 		Seeds:      s.Seeds,
 		Decode:     host.Decoders{Config: platform.DecodeConfig, Worker: platform.DecodeWorker},
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"net"
 	"os"
 	"time"
@@ -34,8 +35,13 @@
 	Ready   string `yaml:"ready"` // where the platform asks whether the host takes connections
 	Peers   string `yaml:"peers"` // connections of other entry hosts
 	Metrics string `yaml:"metrics"`
+	// Advertise is the address of Peers that other hosts are told, by default Peers itself.
+	Advertise string `yaml:"advertise"`
 }
 
+// peers returns the address under which other hosts reach this one.
+func (l Listen) peers() string { return cmp.Or(l.Advertise, l.Peers) }
+
 // Log bounds what the process writes to standard output.
 type Log struct {
 	LinesPerSecond int `yaml:"lines_per_second"`
@@ -92,6 +98,7 @@
 	} {
 		require(validAddress(a.addr), a.field, "must be an address of the form IP:port")
 	}
+	require(s.Listen.Advertise == "" || validAddress(s.Listen.Advertise), "listen.advertise", "must be an address of the form IP:port")
 	for _, addr := range s.Seeds {
 		require(validAddress(addr), "seeds", "must hold addresses of the form IP:port")
 	}
--- a/entry/store.go
+++ b/entry/store.go
@@ -141,7 +141,7 @@
 // announce writes this host's entry until the store has taken it, at first and for each
 // fencing token. A repeated entry changes nothing.
 func (h *Host) announce(ctx context.Context) {
-	entry := platform.Host{Name: h.settings.Host, Zone: h.settings.Zone, Addr: h.settings.Listen.Peers, ID: h.id, Weight: h.settings.weight()}
+	entry := platform.Host{Name: h.settings.Host, Zone: h.settings.Zone, Addr: h.settings.Listen.peers(), ID: h.id, Weight: h.settings.weight()}
 	for {
 		h.writeEntry(ctx, entry)
 		select {
