Soak entry hosts as processes under faults from outside them

The stand-in of a worker fails tasks, is slow, leaves orders unanswered, has a clock of its own, and keeps the history of its runs; it rejects old runs before it looks for a run at work, and tells the real progress. The proxy can hold one direction back.

--- a/Makefile
+++ b/Makefile
@@ -60,3 +60,9 @@
 # arguments, see bin/chaos --help.
 chaos: build
 	bin/chaos --bin bin $(CHAOS)
+
+.PHONY: soak
+# Disturbs entry hosts that run as processes, from outside them. SEED repeats a run, SOAK
+# passes arguments, see bin/soak --help.
+soak: build
+	bin/soak --bin bin $(if $(SEED),--seed $(SEED)) $(SOAK)
--- a/standin/fleetsim/worker.go
+++ b/standin/fleetsim/worker.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -15,6 +16,9 @@
 	Capacity int64 // thousandths of a core
 
 	mu       sync.Mutex
+	rate     float64 // of its clock
+	faults   Faults
+	history  []Span
 	born     time.Time
 	fence    int64
 	lease    int64 // on its clock, in ms
@@ -23,7 +27,6 @@
 	finished [][]any
 	number   int64
 	changed  chan struct{}
-	silent   bool // takes orders, answers nothing
 	cpuOf    func(task string) int64
 	report   func(string)
 	starts   map[string]int
@@ -31,24 +34,70 @@
 
 type task struct {
 	run   int64
+	since time.Time
 	until time.Time
+	fails bool
+	stops time.Time // when it has been stopped; zero: it is not being stopped
 }
 
-// maxLease is the longest lease that the worker allows, in ms.
-const maxLease = 1000
+// percent is the progress of the task.
+func (t *task) percent() float64 {
+	return 100 * float64(time.Since(t.since)) / float64(max(1, t.until.Sub(t.since)))
+}
+
+// Faults are what a worker does wrong.
+type Faults struct {
+	Silent bool    // takes orders, answers nothing
+	Late   float64 // share of the orders that are not answered and carried out up to 6 s later
+	Deaf   float64 // share of the orders that are carried out and not answered
+	Fail   float64 // share of the tasks that end failed
+	Slow   float64 // factor on the durations of tasks that start; 0 means 1
+}
+
+// Span is a run that has ended.
+type Span struct {
+	Task     string
+	Run      int64
+	Worker   string
+	From, To time.Time
+	How      string
+}
+
+const (
+	// maxLease is the longest lease that the worker allows, in ms.
+	maxLease = 1000
+	// clockStart is what the clock of a new process shows, in ms.
+	clockStart = 1000
+	// stopTime is how long a worker takes to stop a task.
+	stopTime = 30 * time.Millisecond
+	// lateLeast and lateMost bound the delay of an order that is carried out late.
+	lateLeast = 200 * time.Millisecond
+	lateMost  = 6 * time.Second
+)
 
 // NewWorker returns a worker. The cpu of a task is asked of cpuOf, since orders do not carry
 // it; broken rules are reported.
 func NewWorker(id string, capacity int64, cpuOf func(task string) int64, report func(string)) *Worker {
-	w := &Worker{ID: id, Capacity: capacity, cpuOf: cpuOf, report: report, starts: make(map[string]int)}
+	w := &Worker{ID: id, Capacity: capacity, rate: 1, cpuOf: cpuOf, report: report, starts: make(map[string]int)}
 	w.Restart()
 	return w
 }
 
+// SetClockRate sets the speed of the clock of the processes that start from now on.
+func (w *Worker) SetClockRate(rate float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.rate = rate
+}
+
 // Restart ends the worker's process and starts another one.
 func (w *Worker) Restart() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.settle()
+	for name := range w.running {
+		w.end(name, "crashed", time.Now())
+	}
 	w.born = time.Now()
 	w.fence, w.lease, w.number = 0, 0, 0
 	w.running = make(map[string]*task)
@@ -57,11 +106,19 @@
 	w.changed = make(chan struct{})
 }
 
-// SetSilent makes the worker take orders without answering, or answer again.
-func (w *Worker) SetSilent(silent bool) {
+// SetFaults replaces what the worker does wrong.
+func (w *Worker) SetFaults(f Faults) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.silent = silent
+	w.faults = f
+}
+
+// History returns the runs that have ended. Those at work are left out.
+func (w *Worker) History() []Span {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.settle()
+	return append([]Span(nil), w.history...)
 }
 
 // Running returns the tasks at work.
@@ -88,24 +145,40 @@
 }
 
 // clock is the worker's clock in ms.
-func (w *Worker) clock() int64 { return 1000 + time.Since(w.born).Milliseconds() }
+func (w *Worker) clock() int64 {
+	return clockStart + int64(float64(time.Since(w.born).Milliseconds())*w.rate)
+}
 
-// settle ends what has run out of work or of lease.
+// leaseEnd is when the lease ends.
+func (w *Worker) leaseEnd() time.Time {
+	return w.born.Add(time.Duration(float64(w.lease-clockStart)/w.rate) * time.Millisecond)
+}
+
+// settle ends what has run out of work, of lease, or was stopped.
 func (w *Worker) settle() {
 	now := time.Now()
+	lease := w.leaseEnd()
 	for name, t := range w.running {
-		switch {
-		case !now.Before(t.until):
-			w.end(name, "done")
-		case w.clock() >= w.lease:
-			w.end(name, "lapsed")
+		done, how := t.until, "done"
+		if t.fails {
+			how = "failed"
+		}
+		if !t.stops.IsZero() && t.stops.Before(done) {
+			done, how = t.stops, "stopped"
+		}
+		if lease.Before(done) {
+			done, how = lease, "lapsed"
+		}
+		if !now.Before(done) {
+			w.end(name, how, done)
 		}
 	}
 }
 
-func (w *Worker) end(name, how string) {
+func (w *Worker) end(name, how string, at time.Time) {
 	t := w.running[name]
 	delete(w.running, name)
+	w.history = append(w.history, Span{Task: name, Run: t.run, Worker: w.ID, From: t.since, To: at, How: how})
 	w.barred[name] = max(w.barred[name], t.run)
 	w.number++
 	w.finished = append(w.finished, []any{w.number, name, t.run, how, ""})
@@ -134,11 +207,19 @@
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	f, born := w.state()
+	switch draw := rand.Float64(); {
+	case draw < f.Late:
+		time.AfterFunc(lateLeast+rand.N(lateMost-lateLeast), func() { w.carryOutLate(r, o, born) })
+		<-r.Context().Done()
+		return
+	case draw < f.Late+f.Deaf || f.Silent:
+		w.carryOut(r, o)
+		<-r.Context().Done()
+		return
+	}
 	status, body := w.carryOut(r, o)
-	w.mu.Lock()
-	silent := w.silent
-	w.mu.Unlock()
-	if silent {
+	if f, _ := w.state(); f.Silent {
 		<-r.Context().Done()
 		return
 	}
@@ -147,6 +228,19 @@
 	_ = json.NewEncoder(rw).Encode(body) // the caller is gone
 }
 
+func (w *Worker) state() (Faults, time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.faults, w.born
+}
+
+// carryOutLate carries an order out unless its process has ended.
+func (w *Worker) carryOutLate(r *http.Request, o order, born time.Time) {
+	if _, now := w.state(); now.Equal(born) {
+		w.carryOut(r, o)
+	}
+}
+
 func (w *Worker) carryOut(r *http.Request, o order) (int, map[string]any) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -159,8 +253,8 @@
 	case "/run-start":
 		return w.start(o)
 	case "/run-stop":
-		if t := w.running[o.Task]; t != nil && t.run == o.Attempt {
-			w.end(o.Task, "stopped")
+		if t := w.running[o.Task]; t != nil && t.run == o.Attempt && t.stops.IsZero() {
+			t.stops = time.Now().Add(stopTime)
 		}
 		w.barred[o.Task] = max(w.barred[o.Task], o.Attempt)
 		return http.StatusOK, w.body()
@@ -183,23 +277,26 @@
 
 func (w *Worker) start(o order) (int, map[string]any) {
 	w.extend(o.Until)
-	if t := w.running[o.Task]; t != nil {
-		if t.run == o.Attempt {
-			return http.StatusOK, w.body()
-		}
-		w.report(fmt.Sprintf("task %s started as run %d while run %d is at work", o.Task, o.Attempt, t.run))
-	}
-	if w.barred[o.Task] >= o.Attempt {
+	t := w.running[o.Task]
+	switch {
+	case t != nil && t.run == o.Attempt:
+		return http.StatusOK, w.body()
+	case w.barred[o.Task] >= o.Attempt:
 		return w.conflict("old")
-	}
-	if o.Until <= w.clock() {
+	case o.Until <= w.clock():
 		return w.conflict("late")
+	case t != nil:
+		w.report(fmt.Sprintf("task %s started as run %d while run %d is at work", o.Task, o.Attempt, t.run))
 	}
 	takes, err := time.ParseDuration(o.Spec)
 	if err != nil {
 		return http.StatusBadRequest, w.body()
 	}
-	w.running[o.Task] = &task{run: o.Attempt, until: time.Now().Add(takes)}
+	if w.faults.Slow > 0 {
+		takes = time.Duration(w.faults.Slow * float64(takes))
+	}
+	now := time.Now()
+	w.running[o.Task] = &task{run: o.Attempt, since: now, until: now.Add(takes), fails: rand.Float64() < w.faults.Fail}
 	w.starts[o.Task]++
 	w.checkCapacity()
 	return http.StatusOK, w.body()
@@ -243,7 +340,7 @@
 	body := w.body()
 	running := [][]any{}
 	for name, t := range w.running {
-		running = append(running, []any{name, t.run, "", 50, 0})
+		running = append(running, []any{name, t.run, "", t.percent(), 0})
 	}
 	body["running"] = running
 	body["finished"] = append([][]any{}, w.finished...)
--- a/standin/fleettest/bed_test.go
+++ b/standin/fleettest/bed_test.go
@@ -23,7 +23,6 @@
 const (
 	taskCPU   = 27000 // thousandths of a core
 	workerCPU = 64000
-	hostName  = "jobs.example"
 	prefix    = "/quotes/"
 )
 
@@ -73,31 +72,15 @@
 	server := httptest.NewServer(w)
 	b.workers = append(b.workers, w)
 	b.servers = append(b.servers, server)
-	b.list(w, zone, server.Listener.Addr().String(), "ready")
+	b.list(w, zone, server.Listener.Addr().String(), fleetsim.Ready)
 }
 
-func (b *bed) list(w *fleetsim.Worker, zone, addr, state string) {
-	b.store.PutJSON("keyed.servers", w.ID, map[string]any{
-		"service": "desk", "addr": addr, "zone": zone, "version": "v1", "slots": 8, "state": state,
-		"capacity": map[string]int64{"cpu": w.Capacity, "memMb": 65536, "gpu": 0}, "labels": []string{"a", "r1"}, "seq": 1,
-	})
-}
+func (b *bed) list(w *fleetsim.Worker, zone, addr, state string) { b.store.List(w, zone, addr, state) }
 
 // publish puts a configuration with the given path prefixes into the store.
 func (b *bed) publish(prefixes ...string) {
 	b.version += 3
-	var routes []map[string]any
-	for i, p := range prefixes {
-		routes = append(routes, map[string]any{
-			"name": fmt.Sprintf("r%d", i), "host": hostName, "pathPrefix": p, "service": "desk", "timeoutMs": 1500,
-			"targetLatencyMs": 3000, "priority": 0, "maxAttempts": 3, "slackFactor": 1.6,
-		})
-	}
-	b.store.PutJSON("keyed.op", "config", map[string]any{
-		"version": b.version, "routes": routes,
-		"services": []map[string]any{{"name": "desk", "admissionCheck": false}},
-		"limits":   map[string]any{"maxBodyBytes": 262144},
-	})
+	b.store.Publish(b.version, prefixes...)
 }
 
 func (b *bed) report(what string) {
@@ -197,17 +180,17 @@
 }
 
 func (b *bed) submit(host, id, takes string, tasks int) result {
-	body, _ := json.Marshal(map[string]any{
-		"spec": takes, "bestEffort": true,
-		"phases": []map[string]any{{"count": tasks, "cpu": taskCPU, "memMb": 64, "estimatedMs": 50}},
-	})
+	body, err := json.Marshal(fleetsim.Submission(takes, tasks, taskCPU))
+	if err != nil {
+		return result{err: err}
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+b.hosts[host].settings.Listen.Callers+prefix+id, bytes.NewReader(body))
 	if err != nil {
 		return result{err: err}
 	}
-	req.Host = hostName
+	req.Host = fleetsim.CallerHost
 	req.Header.Set("X-Deadline-Ms", "5000")
 	resp, err := b.client.Do(req)
 	if err != nil {
--- a/standin/fleettest/fleet_test.go
+++ b/standin/fleettest/fleet_test.go
@@ -7,6 +7,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"sesameledge.dev/sesameledge/standin/fleetsim"
 )
 
 // submitAll submits jobs to hosts in turn, in parallel, and returns the answers. A job whose
@@ -142,9 +144,9 @@
 	b, names := threeHosts(t)
 	go func() {
 		time.Sleep(100 * time.Millisecond)
-		b.workers[0].SetSilent(true)
+		b.workers[0].SetFaults(fleetsim.Faults{Silent: true})
 		time.Sleep(600 * time.Millisecond)
-		b.workers[0].SetSilent(false)
+		b.workers[0].SetFaults(fleetsim.Faults{})
 	}()
 	b.wantCompleted(b.submitAll(names, 3000, 40, "50ms", 2, everyHost))
 }
@@ -180,7 +182,7 @@
 	if err != nil {
 		b.t.Fatal(err)
 	}
-	req.Host = hostName
+	req.Host = fleetsim.CallerHost
 	resp, err := b.client.Do(req)
 	if err != nil {
 		return 0
@@ -205,7 +207,7 @@
 func TestDrainingWorkerGetsNothing(t *testing.T) {
 	b, names := threeHosts(t)
 	leaving := b.workers[0]
-	b.list(leaving, "north", b.servers[1].Listener.Addr().String(), "draining")
+	b.list(leaving, "north", b.servers[1].Listener.Addr().String(), fleetsim.Draining)
 	b.await("the commander knows", func() bool {
 		return strings.Contains(b.hosts["n1"].log.String(), `msg="worker drains" worker=`+leaving.ID)
 	})
@@ -229,7 +231,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		req.Host = hostName
+		req.Host = fleetsim.CallerHost
 		resp, err := b.client.Do(req)
 		if err != nil {
 			t.Fatal(err)
--- a/standin/proxysim/config.go
+++ b/standin/proxysim/config.go
@@ -4,6 +4,7 @@
 
 import (
 	"path"
+	"slices"
 	"strings"
 
 	"github.com/cockroachdb/errors"
@@ -42,12 +43,29 @@
 	// BlackHole makes the open connections lose all data of both directions for good,
 	// without closing. It acts once; new connections work.
 	BlackHole bool `json:"black_hole,omitempty"`
+	// Hold keeps the data of a direction back until it is changed, as a partition does:
+	// HoldTo, HoldFrom, HoldBoth or HoldNone.
+	Hold *Hold `json:"hold,omitempty"`
 }
 
+// Hold names the directions whose data is kept back.
+type Hold string
+
+// The directions.
+const (
+	HoldNone Hold = ""
+	HoldTo   Hold = "to"   // towards the target
+	HoldFrom Hold = "from" // from the target
+	HoldBoth Hold = "both"
+)
+
 func (f FaultRequest) check() error {
 	if f.DelayMS != nil && *f.DelayMS < 0 {
 		return errors.Newf("delay_ms %d is negative", *f.DelayMS)
 	}
+	if f.Hold != nil && !slices.Contains([]Hold{HoldNone, HoldTo, HoldFrom, HoldBoth}, *f.Hold) {
+		return errors.Newf("hold %q names no direction", *f.Hold)
+	}
 	_, err := path.Match(f.Route, "")
 	return errors.Wrapf(err, "route %q", f.Route)
 }
--- a/standin/proxysim/link.go
+++ b/standin/proxysim/link.go
@@ -11,6 +11,8 @@
 	// maxChunks bounds the chunks that one direction of a connection holds back while
 	// they are delayed: 1 MiB with full chunks.
 	maxChunks = 64
+	// holdPoll is the pause between checks of a direction that is kept back.
+	holdPoll = 5 * time.Millisecond
 )
 
 // link is one forwarded connection.
@@ -19,6 +21,7 @@
 	client    *net.TCPConn
 	target    *net.TCPConn
 	blackHole atomic.Bool
+	aborted   atomic.Bool
 }
 
 // chunk is data that is due to be delivered; the last one of a direction has end set.
@@ -31,8 +34,8 @@
 // run forwards both directions until both have ended, then closes the connections.
 func (l *link) run() {
 	done := make(chan struct{}, 2)
-	go func() { l.forward(l.client, l.target, &l.route.bytesTo); done <- struct{}{} }()
-	go func() { l.forward(l.target, l.client, &l.route.bytesFrom); done <- struct{}{} }()
+	go func() { l.forward(HoldTo, l.client, l.target, &l.route.bytesTo); done <- struct{}{} }()
+	go func() { l.forward(HoldFrom, l.target, l.client, &l.route.bytesFrom); done <- struct{}{} }()
 	<-done
 	<-done
 	_ = l.client.Close()
@@ -40,11 +43,14 @@
 }
 
 // forward copies one direction, delayed, and passes its end on.
-func (l *link) forward(from, to *net.TCPConn, delivered *atomic.Int64) {
+func (l *link) forward(direction Hold, from, to *net.TCPConn, delivered *atomic.Int64) {
 	chunks := make(chan chunk, maxChunks)
 	go l.receive(from, chunks)
 	for c := range chunks {
 		time.Sleep(time.Until(c.due))
+		for l.route.holds(direction) && !l.aborted.Load() {
+			time.Sleep(holdPoll)
+		}
 		if l.blackHole.Load() {
 			continue
 		}
@@ -88,6 +94,7 @@
 
 // abort closes both connections at once with RST.
 func (l *link) abort() {
+	l.aborted.Store(true)
 	for _, c := range []*net.TCPConn{l.client, l.target} {
 		_ = c.SetLinger(0)
 		_ = c.Close()
--- a/standin/proxysim/proxy.go
+++ b/standin/proxysim/proxy.go
@@ -96,6 +96,9 @@
 	if req.DelayMS != nil {
 		r.delayNS.Store(int64(*req.DelayMS) * int64(time.Millisecond))
 	}
+	if req.Hold != nil {
+		r.hold.Store(*req.Hold)
+	}
 	if req.BlackHole {
 		r.swallow()
 	}
--- a/standin/proxysim/proxy_test.go
+++ b/standin/proxysim/proxy_test.go
@@ -140,3 +140,22 @@
 		t.Errorf("black-holed connection after a cut: %v", err)
 	}
 }
+
+// Guards against a hold that loses data, or that holds the other direction too.
+func TestHoldKeepsDataBackOneWay(t *testing.T) {
+	p := startProxy(t)
+	c := dial(t, p)
+	from, none := HoldFrom, HoldNone
+	set(t, p, FaultRequest{Route: "a", Hold: &from})
+	if err := echo(c, "x", 200*time.Millisecond); !isTimeout(err) {
+		t.Errorf("answer through a held direction: %v", err)
+	}
+	if got := p.Views()[0].BytesTo; got != 1 {
+		t.Errorf("%d bytes reached the target, want 1", got)
+	}
+	set(t, p, FaultRequest{Route: "a", Hold: &none})
+	_ = c.SetDeadline(time.Now().Add(time.Second))
+	if _, err := io.ReadFull(c, make([]byte, 1)); err != nil {
+		t.Errorf("the byte that was held back: %v", err)
+	}
+}
--- a/standin/proxysim/route.go
+++ b/standin/proxysim/route.go
@@ -21,6 +21,7 @@
 type route struct {
 	cfg        RouteConfig
 	delayNS    atomic.Int64
+	hold       atomic.Value // Hold
 	accepted   atomic.Int64
 	blackHoled atomic.Int64
 	bytesTo    atomic.Int64
@@ -38,6 +39,12 @@
 	return &route{cfg: cfg, links: make(map[*link]struct{})}
 }
 
+// holds reports whether the data of a direction is kept back.
+func (r *route) holds(direction Hold) bool {
+	h, _ := r.hold.Load().(Hold)
+	return h == direction || h == HoldBoth
+}
+
 func (r *route) delay() time.Duration { return time.Duration(r.delayNS.Load()) }
 
 // open listens and accepts. It does nothing if the route is open.
--- a/standin/testbed/bed.go
+++ b/standin/testbed/bed.go
@@ -137,7 +137,7 @@
 }
 
 func (b *Bed) startProgram(name string, args ...string) (*Process, error) {
-	return startProcess(b.Spec.Dir, name, filepath.Join(b.Spec.BinDir, name), args...)
+	return StartProcess(b.Spec.Dir, name, filepath.Join(b.Spec.BinDir, name), args...)
 }
 
 func joinZones(zones []string) string {
@@ -200,7 +200,7 @@
 
 // StartHost starts the process of a host, also again after it ended.
 func (b *Bed) StartHost(h *Host) error {
-	p, err := startProcess(b.Spec.Dir, h.Settings.Host, filepath.Join(b.Spec.BinDir, "sesameledged"), h.file)
+	p, err := StartProcess(b.Spec.Dir, h.Settings.Host, filepath.Join(b.Spec.BinDir, "sesameledged"), h.file)
 	if err != nil {
 		return err
 	}
--- a/standin/testbed/process.go
+++ b/standin/testbed/process.go
@@ -33,8 +33,8 @@
 	done chan struct{}
 }
 
-// startProcess starts a program with its output in a log file in dir.
-func startProcess(dir, name, program string, args ...string) (*Process, error) {
+// StartProcess starts a program with its output in a log file in dir.
+func StartProcess(dir, name, program string, args ...string) (*Process, error) {
 	log, err := os.OpenFile(filepath.Join(dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
 		return nil, errors.Wrapf(err, "opening the log of %s", name)
