Read requests to the stand-ins whole before they stay unanswered

Cause: net/http notices that a client is gone only after the request's body was read to its end; a silent worker left its handlers waiting for ever, and the soak could not stop its servers. Change: workers and the store of the stand-in read the whole body first.

--- a/standin/fleetsim/store.go
+++ b/standin/fleetsim/store.go
@@ -124,6 +124,12 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	// The whole body is read: only then does the context end with the connection.
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
 	s.mu.Lock()
 	down, spells := s.down, s.spells
 	s.mu.Unlock()
@@ -137,7 +143,7 @@
 	}
 	switch r.Method + " " + r.URL.Path {
 	case "POST /log-append":
-		s.serveAppend(w, r)
+		s.serveAppend(w, r, body)
 	case "GET /log-read":
 		s.serveRead(w, r, spells)
 	case "GET /log-newest":
@@ -147,9 +153,8 @@
 	}
 }
 
-func (s *Store) serveAppend(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(r.Body)
-	if err != nil || len(body) < 5 || len(body) < 5+int(body[4]) {
+func (s *Store) serveAppend(w http.ResponseWriter, r *http.Request, body []byte) {
+	if len(body) < 5 || len(body) < 5+int(body[4]) {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
--- a/standin/fleetsim/worker.go
+++ b/standin/fleetsim/worker.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -199,7 +200,9 @@
 // ServeHTTP implements http.Handler.
 func (w *Worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
 	var o order
-	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+	// The whole body is read: only then does the context end with the connection.
+	body, err := io.ReadAll(r.Body)
+	if err != nil || json.Unmarshal(body, &o) != nil {
 		rw.WriteHeader(http.StatusBadRequest)
 		return
 	}
@@ -218,14 +221,14 @@
 		<-r.Context().Done()
 		return
 	}
-	status, body := w.carryOut(r, o)
+	status, answer := w.carryOut(r, o)
 	if f, _ := w.state(); f.Silent {
 		<-r.Context().Done()
 		return
 	}
 	rw.Header().Set("Content-Type", "application/json")
 	rw.WriteHeader(status)
-	_ = json.NewEncoder(rw).Encode(body) // the caller is gone
+	_ = json.NewEncoder(rw).Encode(answer) // the caller is gone
 }
 
 func (w *Worker) state() (Faults, time.Time) {
