Serve the figures of entry hosts as text for collectors

Cause: figures were served as JSON only, and deploy/system.toml did not name them, so the platform fetched none while an incident is examined. Figures are made when they are asked for; the hot path is unchanged. Conclusion: TestExposition reads the text back with the parser of the same project.

--- /dev/null
+++ b/entry/exposition_test.go
@@ -0,0 +1,58 @@
+package entry
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/prometheus/common/expfmt"
+	"github.com/prometheus/common/model"
+
+	"sesameledge.dev/sesameledge/host"
+	"sesameledge.dev/sesameledge/sched"
+)
+
+// TestExposition guards against figures that collectors cannot read, and against histograms
+// whose buckets do not add up.
+func TestExposition(t *testing.T) {
+	m := newMetrics()
+	for _, d := range []time.Duration{500 * time.Microsecond, 15 * time.Millisecond, 300 * time.Millisecond, 30 * time.Second} {
+		m.observeAnswer(sched.Completed, d)
+	}
+	s := sample{host: host.Stats{Arrived: 7, Refused: 2}, sched: sched.Stats{Starts: 9, Violations: 1}, openJobs: 3, version: 12}
+	var text bytes.Buffer
+	if err := writeFamilies(&text, append(s.families(), m.family())); err != nil {
+		t.Fatal(err)
+	}
+	parser := expfmt.NewTextParser(model.UTF8Validation)
+	families, err := parser.TextToMetricFamilies(strings.NewReader(text.String()))
+	if err != nil {
+		t.Fatalf("%v in\n%s", err, text.String())
+	}
+	for _, want := range []string{
+		"sesameledge_jobs_arrived_total 7\n",
+		"sesameledge_jobs_answered_total{outcome=\"refused\"} 2\n",
+		"sesameledge_invariant_violations_total 1\n",
+		"sesameledge_config_version 12\n",
+	} {
+		if !strings.Contains(text.String(), want) {
+			t.Errorf("no line %q", want)
+		}
+	}
+	h := families["sesameledge_latency_seconds"].GetMetric()[0].GetHistogram()
+	if h.GetSampleCount() != 4 {
+		t.Errorf("%d samples", h.GetSampleCount())
+	}
+	for _, b := range h.GetBucket() {
+		want := uint64(0)
+		for _, seconds := range []float64{0.0005, 0.015, 0.3, 30} {
+			if seconds <= b.GetUpperBound() {
+				want++
+			}
+		}
+		if b.GetCumulativeCount() != want {
+			t.Errorf("%d samples up to %v s, want %d", b.GetCumulativeCount(), b.GetUpperBound(), want)
+		}
+	}
+}
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -72,8 +72,8 @@
 	m.observe("job."+o.String(), took)
 }
 
-// operators returns the handler of the metrics address: figures at /debug/vars, the state of
-// the process at /debug/state.
+// operators returns the handler of the metrics address: figures at /metrics for collectors and at
+// /debug/vars, the state of the process at /debug/state.
 func (h *Host) operators() http.Handler {
 	vars := new(expvar.Map).Init()
 	vars.Set("host", expvar.Func(func() any { return h.counters() }))
@@ -87,6 +87,7 @@
 		_, _ = fmt.Fprintln(w, vars.String()) // the reader is gone
 	})
 	mux.HandleFunc("GET /debug/state", h.serveState)
+	mux.HandleFunc("GET /metrics", h.serveMetrics)
 	return mux
 }
 
