--- a/host/cells.go
+++ b/host/cells.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"sesameledge.dev/sesameledge/fleet"
 	"sesameledge.dev/sesameledge/mesh/meshpb"
 	"sesameledge.dev/sesameledge/owner"
 	"sesameledge.dev/sesameledge/sched"
@@ -35,41 +36,50 @@
 	return s.maxFence
 }
 
-// decideCells takes cells without a commander and gives up those that obey another host.
+// decideCells takes cells without a commander and gives up those that obey another host, and
+// those of an earlier division of their zone.
 func (s *State) decideCells(now time.Duration) {
 	others := s.others(now)
+	s.divide(now, others)
+	for _, c := range s.owner.Claims() {
+		if s.outdated(c.Cell) && !c.Releasing {
+			s.changeCell(now, c.Cell, owner.Decision{Kind: owner.HandOver, Reason: "the zone is divided anew"})
+		}
+	}
 	for _, zone := range s.opts.Zones {
-		d, ok := s.owner.Decide(now, zone, others)
-		if ok {
-			s.changeCell(now, zone, d)
+		for _, cell := range s.cellsOf(zone) {
+			d, ok := s.owner.Decide(now, cell, others)
+			if ok {
+				s.changeCell(now, cell, d)
+			}
+			s.takeWorkers(now, cell, others)
 		}
-		s.takeWorkers(now, zone, others)
 	}
 }
 
-func (s *State) changeCell(now time.Duration, zone string, d owner.Decision) {
+func (s *State) changeCell(now time.Duration, cell fleet.Cell, d owner.Decision) {
 	switch d.Kind {
 	case owner.TakeCell:
-		s.takeCell(now, zone, d.Reason)
+		s.takeCell(now, cell, d.Reason)
 	case owner.HandOver:
-		s.note("owner", "", "handing over a cell", "zone", zone, "reason", d.Reason)
-		s.owner.HandOver(zone)
-		s.handOver(now, zone)
+		s.note("owner", "", "handing over a cell", "cell", cell, "reason", d.Reason)
+		s.owner.HandOver(cell)
+		s.handOver(now, cell)
 		s.beatAll()
 	case owner.GiveUp:
-		s.note("owner", "", "cell given up", "zone", zone, "reason", d.Reason)
-		s.owner.Lose(now, zone)
-		s.handOver(now, zone)
+		s.note("owner", "", "cell given up", "cell", cell, "reason", d.Reason)
+		s.owner.Lose(now, cell)
+		s.handOver(now, cell)
 	}
 }
 
 // handOver returns the jobs of a cell that have not begun and releases its workers, each
 // when its last run is over.
-func (s *State) handOver(now time.Duration, zone string) {
-	s.sched.Close(now, zone)
-	s.releaseAll(now, zone)
-	if len(s.heldWorkers(zone)) == 0 {
-		s.owner.Released(zone)
+func (s *State) handOver(now time.Duration, cell fleet.Cell) {
+	s.sched.Close(now, cell)
+	s.releaseAll(now, cell)
+	if len(s.heldWorkers(cell)) == 0 {
+		s.owner.Released(cell)
 	}
 }
 
@@ -80,31 +90,31 @@
 	}
 }
 
-func (s *State) takeCell(now time.Duration, zone, reason string) {
+func (s *State) takeCell(now time.Duration, cell fleet.Cell, reason string) {
 	fence := s.newFence(now)
-	s.owner.Take(now, zone, fence)
+	s.owner.Take(now, cell, fence)
 	s.emit(Announce{Fence: fence})
-	s.sched.Open(zone)
+	s.sched.Open(cell)
 	s.stats.CellsTaken++
 	s.beatAll()
-	s.note("owner", "", "cell taken", "zone", zone, "fence", fence, "reason", reason)
+	s.note("owner", "", "cell taken", "cell", cell, "fence", fence, "reason", reason)
 }
 
-// takeWorkers takes the workers of an own cell that no other host still uses.
-func (s *State) takeWorkers(now time.Duration, zone string, others []owner.Host) {
-	claim := s.owner.Claim(zone)
+// takeWorkers takes the workers of an own cell that no other host, and no other cell, still uses.
+func (s *State) takeWorkers(now time.Duration, cell fleet.Cell, others []owner.Host) {
+	claim := s.owner.Claim(cell)
 	if claim == nil || claim.Releasing {
 		return
 	}
-	held := heldByOthers(zone, others)
+	held := heldByOthers(cell.Zone(), others)
 	claim.Commanded = 0
 	for _, e := range s.entries() {
-		if e.info.Zone != zone || e.gone(now) {
+		if e.info.Zone != cell.Zone() || s.cellOf(e) != cell || e.gone(now) {
 			continue
 		}
 		switch id := e.info.ID; {
 		case s.sched.Commands(id):
-			if s.sched.Obeys(id) {
+			if s.sched.Obeys(id) && s.sched.CellOf(id) == cell {
 				claim.Commanded++
 			}
 		case held[id] || now < s.lost[id]:
@@ -115,17 +125,17 @@
 				delete(s.lost, id)
 			}
 			s.updateDirectory(now)
-			s.sched.Step(now, sched.Take{Worker: id, Fence: fence})
+			s.sched.Step(now, sched.Take{Worker: id, Cell: cell, Fence: fence})
 		}
 	}
 }
 
-// heldByOthers returns the workers that a host which hands over a cell still uses.
+// heldByOthers returns the workers of a zone that hosts which hand over a cell still use.
 func heldByOthers(zone string, others []owner.Host) map[string]bool {
 	held := make(map[string]bool)
 	for _, h := range others {
 		for _, c := range h.Claims {
-			if c.Zone != zone {
+			if c.Cell.Zone() != zone {
 				continue
 			}
 			for _, id := range c.Held {
@@ -144,13 +154,14 @@
 		return
 	}
 	s.lost[id] = now + retakeTime
-	claim := s.owner.Claim(e.info.Zone)
+	cell := s.sched.CellOf(id)
+	claim := s.owner.Claim(cell)
 	if claim == nil {
 		return
 	}
 	total, lost := 0, 0
 	for _, other := range s.entries() {
-		if other.info.Zone != e.info.Zone {
+		if other.info.Zone != cell.Zone() || s.cellOf(other) != cell {
 			continue
 		}
 		total++
@@ -163,41 +174,36 @@
 	}
 	s.losses++
 	s.stats.CellsLost++
-	s.note("owner", "", "cell lost", "zone", e.info.Zone, "fence", claim.Fence, "lost", lost, "workers", total)
-	s.owner.Lose(now, e.info.Zone)
-	s.handOver(now, e.info.Zone)
+	s.note("owner", "", "cell lost", "cell", cell, "fence", claim.Fence, "lost", lost, "workers", total)
+	s.owner.Lose(now, cell)
+	s.handOver(now, cell)
 }
 
 // releaseAll hands over the workers of a cell, each when its last run is over.
-func (s *State) releaseAll(now time.Duration, zone string) {
-	for _, e := range s.entries() {
-		if e.info.Zone == zone {
-			s.sched.Step(now, sched.Release{Worker: e.info.ID})
-		}
+func (s *State) releaseAll(now time.Duration, cell fleet.Cell) {
+	for _, id := range s.heldWorkers(cell) {
+		s.sched.Step(now, sched.Release{Worker: id})
 	}
 }
 
 // workerReleased notes that a worker can be taken by another host.
 func (s *State) workerReleased(id string) {
-	e := s.workers[id]
-	if e == nil {
-		return
-	}
-	claim := s.owner.Claim(e.info.Zone)
+	cell := s.sched.CellOf(id)
+	claim := s.owner.Claim(cell)
 	if claim == nil || !claim.Releasing {
 		return
 	}
-	if len(s.heldWorkers(e.info.Zone)) == 0 {
-		s.note("owner", "", "cell handed over", "zone", e.info.Zone)
-		s.owner.Released(e.info.Zone)
+	if len(s.heldWorkers(cell)) == 0 {
+		s.note("owner", "", "cell handed over", "cell", cell)
+		s.owner.Released(cell)
 	}
 }
 
 // heldWorkers returns the workers of a cell that this host commands.
-func (s *State) heldWorkers(zone string) []string {
+func (s *State) heldWorkers(cell fleet.Cell) []string {
 	var held []string
 	for _, e := range s.entries() {
-		if e.info.Zone == zone && s.sched.Commands(e.info.ID) {
+		if s.sched.Commands(e.info.ID) && s.sched.CellOf(e.info.ID) == cell {
 			held = append(held, e.info.ID)
 		}
 	}
@@ -209,8 +215,8 @@
 	s.draining = true
 	s.owner.Drain()
 	for _, c := range s.owner.Claims() {
-		s.note("owner", "", "handing over a cell", "zone", c.Zone, "reason", "the host shuts down")
-		s.handOver(now, c.Zone)
+		s.note("owner", "", "handing over a cell", "cell", c.Cell, "reason", "the host shuts down")
+		s.handOver(now, c.Cell)
 	}
 	s.beatAll()
 }
@@ -222,11 +228,11 @@
 		st.ConfigVersion = s.config.Version
 	}
 	for _, c := range s.owner.Claims() {
-		cell := &meshpb.Cell{Zone: c.Zone, Fence: c.Fence, Releasing: c.Releasing, Commanded: int64(c.Commanded)}
+		cell := &meshpb.Cell{Name: string(c.Cell), Fence: c.Fence, Releasing: c.Releasing, Commanded: int64(c.Commanded)}
 		if c.Releasing {
-			cell.Held = s.heldWorkers(c.Zone)
+			cell.Held = s.heldWorkers(c.Cell)
 		} else {
-			cell.Loads = s.loads(c.Zone)
+			cell.Loads = s.loads(c.Cell)
 		}
 		st.Cells = append(st.Cells, cell)
 	}
--- a/host/choose.go
+++ b/host/choose.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"sesameledge.dev/sesameledge/fleet"
 	"sesameledge.dev/sesameledge/mesh/meshpb"
 	"sesameledge.dev/sesameledge/owner"
 	"sesameledge.dev/sesameledge/sched"
@@ -14,11 +15,13 @@
 	// distanceCost is the wait that a cell of another zone has to save to be chosen. It
 	// covers the way there and back, and the age of what is known of its load.
 	distanceCost = 8 * time.Millisecond
+	// maxRefusals bounds the cells that a job is offered to. What so many refuse is overload.
+	maxRefusals = 4
 )
 
 // cell is a place where a job can run.
 type cell struct {
-	zone string
+	name fleet.Cell
 	host uint64
 	peer *peer // that commands it; nil: this host
 	load sched.Load
@@ -30,12 +33,12 @@
 	var list []*cell
 	hosts := s.others(now)
 	hosts = append(hosts, s.ownClaims())
-	for _, zone := range s.opts.Zones {
-		h, _, ok := owner.Holder(zone, hosts)
+	for _, name := range announced(hosts) {
+		h, _, ok := owner.Holder(name, hosts)
 		if !ok {
 			continue
 		}
-		c := &cell{zone: zone, host: h.ID}
+		c := &cell{name: name, host: h.ID}
 		if h.ID != s.opts.Self.ID {
 			c.peer = s.byID[h.ID]
 		}
@@ -44,6 +47,19 @@
 	return list
 }
 
+// announced returns the cells that hosts announce, also those of an earlier division of a zone
+// whose workers are not yet handed over.
+func announced(hosts []owner.Host) []fleet.Cell {
+	var names []fleet.Cell
+	for _, h := range hosts {
+		for _, c := range h.Claims {
+			names = append(names, c.Cell)
+		}
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
 func (s *State) ownClaims() owner.Host {
 	h := owner.Host{Name: s.opts.Self.Name, Zone: s.opts.Self.Zone, ID: s.opts.Self.ID, Weight: s.opts.Self.Weight, Draining: s.draining}
 	for _, c := range s.owner.Claims() {
@@ -52,22 +68,34 @@
 	return h
 }
 
-// chooseCell returns the cell where a job would begin first, the own zone's unless another
-// one saves more than the way there costs. It answers unequal load on the zones.
+// chooseCell returns the cell where a job would begin first, one of the own zone unless another
+// one saves more than the way there costs. Of several that are as good one is drawn by its free
+// processors, so that hosts that know the same do not all choose the same. It answers unequal
+// load on zones and cells.
 func (s *State) chooseCell(now time.Duration, j *job) (*cell, bool) {
+	if len(j.refused) >= maxRefusals {
+		return nil, false
+	}
 	var best *cell
 	var bestCost time.Duration
+	free := int64(0) // of the cells that are as good as the best, up to now
 	for _, c := range s.cells(now) {
-		if j.refused[c.zone] || !s.readLoad(c, j.route.Service) {
+		if j.refused[c.name] || !s.readLoad(c, j.route.Service) {
 			continue
 		}
 		c.wait = c.load.Wait(int64(j.spec.Tasks) * j.spec.Need.CPU)
 		cost := c.wait
-		if c.zone != s.opts.Self.Zone {
+		if c.name.Zone() != s.opts.Self.Zone {
 			cost += distanceCost
 		}
-		if best == nil || cost < bestCost {
-			best, bestCost = c, cost
+		switch {
+		case best == nil || cost < bestCost:
+			best, bestCost, free = c, cost, max(1, c.load.Free)
+		case cost == bestCost:
+			free += max(1, c.load.Free)
+			if s.rng.Int64N(free) < c.load.Free {
+				best = c
+			}
 		}
 	}
 	return best, best != nil
@@ -76,12 +104,12 @@
 // readLoad fills in what is known of the load of a cell.
 func (s *State) readLoad(c *cell, service string) bool {
 	if c.peer == nil {
-		load, ok := s.sched.Loads(c.zone)[service]
+		load, ok := s.sched.Loads(c.name)[service]
 		c.load = load
 		return ok
 	}
 	for _, pc := range c.peer.status.GetCells() {
-		if pc.GetZone() != c.zone {
+		if pc.GetName() != string(c.name) {
 			continue
 		}
 		for _, l := range pc.GetLoads() {
@@ -92,7 +120,7 @@
 				Free: l.GetFree(), Capacity: l.GetCapacity(), Queued: l.GetQueued(), Rate: l.GetRate(),
 				Task: time.Duration(l.GetTaskMs()) * time.Millisecond,
 			}
-			c.load.Take(c.peer.assigned[c.zone])
+			c.load.Take(c.peer.assigned[c.name])
 			return c.load.Capacity > 0
 		}
 	}
@@ -102,14 +130,14 @@
 // assign notes that a job goes to the cell, ahead of the next report of its load.
 func (c *cell) assign(j *job) {
 	if c.peer != nil {
-		c.peer.assigned[c.zone] += int64(j.spec.Tasks) * j.spec.Need.CPU
+		c.peer.assigned[c.name] += int64(j.spec.Tasks) * j.spec.Need.CPU
 	}
 }
 
 // loads is the load of an own cell for other hosts.
-func (s *State) loads(zone string) []*meshpb.Load {
+func (s *State) loads(name fleet.Cell) []*meshpb.Load {
 	var list []*meshpb.Load
-	loads := s.sched.Loads(zone)
+	loads := s.sched.Loads(name)
 	for _, service := range slices.Sorted(maps.Keys(loads)) {
 		l := loads[service]
 		list = append(list, &meshpb.Load{
--- a/host/dump.go
+++ b/host/dump.go
@@ -22,7 +22,7 @@
 
 // CellDump is a cell that the host commands.
 type CellDump struct {
-	Zone      string   `json:"zone"`
+	Cell      string   `json:"cell"`
 	Fence     int64    `json:"fence"`
 	Releasing bool     `json:"releasing"`
 	Held      []string `json:"held"`
@@ -47,7 +47,7 @@
 	Job     string `json:"job"`
 	Request string `json:"request"`
 	Route   string `json:"route"`
-	Zone    string `json:"zone"`
+	Cell    string `json:"cell"`
 	Host    uint64 `json:"host"`
 	AgeMS   int64  `json:"age_ms"`
 	LeftMS  int64  `json:"left_ms"`
@@ -63,14 +63,14 @@
 		d.ConfigVersion = s.config.Version
 	}
 	for _, c := range s.owner.Claims() {
-		d.Cells = append(d.Cells, CellDump{Zone: c.Zone, Fence: c.Fence, Releasing: c.Releasing, Held: s.heldWorkers(c.Zone), Commanded: c.Commanded})
+		d.Cells = append(d.Cells, CellDump{Cell: string(c.Cell), Fence: c.Fence, Releasing: c.Releasing, Held: s.heldWorkers(c.Cell), Commanded: c.Commanded})
 	}
 	for _, p := range s.order {
 		d.Peers = append(d.Peers, s.dumpPeer(now, p))
 	}
 	for _, j := range s.sortedJobs() {
 		d.Jobs = append(d.Jobs, JobDump{
-			Job: j.spec.ID, Request: j.spec.RequestID, Route: j.route.Name, Zone: j.zone, Host: j.host,
+			Job: j.spec.ID, Request: j.spec.RequestID, Route: j.route.Name, Cell: string(j.cell), Host: j.host,
 			AgeMS: (now - j.arrived).Milliseconds(), LeftMS: (j.until - now).Milliseconds(),
 		})
 	}
@@ -84,7 +84,7 @@
 		ConfigVersion: p.status.GetConfigVersion(), Unacknowledged: p.session.Unacknowledged(),
 	}
 	for _, c := range p.status.GetCells() {
-		d.Cells = append(d.Cells, c.GetZone())
+		d.Cells = append(d.Cells, c.GetName())
 	}
 	return d
 }
--- a/host/host.go
+++ b/host/host.go
@@ -35,12 +35,15 @@
 
 // Options configure a host.
 type Options struct {
-	Self    Self
-	Zones   []string // of the deployment
-	Seeds   []string // addresses of other hosts
-	Decode  Decoders
-	Seed    uint64
-	Started time.Duration
+	Self  Self
+	Zones []string // of the deployment
+	Seeds []string // addresses of other hosts
+	// CellWorkers is the number of workers up to which one host commands a zone. 0 means
+	// owner.DefaultCellWorkers.
+	CellWorkers int
+	Decode      Decoders
+	Seed        uint64
+	Started     time.Duration
 	// UnixMillis is the time of day at Started. It orders fencing tokens of processes that
 	// do not know of each other; no promise depends on it.
 	UnixMillis int64
@@ -58,9 +61,10 @@
 	record   []byte // of config
 	adopted  time.Duration
 	workers  map[string]*entry
-	listed   []*entry // workers, by name; nil: to be made again
-	changed  bool     // the directory has to be handed to the scheduler
-	store    bool     // the store answers
+	listed   []*entry       // workers, by name; nil: to be made again
+	parts    map[string]int // cells into which each zone is divided
+	changed  bool           // the directory has to be handed to the scheduler
+	store    bool           // the store answers
 	jobs     map[uint64]*job
 	lost     map[string]time.Duration // workers of own cells that obey another host, until when they are left to it
 	maxFence int64
@@ -86,6 +90,7 @@
 		owner:   owner.New(opts.Started, owner.Host{Name: opts.Self.Name, Zone: opts.Self.Zone, ID: opts.Self.ID, Weight: opts.Self.Weight}),
 		sched:   sched.New(),
 		workers: make(map[string]*entry),
+		parts:   make(map[string]int),
 		jobs:    make(map[uint64]*job),
 		lost:    make(map[string]time.Duration),
 		rng:     rand.New(rand.NewPCG(opts.Seed, opts.Self.ID)),
--- a/host/jobs.go
+++ b/host/jobs.go
@@ -28,15 +28,15 @@
 	route   fleet.Route
 	arrived time.Duration
 	until   time.Duration
-	host    uint64          // process that it was handed to; 0: none yet
-	zone    string          // its cell
-	refused map[string]bool // zones that have refused it
-	reason  string          // of the newest refusal
+	host    uint64 // process that it was handed to; 0: none yet
+	cell    fleet.Cell
+	refused map[fleet.Cell]bool // cells that have refused it
+	reason  string              // of the newest refusal
 }
 
 func (s *State) arrive(now time.Duration, e Arrived) {
 	s.stats.Arrived++
-	j := &job{seq: e.Seq, spec: e.Spec, route: e.Route, arrived: now, until: now + e.Left, refused: make(map[string]bool)}
+	j := &job{seq: e.Seq, spec: e.Spec, route: e.Route, arrived: now, until: now + e.Left, refused: make(map[fleet.Cell]bool)}
 	s.jobs[e.Seq] = j
 	s.assign(now, j)
 }
@@ -51,7 +51,7 @@
 		}
 		return
 	}
-	j.host, j.zone = c.host, c.zone
+	j.host, j.cell = c.host, c.name
 	c.assign(j)
 	if c.peer == nil {
 		s.submitLocal(now, j)
@@ -68,13 +68,13 @@
 		return
 	}
 	s.stats.PassedOn++
-	s.note("jobs", j.spec.RequestID, "job passed on", "job", j.spec.ID, "zone", c.zone, "to", c.peer.info.GetName(), "wait", c.wait, "age", now-c.peer.statusAt)
+	s.note("jobs", j.spec.RequestID, "job passed on", "job", j.spec.ID, "cell", c.name, "to", c.peer.info.GetName(), "wait", c.wait, "age", now-c.peer.statusAt)
 }
 
 func (s *State) submitLocal(now time.Duration, j *job) {
 	s.sched.Step(now, sched.Submit{Job: sched.Job{
 		Key:  sched.JobKey{Host: s.opts.Self.ID, Seq: j.seq},
-		Zone: j.zone,
+		Cell: j.cell,
 		Spec: j.spec, Route: j.route,
 		Age: now - j.arrived, Left: j.until - now,
 	}})
@@ -82,7 +82,7 @@
 
 func (s *State) submission(now time.Duration, j *job) *meshpb.Submit {
 	return &meshpb.Submit{
-		Seq: j.seq, Zone: j.zone, JobId: j.spec.ID, RequestId: j.spec.RequestID, Payload: j.spec.Payload,
+		Seq: j.seq, Cell: string(j.cell), JobId: j.spec.ID, RequestId: j.spec.RequestID, Payload: j.spec.Payload,
 		Tasks: int32(j.spec.Tasks), Cpu: j.spec.Need.CPU, Memory: j.spec.Need.Memory, Gpu: j.spec.Need.GPU,
 		EstimateNs: int64(j.spec.Estimate), Rack: j.spec.Rack, Label: j.spec.Label, MaxPerWorker: int32(j.spec.MaxPerWorker),
 		AgeNs: int64(now - j.arrived), LeftNs: int64(j.until - now), Measured: int64(now),
@@ -105,7 +105,7 @@
 	r := m.GetRoute()
 	s.sched.Step(now, sched.Submit{Job: sched.Job{
 		Key:  sched.JobKey{Host: p.info.GetId(), Seq: m.GetSeq()},
-		Zone: m.GetZone(),
+		Cell: fleet.Cell(m.GetCell()),
 		Spec: fleet.JobSpec{
 			ID: m.GetJobId(), RequestID: m.GetRequestId(), Payload: m.GetPayload(), Tasks: int(m.GetTasks()),
 			Need:     fleet.Resources{CPU: m.GetCpu(), Memory: m.GetMemory(), GPU: m.GetGpu()},
@@ -148,8 +148,8 @@
 
 // refusedBy hands a job to another cell after its own has refused it.
 func (s *State) refusedBy(now time.Duration, j *job, reason string) {
-	s.note("jobs", j.spec.RequestID, "job refused by a cell", "job", j.spec.ID, "zone", j.zone, "reason", reason)
-	j.refused[j.zone] = true
+	s.note("jobs", j.spec.RequestID, "job refused by a cell", "job", j.spec.ID, "cell", j.cell, "reason", reason)
+	j.refused[j.cell] = true
 	j.reason = reason
 	j.host = 0
 	s.assign(now, j)
@@ -170,7 +170,7 @@
 	case sched.Aborted:
 		s.stats.Aborted++
 	}
-	s.note("jobs", j.spec.RequestID, "job answered", "job", j.spec.ID, "route", j.route.Name, "outcome", o, "reason", reason, "zone", j.zone, "took", now-j.arrived)
+	s.note("jobs", j.spec.RequestID, "job answered", "job", j.spec.ID, "route", j.route.Name, "outcome", o, "reason", reason, "cell", j.cell, "took", now-j.arrived)
 	s.emit(a)
 }
 
--- a/host/machine_test.go
+++ b/host/machine_test.go
@@ -219,6 +219,16 @@
 	ww.waiters = nil
 }
 
+// hideWorker takes a worker away for good, or adds it again as a new one. Zones may be divided
+// anew by that.
+func (m *hostMachine) hideWorker(t *rapid.T) {
+	ww := m.worker(t)
+	ww.hidden = !ww.hidden
+	ww.Restart(m.w.now)
+	ww.waiters = nil
+	m.w.list(ww)
+}
+
 func (m *hostMachine) drainWorker(t *rapid.T) {
 	ww := m.worker(t)
 	ww.info.Draining = !ww.info.Draining
@@ -242,8 +252,8 @@
 		h.wake()
 	}
 	for _, ww := range m.w.workers {
-		if ww.info.Draining {
-			ww.info.Draining = false
+		if ww.info.Draining || ww.hidden {
+			ww.info.Draining, ww.hidden = false, false
 			m.w.list(ww)
 		}
 	}
@@ -305,7 +315,7 @@
 // off; workers restart, leave, and carry orders out late; callers leave and return.
 func TestMachine(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		m := &hostMachine{w: newWorld(rapid.Uint64().Draw(t, "seed"), 2, 2)}
+		m := &hostMachine{w: newWorld(rapid.Uint64().Draw(t, "seed"), 2, 3, rapid.IntRange(1, 3).Draw(t, "cellWorkers"))}
 		m.w.pass(2 * time.Second)
 		m.w.load = drawTime(t, "load", 20, 200)
 		t.Repeat(map[string]func(*rapid.T){
@@ -322,6 +332,7 @@
 			"disturb":       m.disturb,
 			"restartWorker": m.restartWorker,
 			"drainWorker":   m.drainWorker,
+			"hideWorker":    m.hideWorker,
 			"publish":       func(*rapid.T) { m.w.version++ },
 			"pass":          func(t *rapid.T) { m.w.pass(drawTime(t, "ms", 1, 100)) },
 			"passLong":      func(t *rapid.T) { m.w.pass(drawTime(t, "ms", 100, 1500)) },
@@ -336,7 +347,7 @@
 // failure that the fuzzer finds could not be played again.
 func TestSameEventsSameEffects(t *testing.T) {
 	play := func() []string {
-		w := newWorld(7, 2, 4)
+		w := newWorld(7, 2, 4, 2)
 		w.tracing = true
 		w.load = 10 * time.Millisecond
 		w.pass(3 * time.Second)
--- a/host/peers.go
+++ b/host/peers.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"sesameledge.dev/sesameledge/fleet"
 	"sesameledge.dev/sesameledge/mesh/meshpb"
 	"sesameledge.dev/sesameledge/owner"
 	"sesameledge.dev/sesameledge/sched"
@@ -42,12 +43,12 @@
 	sentAt     time.Duration // of the newest frame to it
 	redialed   time.Duration
 	statusAt   time.Duration
-	assigned   map[string]int64 // work handed to its cells since statusAt, by zone, in thousandths of a core times ms
-	jobsSince  time.Duration    // when jobs began to pass; 0: they do not
-	frequent   bool             // heartbeats have been frequent for frequentGrace
-	former     map[uint64]bool  // processes that were replaced at this address
-	configTo   int64            // newest configuration passed on to it
-	workersTo  int64            // offset up to which workers were passed on to it
+	assigned   map[fleet.Cell]int64 // work handed to its cells since statusAt, in thousandths of a core times ms
+	jobsSince  time.Duration        // when jobs began to pass; 0: they do not
+	frequent   bool                 // heartbeats have been frequent for frequentGrace
+	former     map[uint64]bool      // processes that were replaced at this address
+	configTo   int64                // newest configuration passed on to it
+	workersTo  int64                // offset up to which workers were passed on to it
 }
 
 // addPeer notes a host that may be reached.
@@ -63,7 +64,7 @@
 		session:  session.New(),
 		status:   &meshpb.Status{},
 		sentAt:   -absentBeat,
-		assigned: make(map[string]int64),
+		assigned: make(map[fleet.Cell]int64),
 		former:   make(map[uint64]bool),
 	}
 	s.order = append(s.order, s.peers[h.GetAddr()])
@@ -266,7 +267,7 @@
 		}
 		h := owner.Host{Name: p.info.GetName(), Zone: p.info.GetZone(), ID: p.info.GetId(), Weight: p.info.GetWeight(), Age: now - p.firstHeard, Draining: p.status.GetDraining()}
 		for _, c := range p.status.GetCells() {
-			h.Claims = append(h.Claims, owner.Claim{Zone: c.GetZone(), Fence: c.GetFence(), Releasing: c.GetReleasing(), Held: c.GetHeld(), Commanded: int(c.GetCommanded())})
+			h.Claims = append(h.Claims, owner.Claim{Cell: fleet.Cell(c.GetName()), Fence: c.GetFence(), Releasing: c.GetReleasing(), Held: c.GetHeld(), Commanded: int(c.GetCommanded())})
 		}
 		list = append(list, h)
 	}
--- a/host/world_test.go
+++ b/host/world_test.go
@@ -31,24 +31,25 @@
 // world is a deployment in virtual time: entry hosts, model workers, callers and the store,
 // with networks between them that delay, lose and cut.
 type world struct {
-	rng     *rand.Rand
-	now     time.Duration
-	pending timeline
-	number  int
-	hosts   []*worldHost
-	workers []*worldWorker
-	links   map[[2]int]*worldLink // between hosts, by sender and receiver
-	jobs    map[string]*worldJob
-	entries map[string]fleet.Worker // what a record of the store stands for
-	offset  int64                   // of the newest record
-	version int64                   // of the newest configuration
-	fence   int64                   // highest announced token
-	nextID  uint64
-	nextJob int
-	load    time.Duration // between two jobs of the basic load; 0: there is none
-	broken  error         // the first broken rule
-	tracing bool
-	trace   []string // orders and answers, if they are kept
+	rng         *rand.Rand
+	now         time.Duration
+	pending     timeline
+	number      int
+	hosts       []*worldHost
+	workers     []*worldWorker
+	links       map[[2]int]*worldLink // between hosts, by sender and receiver
+	jobs        map[string]*worldJob
+	entries     map[string]fleet.Worker // what a record of the store stands for
+	offset      int64                   // of the newest record
+	version     int64                   // of the newest configuration
+	fence       int64                   // highest announced token
+	nextID      uint64
+	nextJob     int
+	load        time.Duration // between two jobs of the basic load; 0: there is none
+	broken      error         // the first broken rule
+	tracing     bool
+	cellWorkers int
+	trace       []string // orders and answers, if they are kept
 }
 
 // occasion is something that happens at a time.
@@ -96,13 +97,14 @@
 	}
 }
 
-// newWorld returns a deployment of two zones, each with hosts and workers.
-func newWorld(seed uint64, hostsPerZone, workersPerZone int) *world {
+// newWorld returns a deployment of two zones, each with hosts and workers, of which one host
+// commands up to cellWorkers.
+func newWorld(seed uint64, hostsPerZone, workersPerZone, cellWorkers int) *world {
 	w := &world{
 		rng: rand.New(rand.NewPCG(seed, 0)), now: time.Hour,
 		links: make(map[[2]int]*worldLink), jobs: make(map[string]*worldJob), entries: make(map[string]fleet.Worker),
 	}
-	w.version = 1
+	w.version, w.cellWorkers = 1, cellWorkers
 	for i := range 2 * workersPerZone {
 		w.addWorker(fmt.Sprintf("w%d", i), worldZones[i%2], []float64{1, 0.98, 1}[i%3])
 	}
@@ -131,6 +133,7 @@
 	info    fleet.Worker
 	offset  int64    // of its entry
 	waiters []func() // holds that wait for an end
+	hidden  bool     // has no entry in the store
 	cut     bool     // from all hosts
 	zoneCut bool     // from the hosts of other zones
 	late    float64  // share of the orders that are left unanswered and carried out later
@@ -245,7 +248,8 @@
 			},
 			Worker: func(_ string, record []byte) (fleet.Worker, error) { return w.entries[string(record)], nil },
 		},
-		Seed: w.nextID, Started: h.clock(), UnixMillis: 1767225600000 + w.now.Milliseconds() + w.rng.Int64N(3000),
+		CellWorkers: w.cellWorkers,
+		Seed:        w.nextID, Started: h.clock(), UnixMillis: 1767225600000 + w.now.Milliseconds() + w.rng.Int64N(3000),
 	})
 	life := h.life
 	w.after(worldLatency, func() { h.tick(life) })
@@ -286,7 +290,9 @@
 	if !h.storeCut && !h.frozen {
 		read := WorkersRead{Snapshot: true}
 		for _, ww := range h.w.workers {
-			read.Records = append(read.Records, ww.record())
+			if !ww.hidden {
+				read.Records = append(read.Records, ww.record())
+			}
 		}
 		hosts := HostsKnown{MaxFence: h.w.fence}
 		for _, o := range h.w.hosts {
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -1,11 +1,11 @@
-// Package owner decides which host commands the workers of an availability zone, its cell.
-// Each host decides for itself from what the others announce; no decision needs agreement,
+// Package owner decides which host commands a cell: the workers of an availability zone, or a
+// part of them. Each host decides for itself from what the others announce; no decision needs agreement,
 // because a worker obeys only the highest fencing token it has seen. A wrong view therefore
 // costs a change of command, never a second commander.
 //
 // Command stays where it is while its holder lives, so hosts that join cause no change. A
-// cell without a live holder goes to the live host of its zone that is the
-// largest; a much larger one that joins is given the cell in good order.
+// cell without a live holder goes to the live host of its zone that is the largest for the
+// cells that it has; a much larger one that joins is given the cell in good order.
 package owner
 
 import (
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"sesameledge.dev/sesameledge/fleet"
 )
 
 const (
@@ -55,7 +57,7 @@
 
 // Claim is the announcement that a host commands a cell.
 type Claim struct {
-	Zone      string
+	Cell      fleet.Cell
 	Fence     int64
 	Releasing bool     // handed over worker by worker
 	Held      []string // workers not yet released
@@ -82,13 +84,13 @@
 type State struct {
 	self    Host
 	started time.Duration
-	claims  map[string]*Claim
-	retry   map[string]time.Duration // earliest time to take a cell again
-	lostAt  map[string]time.Duration
-	takenAt map[string]time.Duration
-	quick   map[string]uint  // losses in a row right after a take
-	largest map[string]int64 // weight of the largest known host, by zone
-	heard   time.Duration    // when any other host was last heard; 0: never
+	claims  map[fleet.Cell]*Claim
+	retry   map[fleet.Cell]time.Duration // earliest time to take a cell again
+	lostAt  map[fleet.Cell]time.Duration
+	takenAt map[fleet.Cell]time.Duration
+	quick   map[fleet.Cell]uint // losses in a row right after a take
+	largest map[string]int64    // weight of the largest known host, by zone
+	heard   time.Duration       // when any other host was last heard; 0: never
 }
 
 // New returns the state of a process that starts now.
@@ -96,11 +98,11 @@
 	return &State{
 		self:    self,
 		started: now,
-		claims:  make(map[string]*Claim),
-		retry:   make(map[string]time.Duration),
-		lostAt:  make(map[string]time.Duration),
-		takenAt: make(map[string]time.Duration),
-		quick:   make(map[string]uint),
+		claims:  make(map[fleet.Cell]*Claim),
+		retry:   make(map[fleet.Cell]time.Duration),
+		lostAt:  make(map[fleet.Cell]time.Duration),
+		takenAt: make(map[fleet.Cell]time.Duration),
+		quick:   make(map[fleet.Cell]uint),
 		largest: make(map[string]int64),
 	}
 }
@@ -131,9 +133,8 @@
 // command pays.
 func muchLarger(a, b int64) bool { return a > 0 && 2*a >= 3*b }
 
-// Claim returns the claim on a zone's cell, or nil. The caller keeps Held and Commanded
-// up to date.
-func (s *State) Claim(zone string) *Claim { return s.claims[zone] }
+// Claim returns the claim on a cell, or nil. The caller keeps Held and Commanded up to date.
+func (s *State) Claim(cell fleet.Cell) *Claim { return s.claims[cell] }
 
 // Claims returns the claims in a fixed order.
 func (s *State) Claims() []*Claim {
@@ -141,28 +142,28 @@
 	for _, c := range s.claims {
 		list = append(list, c)
 	}
-	slices.SortFunc(list, func(a, b *Claim) int { return cmp.Compare(a.Zone, b.Zone) })
+	slices.SortFunc(list, func(a, b *Claim) int { return cmp.Compare(a.Cell, b.Cell) })
 	return list
 }
 
 // Take notes that the host takes a cell under a fencing token.
-func (s *State) Take(now time.Duration, zone string, fence int64) {
-	s.claims[zone] = &Claim{Zone: zone, Fence: fence}
-	s.takenAt[zone] = now
+func (s *State) Take(now time.Duration, cell fleet.Cell, fence int64) {
+	s.claims[cell] = &Claim{Cell: cell, Fence: fence}
+	s.takenAt[cell] = now
 }
 
 // Lose notes that the workers of a cell obey another host.
-func (s *State) Lose(now time.Duration, zone string) {
-	delete(s.claims, zone)
-	s.lostAt[zone] = now
+func (s *State) Lose(now time.Duration, cell fleet.Cell) {
+	delete(s.claims, cell)
+	s.lostAt[cell] = now
 	pause := retryTime
-	if now-s.takenAt[zone] < firmTime {
-		pause = min(pause, quickRetry<<min(s.quick[zone], maxDoublings))
-		s.quick[zone]++
+	if now-s.takenAt[cell] < firmTime {
+		pause = min(pause, quickRetry<<min(s.quick[cell], maxDoublings))
+		s.quick[cell]++
 	} else {
-		s.quick[zone] = 0
+		s.quick[cell] = 0
 	}
-	s.retry[zone] = now + pause
+	s.retry[cell] = now + pause
 }
 
 // Drain starts to hand over all cells.
@@ -174,22 +175,22 @@
 }
 
 // HandOver starts to hand over a cell.
-func (s *State) HandOver(zone string) {
-	if c := s.claims[zone]; c != nil {
+func (s *State) HandOver(cell fleet.Cell) {
+	if c := s.claims[cell]; c != nil {
 		c.Releasing = true
 	}
 }
 
 // Released notes that a cell has been handed over completely.
-func (s *State) Released(zone string) { delete(s.claims, zone) }
+func (s *State) Released(cell fleet.Cell) { delete(s.claims, cell) }
 
-// Decide returns what to change about a zone's cell, given the other hosts that are heard.
-func (s *State) Decide(now time.Duration, zone string, others []Host) (Decision, bool) {
+// Decide returns what to change about a cell, given the other hosts that are heard.
+func (s *State) Decide(now time.Duration, cell fleet.Cell, others []Host) (Decision, bool) {
 	if len(others) > 0 {
 		s.heard = now
 	}
-	mine := s.claims[zone]
-	best, found := holder(zone, others)
+	mine := s.claims[cell]
+	best, found := holder(cell, others)
 	switch {
 	case mine != nil && mine.Releasing:
 		return Decision{}, false
@@ -197,31 +198,31 @@
 		if found && mine.weaker(best) {
 			return Decision{Kind: GiveUp, Reason: "another host commands more workers of the cell"}, true
 		}
-		if s.muchStronger(zone, others) {
+		if s.muchStronger(cell, others) {
 			return Decision{Kind: HandOver, Reason: "a larger host can command the cell"}, true
 		}
 		return Decision{}, false
-	case found || s.self.Draining || !s.settled(now, zone) || now < s.retry[zone]:
+	case found || s.self.Draining || !s.settled(now, cell.Zone()) || now < s.retry[cell]:
 		return Decision{}, false
-	case len(others) == 0 && s.heard != 0 && now < s.heard+s.patience(zone):
+	case len(others) == 0 && s.heard != 0 && now < s.heard+s.patience(cell.Zone()):
 		return Decision{}, false
-	case len(others) == 0 && s.lostAt[zone] != 0 && now < s.lostAt[zone]+aloneRetry:
+	case len(others) == 0 && s.lostAt[cell] != 0 && now < s.lostAt[cell]+aloneRetry:
 		return Decision{}, false
-	case s.rankedFirst(zone, others):
+	case s.rankedFirst(cell, others):
 		return Decision{Kind: TakeCell, Reason: "no host commands the cell"}, true
 	}
 	return Decision{}, false
 }
 
-// Holder returns the host whose claim on a zone's cell counts. A host that hands the cell
+// Holder returns the host whose claim on a cell counts. A host that hands the cell
 // over does not hold it.
-func Holder(zone string, hosts []Host) (Host, Claim, bool) {
+func Holder(cell fleet.Cell, hosts []Host) (Host, Claim, bool) {
 	var host Host
 	var best Claim
 	found := false
 	for _, h := range hosts {
 		for _, c := range h.Claims {
-			if c.Zone != zone || c.Releasing || h.Draining {
+			if c.Cell != cell || c.Releasing || h.Draining {
 				continue
 			}
 			if !found || best.weaker(c) {
@@ -232,8 +233,8 @@
 	return host, best, found
 }
 
-func holder(zone string, hosts []Host) (Claim, bool) {
-	_, c, found := Holder(zone, hosts)
+func holder(cell fleet.Cell, hosts []Host) (Claim, bool) {
+	_, c, found := Holder(cell, hosts)
 	return c, found
 }
 
@@ -246,36 +247,46 @@
 	return c.Fence < other.Fence
 }
 
-// rankedFirst reports whether this host is the one to take a cell without a holder: the
-// largest of its zone, and of several such the first in a hash of cell and host.
-func (s *State) rankedFirst(zone string, others []Host) bool {
+// rankedFirst reports whether this host is the one to take a cell without a holder: the largest
+// of its zone for the cells that it has, and of several such the first in a hash of cell and host.
+func (s *State) rankedFirst(cell fleet.Cell, others []Host) bool {
+	zone := cell.Zone()
 	if s.self.Zone != zone {
 		return false
 	}
+	share := s.self.Weight / int64(len(s.claims)+1)
 	for _, h := range others {
-		if h.Zone == zone && !h.Draining && ranksBefore(zone, h, s.self) {
+		if h.Zone == zone && !h.Draining && ranksBefore(cell, h.Name, h.share(), s.self.Name, share) {
 			return false
 		}
 	}
 	return true
 }
 
-func ranksBefore(zone string, a, b Host) bool {
-	if a.Weight != b.Weight {
-		return a.Weight > b.Weight
+// share returns the processors that the host would have for one more cell.
+func (h Host) share() int64 { return h.Weight / int64(len(h.Claims)+1) }
+
+// ranksBefore orders two hosts by the processors that they have for a cell.
+func ranksBefore(cell fleet.Cell, a string, shareA int64, b string, shareB int64) bool {
+	if shareA != shareB {
+		return shareA > shareB
 	}
-	return hash(zone, a.Name) < hash(zone, b.Name)
+	return hash(cell, a) < hash(cell, b)
 }
 
-// muchStronger reports whether a host of the zone is so much larger than this one that a
-// change of command pays.
-func (s *State) muchStronger(zone string, others []Host) bool {
+// muchStronger reports whether a host of the zone has so much more processor time for the cell
+// than this one, which has it, that a change of command pays.
+func (s *State) muchStronger(cell fleet.Cell, others []Host) bool {
+	zone := cell.Zone()
+	share := s.self.Weight / int64(max(1, len(s.claims)))
 	for _, h := range others {
-		if h.Zone == zone && !h.Draining && h.Age >= steadyTime && muchLarger(h.Weight, s.self.Weight) {
+		if h.Zone == zone && !h.Draining && h.Age >= steadyTime && muchLarger(h.share(), share) {
 			return true
 		}
 	}
 	return false
 }
 
-func hash(zone, host string) uint64 { return xxhash.Sum64String(zone + "\x00" + host) }
+func hash(cell fleet.Cell, host string) uint64 {
+	return xxhash.Sum64String(string(cell) + "\x00" + host)
+}
--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -1,8 +1,12 @@
 package owner
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
+
+	"sesameledge.dev/sesameledge/fleet"
 )
 
 const later = time.Minute
@@ -46,7 +50,7 @@
 func TestReturningHostYields(t *testing.T) {
 	s := newState(Host{Name: "a", Zone: "z", ID: 1})
 	s.Take(0, "z", 9)
-	other := Host{Name: "b", Zone: "z", ID: 2, Claims: []Claim{{Zone: "z", Fence: 5, Commanded: 16}}}
+	other := Host{Name: "b", Zone: "z", ID: 2, Claims: []Claim{{Cell: "z", Fence: 5, Commanded: 16}}}
 	if d, ok := s.Decide(later, "z", []Host{other}); !ok || d.Kind != GiveUp {
 		t.Errorf("got %+v, %v", d, ok)
 	}
@@ -120,3 +124,84 @@
 		t.Errorf("%d attempts in 2 s", tries)
 	}
 }
+
+// TestZoneIsDividedBySize guards against one host that commands more workers than it can, and
+// against a division that changes back and forth with every worker that comes or goes.
+func TestZoneIsDividedBySize(t *testing.T) {
+	claims := func(parts int) []Claim { return []Claim{{Cell: fleet.NewCell("z", 0, parts)}} }
+	for _, c := range []struct {
+		workers   int
+		announced []Claim
+		want      int
+	}{
+		{0, nil, 1}, {100, nil, 1}, {101, nil, 2}, {250, nil, 3}, {1000, nil, 10},
+		{101, claims(1), 2}, // too many for one host
+		{80, claims(2), 2},  // kept
+		{59, claims(2), 1},  // far too few for two
+		{250, claims(4), 4}, // kept, though three would do
+		{0, claims(3), 3},   // no worker known: whoever announces knows better
+		{90, claims(12), 1}, // announced by a host with an old view
+		{190, claims(2), 2}, // fits
+		{201, claims(2), 3}, // too many
+		{1000, claims(7), 10},
+	} {
+		if got := Parts(c.workers, 100, c.announced); got != c.want {
+			t.Errorf("%d workers, announced %v: %d cells, want %d", c.workers, c.announced, got, c.want)
+		}
+	}
+}
+
+// TestCellsSpreadOverHosts guards against one host that takes all cells of its zone while others
+// of its size have none.
+func TestCellsSpreadOverHosts(t *testing.T) {
+	hosts := []Host{{Name: "a", Zone: "z", ID: 1, Weight: 800}, {Name: "b", Zone: "z", ID: 2, Weight: 800}, {Name: "c", Zone: "z", ID: 3, Weight: 144}}
+	states := make([]*State, len(hosts))
+	for i, h := range hosts {
+		states[i] = newState(h)
+	}
+	for round := range 10 {
+		for i, s := range states {
+			for part := range 4 {
+				cell := fleet.NewCell("z", part, 4)
+				others := append(slices.Clone(hosts[:i]), hosts[i+1:]...)
+				if d, ok := s.Decide(later+time.Duration(round)*time.Second, cell, others); ok && d.Kind == TakeCell {
+					s.Take(later, cell, 1)
+				}
+			}
+			hosts[i].Claims = nil
+			for _, c := range s.Claims() {
+				hosts[i].Claims = append(hosts[i].Claims, *c)
+			}
+		}
+	}
+	if a, b, c := len(states[0].Claims()), len(states[1].Claims()), len(states[2].Claims()); a != 2 || b != 2 || c != 0 {
+		t.Errorf("hosts of 800, 800 and 144 have %d, %d and %d of 4 cells", a, b, c)
+	}
+}
+
+// TestCellNames guards against a cell that another host takes for a different one.
+func TestCellNames(t *testing.T) {
+	for _, c := range []struct {
+		cell  fleet.Cell
+		zone  string
+		parts int
+	}{
+		{fleet.NewCell("north", 0, 1), "north", 1},
+		{fleet.NewCell("north", 2, 3), "north", 3},
+		{"a:b", "a:b", 1},
+		{fleet.NewCell("a:b", 1, 2), "a:b", 2},
+	} {
+		if c.cell.Zone() != c.zone || c.cell.Parts() != c.parts {
+			t.Errorf("%s: zone %q, %d parts", c.cell, c.cell.Zone(), c.cell.Parts())
+		}
+	}
+	seen := make(map[fleet.Cell]int)
+	for i := range 300 {
+		seen[CellOf("north", fmt.Sprint("worker", i), 3)]++
+	}
+	for part := range 3 {
+		if n := seen[fleet.NewCell("north", part, 3)]; n < 75 || n > 125 {
+			t.Errorf("part %d of 3 has %d of 300 workers", part, n)
+		}
+	}
+}
--- a/sched/assert.go
+++ b/sched/assert.go
@@ -17,7 +17,7 @@
 	case w.info.Draining || w.removed:
 		return errors.New("the worker leaves")
 	case !j.eligible(w):
-		return errors.New("the worker serves another service or zone")
+		return errors.New("the worker serves another service or cell")
 	case len(w.foreign) > 0:
 		return errors.New("runs of another host are at work there")
 	case !w.free().Fits(j.spec.Need):
--- a/sched/dump.go
+++ b/sched/dump.go
@@ -6,6 +6,7 @@
 type Dump struct {
 	Worker   string    `json:"worker"`
 	Zone     string    `json:"zone"`
+	Cell     string    `json:"cell"`
 	Phase    string    `json:"phase"`
 	Fence    int64     `json:"fence"`
 	Draining bool      `json:"draining"`
@@ -39,7 +40,7 @@
 			continue
 		}
 		d := Dump{
-			Worker: w.info.ID, Zone: w.info.Zone, Phase: phaseNames[w.phase], Fence: w.fence,
+			Worker: w.info.ID, Zone: w.info.Zone, Cell: string(w.cell), Phase: phaseNames[w.phase], Fence: w.fence,
 			Draining: w.info.Draining, Removed: w.removed, Speed: w.speed, Misses: w.misses,
 			FreeCPU: w.free().CPU, LeaseMS: max(0, w.leaseBound-now).Milliseconds(), Foreign: len(w.foreign),
 		}
--- a/sched/event.go
+++ b/sched/event.go
@@ -15,7 +15,7 @@
 // Job is a job as an entry host hands it over.
 type Job struct {
 	Key   JobKey
-	Zone  string // of the workers to run it on
+	Cell  fleet.Cell // whose workers run it
 	Spec  fleet.JobSpec
 	Route fleet.Route
 	Age   time.Duration // since the caller's request arrived
@@ -50,9 +50,10 @@
 // Directory replaces the list of known workers.
 type Directory struct{ Workers []fleet.Worker }
 
-// Take makes this host the commander of a worker under a fencing token.
+// Take makes this host the commander of a worker of a cell under a fencing token.
 type Take struct {
 	Worker string
+	Cell   fleet.Cell
 	Fence  int64
 }
 
--- a/sched/foreign_test.go
+++ b/sched/foreign_test.go
@@ -25,7 +25,7 @@
 	w := m.workers[0]
 	w.Hold(m.now, fleet.HoldOrder{Fence: 1000})
 	rivalRun(w, m.now, 1000, 1)
-	m.step(Take{Worker: w.ID, Fence: 2000})
+	m.step(Take{Worker: w.ID, Cell: "z", Fence: 2000})
 	take := m.calls[0]
 	m.calls = m.calls[1:]
 	m.deliver(take, true)
@@ -34,7 +34,7 @@
 	m.jobs[key] = 6
 	m.needs[jobName(key)] = need
 	m.step(Submit{Job: Job{
-		Key: key, Zone: "z", Left: 3 * time.Second,
+		Key: key, Cell: "z", Left: 3 * time.Second,
 		Spec:  fleet.JobSpec{ID: jobName(key), Tasks: 6, Need: need, Estimate: 300 * time.Millisecond},
 		Route: fleet.Route{Name: "r", Service: "s", MaxAttempts: 3, SlackFactor: 1.6, Target: 3 * time.Second},
 	}})
--- a/sched/job.go
+++ b/sched/job.go
@@ -13,7 +13,7 @@
 // job is a job in progress.
 type job struct {
 	key       JobKey
-	zone      string
+	cell      fleet.Cell
 	spec      fleet.JobSpec
 	route     fleet.Route
 	arrived   time.Duration // when the caller's request arrived
@@ -36,7 +36,7 @@
 		return // sent again by the entry host
 	}
 	j := &job{
-		key: in.Key, zone: in.Zone, spec: in.Spec, route: in.Route,
+		key: in.Key, cell: in.Cell, spec: in.Spec, route: in.Route,
 		arrived: now - in.Age, deadline: now + in.Left,
 		waiting:  make([]int, in.Spec.Tasks),
 		attempts: make([]int64, in.Spec.Tasks),
@@ -190,28 +190,28 @@
 	return false
 }
 
-// Close refuses new jobs for a zone's workers and those that have not begun. Workers that are
+// Close refuses new jobs for a cell's workers and those that have not begun. Workers that are
 // released serve the others until these have ended.
-func (s *State) Close(now time.Duration, zone string) {
-	s.closed[zone] = true
+func (s *State) Close(now time.Duration, cell fleet.Cell) {
+	s.closed[cell] = true
 	for _, j := range s.sortedJobs() {
-		if j.zone == zone && j.begun == 0 {
+		if j.cell == cell && j.begun == 0 {
 			s.finish(now, j, Refused, reasonHandover)
 		}
 	}
 	s.compactQueue()
 }
 
-// Open takes jobs for a zone's workers again.
-func (s *State) Open(zone string) { delete(s.closed, zone) }
+// Open takes jobs for a cell's workers again.
+func (s *State) Open(cell fleet.Cell) { delete(s.closed, cell) }
 
 // reasonHandover refuses jobs while a cell changes hands.
 const reasonHandover = "the cell changes hands"
 
-// waits reports whether a task waits for a worker of a zone.
-func (s *State) waits(zone string) bool {
+// waits reports whether a task waits for a worker of a cell.
+func (s *State) waits(cell fleet.Cell) bool {
 	for _, j := range s.queue {
-		if j.zone == zone && !j.finished && len(j.waiting) > 0 {
+		if j.cell == cell && !j.finished && len(j.waiting) > 0 {
 			return true
 		}
 	}
--- a/sched/lease_test.go
+++ b/sched/lease_test.go
@@ -13,7 +13,7 @@
 	y.s.workers["w1"].misses = 1 // only w0 takes tasks at first
 	// Another host had taken w0 and extended its lease to the longest that it allows.
 	formerEnd := y.now + maxLease
-	y.step(Take{Worker: "w0", Fence: 2})
+	y.step(Take{Worker: "w0", Cell: "z", Fence: 2})
 	y.submit(1, "short", 1, 100*time.Millisecond)
 	if len(y.starts) != 1 || y.starts[0].Worker.ID != "w0" {
 		t.Fatalf("starts: %v", y.starts)
--- a/sched/load.go
+++ b/sched/load.go
@@ -1,8 +1,12 @@
 package sched
 
-import "time"
+import (
+	"time"
 
-// Load describes how busy the workers of a service in one zone are. Processors are in
+	"sesameledge.dev/sesameledge/fleet"
+)
+
+// Load describes how busy the workers of a service in one cell are. Processors are in
 // thousandths of a core.
 type Load struct {
 	Free     int64         // unused
@@ -34,13 +38,13 @@
 	return time.Duration(float64(l.Task) * float64(need-l.Free) / float64(max(1, l.Rate)))
 }
 
-// Loads returns the load of a zone's workers by service.
-func (s *State) Loads(zone string) map[string]Load {
+// Loads returns the load of a cell's workers by service.
+func (s *State) Loads(cell fleet.Cell) map[string]Load {
 	loads := make(map[string]Load)
 	rates := make(map[string]float64)
 	running := make(map[string]int64) // processors of the running tasks, times their durations in µs
 	for _, w := range s.order {
-		if !w.counts() || w.info.Zone != zone {
+		if !w.counts() || w.cell != cell {
 			continue
 		}
 		l := loads[w.info.Service]
@@ -56,7 +60,7 @@
 	}
 	for _, j := range s.queue {
 		l, ok := loads[j.route.Service]
-		if !ok || j.zone != zone {
+		if !ok || j.cell != cell {
 			continue
 		}
 		l.Queued += int64(len(j.waiting)) * j.spec.Need.CPU * j.base.Milliseconds()
--- a/sched/machine_test.go
+++ b/sched/machine_test.go
@@ -57,7 +57,7 @@
 	}
 	m.directory(-1)
 	for _, w := range m.workers {
-		m.step(Take{Worker: w.ID, Fence: m.fence})
+		m.step(Take{Worker: w.ID, Cell: "z", Fence: m.fence})
 	}
 	return m
 }
@@ -251,7 +251,7 @@
 				need := fleet.Resources{CPU: rapid.Int64Range(20000, 41000).Draw(t, "cpu"), Memory: 64}
 				m.needs[jobName(key)] = need
 				m.step(Submit{Job: Job{
-					Key: key, Zone: "z", Left: 3 * time.Second,
+					Key: key, Cell: "z", Left: 3 * time.Second,
 					Spec:  fleet.JobSpec{ID: jobName(key), Tasks: m.jobs[key], Need: need, Estimate: 300 * time.Millisecond},
 					Route: fleet.Route{Name: "r", Service: "s", MaxAttempts: 3, SlackFactor: 1.6, Target: 500 * time.Millisecond},
 				}})
@@ -320,7 +320,7 @@
 			},
 			"take": func(t *rapid.T) {
 				m.fence += 10
-				m.step(Take{Worker: m.workers[rapid.IntRange(0, len(m.workers)-1).Draw(t, "worker")].ID, Fence: m.fence})
+				m.step(Take{Worker: m.workers[rapid.IntRange(0, len(m.workers)-1).Draw(t, "worker")].ID, Cell: "z", Fence: m.fence})
 			},
 			"drain":      func(t *rapid.T) { m.directory(rapid.IntRange(-1, 2).Draw(t, "worker")) },
 			"pass":       func(t *rapid.T) { m.pass(time.Duration(rapid.IntRange(1, 60).Draw(t, "ms")) * time.Millisecond) },
--- a/sched/place.go
+++ b/sched/place.go
@@ -34,7 +34,7 @@
 		if j.finished {
 			continue
 		}
-		s.placeJob(now, j, usable[pool{j.zone, j.route.Service}])
+		s.placeJob(now, j, usable[pool{j.cell, j.route.Service}])
 	}
 	s.compactQueue()
 }
@@ -43,7 +43,7 @@
 func (s *State) pools() []pool {
 	var list []pool
 	for _, j := range s.queue {
-		if p := (pool{j.zone, j.route.Service}); !slices.Contains(list, p) {
+		if p := (pool{j.cell, j.route.Service}); !slices.Contains(list, p) {
 			list = append(list, p)
 		}
 	}
@@ -60,12 +60,15 @@
 	free fleet.Resources
 }
 
-// pool is the workers of a service in one zone.
-type pool struct{ zone, service string }
+// pool is the workers of a service in one cell.
+type pool struct {
+	cell    fleet.Cell
+	service string
+}
 
 // eligible reports whether the worker belongs to the job's service and cell.
 func (j *job) eligible(w *worker) bool {
-	return w.info.Zone == j.zone && w.info.Service == j.route.Service
+	return w.cell == j.cell && w.info.Service == j.route.Service
 }
 
 func (s *State) usableWorkers(now time.Duration) map[pool][]*candidate {
@@ -80,7 +83,7 @@
 			s.hold(now, w)
 			continue
 		}
-		p := pool{w.info.Zone, w.info.Service}
+		p := pool{w.cell, w.info.Service}
 		pools[p] = append(pools[p], &candidate{w: w, free: w.free()})
 	}
 	return pools
@@ -250,10 +253,10 @@
 
 // refusal says why a job has no prospect, or returns an empty string.
 func (s *State) refusal(j *job) string {
-	if s.closed[j.zone] {
+	if s.closed[j.cell] {
 		return reasonHandover
 	}
-	load, ok := s.Loads(j.zone)[j.route.Service]
+	load, ok := s.Loads(j.cell)[j.route.Service]
 	if !ok || load.Capacity == 0 {
 		return "no worker of the service is at hand"
 	}
--- a/sched/place_test.go
+++ b/sched/place_test.go
@@ -28,7 +28,7 @@
 	}
 	y.step(Directory{Workers: list})
 	for _, w := range list {
-		y.step(Take{Worker: w.ID, Fence: 1})
+		y.step(Take{Worker: w.ID, Cell: "z", Fence: 1})
 	}
 	return y
 }
@@ -77,7 +77,7 @@
 func (y *testPool) submit(seq uint64, route string, tasks int, takes time.Duration) JobKey {
 	key := JobKey{Host: 1, Seq: seq}
 	y.step(Submit{Job: Job{
-		Key: key, Zone: "z", Left: 10 * time.Second,
+		Key: key, Cell: "z", Left: 10 * time.Second,
 		Spec:  fleet.JobSpec{ID: fmt.Sprintf("%s%d", route, seq), Tasks: tasks, Need: fleet.Resources{CPU: 27000, Memory: 64}, Estimate: takes},
 		Route: fleet.Route{Name: route, Service: "s", MaxAttempts: 3, SlackFactor: 1.6, Target: 60 * time.Millisecond},
 	}})
@@ -177,7 +177,7 @@
 	m.directory(0)
 	key := JobKey{Host: 1, Seq: 1}
 	j := &job{
-		key: key, zone: "z", deadline: m.now + time.Second,
+		key: key, cell: "z", deadline: m.now + time.Second,
 		spec:    fleet.JobSpec{ID: "job1", Tasks: 1, Need: fleet.Resources{CPU: 1000, Memory: 1}},
 		route:   fleet.Route{Name: "r", Service: "s", MaxAttempts: 3, Target: time.Second},
 		waiting: []int{0}, attempts: make([]int64, 1), failures: make([]int, 1), live: make([]bool, 1),
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -48,7 +48,7 @@
 	dirty      bool // there may be room for waiting tasks
 	order      []*worker
 	stats      Stats
-	closed     map[string]bool // zones whose workers are being handed over
+	closed     map[fleet.Cell]bool // cells whose workers are being handed over
 }
 
 // Stats counts what the state machine has done.
@@ -64,7 +64,7 @@
 	return &State{
 		workers:    make(map[string]*worker),
 		jobs:       make(map[JobKey]*job),
-		closed:     make(map[string]bool),
+		closed:     make(map[fleet.Cell]bool),
 		model:      newModel(),
 		importance: newImportance(),
 	}
@@ -82,6 +82,14 @@
 	return w != nil && w.phase == phaseHeld
 }
 
+// CellOf returns the cell under which a worker was last taken.
+func (s *State) CellOf(id string) fleet.Cell {
+	if w := s.workers[id]; w != nil {
+		return w.cell
+	}
+	return ""
+}
+
 // Stats returns the counters.
 func (s *State) Stats() Stats { return s.stats }
 
@@ -168,6 +176,7 @@
 	}
 	w.phase = phaseTaking
 	w.fence = e.Fence
+	w.cell = e.Cell
 	w.cursor, w.acked = 0, 0
 	w.holding = false
 	w.nextHold = now
@@ -184,7 +193,7 @@
 }
 
 func (s *State) leaveIfEmpty(w *worker) {
-	if w.phase != phaseLeaving || len(w.runs) > 0 || s.closed[w.info.Zone] && s.waits(w.info.Zone) {
+	if w.phase != phaseLeaving || len(w.runs) > 0 || s.closed[w.cell] && s.waits(w.cell) {
 		return
 	}
 	w.phase = phaseNone
--- a/sched/shed.go
+++ b/sched/shed.go
@@ -66,14 +66,14 @@
 // its work, among it and those before it, is refused. It answers load above the capacity:
 // without it every job waits until it is late, and nobody is served in time.
 func (s *State) shed(now time.Duration, p pool) {
-	load, ok := s.Loads(p.zone)[p.service]
+	load, ok := s.Loads(p.cell)[p.service]
 	if !ok {
 		return
 	}
 	var ahead []*job // not begun, in the order of their starts
 	need := int64(0)
 	for _, j := range s.queue {
-		if j.finished || j.zone != p.zone || j.route.Service != p.service {
+		if j.finished || j.cell != p.cell || j.route.Service != p.service {
 			continue
 		}
 		need += j.waitingNeed()
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -19,6 +19,7 @@
 // worker is what the host knows of a worker.
 type worker struct {
 	info  fleet.Worker
+	cell  fleet.Cell // under which it was taken
 	phase phase
 	fence int64
 	born  int64 // incarnation that the lists came from; 0 before the first
--- a/standin/fleettest/bed_test.go
+++ b/standin/fleettest/bed_test.go
@@ -164,7 +164,7 @@
 // commander returns the name of the host whose log says that it holds a zone's workers.
 func (b *bed) commander(zone string) string {
 	for name, n := range b.hosts {
-		if strings.Contains(n.log.String(), `msg="cell taken" zone=`+zone) {
+		if strings.Contains(n.log.String(), `msg="cell taken" cell=`+zone) {
 			return name
 		}
 	}
