Close idle connections of callers before a draining host refuses jobs

Change: idle connections are closed after 0.4 of the drain time, when the balancer has sent new ones elsewhere for a while; jobs are refused after 0.45 as before. Figures: TestDrainClosesIdleConnections fails without the change (the caller is never sent away).

--- a/entry/drain.go
+++ b/entry/drain.go
@@ -11,6 +11,10 @@
 	// acceptShare is the part of the drain time in which jobs are still taken. Balancers
 	// need a few seconds to notice that a host leaves.
 	acceptShare = 0.45
+	// idleShare is the part of the drain time at whose end idle connections are closed. By then
+	// balancers send new ones elsewhere, so their callers are served by other hosts and not
+	// refused by this one.
+	idleShare = 0.4
 	// closeShare is the part of the drain time at whose end connections are closed.
 	closeShare = 0.95
 	// drainPoll is the pause between checks for open requests.
@@ -28,7 +32,9 @@
 		_ = h.logger.Log("part", "entry", "msg", "draining", "time", h.settings.DrainTime)
 		h.ingress.draining.Store(true)
 		h.loop.send(host.Drain{})
-		h.waitUntil(started+share(h.settings.DrainTime, acceptShare), func() bool { return false })
+		h.waitUntil(started+share(h.settings.DrainTime, idleShare), never)
+		h.callers.SetKeepAlivesEnabled(false) // closes idle connections
+		h.waitUntil(started+share(h.settings.DrainTime, acceptShare), never)
 		h.ingress.refusing.Store(true)
 		h.waitUntil(started+share(h.settings.DrainTime, closeShare), h.idle)
 		h.shutdown(started)
@@ -39,6 +45,8 @@
 // Drained is closed when a drain has ended.
 func (h *Host) Drained() <-chan struct{} { return h.drained }
 
+func never() bool { return false }
+
 func share(d time.Duration, part float64) time.Duration { return time.Duration(float64(d) * part) }
 
 // idle reports whether the host has nothing left to do for anyone.
--- a/entry/host.go
+++ b/entry/host.go
@@ -53,6 +53,7 @@
 	links    *mesh.Links
 	ingress  *ingress
 	servers  []*http.Server
+	callers  *http.Server // one of servers
 	mesh     *mesh.Server
 	cancel   context.CancelFunc
 	metrics  *metrics
@@ -121,22 +122,29 @@
 	}
 	h.mesh = mesh.NewServer(func(f *meshpb.Frame) { h.loop.send(host.FrameIn{Frame: f}) })
 	go func() { _ = h.mesh.Serve(peers) }() // ends with Stop
-	for addr, handler := range map[string]http.Handler{
-		h.settings.Listen.Callers: h.ingress,
-		h.settings.Listen.Ready:   http.HandlerFunc(h.ready),
-		h.settings.Listen.Metrics: h.operators(),
+	h.callers = newServer(h.ingress)
+	for _, s := range []struct {
+		addr   string
+		server *http.Server
+	}{
+		{h.settings.Listen.Callers, h.callers},
+		{h.settings.Listen.Ready, newServer(http.HandlerFunc(h.ready))},
+		{h.settings.Listen.Metrics, newServer(h.operators())},
 	} {
-		l, err := net.Listen("tcp4", addr)
+		l, err := net.Listen("tcp4", s.addr)
 		if err != nil {
 			return errors.Wrap(err, "listening")
 		}
-		server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-		h.servers = append(h.servers, server)
-		go func() { _ = server.Serve(l) }() // ends with the shutdown
+		h.servers = append(h.servers, s.server)
+		go func() { _ = s.server.Serve(l) }() // ends with the shutdown
 	}
 	return nil
 }
 
+func newServer(handler http.Handler) *http.Server {
+	return &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+}
+
 // follow reads the store.
 func (h *Host) follow(ctx context.Context) {
 	go h.announce(ctx)
--- a/standin/fleettest/fleet_test.go
+++ b/standin/fleettest/fleet_test.go
@@ -1,7 +1,12 @@
 package fleettest
 
 import (
+	"bufio"
 	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -203,6 +208,38 @@
 	}
 }
 
+// TestDrainClosesIdleConnections guards against callers that keep an open connection to a host that
+// shuts down and are refused there, while other hosts would serve them.
+func TestDrainClosesIdleConnections(t *testing.T) {
+	b, names := threeHosts(t)
+	leaving := names[2]
+	conn, err := net.Dial("tcp4", b.hosts[leaving].settings.Listen.Callers)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", prefix, fleetsim.CallerHost); err != nil {
+		t.Fatal(err)
+	}
+	reader := bufio.NewReader(conn)
+	resp, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		t.Fatal(err)
+	}
+	b.hosts[leaving].settings.DrainTime = 20 * time.Second // leaves a second for the job below
+	go b.hosts[leaving].host.Drain()
+	_ = conn.SetReadDeadline(time.Now().Add(15 * time.Second))
+	if _, err := reader.ReadByte(); !errors.Is(err, io.EOF) {
+		t.Fatalf("the idle connection was not closed: %v", err)
+	}
+	if r := b.submit(leaving, jobID(1), "10ms", 1); r.status != http.StatusOK {
+		t.Errorf("status %d, %v: jobs are refused before idle connections are closed", r.status, r.err)
+	}
+}
+
 // TestDrainingWorkerGetsNothing guards against tasks on a worker that is about to leave.
 func TestDrainingWorkerGetsNothing(t *testing.T) {
 	b, names := threeHosts(t)
