Note stalls of the machine in the soak

Change: the soak watches a timer of its own. Where that fires 400 ms late or more, bounds on time are not checked, and the report says for how long; what does not depend on time is checked as ever.

--- a/standin/soak/check.go
+++ b/standin/soak/check.go
@@ -71,7 +71,7 @@
 // checkBroken looks for a request that was broken off without an unplanned fault of its host. A
 // connection may close under a request that has not been read: it ends soon, and nothing runs.
 func (d *deployment) checkBroken(j *job, a *attempt, spans map[string][]fleetsim.Span) {
-	if a.host.disturbed(a.sent.Add(-excuseTime), a.ended) {
+	if a.host.disturbed(a.sent.Add(-excuseTime), a.ended) || d.stalls.during(a.sent, a.ended) {
 		return
 	}
 	begun := false
@@ -162,7 +162,7 @@
 
 // mustApply reports whether nothing excuses a host from applying a configuration in time.
 func (d *deployment) mustApply(h *hostNode, published, asked time.Time) bool {
-	if h.disturbed(published.Add(-excuseTime), asked) {
+	if h.disturbed(published.Add(-excuseTime), asked) || d.stalls.during(published, asked) {
 		return false
 	}
 	d.mu.Lock()
--- a/standin/soak/deployment.go
+++ b/standin/soak/deployment.go
@@ -48,6 +48,8 @@
 	versions    []time.Time // when each configuration was published
 	storeFaults int         // that last
 	storeCalm   time.Time   // when the newest of the others ended
+
+	stalls stalls
 }
 
 // workerNode is a worker of the deployment.
--- a/standin/soak/run.go
+++ b/standin/soak/run.go
@@ -34,6 +34,7 @@
 	findings  []string
 	logs      string
 	peakBytes int64
+	stalled   time.Duration // of the soak itself
 }
 
 // String implements fmt.Stringer.
@@ -41,6 +42,9 @@
 	var b strings.Builder
 	fmt.Fprintf(&b, "seed %d: %d faults, %d jobs, answers %v, peak memory of a host %d MB, %d findings",
 		r.seed, len(r.faults), r.jobs, r.outcomes, r.peakBytes>>20, len(r.findings))
+	if r.stalled > 0 {
+		fmt.Fprintf(&b, " (the machine stalled for %.1f s; bounds on time were not checked then)", r.stalled.Seconds())
+	}
 	if len(r.findings) == 0 {
 		return b.String()
 	}
@@ -95,6 +99,11 @@
 		}()
 	}
 	stopWatch := make(chan struct{})
+	wg.Add(1)
+	go func() {
+		defer wg.Done()
+		d.stalls.watch(stopWatch)
+	}()
 	for _, h := range d.hosts {
 		wg.Add(1)
 		go func() {
@@ -109,6 +118,7 @@
 	d.checkRecovery(c, rng)
 	c.checkJobs()
 	r.count(c)
+	r.stalled = d.stalls.total()
 }
 
 // disturb begins faults in series, some of which overlap, and returns when all have ended.
