--- a/standin/soak/stall.go
+++ b/standin/soak/stall.go
@@ -42,12 +42,7 @@
 func (s *stalls) during(from, to time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, i := range s.times {
-		if i.overlaps(from, to) {
-			return true
-		}
-	}
-	return false
+	return anyOverlaps(s.times, from, to)
 }
 
 // total returns how long the process has stalled.
