Pass workers' entries on within a zone only, and not to processes that have just started

Cause: commanders sent all entries to every host that did not report the store as reachable, also to processes that had not read it yet. Change: a process gets no entries in its first 1.5 s, and then those of its own zone from the commanders of that zone; a commander gets them from all others, since its zone may be cut off from the store as a whole.

--- a/host/knowledge.go
+++ b/host/knowledge.go
@@ -20,6 +20,9 @@
 	passOnDelay = 300 * time.Millisecond
 	// standInDelay is that time for hosts without a cell.
 	standInDelay = 900 * time.Millisecond
+	// startGrace is how long a new process is left to read the workers itself. All hosts may
+	// start at once, and each commander would send all entries to each of them.
+	startGrace = 1500 * time.Millisecond
 )
 
 // entry is a worker's entry in the store.
@@ -160,7 +163,7 @@
 			continue
 		}
 		s.passOnConfig(now, p)
-		if !p.status.GetStoreReachable() {
+		if !p.status.GetStoreReachable() && now-p.firstHeard >= startGrace {
 			s.passOnWorkers(p)
 		}
 	}
@@ -186,15 +189,28 @@
 	}
 }
 
-// workersFor returns the entries that have changed since they were passed on to a peer.
+// suppliesWorkers reports whether this host passes entries of workers on to a peer: commanders do
+// so for the hosts of their zones, and for other commanders, which may have nobody else.
+func (s *State) suppliesWorkers(p *peer) bool {
+	for _, c := range s.owner.Claims() {
+		if len(p.status.GetCells()) > 0 || c.Cell.Zone() == p.info.GetZone() {
+			return true
+		}
+	}
+	return false
+}
+
+// workersFor returns the entries of a peer's zone that have changed since they were passed on to
+// it. A host commands only workers of its own zone, so the traffic of a deployment does not grow
+// with its hosts times all workers.
 func (s *State) workersFor(p *peer) []*meshpb.Worker {
-	if s.Cells() == 0 {
+	if !s.suppliesWorkers(p) {
 		return nil
 	}
 	var list []*meshpb.Worker
 	newest := p.workersTo
 	for _, e := range s.entries() {
-		if e.changedAt < p.workersTo || e.removed != 0 {
+		if e.info.Zone != p.info.GetZone() || e.changedAt < p.workersTo || e.removed != 0 {
 			continue
 		}
 		newest = max(newest, e.changedAt+1)
