Draw the ports of test hosts from an IP of their own

The port was drawn on 127.0.0.1, closed, and taken by a connection of another test before the host listened; tests of several packages share that IP. Change: each host draws its ports from a loopback IP of its own, as the test bed of processes does.

--- a/standin/fleettest/bed_test.go
+++ b/standin/fleettest/bed_test.go
@@ -7,7 +7,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -18,6 +17,7 @@
 	"sesameledge.dev/sesameledge/entry"
 	"sesameledge.dev/sesameledge/internal/testlog"
 	"sesameledge.dev/sesameledge/standin/fleetsim"
+	"sesameledge.dev/sesameledge/standin/testbed"
 )
 
 const (
@@ -92,9 +92,10 @@
 // start starts an entry host.
 func (b *bed) start(name, zone string, cores float64) *node {
 	b.t.Helper()
+	addresses := testbed.NewAddresses()
 	s := &entry.Settings{
 		Host: name, Zone: zone, Zones: zones, Store: b.addr, Cores: cores, CoreShare: 1, DrainTime: 3 * time.Second,
-		Listen: entry.Listen{Callers: freeAddr(b.t), Ready: freeAddr(b.t), Peers: freeAddr(b.t), Metrics: freeAddr(b.t)},
+		Listen: entry.Listen{Callers: freeAddr(b.t, addresses), Ready: freeAddr(b.t, addresses), Peers: freeAddr(b.t, addresses), Metrics: freeAddr(b.t, addresses)},
 		Log:    entry.Log{LinesPerSecond: 100000},
 	}
 	for _, n := range b.hosts {
@@ -109,13 +110,15 @@
 	return n
 }
 
-func freeAddr(t *testing.T) string {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+// freeAddr draws a free address of a host's own IP. Ports of a shared IP may be taken by an outgoing
+// connection of another test before the host listens.
+func freeAddr(t *testing.T, addresses testbed.Addresses) string {
+	t.Helper()
+	addr, err := addresses.Free()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	return l.Addr().String()
+	return addr
 }
 
 func (b *bed) close() {
