Read a cell's zone once for each pass over the workers

Change: the zone is read before the loops; the number is removed. Behavior is the same. Conclusion: the cell's name is still built for each worker; keeping it with the worker comes next.

--- a/host/cells.go
+++ b/host/cells.go
@@ -106,10 +106,11 @@
 	if claim == nil || claim.Releasing {
 		return
 	}
-	held := heldByOthers(cell.Zone(), others)
+	zone := cell.Zone()
+	held := heldByOthers(zone, others)
 	claim.Commanded = 0
 	for _, e := range s.entries() {
-		if e.info.Zone != cell.Zone() || s.cellOf(e) != cell || e.gone(now) {
+		if e.info.Zone != zone || s.cellOf(e) != cell || e.gone(now) {
 			continue
 		}
 		switch id := e.info.ID; {
@@ -159,9 +160,9 @@
 	if claim == nil {
 		return
 	}
-	total, lost := 0, 0
+	zone, total, lost := cell.Zone(), 0, 0
 	for _, other := range s.entries() {
-		if other.info.Zone != cell.Zone() || s.cellOf(other) != cell {
+		if other.info.Zone != zone || s.cellOf(other) != cell {
 			continue
 		}
 		total++
--- a/owner/cell.go
+++ b/owner/cell.go
@@ -7,8 +7,7 @@
 )
 
 const (
-	// DefaultCellWorkers is the number of workers up to which one host commands a zone. A
-	// host of 0.8 cores starts some 4,000 tasks a second on so many.
+	// DefaultCellWorkers is the number of workers up to which one host commands a zone.
 	DefaultCellWorkers = 160
 	// keepShare is the part of a cell's workers below which a zone gets fewer cells.
 	keepShare = 0.6
