Excuse requests on connections that the soak has silenced for good

The request never reached a host. Change: callers record when the connection of a request was opened, and a request on a connection opened before its route was silenced is excused. Requests on all other connections are checked as before.

--- a/standin/soak/callers.go
+++ b/standin/soak/callers.go
@@ -7,7 +7,9 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
+	"net/http/httptrace"
 	"sync"
 	"time"
 
@@ -33,9 +35,10 @@
 type attempt struct {
 	host        *hostNode
 	sent, ended time.Time
-	status      int    // HTTP status, 0 if there was no answer
-	state       string // of the job, from the answer
-	cancelled   bool   // by the caller, before the answer
+	connOpened  time.Time // when the connection that carried the request was opened; zero if there was none
+	status      int       // HTTP status, 0 if there was no answer
+	state       string    // of the job, from the answer
+	cancelled   bool      // by the caller, before the answer
 	err         error
 }
 
@@ -56,7 +59,7 @@
 
 // runCaller submits jobs, one at a time, until ctx ends. Connections stay open until a host closes them.
 func (c *callers) runCaller(ctx context.Context, rng *rand.Rand) {
-	client := &http.Client{Timeout: callerDeadline + answerGracePeriod, Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
+	client := newCallerClient()
 	defer client.CloseIdleConnections()
 	h := c.deployment.randomRunningHost(rng)
 	for ctx.Err() == nil {
@@ -70,6 +73,33 @@
 	}
 }
 
+// datedConn is a connection that knows when it was opened.
+type datedConn struct {
+	net.Conn
+	opened time.Time
+}
+
+// newCallerClient returns a client that keeps one connection to each host open.
+func newCallerClient() *http.Client {
+	dial := func(ctx context.Context, network, addr string) (net.Conn, error) {
+		conn, err := new(net.Dialer).DialContext(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return &datedConn{Conn: conn, opened: time.Now()}, nil
+	}
+	return &http.Client{Timeout: callerDeadline + answerGracePeriod, Transport: &http.Transport{MaxIdleConnsPerHost: 1, DialContext: dial}}
+}
+
+// recordConnection makes a request note when the connection that carries it was opened.
+func (a *attempt) recordConnection(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if conn, ok := info.Conn.(*datedConn); ok {
+			a.connOpened = conn.opened
+		}
+	}})
+}
+
 // submit sends a new job until its outcome is known or the caller cancels, at most sendLimit times.
 func (c *callers) submit(client *http.Client, rng *rand.Rand, h *hostNode, sendLimit int) *job {
 	c.mu.Lock()
@@ -108,7 +138,7 @@
 		ctx, cancel = context.WithTimeout(ctx, rand.N(300*time.Millisecond))
 		defer cancel()
 	}
-	a.status, a.state, a.err = postJob(ctx, client, "http://"+h.callersAddress+"/jobs/"+j.id, fleetsim.JobBody(taskDuration, j.tasks, taskMillicores))
+	a.status, a.state, a.err = postJob(a.recordConnection(ctx), client, "http://"+h.callersAddress+"/jobs/"+j.id, fleetsim.JobBody(taskDuration, j.tasks, taskMillicores))
 	a.ended = time.Now()
 	a.cancelled = cancels && a.err != nil
 	return a
--- a/standin/soak/check.go
+++ b/standin/soak/check.go
@@ -73,9 +73,10 @@
 
 // checkBrokenOff adds a finding if a request was broken off without an unplanned fault of its host. A
 // host may close a connection before it reads a request from it. Such a request breaks off within
-// maxUnreadRequestTime and starts no task.
+// maxUnreadRequestTime and starts no task. A connection that was silenced stays silent after the fault,
+// so no later request on it reaches the host.
 func (d *deployment) checkBrokenOff(j *job, a *attempt, spansByTask map[string][]fleetsim.EndedRun) {
-	if a.host.hadUnplannedFault(a.sent.Add(-excusePeriod), a.ended) || d.stalls.overlap(a.sent, a.ended) {
+	if a.host.hadUnplannedFault(a.sent.Add(-excusePeriod), a.ended) || d.stalls.overlap(a.sent, a.ended) || a.host.silenced(a.connOpened) {
 		return
 	}
 	started := false
--- a/standin/soak/deployment.go
+++ b/standin/soak/deployment.go
@@ -99,7 +99,7 @@
 			}
 			routes = append(routes,
 				proxysim.RouteConfig{Name: "peers-" + h.name, Target: h.settings.Listen.Peers},
-				proxysim.RouteConfig{Name: "front-" + h.name, Target: h.settings.Listen.Callers},
+				proxysim.RouteConfig{Name: frontRoute + h.name, Target: h.settings.Listen.Callers},
 				proxysim.RouteConfig{Name: "store-" + h.name, Target: store.Listener.Addr().String()})
 		}
 	}
@@ -147,7 +147,7 @@
 	d.publish()
 	seeds := []string{listen["peers-"+d.hosts[0].name], listen["peers-"+d.hosts[len(d.hosts)-1].name]}
 	for i, h := range d.hosts {
-		h.callersAddress = listen["front-"+h.name]
+		h.callersAddress = listen[frontRoute+h.name]
 		h.settings.Store = listen["store-"+h.name]
 		h.settings.Listen.Advertise = listen["peers-"+h.name]
 		h.settings.Seeds = seeds
--- a/standin/soak/fault_route.go
+++ b/standin/soak/fault_route.go
@@ -6,6 +6,9 @@
 	"sesameledge.dev/sesameledge/standin/proxysim"
 )
 
+// frontRoute is the prefix of the names of the routes from callers to hosts.
+const frontRoute = "front-"
+
 // setRouteFault changes the fault of a proxy route.
 func (d *deployment) setRouteFault(req proxysim.FaultRequest) {
 	if err := d.proxy.SetFault(req); err != nil {
@@ -16,7 +19,7 @@
 // routeFault makes an unplanned fault that draws a proxy route as its target: a route of the drawn host
 // or, for one in four, the route of a worker.
 func routeFault(begin func(d *deployment, rng *rand.Rand, route string) func()) func(*deployment, *rand.Rand) func() {
-	kinds := []string{"peers-", "front-", "store-"}
+	kinds := []string{"peers-", frontRoute, "store-"}
 	return hostFault(false, func(d *deployment, rng *rand.Rand, h *hostNode) func() {
 		if rng.IntN(4) == 0 {
 			return begin(d, rng, d.workers[rng.IntN(len(d.workers))].route)
@@ -39,6 +42,11 @@
 
 var silenceRoute = routeFault(func(d *deployment, _ *rand.Rand, route string) func() {
 	d.setRouteFault(proxysim.FaultRequest{Route: route, BlackHole: true})
+	for _, h := range d.hosts {
+		if route == frontRoute+h.name {
+			h.recordSilence()
+		}
+	}
 	return noop
 })
 
--- a/standin/soak/host.go
+++ b/standin/soak/host.go
@@ -26,6 +26,7 @@
 	endRequested    bool             // the process was told to end or killed
 	removed         bool             // does not start: replaced, or a spare that is not in use
 	unplannedFaults []interval       // broken requests are excused at these times
+	silencedAt      []time.Time      // when the callers' connections that were open then went silent for good
 	restartMu       sync.Mutex       // held while restart starts the process
 }
 
@@ -112,6 +113,21 @@
 	return anyIntervalOverlaps(h.unplannedFaults, from, to)
 }
 
+// recordSilence records that the open connections of callers to the host go silent for good.
+func (h *hostNode) recordSilence() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.silencedAt = append(h.silencedAt, time.Now())
+}
+
+// silenced reports whether a caller's connection to the host that was opened at a given time has gone
+// silent. A zero time stands for no connection.
+func (h *hostNode) silenced(opened time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return !opened.IsZero() && slices.ContainsFunc(h.silencedAt, opened.Before)
+}
+
 // kill kills the host's process with SIGKILL.
 func (h *hostNode) kill() {
 	p := h.markEnding()
--- a/standin/soak/run.go
+++ b/standin/soak/run.go
@@ -165,7 +165,7 @@
 	if err := d.waitUntilReady(recoveryTimeout); err != nil {
 		d.addFinding("after the last fault: %v", err)
 	}
-	client := &http.Client{Timeout: callerDeadline + answerGracePeriod}
+	client := newCallerClient()
 	defer client.CloseIdleConnections()
 	for _, h := range d.hosts {
 		deadline := time.Now().Add(recoveryTimeout)
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -8,15 +8,16 @@
 	"sesameledge.dev/sesameledge/standin/testbed"
 )
 
-// testLength is the time with faults of a test run. Runs of the command take longer, with new seeds.
-const testLength = 4 * time.Second
-
-// regressions lists seeds that once failed, each with the cause.
+// regressions lists seeds that once failed, each with the cause. Runs of the command take longer, with
+// new seeds.
 var regressions = []struct {
-	seed  uint64
+	args
 	cause string
 }{
-	{1, "a second SIGTERM, of an overlapping rollout, ended a process in the middle of its drain"},
+	{args{Seed: 1, Length: 4 * time.Second, Zones: 2, Hosts: 2, Workers: 4, Callers: 12},
+		"a second SIGTERM, of an overlapping rollout, ended a process in the middle of its drain"},
+	{args{Seed: 3021, Length: 20 * time.Second, Zones: 2, Hosts: 3, Workers: 5, Callers: 24},
+		"a request on a connection that a fault had silenced counted as broken off by its host"},
 }
 
 // TestSoak injects faults from outside into real host processes. It guards against overlapping runs of
@@ -30,8 +31,9 @@
 	}
 	for _, r := range regressions {
 		t.Run(r.cause, func(t *testing.T) {
-			a := args{Bin: bin, Length: testLength, Zones: 2, Hosts: 2, Workers: 4, Callers: 12, Logs: t.TempDir()}
-			report, err := runSeed(context.Background(), a, r.seed)
+			a := r.args
+			a.Bin, a.Logs = bin, t.TempDir()
+			report, err := runSeed(context.Background(), a, a.Seed)
 			if err != nil {
 				t.Fatal(err)
 			}
