Wait for workers as long as their answers take, and use late answers

Cause: calls to workers were cut off after 80 and 100 ms. Where a narrow link or a small processor makes every answer slower, each start counted as unanswered: its run was stopped, its connection thrown away and dialed anew, which added to the load. Change: package rtt estimates the time of calls as TCP does. The scheduler sets the time limit of each call, between the former limits and 350 ms, from the answers of the worker and of all workers. A call that is late is reported as unanswered but goes on for 900 ms; the late answer confirms or ends the run. A late timer means that this process has stalled, so answers are read first. Unused connections are closed only if the worker has not answered on any connection since the call. Two faults of the same kind found on the way: an answer that waited in a suspended process dated the worker's clock as new, so that a lease could be reckoned from the clock of a process that is gone; and a refusal of an earlier token of this host gave the worker up.

--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -80,6 +80,7 @@
 	vars.Set("host", expvar.Func(func() any { return h.hostStats() }))
 	vars.Set("sched", expvar.Func(func() any { return h.schedStats() }))
 	vars.Set("latency", expvar.Func(func() any { return h.metrics.summaries() }))
+	vars.Set("worker_call_timeout_ms", expvar.Func(func() any { return h.workerCallTimeout().Milliseconds() }))
 	vars.Set("log_lines_left_out", expvar.Func(func() any { return h.logOutput.droppedLines() }))
 	vars.Set("memstats", expvar.Get("memstats"))
 	mux := http.NewServeMux()
@@ -97,6 +98,13 @@
 	return stats
 }
 
+// workerCallTimeout returns the time after which calls to workers count as unanswered. It rises when
+// the link or the processor of this host is a bottleneck.
+func (h *Host) workerCallTimeout() (timeout time.Duration) {
+	h.loop.readState(func(_ time.Duration, s *host.State) { timeout = s.Scheduler().CallTimeout() })
+	return timeout
+}
+
 func (h *Host) schedStats() (stats sched.Stats) {
 	h.loop.readState(func(_ time.Duration, s *host.State) { stats = s.Scheduler().Stats() })
 	return stats
--- a/entry/workers.go
+++ b/entry/workers.go
@@ -5,8 +5,11 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"sesameledge.dev/sesameledge/fleet"
 	"sesameledge.dev/sesameledge/host"
 	"sesameledge.dev/sesameledge/platform"
@@ -14,13 +17,11 @@
 )
 
 const (
-	// startStopTimeout limits a call to start or stop a run. Workers answer within a few ms. If an
-	// order stays unanswered, the run's resources stay reserved until the worker's list of runs
-	// has shown what became of it.
-	startStopTimeout = 80 * time.Millisecond
-	// holdTimeout limits a hold call, not counting the long poll that it asks for. Together
-	// they leave time for a second hold within the lease.
-	holdTimeout = 100 * time.Millisecond
+	// maxTimerDelay is the delay of a timer above which this process itself has stalled, so that
+	// answers may wait to be read. stallGrace is the time to read them before a call counts as
+	// unanswered.
+	maxTimerDelay = 20 * time.Millisecond
+	stallGrace    = 30 * time.Millisecond
 	// dialTimeout limits the time to open a TCP connection.
 	dialTimeout = 300 * time.Millisecond
 	// workerIdleTimeout is how long an unused connection to a worker is kept. Opening a new one
@@ -40,62 +41,96 @@
 }
 
 func newWorkerCaller(m *metrics, send func(any)) *workerCaller {
-	transport := &addressTransports{transports: make(map[string]*http.Transport)}
+	transport := &addressTransports{transports: make(map[string]*addressTransport)}
 	return &workerCaller{client: platform.NewWorkerClient(transport), transport: transport, metrics: m, send: send}
 }
 
 // start orders a worker to start a run.
 func (c *workerCaller) start(e sched.StartRun) {
 	sent := sinceBoot()
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), startStopTimeout)
-		defer cancel()
+	go c.call(e.Worker, 0, e.Timeout, func(ctx context.Context) fleet.HoldReply {
 		reply := c.client.Start(ctx, e.Worker, e.Order)
 		c.metrics.observe("worker.start", sinceBoot()-sent)
-		c.closeIdleIfUnanswered(e.Worker, reply)
-		c.send(host.WorkerEvent{Event: sched.StartReply{Worker: e.Worker.ID, Run: e.Order.Run, Reply: reply}})
-	}()
+		return fleet.HoldReply{Reply: reply}
+	}, func(r fleet.HoldReply) sched.Event {
+		return sched.StartReply{Worker: e.Worker.ID, Run: e.Order.Run, Sent: sent, Fence: e.Order.Fence, Reply: r.Reply}
+	})
 }
 
 // stop orders a worker to stop a run.
 func (c *workerCaller) stop(e sched.StopRun) {
 	sent := sinceBoot()
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), startStopTimeout)
-		defer cancel()
+	go c.call(e.Worker, 0, e.Timeout, func(ctx context.Context) fleet.HoldReply {
 		reply := c.client.Stop(ctx, e.Worker, e.Order)
 		c.metrics.observe("worker.stop", sinceBoot()-sent)
-		c.closeIdleIfUnanswered(e.Worker, reply)
-		c.send(host.WorkerEvent{Event: sched.StopReply{Worker: e.Worker.ID, Run: e.Order.Run, Reply: reply}})
-	}()
+		return fleet.HoldReply{Reply: reply}
+	}, func(r fleet.HoldReply) sched.Event {
+		return sched.StopReply{Worker: e.Worker.ID, Run: e.Order.Run, Sent: sent, Fence: e.Order.Fence, Reply: r.Reply}
+	})
 }
 
 // hold extends a worker's lease and asks for its runs.
 func (c *workerCaller) hold(e sched.HoldWorker) {
 	sent := sinceBoot()
-	go func() {
-		wait := time.Duration(e.Order.WaitMillis) * time.Millisecond
-		ctx, cancel := context.WithTimeout(context.Background(), wait+holdTimeout)
-		defer cancel()
-		reply := c.client.Hold(ctx, e.Worker, e.Order)
-		c.closeIdleIfUnanswered(e.Worker, reply.Reply)
-		c.send(host.WorkerEvent{Event: sched.HoldReply{Worker: e.Worker.ID, Seq: e.Seq, Sent: sent, Reply: reply}})
-	}()
+	wait := time.Duration(e.Order.WaitMillis) * time.Millisecond
+	go c.call(e.Worker, wait, e.Timeout, func(ctx context.Context) fleet.HoldReply {
+		return c.client.Hold(ctx, e.Worker, e.Order)
+	}, func(r fleet.HoldReply) sched.Event {
+		return sched.HoldReply{Worker: e.Worker.ID, Seq: e.Seq, Sent: sent, Wait: wait, Fence: e.Order.Fence, Reply: r}
+	})
 }
 
-// closeIdleIfUnanswered closes the unused connections to a worker that did not answer, since
-// whatever made one connection fail may have broken the others too.
-func (c *workerCaller) closeIdleIfUnanswered(w fleet.Worker, r fleet.Reply) {
-	if r.Verdict == fleet.NoAnswer {
-		c.transport.closeIdle(w.Addr)
+// call makes a call and sends the event for its reply. If there is none within wait and timeout, it
+// sends an event without an answer, goes on waiting until sched.MaxReplyAge, and then sends an event
+// for the late reply, if it comes.
+func (c *workerCaller) call(w fleet.Worker, wait, timeout time.Duration, perform func(context.Context) fleet.HoldReply, event func(fleet.HoldReply) sched.Event) {
+	ctx, cancel := context.WithTimeout(context.Background(), wait+sched.MaxReplyAge)
+	defer cancel()
+	sent := sinceBoot()
+	var reported atomic.Bool // the event for a reply, or for none in time, is sent
+	report := func(r fleet.HoldReply) {
+		if !reported.CompareAndSwap(false, true) {
+			return
+		}
+		if r.Verdict == fleet.NoAnswer {
+			c.transport.closeIdleIfSilent(w.Addr, sent)
+		}
+		c.send(host.WorkerEvent{Event: event(r)})
+	}
+	timer := time.AfterFunc(wait+timeout, func() {
+		expire := func() { report(fleet.HoldReply{Reply: fleet.Reply{Err: errNoAnswerInTime}}) }
+		if sinceBoot()-sent > wait+timeout+maxTimerDelay {
+			time.AfterFunc(stallGrace, expire)
+			return
+		}
+		expire()
+	})
+	defer timer.Stop()
+	reply := perform(ctx)
+	if reply.Verdict != fleet.NoAnswer {
+		c.transport.recordAnswer(w.Addr)
 	}
+	if reported.Load() && reply.Verdict != fleet.NoAnswer {
+		c.send(host.WorkerEvent{Event: event(reply)})
+		return
+	}
+	report(reply)
 }
 
+// errNoAnswerInTime is the reason for a reply without an answer while the call still goes on.
+var errNoAnswerInTime = errors.New("no answer in time")
+
 // addressTransports is an http.RoundTripper with a transport of its own for each address, so that
 // the unused connections to one address can be closed alone.
 type addressTransports struct {
 	mu         sync.Mutex
-	transports map[string]*http.Transport
+	transports map[string]*addressTransport
+}
+
+// addressTransport is the transport of one address.
+type addressTransport struct {
+	*http.Transport
+	answeredAt atomic.Int64 // when the newest answer came, in ns since boot
 }
 
 // RoundTrip implements http.RoundTripper.
@@ -104,18 +139,30 @@
 }
 
 // transport returns the transport of an address, IP:port, and creates it if there is none.
-func (p *addressTransports) transport(addr string) *http.Transport {
+func (p *addressTransports) transport(addr string) *addressTransport {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	t := p.transports[addr]
 	if t == nil {
-		t = newTransport(maxIdleWorkerConns, workerIdleTimeout)
+		t = &addressTransport{Transport: newTransport(maxIdleWorkerConns, workerIdleTimeout)}
 		p.transports[addr] = t
 	}
 	return t
 }
 
-func (p *addressTransports) closeIdle(addr string) { p.transport(addr).CloseIdleConnections() }
+// recordAnswer records that an answer has come from an address.
+func (p *addressTransports) recordAnswer(addr string) {
+	p.transport(addr).answeredAt.Store(int64(sinceBoot()))
+}
+
+// closeIdleIfSilent closes the unused connections to an address from which no answer has come since a
+// call was sent there. Whatever made one connection fail may have broken the others too. While answers
+// come, the connections work and the call is only slow.
+func (p *addressTransports) closeIdleIfSilent(addr string, sent time.Duration) {
+	if t := p.transport(addr); t.answeredAt.Load() < int64(sent) {
+		t.CloseIdleConnections()
+	}
+}
 
 // newTransport returns a transport that keeps up to maxIdleConns unused connections to each
 // address, each for up to idleTimeout.
--- a/host/partition_test.go
+++ b/host/partition_test.go
@@ -55,7 +55,7 @@
 		case sched.StartRun:
 			p.started++
 			reply := fleet.Reply{Verdict: fleet.Accepted, ClockMillis: p.now.Milliseconds(), ProcessStart: 1}
-			p.step(i, WorkerEvent{Event: sched.StartReply{Worker: "w", Run: e.Order.Run, Reply: reply}})
+			p.step(i, WorkerEvent{Event: sched.StartReply{Worker: "w", Run: e.Order.Run, Sent: p.now, Fence: e.Order.Fence, Reply: reply}})
 		case sched.HoldWorker:
 			if e.Order.WaitMillis == 0 {
 				reply := fleet.HoldReply{Reply: fleet.Reply{Verdict: fleet.Accepted, ClockMillis: p.now.Milliseconds(), ProcessStart: 1}}
--- a/host/simulation_jobs_test.go
+++ b/host/simulation_jobs_test.go
@@ -146,7 +146,11 @@
 func (w *simulation) order(h *simHost, effect Effect) {
 	ww, limit := w.target(effect)
 	c := &workerCall{w: w, h: h, process: h.processCount, ww: ww, effect: effect, sent: h.clock()}
-	w.after(limit, func() { c.answer(fleet.HoldReply{}) })
+	w.after(limit, func() {
+		if !c.answered {
+			c.passOn(fleet.HoldReply{})
+		}
+	})
 	switch {
 	case ww.cut || ww.zoneCut && ww.info.Zone != h.zone || w.now < ww.DownUntil:
 		return
@@ -168,15 +172,14 @@
 // target returns the worker of an order and how long the host waits for the reply.
 func (w *simulation) target(effect Effect) (*simWorker, time.Duration) {
 	var id string
-	limit := orderTimeout
+	var limit time.Duration
 	switch e := effect.(type) {
 	case sched.StartRun:
-		id = e.Worker.ID
+		id, limit = e.Worker.ID, e.Timeout
 	case sched.StopRun:
-		id = e.Worker.ID
+		id, limit = e.Worker.ID, e.Timeout
 	case sched.HoldWorker:
-		id = e.Worker.ID
-		limit = holdTimeout + time.Duration(e.Order.WaitMillis)*time.Millisecond
+		id, limit = e.Worker.ID, e.Timeout+holdWait(e)
 	}
 	for _, ww := range w.workers {
 		if ww.ID == id {
@@ -198,21 +201,38 @@
 	answered  bool
 }
 
-// answer passes a reply to the process that sent the order. An empty reply means that none came
-// within the timeout.
+// holdWait returns how long a hold asks the worker to wait for the end of a run.
+func holdWait(e sched.HoldWorker) time.Duration {
+	return time.Duration(e.Order.WaitMillis) * time.Millisecond
+}
+
+// answer passes the worker's reply on, unless it is so late that the host has given the call up.
 func (c *workerCall) answer(reply fleet.HoldReply) {
-	if c.answered || c.h.processCount != c.process {
+	limit := sched.MaxReplyAge
+	if e, ok := c.effect.(sched.HoldWorker); ok {
+		limit += holdWait(e)
+	}
+	if c.answered || c.h.clock()-c.sent > limit {
 		return
 	}
 	c.answered = true
+	c.passOn(reply)
+}
+
+// passOn passes a reply to the process that sent the order. An empty reply means that none has come
+// within the timeout.
+func (c *workerCall) passOn(reply fleet.HoldReply) {
+	if c.h.processCount != c.process {
+		return
+	}
 	var ev sched.Event
 	switch e := c.effect.(type) {
 	case sched.StartRun:
-		ev = sched.StartReply{Worker: c.ww.ID, Run: e.Order.Run, Reply: reply.Reply}
+		ev = sched.StartReply{Worker: c.ww.ID, Run: e.Order.Run, Sent: c.sent, Fence: e.Order.Fence, Reply: reply.Reply}
 	case sched.StopRun:
-		ev = sched.StopReply{Worker: c.ww.ID, Run: e.Order.Run, Reply: reply.Reply}
+		ev = sched.StopReply{Worker: c.ww.ID, Run: e.Order.Run, Sent: c.sent, Fence: e.Order.Fence, Reply: reply.Reply}
 	case sched.HoldWorker:
-		ev = sched.HoldReply{Worker: c.ww.ID, Seq: e.Seq, Sent: c.sent, Reply: reply}
+		ev = sched.HoldReply{Worker: c.ww.ID, Seq: e.Seq, Sent: c.sent, Wait: holdWait(e), Fence: e.Order.Fence, Reply: reply}
 	}
 	c.h.deliver(c.process, WorkerEvent{Event: ev})
 }
--- a/host/simulation_test.go
+++ b/host/simulation_test.go
@@ -19,9 +19,6 @@
 	simLatency = time.Millisecond
 	// storeReadInterval is the time between two reads of the store by a host.
 	storeReadInterval = 600 * time.Millisecond
-	// orderTimeout and holdTimeout limit how long a host waits for a worker's reply.
-	orderTimeout = 80 * time.Millisecond
-	holdTimeout  = 100 * time.Millisecond
 	// callerResendDelay is the delay before callers resend a job whose outcome is unknown.
 	callerResendDelay = 1300 * time.Millisecond
 	// bootTime is how long a process takes to start.
--- a/sched/event.go
+++ b/sched/event.go
@@ -64,25 +64,33 @@
 // until it is given up.
 type ReleaseWorker struct{ Worker string }
 
-// StartReply is the answer to a StartRun.
+// StartReply is the answer to a StartRun. Without an answer in time its verdict is NoAnswer; a second
+// StartReply may then bring the answer, up to MaxReplyAge after the StartRun was sent.
 type StartReply struct {
 	Worker string
 	Run    fleet.RunKey
+	Sent   time.Duration // when the StartRun was sent
+	Fence  int64         // of the StartRun
 	Reply  fleet.Reply
 }
 
-// StopReply is the answer to a StopRun.
+// StopReply is the answer to a StopRun. It may come in two parts as a StartReply does.
 type StopReply struct {
 	Worker string
 	Run    fleet.RunKey
+	Sent   time.Duration // when the StopRun was sent
+	Fence  int64         // of the StopRun
 	Reply  fleet.Reply
 }
 
-// HoldReply is the answer to a HoldWorker.
+// HoldReply is the answer to a HoldWorker. It may come in two parts as a StartReply does. The lists in
+// the second one are ignored, because a newer hold may have been answered since.
 type HoldReply struct {
 	Worker string
 	Seq    uint64        // of the HoldWorker
 	Sent   time.Duration // when the HoldWorker was sent
+	Fence  int64         // of the HoldWorker
+	Wait   time.Duration // that the HoldWorker asked for
 	Reply  fleet.HoldReply
 }
 
@@ -103,24 +111,27 @@
 // Effect is an output of the state machine that the caller has to carry out.
 type Effect interface{ effect() }
 
-// StartRun asks a worker to start a run. Started answers it.
+// StartRun asks a worker to start a run. StartReply answers it.
 type StartRun struct {
-	Worker fleet.Worker
-	Order  fleet.StartOrder
+	Worker  fleet.Worker
+	Order   fleet.StartOrder
+	Timeout time.Duration // after which the call counts as unanswered
 }
 
-// StopRun asks a worker to stop a run. Stopped answers it.
+// StopRun asks a worker to stop a run. StopReply answers it.
 type StopRun struct {
-	Worker fleet.Worker
-	Order  fleet.StopOrder
+	Worker  fleet.Worker
+	Order   fleet.StopOrder
+	Timeout time.Duration // after which the call counts as unanswered
 }
 
-// HoldWorker extends a worker's lease, if its order says so, and asks for the worker's runs. Held
+// HoldWorker extends a worker's lease, if its order says so, and asks for the worker's runs. HoldReply
 // answers it.
 type HoldWorker struct {
-	Worker fleet.Worker
-	Seq    uint64
-	Order  fleet.HoldOrder
+	Worker  fleet.Worker
+	Seq     uint64
+	Order   fleet.HoldOrder
+	Timeout time.Duration // after which the call counts as unanswered, beyond the wait of the order
 }
 
 // JobFinished reports the outcome of a job.
--- a/sched/hold.go
+++ b/sched/hold.go
@@ -35,7 +35,7 @@
 	w.holdSeq++
 	w.holdOpen = true
 	w.openHoldAck = order.AckedNumber
-	s.emit(HoldWorker{Worker: w.info, Seq: w.holdSeq, Order: order})
+	s.emit(HoldWorker{Worker: w.info, Seq: w.holdSeq, Order: order, Timeout: s.holdTimeout(w)})
 }
 
 // sendUrgentHold sends a worker a hold that it answers at once. The answer to a hold that is still
@@ -50,7 +50,11 @@
 // handleHeld processes a worker's answer to a hold.
 func (s *State) handleHeld(now time.Duration, e HoldReply) {
 	w := s.workers[e.Worker]
-	if w == nil || !w.holdOpen || e.Seq != w.holdSeq {
+	if w == nil {
+		return
+	}
+	s.recordCall(now, w, e.Sent, e.Wait, e.Reply.Verdict)
+	if !w.holdOpen || e.Seq != w.holdSeq {
 		return
 	}
 	w.holdOpen = false
@@ -61,7 +65,7 @@
 	case fleet.Accepted:
 		s.applyRunLists(now, w, e)
 	case fleet.Fenced:
-		s.handleFenced(w)
+		s.handleFenced(w, e.Fence)
 		return
 	default:
 		s.recordMissedHold(now, w, e.Reply.Reply)
@@ -89,7 +93,7 @@
 		w.missedHolds = 0
 	}
 	s.detectRestart(now, w, e.Reply.ProcessStart)
-	w.recordClock(now, e.Reply.ClockMillis)
+	w.recordClockOf(now, e.Sent, e.Wait, e.Reply.ClockMillis)
 	w.nextHold = now
 	s.needsPlacement = true
 	w.acknowledgedEnd = max(w.acknowledgedEnd, w.openHoldAck)
@@ -229,7 +233,8 @@
 	if w == nil {
 		return
 	}
-	w.recordClock(now, e.Reply.ClockMillis)
+	s.recordCall(now, w, e.Sent, 0, e.Reply.Verdict)
+	w.recordClockOf(now, e.Sent, 0, e.Reply.ClockMillis)
 	r := w.runs[e.Run]
 	if r == nil {
 		return
@@ -243,21 +248,25 @@
 		return
 	}
 	if e.Reply.Verdict == fleet.NoAnswer {
+		if r.confirmedAt != 0 {
+			return // a list or the answer itself has come in the meantime
+		}
 		s.stats.Doubts++
 		s.logEvent(r.job.spec.RequestID, "start unanswered", "worker", w.info.ID, "task", r.key.Task, "attempt", r.key.Attempt, "err", e.Reply.Err)
 		r.unansweredAt = now
 		s.sendUrgentHold(now, w)
 		return
 	}
-	s.handleRejectedStart(now, w, r, e.Reply.Verdict)
+	s.handleRejectedStart(now, w, r, e)
 }
 
 // handleRejectedStart ends a run that a worker has refused to start.
-func (s *State) handleRejectedStart(now time.Duration, w *worker, r *run, v fleet.Verdict) {
+func (s *State) handleRejectedStart(now time.Duration, w *worker, r *run, e StartReply) {
+	v := e.Reply.Verdict
 	s.logEvent(r.job.spec.RequestID, "start rejected", "worker", w.info.ID, "task", r.key.Task, "attempt", r.key.Attempt, "verdict", v)
 	switch v {
 	case fleet.Fenced:
-		defer s.handleFenced(w)
+		defer s.handleFenced(w, e.Fence)
 	case fleet.Superseded:
 		r.job.attempts[r.index] += supersededAttemptStep
 	case fleet.InsufficientCapacity, fleet.Unhealthy, fleet.OtherIncarnation, fleet.NoTicket:
@@ -275,14 +284,15 @@
 	if w == nil {
 		return
 	}
+	s.recordCall(now, w, e.Sent, 0, e.Reply.Verdict)
 	if e.Reply.Verdict == fleet.Fenced {
-		s.handleFenced(w)
+		s.handleFenced(w, e.Fence)
 		return
 	}
 	if e.Reply.Verdict != fleet.Accepted {
 		return // a later Tick sends it again
 	}
-	w.recordClock(now, e.Reply.ClockMillis)
+	w.recordClockOf(now, e.Sent, 0, e.Reply.ClockMillis)
 	if r := w.runs[e.Run]; r != nil {
 		r.stop.acceptedAt = now
 		if r.unansweredAt != 0 && r.confirmedAt == 0 {
--- a/sched/machine_test.go
+++ b/sched/machine_test.go
@@ -29,7 +29,9 @@
 	workers        []*workermodel.Worker
 	rivalFences    map[string]int64           // fencing token of a rival commander, by worker
 	pendingCalls   []call                     // neither delivered nor lost
-	givenUpCalls   []call                     // lost for their sender; may still be carried out
+	givenUpCalls   []call                     // reported as unanswered; may still be carried out
+	lateReplies    []lateReply                // answers to such calls that have not arrived
+	carriedOutLate map[int]bool               // numbers of such calls that have been carried out
 	taskCounts     map[JobKey]int             // number of tasks of each submitted job
 	needs          map[string]fleet.Resources // of a task, by job name
 	doneTasks      map[fleet.Task]bool        // tasks of which a run has ended done
@@ -46,9 +48,15 @@
 	number int
 }
 
+// lateReply is the answer to a call that was reported as unanswered. The lists are those of a hold.
+type lateReply struct {
+	call  call
+	reply fleet.HoldReply
+}
+
 func newSchedMachine() *schedMachine {
 	m := &schedMachine{
-		s: New(), now: time.Minute, taskCounts: make(map[JobKey]int), needs: make(map[string]fleet.Resources),
+		s: New(), now: time.Minute, carriedOutLate: make(map[int]bool), taskCounts: make(map[JobKey]int), needs: make(map[string]fleet.Resources),
 		doneTasks: make(map[fleet.Task]bool), outcomes: make(map[JobKey]Outcome), rivalFences: make(map[string]int64), lastFence: 10,
 	}
 	for i := range 3 {
@@ -124,14 +132,14 @@
 		if !answer {
 			reply = fleet.Reply{}
 		}
-		m.step(StopReply{Worker: w.ID, Run: e.Order.Run, Reply: reply})
+		m.step(StopReply{Worker: w.ID, Run: e.Order.Run, Sent: c.sent, Fence: e.Order.Fence, Reply: reply})
 	case HoldWorker:
 		w := m.worker(e.Worker.ID)
 		reply := w.Hold(m.now, e.Order)
 		if !answer {
 			reply = fleet.HoldReply{}
 		}
-		m.step(HoldReply{Worker: w.ID, Seq: e.Seq, Sent: c.sent, Reply: reply})
+		m.step(HoldReply{Worker: w.ID, Seq: e.Seq, Sent: c.sent, Wait: waitOf(e), Fence: e.Order.Fence, Reply: reply})
 	}
 }
 
@@ -139,7 +147,7 @@
 	if !answer {
 		reply = fleet.Reply{}
 	}
-	m.step(StartReply{Worker: e.Worker.ID, Run: e.Order.Run, Reply: reply})
+	m.step(StartReply{Worker: e.Worker.ID, Run: e.Order.Run, Sent: c.sent, Fence: e.Order.Fence, Reply: reply})
 }
 
 // loseCall reports a call as unanswered. It may still be carried out later, unless no process was
@@ -152,9 +160,9 @@
 	case StartRun:
 		m.answerStart(c, e, fleet.Reply{}, false)
 	case StopRun:
-		m.step(StopReply{Worker: e.Worker.ID, Run: e.Order.Run})
+		m.step(StopReply{Worker: e.Worker.ID, Run: e.Order.Run, Sent: c.sent, Fence: e.Order.Fence})
 	case HoldWorker:
-		m.step(HoldReply{Worker: e.Worker.ID, Seq: e.Seq, Sent: c.sent})
+		m.step(HoldReply{Worker: e.Worker.ID, Seq: e.Seq, Sent: c.sent, Wait: waitOf(e), Fence: e.Order.Fence})
 	}
 }
 
@@ -163,16 +171,42 @@
 	if m.now < m.workerOf(c).DownUntil {
 		return
 	}
+	late := lateReply{call: c}
 	switch e := c.effect.(type) {
 	case StartRun:
-		m.worker(e.Worker.ID).Start(m.now, e.Order, m.needs[e.Order.Run.Task.Job])
+		late.reply.Reply = m.worker(e.Worker.ID).Start(m.now, e.Order, m.needs[e.Order.Run.Task.Job])
+	case StopRun:
+		late.reply.Reply = m.worker(e.Worker.ID).Stop(m.now, e.Order)
+	case HoldWorker:
+		late.reply = m.worker(e.Worker.ID).Hold(m.now, e.Order)
+	}
+	if !m.carriedOutLate[c.number] { // a call has one answer, also if it is carried out again
+		m.carriedOutLate[c.number] = true
+		m.lateReplies = append(m.lateReplies, late)
+	}
+}
+
+// deliverLateReply passes on the answer to a call that had been reported as unanswered. The caller of
+// the scheduler waits for it until the call is MaxReplyAge old.
+func (m *schedMachine) deliverLateReply(l lateReply) {
+	if m.now-l.call.sent > MaxReplyAge+timeoutOf(l.call)-callTimeout {
+		return
+	}
+	// A call is carried out once, so an answered one is not carried out any more.
+	m.givenUpCalls = slices.DeleteFunc(m.givenUpCalls, func(c call) bool { return c.number == l.call.number })
+	switch e := l.call.effect.(type) {
+	case StartRun:
+		m.answerStart(l.call, e, l.reply.Reply, true)
 	case StopRun:
-		m.worker(e.Worker.ID).Stop(m.now, e.Order)
+		m.step(StopReply{Worker: e.Worker.ID, Run: e.Order.Run, Sent: l.call.sent, Fence: e.Order.Fence, Reply: l.reply.Reply})
 	case HoldWorker:
-		m.worker(e.Worker.ID).Hold(m.now, e.Order)
+		m.step(HoldReply{Worker: e.Worker.ID, Seq: e.Seq, Sent: l.call.sent, Wait: waitOf(e), Fence: e.Order.Fence, Reply: l.reply})
 	}
 }
 
+// waitOf returns how long a hold asks the worker to wait for the end of a run.
+func waitOf(h HoldWorker) time.Duration { return time.Duration(h.Order.WaitMillis) * time.Millisecond }
+
 // restart ends the process of a worker, with all its runs and the calls that it has received, and
 // starts a new one after minRestartTime.
 func (m *schedMachine) restart(w *workermodel.Worker) {
@@ -203,7 +237,7 @@
 
 func timeoutOf(c call) time.Duration {
 	if h, ok := c.effect.(HoldWorker); ok {
-		return callTimeout + time.Duration(h.Order.WaitMillis)*time.Millisecond
+		return callTimeout + waitOf(h)
 	}
 	return callTimeout
 }
@@ -292,6 +326,13 @@
 					m.carryOutLate(m.givenUpCalls[i])
 				}
 			},
+			"answerLate": func(t *rapid.T) {
+				if len(m.lateReplies) > 0 {
+					i := rapid.IntRange(0, len(m.lateReplies)-1).Draw(t, "late")
+					m.deliverLateReply(m.lateReplies[i])
+					m.lateReplies = slices.Delete(m.lateReplies, i, i+1)
+				}
+			},
 			"end": func(t *rapid.T) {
 				w := m.workers[rapid.IntRange(0, len(m.workers)-1).Draw(t, "worker")]
 				if keys := w.Running(); len(keys) > 0 {
--- a/sched/place_test.go
+++ b/sched/place_test.go
@@ -46,7 +46,7 @@
 		case StartRun:
 			p.starts = append(p.starts, e)
 			p.running[e.Worker.ID][e.Order.Run] = true
-			p.step(StartReply{Worker: e.Worker.ID, Run: e.Order.Run, Reply: fleet.Reply{Verdict: fleet.Accepted, ClockMillis: p.now.Milliseconds()}})
+			p.step(StartReply{Worker: e.Worker.ID, Run: e.Order.Run, Sent: p.now, Fence: e.Order.Fence, Reply: fleet.Reply{Verdict: fleet.Accepted, ClockMillis: p.now.Milliseconds()}})
 		case HoldWorker:
 			if e.Order.WaitMillis == 0 {
 				p.answerHold(e.Worker.ID, e.Seq)
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"sesameledge.dev/sesameledge/fleet"
+	"sesameledge.dev/sesameledge/rtt"
 )
 
 const (
@@ -26,8 +27,8 @@
 	stopGracePeriod = 200 * time.Millisecond
 	// stopRetryInterval is the time after which an unanswered stop is sent again.
 	stopRetryInterval = 150 * time.Millisecond
-	// unansweredStartTimeout is the time after which a run whose start was unanswered is stopped
-	// unless the worker has listed it.
+	// unansweredStartTimeout is the shortest time after which a run whose start was unanswered is
+	// stopped unless the worker has listed it.
 	unansweredStartTimeout = 120 * time.Millisecond
 	// maxAckDelay is how long the ends of runs may stay unacknowledged on an idle worker.
 	maxAckDelay = 400 * time.Millisecond
@@ -47,6 +48,7 @@
 	jobs           map[JobKey]*job
 	queue          []*job // with waiting tasks
 	durations      *durationModel
+	calls          rtt.Estimator // over the calls to all workers
 	importance     *importance
 	effects        []Effect
 	needsPlacement bool      // a task may have become placeable since the last Place
@@ -213,10 +215,11 @@
 	s.emit(WorkerReleased{Worker: w.info.ID})
 }
 
-// handleFenced gives up a worker that another host has taken. The runs there end with their lease,
-// or earlier if the other host stops them.
-func (s *State) handleFenced(w *worker) {
-	if w.phase == phaseNone {
+// handleFenced gives up a worker that another host has taken, as its refusal of a call with the given
+// fencing token shows. The runs there end with their lease, or earlier if the other host stops them.
+// If this host has taken the worker again under a higher token since, the refusal tells nothing.
+func (s *State) handleFenced(w *worker, fence int64) {
+	if w.phase == phaseNone || fence < w.fence {
 		return
 	}
 	s.logEvent("", "worker taken by another host", "worker", w.info.ID, "fence", w.fence, "runs", len(w.runs))
@@ -269,7 +272,7 @@
 // checkRuns stops runs that hang or whose start stays unanswered, and sends due stops.
 func (s *State) checkRuns(now time.Duration, w *worker) {
 	for _, r := range sortedRuns(w) {
-		if r.unansweredAt != 0 && r.confirmedAt == 0 && r.stop.wantedSince == 0 && now-r.unansweredAt >= unansweredStartTimeout {
+		if r.unansweredAt != 0 && r.confirmedAt == 0 && r.stop.wantedSince == 0 && now-r.unansweredAt >= max(unansweredStartTimeout, s.orderTimeout(w)) {
 			r.stop.wantedSince = now
 		}
 		if r.stop.wantedSince == 0 && s.isHanging(now, r) {
@@ -296,5 +299,5 @@
 	}
 	st.lastSentAt = now
 	s.stats.Stops++
-	s.emit(StopRun{Worker: w.info, Order: fleet.StopOrder{Run: key, Fence: w.fence}})
+	s.emit(StopRun{Worker: w.info, Order: fleet.StopOrder{Run: key, Fence: w.fence}, Timeout: s.orderTimeout(w)})
 }
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"sesameledge.dev/sesameledge/fleet"
+	"sesameledge.dev/sesameledge/rtt"
 )
 
 // phase is the state of the command over a worker.
@@ -40,6 +41,7 @@
 	nextHold   time.Duration // earliest time of the next hold
 	holdUrgent bool          // the next hold has to be sent even if idle, and answered at once
 
+	calls         rtt.Estimator // over the calls to this worker
 	missedHolds   int           // holds in a row without a usable answer
 	blockedUntil  time.Duration // gets no new tasks until then
 	lastBlockTime time.Duration // length of the newest block; 0 after an accepted start
