--- a/entry/host.go
+++ b/entry/host.go
@@ -83,6 +83,7 @@
 	h.links = mesh.NewLinks(peerIP(s))
 	h.ingress = &ingress{host: h}
 	h.loop = newLoop(h.newState(), h.logger, h)
+	h.loop.readsWorkers.Store(true)
 	h.workers = newWorkerCaller(h.metrics, h.loop.send)
 	_ = h.logger.Log("part", "entry", "msg", "started", "zone", s.Zone, "id", h.id)
 	go h.loop.serve()
@@ -158,9 +159,9 @@
 func (h *Host) startStoreAccess(ctx context.Context) {
 	go h.announceHost(ctx)
 	for _, f := range []*topicReader{
-		{topic: platform.TopicOperator, longPoll: configLongPoll, interval: fixedInterval(0), handle: h.handleConfigRecords, reportRead: h.storeReadReporter(0)},
-		{topic: platform.TopicWorkers, interval: h.workersReadInterval, handle: h.handleWorkerRecords, reportRead: h.storeReadReporter(1)},
-		{topic: platform.TopicHosts, interval: fixedInterval(hostsReadInterval), handle: h.handleHostRecords, reportRead: func(bool) {}},
+		{topic: platform.TopicOperator, longPoll: configLongPoll, handle: h.handleConfigRecords, reportRead: h.storeReadReporter(0)},
+		{topic: platform.TopicWorkers, interval: workersReadInterval, wanted: h.loop.readsWorkers.Load, handle: h.handleWorkerRecords, reportRead: h.storeReadReporter(1)},
+		{topic: platform.TopicHosts, interval: hostsReadInterval, handle: h.handleHostRecords, reportRead: func(bool) {}},
 	} {
 		f.store, f.storeTransport, f.logger = h.store, h.storeTransport, h.logger
 		go f.run(ctx)
--- a/entry/loop.go
+++ b/entry/loop.go
@@ -34,8 +34,8 @@
 	effects effectHandler
 	stop    chan struct{} // closed to end the loop
 	ended   chan struct{} // closed when the loop has ended
-	// commandsCell tells other goroutines whether the host commands a cell.
-	commandsCell atomic.Bool
+	// readsWorkers tells other goroutines whether the host has to read the workers' entries.
+	readsWorkers atomic.Bool
 }
 
 // effectHandler carries out the effects that the state machine returns. Its methods run in the
@@ -114,7 +114,7 @@
 			busy = isBusy
 			ticker.Reset(tickPeriod(busy))
 		}
-		l.commandsCell.Store(l.state.CellCount() > 0)
+		l.readsWorkers.Store(l.state.ReadsWorkers())
 		select {
 		case ev := <-l.events:
 			l.applyBatch(ev)
--- a/entry/store.go
+++ b/entry/store.go
@@ -22,11 +22,11 @@
 	// that finds no new record. It is short because a read that is open when the store stops
 	// responding is never answered, and a change has to be in force within 2 s.
 	configLongPoll = 800 * time.Millisecond
-	// commanderReadInterval is the pause between two reads of the worker records on a host that
-	// commands a cell, otherReadInterval on others. A host has to learn that a worker leaves
-	// well before the worker's notice period ends, also if it has just become commander.
-	commanderReadInterval = 600 * time.Millisecond
-	otherReadInterval     = 1200 * time.Millisecond
+	// workersReadInterval is the pause between two reads of the worker records. A host has to learn
+	// that a worker leaves well before the worker's notice period ends.
+	workersReadInterval = 600 * time.Millisecond
+	// unwantedReadCheck is the time between two checks whether a topic has to be read again.
+	unwantedReadCheck = 50 * time.Millisecond
 	// hostsReadInterval is the pause between two reads of the host records.
 	hostsReadInterval = 5 * time.Second
 	// retryMin and retryMax are the shortest and the longest pause before a failed call is
@@ -40,9 +40,11 @@
 	store          *platform.StoreClient
 	storeTransport *http.Transport
 	topic          string
-	longPoll       time.Duration        // longest time that the store may delay an answer without records
-	interval       func() time.Duration // pause between two reads
+	longPoll       time.Duration // longest time that the store may delay an answer without records
+	interval       time.Duration // pause between two reads
 	logger         log.Logger
+	// wanted reports whether the topic has to be read now; nil: always.
+	wanted func() bool
 	// handle processes records. A snapshot holds the newest record of every key.
 	handle func(records []platform.Record, snapshot bool)
 	// reportRead is told after each read whether it succeeded.
@@ -55,12 +57,18 @@
 	retry := pause.NewBackoff(retryMin, retryMax)
 	from := int64(-1)
 	for ctx.Err() == nil {
+		if f.wanted != nil && !f.wanted() {
+			f.reportRead(true) // only the reads of other topics tell whether the store answers
+			f.waitUntilWanted(ctx)
+			from = -1
+			continue
+		}
 		next, err := f.read(ctx, from)
 		if err == nil {
 			from = next
 			retry.Reset()
 			f.reportRead(true)
-			pause.For(ctx, f.interval())
+			pause.For(ctx, f.interval)
 			continue
 		}
 		if ctx.Err() != nil {
@@ -78,6 +86,13 @@
 	}
 }
 
+// waitUntilWanted waits until the topic has to be read or ctx ends.
+func (f *topicReader) waitUntilWanted(ctx context.Context) {
+	for ctx.Err() == nil && !f.wanted() {
+		pause.For(ctx, unwantedReadCheck)
+	}
+}
+
 // read reads once, from an offset on or the newest record of each key if from is negative. It
 // returns the offset of the next read.
 func (f *topicReader) read(ctx context.Context, from int64) (int64, error) {
@@ -97,17 +112,6 @@
 	return next, err
 }
 
-// workersReadInterval returns the pause until the next read of the worker records.
-func (h *Host) workersReadInterval() time.Duration {
-	if h.loop.commandsCell.Load() {
-		return commanderReadInterval
-	}
-	return otherReadInterval
-}
-
-// fixedInterval returns a function that always returns d.
-func fixedInterval(d time.Duration) func() time.Duration { return func() time.Duration { return d } }
-
 // handleConfigRecords sends the operator's configuration to the event loop.
 func (h *Host) handleConfigRecords(records []platform.Record, _ bool) {
 	for _, r := range records {
--- a/host/host.go
+++ b/host/host.go
@@ -67,7 +67,9 @@
 	sortedWorkers    []*workerEntry // workers by ID; nil: must be sorted again
 	zoneParts        map[string]int // cells into which each zone is divided
 	directoryChanged bool           // workers have changed since they were last passed to the scheduler
+	workerChanges    uint64         // number of changes of worker entries so far
 	storeReachable   bool           // the platform's store answers
+	readsWorkers     bool           // the process has to read the workers' entries from the store
 	jobs             map[uint64]*job
 	// fencedUntil holds the workers of own cells that obey another host, with the time from which this
 	// host may take them again.
@@ -98,8 +100,8 @@
 		workers:     make(map[string]*workerEntry),
 		zoneParts:   make(map[string]int),
 		jobs:        make(map[uint64]*job),
-		fencedUntil: make(map[string]time.Duration),
-		rng:         rand.New(rand.NewPCG(opts.Seed, opts.Self.ID)),
+		fencedUntil: make(map[string]time.Duration), readsWorkers: true,
+		rng: rand.New(rand.NewPCG(opts.Seed, opts.Self.ID)),
 	}
 	for _, addr := range opts.Seeds {
 		s.addPeer(&meshpb.Host{Addr: addr})
--- a/host/knowledge.go
+++ b/host/knowledge.go
@@ -8,6 +8,7 @@
 
 	"sesameledge.dev/sesameledge/fleet"
 	"sesameledge.dev/sesameledge/mesh/meshpb"
+	"sesameledge.dev/sesameledge/owner"
 	"sesameledge.dev/sesameledge/sched"
 )
 
@@ -32,7 +33,7 @@
 	info      fleet.Worker
 	record    []byte
 	offset    int64
-	changedAt int64         // offset of the newest record that changed info
+	change    uint64        // number of the newest change of info or removal, of those counted by State.workerChanges
 	removedAt time.Duration // when its removal was read; 0: not removed
 }
 
@@ -79,7 +80,7 @@
 	for _, old := range s.sortedEntries() {
 		if !named[old.info.ID] && old.removedAt == 0 {
 			s.log("store", "", "worker is not listed any more", "worker", old.info.ID)
-			old.removedAt = now
+			s.markRemoved(now, old)
 		}
 	}
 }
@@ -93,7 +94,8 @@
 	if len(r.Record) == 0 {
 		if old != nil && old.removedAt == 0 {
 			s.log("store", "", "worker removed", "worker", r.ID, "offset", r.Offset)
-			old.removedAt, old.offset = now, r.Offset
+			old.offset = r.Offset
+			s.markRemoved(now, old)
 		}
 		return
 	}
@@ -101,20 +103,34 @@
 	if err != nil {
 		s.log("store", "", "entry ignored", "worker", r.ID, "offset", r.Offset, "err", err)
 		if old != nil && old.removedAt == 0 {
-			old.removedAt, old.offset = now, r.Offset
+			old.offset = r.Offset
+			s.markRemoved(now, old)
 		}
 		return
 	}
-	e := &workerEntry{info: info, record: r.Record, offset: r.Offset, changedAt: r.Offset}
+	e := &workerEntry{info: info, record: r.Record, offset: r.Offset}
 	if old != nil && sameWorker(old.info, info) && old.removedAt == 0 {
-		e.changedAt = old.changedAt
+		e.change = old.change
 	} else {
+		s.countChange(e)
 		s.directoryChanged = true
 	}
 	s.workers[r.ID] = e
 	s.sortedWorkers = nil
 }
 
+// markRemoved records that the removal of a worker's entry was read.
+func (s *State) markRemoved(now time.Duration, e *workerEntry) {
+	e.removedAt = now
+	s.countChange(e)
+}
+
+// countChange makes an entry due to be forwarded.
+func (s *State) countChange(e *workerEntry) {
+	s.workerChanges++
+	e.change = s.workerChanges
+}
+
 // sameWorker reports whether two entries of a worker are equal. Kind and Rack are not compared.
 func sameWorker(a, b fleet.Worker) bool {
 	return a.Addr == b.Addr && a.Draining == b.Draining && a.Service == b.Service &&
@@ -160,15 +176,16 @@
 }
 
 // forwardToPeers forwards the configuration to peers that have an older one, and worker entries to
-// peers that cannot read the store. Only hosts that command a cell forward, since the others would
-// only repeat it; for the configuration, hosts of the peer's zone do so after a longer delay.
+// peers that do not read them from the store: those that cannot, and those without a cell. Only hosts
+// that command a cell forward, since the others would only repeat it; for the configuration, hosts of
+// the peer's zone do so after a longer delay.
 func (s *State) forwardToPeers(now time.Duration) {
 	for _, p := range s.sortedPeers {
 		if !p.live {
 			continue
 		}
 		s.forwardConfig(now, p)
-		if !p.status.GetStoreReachable() && now-p.firstContactAt >= workerForwardDelay {
+		if (!p.status.GetStoreReachable() || len(p.status.GetCells()) == 0) && now-p.firstContactAt >= workerForwardDelay {
 			s.forwardWorkers(p)
 		}
 	}
@@ -189,11 +206,32 @@
 }
 
 func (s *State) forwardWorkers(p *peer) {
-	if list := s.changedWorkersFor(p); len(list) > 0 {
-		p.session.Send(&meshpb.Message{Kind: &meshpb.Message_Workers{Workers: &meshpb.Workers{Workers: list}}})
+	list := s.changedWorkersFor(p)
+	if len(list) > 0 && !p.session.Send(&meshpb.Message{Kind: &meshpb.Message_Workers{Workers: &meshpb.Workers{Workers: list}}}) {
+		return // the peer takes no messages; the entries stay due
 	}
+	p.forwardedChange = s.workerChanges
 }
 
+// needsWorkerReads reports whether this host has to read the workers' entries from the store itself:
+// if it commands a cell, or if a cell of its zone has no commander, who would forward them. Each
+// worker writes its entry every second or so, so reads by all hosts would cost the number of hosts
+// times that of workers.
+func (s *State) needsWorkerReads(others []owner.Host) bool {
+	if s.CellCount() > 0 {
+		return true
+	}
+	for _, cell := range s.zoneCells(s.opts.Self.Zone) {
+		if _, _, found := owner.CommanderOf(cell, others); !found {
+			return true
+		}
+	}
+	return false
+}
+
+// ReadsWorkers reports whether the process has to read the workers' entries from the store.
+func (s *State) ReadsWorkers() bool { return s.readsWorkers }
+
 // forwardsWorkersTo reports whether this host forwards worker entries to a peer. Commanders forward
 // them to the hosts of their zones, and to other commanders, which may have no other source.
 func (s *State) forwardsWorkersTo(p *peer) bool {
@@ -206,22 +244,26 @@
 }
 
 // changedWorkersFor returns the entries of a peer's zone that have changed since they were last
-// forwarded to it. Entries of other zones are left out because a host commands only workers of its own
+// forwarded to it. An entry without a record has been removed. Entries of other zones are left out because a host commands only workers of its own
 // zone, and because the traffic would grow with the number of hosts times that of all workers.
 func (s *State) changedWorkersFor(p *peer) []*meshpb.Worker {
 	if !s.forwardsWorkersTo(p) {
 		return nil
 	}
+	if p.forwardedChange == s.workerChanges {
+		return nil
+	}
 	var list []*meshpb.Worker
-	newest := p.forwardedOffset
 	for _, e := range s.sortedEntries() {
-		if e.info.Zone != p.info.GetZone() || e.changedAt < p.forwardedOffset || e.removedAt != 0 {
+		if e.info.Zone != p.info.GetZone() || e.change <= p.forwardedChange {
 			continue
 		}
-		newest = max(newest, e.changedAt+1)
-		list = append(list, &meshpb.Worker{Id: e.info.ID, Record: e.record, Offset: e.offset})
+		w := &meshpb.Worker{Id: e.info.ID, Offset: e.offset}
+		if e.removedAt == 0 {
+			w.Record = e.record
+		}
+		list = append(list, w)
 	}
-	p.forwardedOffset = newest
 	return list
 }
 
--- a/host/peers.go
+++ b/host/peers.go
@@ -52,7 +52,7 @@
 	frequentHeartbeats bool            // jobs have been exchanged for at least heartbeatTransitionTime
 	replacedIDs        map[uint64]bool // IDs of earlier processes at this address
 	forwardedConfig    int64           // newest configuration version forwarded to it
-	forwardedOffset    int64           // worker entries below this offset were forwarded to it
+	forwardedChange    uint64          // changes of worker entries up to this number were forwarded to it
 }
 
 // addPeer adds a host unless it is known. From then on it is sent frames. A host whose zone is known is
@@ -121,7 +121,7 @@
 	p.session = session.New()
 	p.live = false
 	p.firstContactAt = now
-	p.forwardedConfig, p.forwardedOffset = 0, 0
+	p.forwardedConfig, p.forwardedChange = 0, 0
 	s.peersByID[from.GetId()] = p
 	p.redialedAt = now
 	s.emit(Redial{Addr: from.GetAddr()}) // the connection may be in backoff after failed attempts
--- a/host/simulation_test.go
+++ b/host/simulation_test.go
@@ -280,7 +280,7 @@
 	h.w.after(simTickInterval, func() { h.tick(process) })
 }
 
-// readStore lets a process read the whole store at each storeReadInterval until it ends.
+// readStore lets a process read the whole store, as far as it needs it, at each storeReadInterval until it ends.
 func (h *simHost) readStore(process int) {
 	if h.processCount != process {
 		return
@@ -296,7 +296,11 @@
 		for _, o := range h.w.hosts {
 			hosts.Hosts = append(hosts.Hosts, &meshpb.Host{Addr: o.addr})
 		}
-		h.step(ConfigRead{Record: make([]byte, h.w.version)}, read, hosts, StoreReachability{Reachable: true})
+		events := []Event{ConfigRead{Record: make([]byte, h.w.version)}, hosts, StoreReachability{Reachable: true}}
+		if h.state.ReadsWorkers() {
+			events = append(events, read)
+		}
+		h.step(events...)
 	} else if !h.frozen {
 		h.step(StoreReachability{})
 	}
