Keep contact only with hosts that are needed, and rarely across zones

Cause: each host kept a stream with every other one, with a frame a second, and ten a second with every commander. At 147 hosts that is some 500 frames a second for a host of 0.144 core, and lists of all hosts for each new stream at the start. Change: a host without a cell is in contact with its zone and with the commanders; a commander with all. Between a commander and a host of another zone frames are frequent only while they have jobs in progress with each other, otherwise two a second. The first job between such hosts waits for a frame that confirms it (one round trip), because the age of the contact no longer proves that its sender still wants it. Lists of hosts hold the receiver's zone and the commanders. The decisions about contact are in contact.go and submission.go, taken out of peers.go and jobs.go. Tests: TestIdleHostsContactOnlyCommandersOfOtherZones, TestStandbyCommandersGetFewFrames, TestLastHostOfZoneFindsCommander.

--- a/entry/host.go
+++ b/entry/host.go
@@ -192,8 +192,9 @@
 	}
 }
 
-func (h *Host) redial(e host.Redial)      { h.links.Redial(e.Addr) }
-func (h *Host) useConfig(c *fleet.Config) { h.ingress.routes.Store(newRouteTable(c)) }
+func (h *Host) redial(e host.Redial)       { h.links.CloseLink(e.Addr) } // the next frame opens a new one
+func (h *Host) closeLink(e host.CloseLink) { h.links.CloseLink(e.Addr) }
+func (h *Host) useConfig(c *fleet.Config)  { h.ingress.routes.Store(newRouteTable(c)) }
 
 // logRequest logs a decision about a request that has not become a job.
 func (h *Host) logRequest(r *http.Request, message string, fields ...any) {
--- a/entry/loop.go
+++ b/entry/loop.go
@@ -46,6 +46,7 @@
 	holdWorker(sched.HoldWorker)
 	sendFrame(host.SendFrame)
 	redial(host.Redial)
+	closeLink(host.CloseLink)
 	announceFence(host.AnnounceFence)
 	useConfig(*fleet.Config)
 }
@@ -186,6 +187,8 @@
 		l.effects.sendFrame(e)
 	case host.Redial:
 		l.effects.redial(e)
+	case host.CloseLink:
+		l.effects.closeLink(e)
 	case host.AnnounceFence:
 		l.effects.announceFence(e)
 	case host.ActivateConfig:
--- a/host/cells.go
+++ b/host/cells.go
@@ -91,7 +91,7 @@
 // makeAllFramesDue makes the next Step send a frame to every host.
 func (s *State) makeAllFramesDue() {
 	for _, p := range s.peers {
-		p.lastSentAt = -unreachableHeartbeatInterval
+		p.makeFrameDue()
 	}
 }
 
--- a/host/event.go
+++ b/host/event.go
@@ -94,6 +94,9 @@
 // Redial replaces the connection to an address by a new one.
 type Redial struct{ Addr string }
 
+// CloseLink closes the connection to an address, because no more frames are to be sent there for now.
+type CloseLink struct{ Addr string }
+
 // AnnounceFence writes the fencing token of a newly taken cell into the host's entry in the store, so
 // that tokens outlive the processes that know them.
 type AnnounceFence struct{ Fence int64 }
--- a/host/host.go
+++ b/host/host.go
@@ -187,6 +187,7 @@
 
 func (s *State) handleTick(now time.Duration) {
 	s.expireWorkers(now)
+	s.recordJobsInProgress(now)
 	s.decideCells(now)
 	s.sched.Step(now, sched.Tick{})
 	s.retryJobs(now)
--- a/host/jobs.go
+++ b/host/jobs.go
@@ -70,6 +70,9 @@
 		s.handleRefusal(now, j, "the host that commands the cell takes no messages")
 		return
 	}
+	p := c.peer
+	p.lastJobAt = now
+	p.confirmSubmission = now-p.session.LastContact() > contactTimeout/2
 	s.stats.PassedOn++
 	s.log("jobs", j.spec.RequestID, "job passed on", "job", j.spec.ID, "cell", c.name, "to", c.peer.info.GetName(), "wait", c.wait, "age", now-c.peer.statusReceivedAt)
 }
@@ -97,33 +100,6 @@
 	}
 }
 
-// handleSubmit passes a job of another host's caller to the scheduler. It refuses the job if the message
-// was delayed for so long that the other host may have counted this one as lost and answered the caller.
-func (s *State) handleSubmit(now time.Duration, p *peer, f *meshpb.Frame, m *meshpb.Submit) {
-	waited := time.Duration(f.GetSent() - m.GetMeasured())
-	if silent := now - time.Duration(f.GetEcho()); waited+silent > contactTimeout {
-		s.log("jobs", m.GetRequestId(), "stale job refused", "job", m.GetJobId(), "from", p.info.GetName(), "waited", waited, "silent", silent)
-		s.handleJobFinished(now, sched.JobFinished{Key: sched.JobKey{Host: p.info.GetId(), Seq: m.GetSeq()}, Outcome: sched.Refused, Reason: "the job arrived late"})
-		return
-	}
-	r := m.GetRoute()
-	s.sched.Step(now, sched.Submit{Job: sched.Job{
-		Key:  sched.JobKey{Host: p.info.GetId(), Seq: m.GetSeq()},
-		Cell: fleet.Cell(m.GetCell()),
-		Spec: fleet.JobSpec{
-			ID: m.GetJobId(), RequestID: m.GetRequestId(), Payload: m.GetPayload(), Tasks: int(m.GetTasks()),
-			Need:     fleet.Resources{CPU: m.GetCpu(), Memory: m.GetMemory(), GPU: m.GetGpu()},
-			Estimate: time.Duration(m.GetEstimateNs()), Rack: m.GetRack(), Label: m.GetLabel(),
-			MaxPerWorker: int(m.GetMaxPerWorker()), Ephemeral: true,
-		},
-		Route: fleet.Route{
-			Name: r.GetName(), Service: r.GetService(), Priority: int(r.GetPriority()),
-			MaxAttempts: int(r.GetMaxAttempts()), SlackFactor: r.GetSlackFactor(), ObjectiveOffset: time.Duration(r.GetTargetNs()),
-		},
-		Age: time.Duration(m.GetAgeNs()) + waited, Left: time.Duration(m.GetLeftNs()) - waited,
-	}})
-}
-
 // handleJobFinished delivers the outcome of a job from this host's scheduler to the host whose
 // caller submitted the job.
 func (s *State) handleJobFinished(now time.Duration, e sched.JobFinished) {
--- a/host/peers.go
+++ b/host/peers.go
@@ -12,32 +12,12 @@
 	"sesameledge.dev/sesameledge/session"
 )
 
-const (
-	// heartbeatInterval is the time between two frames to a host with which this host exchanges jobs.
-	heartbeatInterval = 100 * time.Millisecond
-	// contactTimeout is the age of the last contact above which a host counts as lost. Together with
-	// a worker's lease it must stay below the time after which callers resend a job.
-	contactTimeout = 450 * time.Millisecond
-	// idleHeartbeatInterval and idleContactTimeout apply between hosts that exchange no jobs.
-	idleHeartbeatInterval = 1 * time.Second
-	idleContactTimeout    = 4 * time.Second
-	// heartbeatTransitionTime is how long two hosts that begin to exchange jobs have to switch to
-	// heartbeatInterval before contactTimeout applies to them.
-	heartbeatTransitionTime = 300 * time.Millisecond
-	// redialFraction is the fraction of the contact timeout after which a connection is replaced.
-	redialFraction = 0.55
-	// minRedialInterval is the minimum time between two new connections to one host.
-	minRedialInterval = 300 * time.Millisecond
-	// unreachableAfter is the age of the last contact above which frames are sent at
-	// unreachableHeartbeatInterval.
-	unreachableAfter = 5 * time.Second
-	// unreachableHeartbeatInterval is the time between frames to a host that does not answer.
-	unreachableHeartbeatInterval = time.Second
-)
-
 // peer is another entry host.
 type peer struct {
-	info             *meshpb.Host // name, zone and process ID are empty until its first frame
+	info             *meshpb.Host  // name, zone and process ID are empty until its first frame
+	discoveredZone   string        // zone in the record or list that named the host; empty if unknown
+	contacted        bool          // this host keeps in contact with it
+	contactNeededAt  time.Duration // when the contact was last needed
 	session          *session.Session
 	status           *meshpb.Status
 	live             bool
@@ -48,6 +28,9 @@
 	// assignedWork is the CPU that the tasks need which were assigned to its cells since
 	// statusReceivedAt, in thousandths of a core.
 	assignedWork       map[fleet.Cell]int64
+	lastJobAt          time.Duration // when a job was last in progress between the two hosts; 0: never
+	unconfirmed        []unconfirmedJob
+	confirmSubmission  bool            // the peer waits for a frame that confirms a job; see unconfirmedJob
 	jobExchangeSince   time.Duration   // when the two hosts began to exchange jobs; 0: they do not
 	frequentHeartbeats bool            // jobs have been exchanged for at least heartbeatTransitionTime
 	replacedIDs        map[uint64]bool // IDs of earlier processes at this address
@@ -61,16 +44,21 @@
 	if h.GetZone() != "" {
 		s.owner.RecordKnownHost(h.GetZone(), h.GetWeight())
 	}
-	if h.GetAddr() == "" || h.GetAddr() == s.opts.Self.Addr || s.peers[h.GetAddr()] != nil {
+	if h.GetAddr() == "" || h.GetAddr() == s.opts.Self.Addr {
+		return
+	}
+	if known := s.peers[h.GetAddr()]; known != nil {
+		known.discoveredZone = cmp.Or(h.GetZone(), known.discoveredZone)
 		return
 	}
 	s.peers[h.GetAddr()] = &peer{
-		info:         &meshpb.Host{Addr: h.GetAddr()},
-		session:      session.New(),
-		status:       &meshpb.Status{},
-		lastSentAt:   -unreachableHeartbeatInterval,
-		assignedWork: make(map[fleet.Cell]int64),
-		replacedIDs:  make(map[uint64]bool),
+		info:           &meshpb.Host{Addr: h.GetAddr()},
+		discoveredZone: h.GetZone(),
+		session:        session.New(),
+		status:         &meshpb.Status{},
+		lastSentAt:     -unreachableHeartbeatInterval,
+		assignedWork:   make(map[fleet.Cell]int64),
+		replacedIDs:    make(map[uint64]bool),
 	}
 	s.sortedPeers = append(s.sortedPeers, s.peers[h.GetAddr()])
 	slices.SortFunc(s.sortedPeers, func(a, b *peer) int { return cmp.Compare(a.info.GetAddr(), b.info.GetAddr()) })
@@ -107,6 +95,11 @@
 	for _, m := range messages {
 		s.handleMessage(now, p, f, m)
 	}
+	s.submitConfirmed(now, p, time.Duration(f.GetEcho()))
+	if p.confirmSubmission && p.session.Unacknowledged() == 0 {
+		p.confirmSubmission = false
+		p.makeFrameDue()
+	}
 }
 
 // handleProcessChange resets a peer when a new process sends from its address.
@@ -121,70 +114,32 @@
 	p.session = session.New()
 	p.live = false
 	p.firstContactAt = now
+	p.contacted, p.contactNeededAt = true, now // it may need the answer to find other hosts
 	p.forwardedConfig, p.forwardedChange = 0, 0
 	s.peersByID[from.GetId()] = p
 	p.redialedAt = now
 	s.emit(Redial{Addr: from.GetAddr()}) // the connection may be in backoff after failed attempts
-	p.session.Send(&meshpb.Message{Kind: &meshpb.Message_Hosts{Hosts: &meshpb.Hosts{Hosts: s.knownHosts()}}})
+	p.session.Send(&meshpb.Message{Kind: &meshpb.Message_Hosts{Hosts: &meshpb.Hosts{Hosts: s.knownHosts(from.GetZone())}}})
 }
 
-// knownHosts returns the hosts from which a frame has been received.
-func (s *State) knownHosts() []*meshpb.Host {
+// knownHosts returns those hosts from which a frame has been received that a host of a zone needs: the
+// hosts of the zone and the commanders.
+func (s *State) knownHosts(zone string) []*meshpb.Host {
 	var hosts []*meshpb.Host
 	for _, p := range s.sortedPeers {
-		if p.info.GetId() != 0 {
+		if p.info.GetId() != 0 && (p.info.GetZone() == zone || len(p.status.GetCells()) > 0) {
 			hosts = append(hosts, p.info)
 		}
 	}
 	return hosts
 }
 
-// contactFresh reports whether the last contact with a peer is recent enough for it to be live.
-func (s *State) contactFresh(now time.Duration, p *peer) bool {
-	return p.session.LastContact() != 0 && now-p.session.LastContact() <= s.contactTimeoutFor(p)
-}
-
-// exchangesJobs reports whether this host and the peer may send jobs to each other, which is so if
-// one of them commands a cell. Other pairs exchange heartbeats less often, so that the traffic of a
-// deployment grows with the number of its hosts and not with the square of that number.
-func (s *State) exchangesJobs(p *peer) bool {
-	return len(p.status.GetCells()) > 0 || len(s.owner.Claims()) > 0
-}
-
-// contactTimeoutFor returns the age of the last contact above which the peer counts as lost.
-func (s *State) contactTimeoutFor(p *peer) time.Duration {
-	if s.exchangesJobs(p) && p.frequentHeartbeats {
-		return contactTimeout
-	}
-	return idleContactTimeout
-}
-
-// updateJobExchange records since when this host and the peer exchange jobs. The shorter timeout
-// applies only after heartbeatTransitionTime, when their heartbeats are frequent enough for it.
-func (s *State) updateJobExchange(now time.Duration, p *peer) {
-	switch exchanges := s.exchangesJobs(p); {
-	case !exchanges:
-		p.jobExchangeSince, p.frequentHeartbeats = 0, false
-	case p.jobExchangeSince == 0:
-		p.jobExchangeSince = now
-	case now-p.jobExchangeSince >= heartbeatTransitionTime:
-		p.frequentHeartbeats = true
-	}
-}
-
-// markLive marks a peer as live if its contact is fresh.
-func (s *State) markLive(now time.Duration, p *peer) {
-	if p.live || !s.contactFresh(now, p) {
-		return
-	}
-	p.live = true
-	s.log("mesh", "", "host in contact", "peer", p.info.GetName(), "addr", p.info.GetAddr())
-}
-
 // expireContacts marks hosts as lost that have been silent for too long. It runs before any event
 // is applied, so that a process that was suspended does not act on outdated state.
 func (s *State) expireContacts(now time.Duration) {
+	searching := s.searchesCommander(now)
 	for _, p := range s.sortedPeers {
+		s.updateContact(now, p, searching)
 		s.updateJobExchange(now, p)
 		if p.live && !s.contactFresh(now, p) {
 			s.log("mesh", "", "host lost", "peer", p.info.GetName(), "addr", p.info.GetAddr(), "silent", now-p.session.LastContact())
@@ -197,6 +152,7 @@
 // own callers that the lost host ran.
 func (s *State) handlePeerLost(now time.Duration, p *peer) {
 	p.live = false
+	p.unconfirmed = nil
 	if n := s.sched.CancelJobsOfHost(now, p.info.GetId()); n > 0 {
 		s.log("mesh", "", "jobs of a lost host cancelled", "peer", p.info.GetName(), "jobs", n)
 	}
@@ -208,6 +164,7 @@
 	case *meshpb.Message_Submit:
 		s.handleSubmit(now, p, f, kind.Submit)
 	case *meshpb.Message_Cancel:
+		p.dropUnconfirmed(kind.Cancel.GetSeq())
 		s.sched.Step(now, sched.Cancel{Key: sched.JobKey{Host: p.info.GetId(), Seq: kind.Cancel.GetSeq()}})
 	case *meshpb.Message_Outcome:
 		s.handleOutcome(now, p.info.GetId(), kind.Outcome)
@@ -226,7 +183,7 @@
 func (s *State) sendDueFrames(now time.Duration) {
 	var status *meshpb.Status
 	for _, p := range s.sortedPeers {
-		if !p.session.HasUnsent() && now-p.lastSentAt < s.heartbeatIntervalFor(now, p) {
+		if !p.contacted || !p.session.HasUnsent() && now-p.lastSentAt < s.heartbeatIntervalFor(now, p) {
 			continue
 		}
 		s.redialIfSilent(now, p)
@@ -245,17 +202,6 @@
 	}
 }
 
-func (s *State) heartbeatIntervalFor(now time.Duration, p *peer) time.Duration {
-	switch {
-	case now-max(p.session.LastContact(), p.firstContactAt) > unreachableAfter:
-		return unreachableHeartbeatInterval
-	case s.exchangesJobs(p):
-		return heartbeatInterval
-	default:
-		return idleHeartbeatInterval
-	}
-}
-
 // redialIfSilent replaces the connection to a host that has been silent for redialFraction of its
 // contact timeout.
 func (s *State) redialIfSilent(now time.Duration, p *peer) {
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -86,9 +86,16 @@
 	}
 }
 
-// Redial closes the connection to an address and drops its queued frames. The next Send opens a new
+// CloseLink closes the connection to an address and drops its queued frames. The next Send opens a new
 // connection.
-func (l *Links) Redial(addr string) { l.closeLink(addr) }
+func (l *Links) CloseLink(addr string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if k := l.links[addr]; k != nil {
+		k.cancel()
+		delete(l.links, addr)
+	}
+}
 
 // Close closes all connections.
 func (l *Links) Close() {
@@ -99,7 +106,7 @@
 	}
 	l.mu.Unlock()
 	for _, addr := range addrs {
-		l.closeLink(addr)
+		l.CloseLink(addr)
 	}
 }
 
@@ -117,15 +124,6 @@
 	return k
 }
 
-func (l *Links) closeLink(addr string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if k := l.links[addr]; k != nil {
-		k.cancel()
-		delete(l.links, addr)
-	}
-}
-
 // link is the stream to one host and the queue of its frames.
 type link struct {
 	addr    string
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -146,6 +146,9 @@
 // up to date.
 func (s *State) Claim(cell fleet.Cell) *Claim { return s.claims[cell] }
 
+// HasClaims reports whether this host claims any cell.
+func (s *State) HasClaims() bool { return len(s.claims) > 0 }
+
 // Claims returns the claims of this host, sorted by cell.
 func (s *State) Claims() []*Claim {
 	list := make([]*Claim, 0, len(s.claims))
--- a/sched/job.go
+++ b/sched/job.go
@@ -222,6 +222,19 @@
 	return false
 }
 
+// HostsWithJobs returns the processes that have jobs in progress here, each once.
+func (s *State) HostsWithJobs() []uint64 {
+	seen := make(map[uint64]bool)
+	var hosts []uint64
+	for key := range s.jobs {
+		if !seen[key.Host] {
+			seen[key.Host] = true
+			hosts = append(hosts, key.Host)
+		}
+	}
+	return hosts
+}
+
 // CancelJobsOfHost aborts all jobs that came from a process and returns their number.
 func (s *State) CancelJobsOfHost(now time.Duration, host uint64) int {
 	n := 0
