End calls that grant a lease before another process can get them

Cause: a start or a hold carries the end of a lease on the clock of the worker's process. A call under way for up to 900 ms could reach the next process of a worker that had restarted: its clock begins anew, so it took the lease for a longer one and ran a task whose capacity and turn the host had already given away. A call decided before a pause of this process left afterwards all the same. Change: a call that grants a lease has a limit that ends before the process heard last can have been replaced. Calls carry the time of the decision and are not made after their limit. The model in TestMachine keeps calls under way after they are reported as unanswered, up to their limit, and delivers them to whichever process is there then. Test: TestPausedProcessMakesNoLateCall.

--- a/entry/workers.go
+++ b/entry/workers.go
@@ -47,59 +47,60 @@
 
 // start orders a worker to start a run.
 func (c *workerCaller) start(e sched.StartRun) {
-	sent := sinceBoot()
-	go c.call(e.Worker, 0, e.Timeout, func(ctx context.Context) fleet.HoldReply {
+	go c.call(e.Worker, e.CallLimits, func(ctx context.Context) fleet.HoldReply {
 		reply := c.client.Start(ctx, e.Worker, e.Order)
-		c.metrics.observe("worker.start", sinceBoot()-sent)
+		c.metrics.observe("worker.start", sinceBoot()-e.Decided)
 		return fleet.HoldReply{Reply: reply}
 	}, func(r fleet.HoldReply) sched.Event {
-		return sched.StartReply{Worker: e.Worker.ID, Run: e.Order.Run, Sent: sent, Fence: e.Order.Fence, Reply: r.Reply}
+		return sched.StartReply{Worker: e.Worker.ID, Run: e.Order.Run, Sent: e.Decided, Fence: e.Order.Fence, Reply: r.Reply}
 	})
 }
 
 // stop orders a worker to stop a run.
 func (c *workerCaller) stop(e sched.StopRun) {
-	sent := sinceBoot()
-	go c.call(e.Worker, 0, e.Timeout, func(ctx context.Context) fleet.HoldReply {
+	go c.call(e.Worker, e.CallLimits, func(ctx context.Context) fleet.HoldReply {
 		reply := c.client.Stop(ctx, e.Worker, e.Order)
-		c.metrics.observe("worker.stop", sinceBoot()-sent)
+		c.metrics.observe("worker.stop", sinceBoot()-e.Decided)
 		return fleet.HoldReply{Reply: reply}
 	}, func(r fleet.HoldReply) sched.Event {
-		return sched.StopReply{Worker: e.Worker.ID, Run: e.Order.Run, Sent: sent, Fence: e.Order.Fence, Reply: r.Reply}
+		return sched.StopReply{Worker: e.Worker.ID, Run: e.Order.Run, Sent: e.Decided, Fence: e.Order.Fence, Reply: r.Reply}
 	})
 }
 
 // hold extends a worker's lease and asks for its runs.
 func (c *workerCaller) hold(e sched.HoldWorker) {
-	sent := sinceBoot()
 	wait := time.Duration(e.Order.WaitMillis) * time.Millisecond
-	go c.call(e.Worker, wait, e.Timeout, func(ctx context.Context) fleet.HoldReply {
+	go c.call(e.Worker, e.CallLimits, func(ctx context.Context) fleet.HoldReply {
 		return c.client.Hold(ctx, e.Worker, e.Order)
 	}, func(r fleet.HoldReply) sched.Event {
-		return sched.HoldReply{Worker: e.Worker.ID, Seq: e.Seq, Sent: sent, Wait: wait, Fence: e.Order.Fence, Reply: r}
+		return sched.HoldReply{Worker: e.Worker.ID, Seq: e.Seq, Sent: e.Decided, Wait: wait, Fence: e.Order.Fence, Reply: r}
 	})
 }
 
-// call makes a call and sends the event for its reply. If there is none within wait and timeout, it
-// sends an event without an answer, goes on waiting until sched.MaxReplyAge, and then sends an event
-// for the late reply, if it comes.
-func (c *workerCaller) call(w fleet.Worker, wait, timeout time.Duration, perform func(context.Context) fleet.HoldReply, event func(fleet.HoldReply) sched.Event) {
-	ctx, cancel := context.WithTimeout(context.Background(), wait+sched.MaxReplyAge)
+// call makes a call and sends the event for its reply. If there is none at the timeout, it sends an event
+// without an answer, goes on waiting until the limit, and then sends an event for the late reply, if it
+// comes.
+func (c *workerCaller) call(w fleet.Worker, limits sched.CallLimits, perform func(context.Context) fleet.HoldReply, event func(fleet.HoldReply) sched.Event) {
+	elapsed := sinceBoot() - limits.Decided
+	ctx, cancel := context.WithTimeout(context.Background(), limits.Limit-elapsed)
 	defer cancel()
-	sent := sinceBoot()
 	var reported atomic.Bool // the event for a reply, or for none in time, is sent
 	report := func(r fleet.HoldReply) {
 		if !reported.CompareAndSwap(false, true) {
 			return
 		}
 		if r.Verdict == fleet.NoAnswer {
-			c.transport.closeIdleIfSilent(w.Addr, sent)
+			c.transport.closeIdleIfSilent(w.Addr, limits.Decided)
 		}
 		c.send(host.WorkerEvent{Event: event(r)})
 	}
-	timer := time.AfterFunc(wait+timeout, func() {
+	if elapsed >= limits.Limit {
+		report(fleet.HoldReply{Reply: fleet.Reply{Err: errCallTooLate}})
+		return
+	}
+	timer := time.AfterFunc(limits.Timeout-elapsed, func() {
 		expire := func() { report(fleet.HoldReply{Reply: fleet.Reply{Err: errNoAnswerInTime}}) }
-		if sinceBoot()-sent > wait+timeout+maxTimerDelay {
+		if sinceBoot()-limits.Decided > limits.Timeout+maxTimerDelay {
 			time.AfterFunc(stallGrace, expire)
 			return
 		}
@@ -117,8 +118,13 @@
 	report(reply)
 }
 
-// errNoAnswerInTime is the reason for a reply without an answer while the call still goes on.
-var errNoAnswerInTime = errors.New("no answer in time")
+var (
+	// errNoAnswerInTime is the reason for a reply without an answer while the call still goes on.
+	errNoAnswerInTime = errors.New("no answer in time")
+	// errCallTooLate is the reason for a reply to a call that was not made because this process was
+	// paused past its limit.
+	errCallTooLate = errors.New("not sent: this process was paused past the limit of the call")
+)
 
 // addressTransports is an http.RoundTripper with a transport of its own for each address, so that
 // the unused connections to one address can be closed alone.
--- a/entry/workers_test.go
+++ b/entry/workers_test.go
@@ -48,11 +48,13 @@
 	next := func() fleet.Verdict {
 		return (<-events).(host.WorkerEvent).Event.(sched.StartReply).Reply.Verdict
 	}
-	order := sched.StartRun{Worker: fleet.Worker{ID: "w", Addr: server.Listener.Addr().String()}, Timeout: timeout}
+	order := sched.StartRun{Worker: fleet.Worker{ID: "w", Addr: server.Listener.Addr().String()}, CallLimits: sched.CallLimits{Timeout: timeout, Limit: time.Second}}
+	order.Decided = sinceBoot()
 	c.start(order) // slow
 	for server.calls.Load() == 0 {
 		time.Sleep(time.Millisecond)
 	}
+	order.Decided = sinceBoot()
 	c.start(order)
 	for i, want := range []fleet.Verdict{fleet.Accepted, fleet.NoAnswer, fleet.Accepted} {
 		if got := next(); got != want {
@@ -60,6 +62,7 @@
 		}
 	}
 	time.Sleep(pause) // until both connections are idle
+	order.Decided = sinceBoot()
 	c.start(order)
 	if got := next(); got != fleet.Accepted {
 		t.Errorf("the third call came to %v", got)
@@ -76,7 +79,7 @@
 	addr := server.Listener.Addr().String()
 	events := make(chan any, 10)
 	c := newWorkerCaller(newMetrics(), func(ev any) { events <- ev })
-	order := sched.StartRun{Worker: fleet.Worker{ID: "w", Addr: addr}, Timeout: time.Second}
+	order := sched.StartRun{Worker: fleet.Worker{ID: "w", Addr: addr}, CallLimits: sched.CallLimits{Decided: sinceBoot(), Timeout: time.Second, Limit: time.Second}}
 	c.start(order)
 	<-events
 	time.Sleep(30 * time.Millisecond) // until the connection is idle
@@ -87,3 +90,18 @@
 		t.Errorf("%d connections, want 2", n)
 	}
 }
+
+// TestPausedProcessMakesNoLateCall guards against an order that leaves a process which was paused after
+// the decision: the lease in the order is reckoned on the clock of a process of the worker that may be
+// gone, and a later process would take it for a longer one.
+func TestPausedProcessMakesNoLateCall(t *testing.T) {
+	server := newSlowWorker(t, 0)
+	events := make(chan any, 10)
+	c := newWorkerCaller(newMetrics(), func(ev any) { events <- ev })
+	limits := sched.CallLimits{Decided: sinceBoot() - 2*time.Second, Timeout: 80 * time.Millisecond, Limit: time.Second}
+	c.start(sched.StartRun{Worker: fleet.Worker{ID: "w", Addr: server.Listener.Addr().String()}, CallLimits: limits})
+	reply := (<-events).(host.WorkerEvent).Event.(sched.StartReply).Reply
+	if reply.Verdict != fleet.NoAnswer || server.calls.Load() != 0 {
+		t.Errorf("%v after %d calls, want no answer and no call", reply.Verdict, server.calls.Load())
+	}
+}
--- a/host/simulation_jobs_test.go
+++ b/host/simulation_jobs_test.go
@@ -144,9 +144,9 @@
 
 // order sends an order to a worker over the simulated network.
 func (w *simulation) order(h *simHost, effect Effect) {
-	ww, limit := w.target(effect)
-	c := &workerCall{w: w, h: h, process: h.processCount, ww: ww, effect: effect, sent: h.clock()}
-	w.after(limit, func() {
+	ww, limits := w.target(effect)
+	c := &workerCall{w: w, h: h, process: h.processCount, ww: ww, effect: effect, sent: h.clock(), limit: limits.Limit}
+	w.after(limits.Timeout, func() {
 		if !c.answered {
 			c.passOn(fleet.HoldReply{})
 		}
@@ -170,23 +170,23 @@
 }
 
 // target returns the worker of an order and how long the host waits for the reply.
-func (w *simulation) target(effect Effect) (*simWorker, time.Duration) {
+func (w *simulation) target(effect Effect) (*simWorker, sched.CallLimits) {
 	var id string
-	var limit time.Duration
+	var limits sched.CallLimits
 	switch e := effect.(type) {
 	case sched.StartRun:
-		id, limit = e.Worker.ID, e.Timeout
+		id, limits = e.Worker.ID, e.CallLimits
 	case sched.StopRun:
-		id, limit = e.Worker.ID, e.Timeout
+		id, limits = e.Worker.ID, e.CallLimits
 	case sched.HoldWorker:
-		id, limit = e.Worker.ID, e.Timeout+holdWait(e)
+		id, limits = e.Worker.ID, e.CallLimits
 	}
 	for _, ww := range w.workers {
 		if ww.ID == id {
-			return ww, limit
+			return ww, limits
 		}
 	}
-	return nil, limit
+	return nil, limits
 }
 
 // workerCall is an order of a host to a worker.
@@ -197,7 +197,8 @@
 	ww        *simWorker
 	effect    Effect
 	sent      time.Duration
-	replyLost bool // the reply of the worker is lost
+	limit     time.Duration // after which the host has given the call up
+	replyLost bool          // the reply of the worker is lost
 	answered  bool
 }
 
@@ -208,11 +209,7 @@
 
 // answer passes the worker's reply on, unless it is so late that the host has given the call up.
 func (c *workerCall) answer(reply fleet.HoldReply) {
-	limit := sched.MaxReplyAge
-	if e, ok := c.effect.(sched.HoldWorker); ok {
-		limit += holdWait(e)
-	}
-	if c.answered || c.h.clock()-c.sent > limit {
+	if c.answered || c.h.clock()-c.sent > c.limit {
 		return
 	}
 	c.answered = true
--- a/sched/event.go
+++ b/sched/event.go
@@ -69,7 +69,7 @@
 type StartReply struct {
 	Worker string
 	Run    fleet.RunKey
-	Sent   time.Duration // when the StartRun was sent
+	Sent   time.Duration // when the StartRun was decided
 	Fence  int64         // of the StartRun
 	Reply  fleet.Reply
 }
@@ -78,7 +78,7 @@
 type StopReply struct {
 	Worker string
 	Run    fleet.RunKey
-	Sent   time.Duration // when the StopRun was sent
+	Sent   time.Duration // when the StopRun was decided
 	Fence  int64         // of the StopRun
 	Reply  fleet.Reply
 }
@@ -88,7 +88,7 @@
 type HoldReply struct {
 	Worker string
 	Seq    uint64        // of the HoldWorker
-	Sent   time.Duration // when the HoldWorker was sent
+	Sent   time.Duration // when the HoldWorker was decided
 	Fence  int64         // of the HoldWorker
 	Wait   time.Duration // that the HoldWorker asked for
 	Reply  fleet.HoldReply
@@ -111,27 +111,35 @@
 // Effect is an output of the state machine that the caller has to carry out.
 type Effect interface{ effect() }
 
+// CallLimits say how long a call may take from the time of the decision to make it. A process that was
+// paused after the decision makes no call past its limit.
+type CallLimits struct {
+	Decided time.Duration // when the state machine decided to make the call
+	Timeout time.Duration // time after which the call is reported as unanswered
+	Limit   time.Duration // time after which it must not be made, carried out or answered any more
+}
+
 // StartRun asks a worker to start a run. StartReply answers it.
 type StartRun struct {
-	Worker  fleet.Worker
-	Order   fleet.StartOrder
-	Timeout time.Duration // after which the call counts as unanswered
+	Worker fleet.Worker
+	Order  fleet.StartOrder
+	CallLimits
 }
 
 // StopRun asks a worker to stop a run. StopReply answers it.
 type StopRun struct {
-	Worker  fleet.Worker
-	Order   fleet.StopOrder
-	Timeout time.Duration // after which the call counts as unanswered
+	Worker fleet.Worker
+	Order  fleet.StopOrder
+	CallLimits
 }
 
 // HoldWorker extends a worker's lease, if its order says so, and asks for the worker's runs. HoldReply
 // answers it.
 type HoldWorker struct {
-	Worker  fleet.Worker
-	Seq     uint64
-	Order   fleet.HoldOrder
-	Timeout time.Duration // after which the call counts as unanswered, beyond the wait of the order
+	Worker fleet.Worker
+	Seq    uint64
+	Order  fleet.HoldOrder
+	CallLimits
 }
 
 // JobFinished reports the outcome of a job.
--- a/sched/hold.go
+++ b/sched/hold.go
@@ -35,7 +35,9 @@
 	w.holdSeq++
 	w.holdOpen = true
 	w.openHoldAck = order.AckedNumber
-	s.emit(HoldWorker{Worker: w.info, Seq: w.holdSeq, Order: order, Timeout: s.holdTimeout(w)})
+	hold := HoldWorker{Worker: w.info, Seq: w.holdSeq, Order: order}
+	s.setHoldLimits(now, w, &hold)
+	s.emit(hold)
 }
 
 // sendUrgentHold sends a worker a hold that it answers at once. The answer to a hold that is still
@@ -131,7 +133,7 @@
 	if w.incarnation != 0 {
 		s.logEvent("", "worker restarted", "worker", w.info.ID, "born", born, "runs", len(w.runs))
 		w.processedEnd, w.acknowledgedEnd = 0, 0
-		w.lastClock, w.lastClockAt = 0, 0
+		w.lastClock, w.lastClockAt, w.aliveAt = 0, 0, 0
 		w.foreignRuns = make(map[fleet.RunKey]*foreignRun)
 		for _, r := range sortedRuns(w) {
 			if r.listedIncarnation == w.incarnation {
--- a/sched/lease_test.go
+++ b/sched/lease_test.go
@@ -21,7 +21,7 @@
 	p.s.workers["w1"].missedHolds = 0
 	for p.now < formerEnd {
 		p.now += 20 * time.Millisecond
-		p.s.workers["w1"].recordClock(p.now, p.now.Milliseconds())
+		p.s.workers["w1"].recordClockOf(p.now, p.now, 0, p.now.Milliseconds())
 		p.step(Tick{}) // w0 answers no hold
 		if len(p.starts) > 1 && p.now < formerEnd {
 			t.Fatalf("started again after %v; the former lease ends after %v", p.now-time.Minute, maxLeaseDuration)
@@ -29,7 +29,7 @@
 	}
 	for range 20 {
 		p.now += 20 * time.Millisecond
-		p.s.workers["w1"].recordClock(p.now, p.now.Milliseconds())
+		p.s.workers["w1"].recordClockOf(p.now, p.now, 0, p.now.Milliseconds())
 		p.step(Tick{})
 	}
 	if len(p.starts) != 2 {
--- a/sched/machine_test.go
+++ b/sched/machine_test.go
@@ -30,8 +30,6 @@
 	rivalFences    map[string]int64           // fencing token of a rival commander, by worker
 	pendingCalls   []call                     // neither delivered nor lost
 	givenUpCalls   []call                     // reported as unanswered; may still be carried out
-	lateReplies    []lateReply                // answers to such calls that have not arrived
-	carriedOutLate map[int]bool               // numbers of such calls that have been carried out
 	taskCounts     map[JobKey]int             // number of tasks of each submitted job
 	needs          map[string]fleet.Resources // of a task, by job name
 	doneTasks      map[fleet.Task]bool        // tasks of which a run has ended done
@@ -43,20 +41,15 @@
 
 // call is a call to a worker.
 type call struct {
-	effect Effect
-	sent   time.Duration
-	number int
-}
-
-// lateReply is the answer to a call that was reported as unanswered. The lists are those of a hold.
-type lateReply struct {
-	call  call
-	reply fleet.HoldReply
+	effect   Effect
+	sent     time.Duration
+	number   int
+	reported bool // as unanswered; the answer may still come
 }
 
 func newSchedMachine() *schedMachine {
 	m := &schedMachine{
-		s: New(), now: time.Minute, carriedOutLate: make(map[int]bool), taskCounts: make(map[JobKey]int), needs: make(map[string]fleet.Resources),
+		s: New(), now: time.Minute, taskCounts: make(map[JobKey]int), needs: make(map[string]fleet.Resources),
 		doneTasks: make(map[fleet.Task]bool), outcomes: make(map[JobKey]Outcome), rivalFences: make(map[string]int64), lastFence: 10,
 	}
 	for i := range 3 {
@@ -115,11 +108,11 @@
 	return nil
 }
 
-// deliver carries out a call and, if answer is set, returns its answer. A call that was under way
-// for longer than callTimeout, or that finds no process, is lost.
+// deliver carries out a call and, if answer is set, returns its answer. A call that finds no process
+// stays under way.
 func (m *schedMachine) deliver(c call, answer bool) {
-	if w := m.workerOf(c); m.now < w.DownUntil || m.now-c.sent > callTimeout {
-		m.loseCall(c)
+	if m.now < m.workerOf(c).DownUntil {
+		m.pendingCalls = append(m.pendingCalls, c)
 		return
 	}
 	switch e := c.effect.(type) {
@@ -150,12 +143,19 @@
 	m.step(StartReply{Worker: e.Worker.ID, Run: e.Order.Run, Sent: c.sent, Fence: e.Order.Fence, Reply: reply})
 }
 
-// loseCall reports a call as unanswered. It may still be carried out later, unless no process was
-// there to receive it.
+// loseCall ends a call that has not been answered. It may still be carried out later, unless no process
+// was there to receive it.
 func (m *schedMachine) loseCall(c call) {
 	if m.workerOf(c).DownUntil <= c.sent {
 		m.givenUpCalls = append(m.givenUpCalls, c)
 	}
+	if !c.reported {
+		m.reportUnanswered(c)
+	}
+}
+
+// reportUnanswered reports that a call has no answer so far.
+func (m *schedMachine) reportUnanswered(c call) {
 	switch e := c.effect.(type) {
 	case StartRun:
 		m.answerStart(c, e, fleet.Reply{}, false)
@@ -171,36 +171,13 @@
 	if m.now < m.workerOf(c).DownUntil {
 		return
 	}
-	late := lateReply{call: c}
 	switch e := c.effect.(type) {
 	case StartRun:
-		late.reply.Reply = m.worker(e.Worker.ID).Start(m.now, e.Order, m.needs[e.Order.Run.Task.Job])
+		m.worker(e.Worker.ID).Start(m.now, e.Order, m.needs[e.Order.Run.Task.Job])
 	case StopRun:
-		late.reply.Reply = m.worker(e.Worker.ID).Stop(m.now, e.Order)
+		m.worker(e.Worker.ID).Stop(m.now, e.Order)
 	case HoldWorker:
-		late.reply = m.worker(e.Worker.ID).Hold(m.now, e.Order)
-	}
-	if !m.carriedOutLate[c.number] { // a call has one answer, also if it is carried out again
-		m.carriedOutLate[c.number] = true
-		m.lateReplies = append(m.lateReplies, late)
-	}
-}
-
-// deliverLateReply passes on the answer to a call that had been reported as unanswered. The caller of
-// the scheduler waits for it until the call is MaxReplyAge old.
-func (m *schedMachine) deliverLateReply(l lateReply) {
-	if m.now-l.call.sent > MaxReplyAge+timeoutOf(l.call)-callTimeout {
-		return
-	}
-	// A call is carried out once, so an answered one is not carried out any more.
-	m.givenUpCalls = slices.DeleteFunc(m.givenUpCalls, func(c call) bool { return c.number == l.call.number })
-	switch e := l.call.effect.(type) {
-	case StartRun:
-		m.answerStart(l.call, e, l.reply.Reply, true)
-	case StopRun:
-		m.step(StopReply{Worker: e.Worker.ID, Run: e.Order.Run, Sent: l.call.sent, Fence: e.Order.Fence, Reply: l.reply.Reply})
-	case HoldWorker:
-		m.step(HoldReply{Worker: e.Worker.ID, Seq: e.Seq, Sent: l.call.sent, Wait: waitOf(e), Fence: e.Order.Fence, Reply: l.reply})
+		m.worker(e.Worker.ID).Hold(m.now, e.Order)
 	}
 }
 
@@ -221,25 +198,33 @@
 	for _, w := range m.workers {
 		w.Expire(m.now)
 	}
-	// The caller of the scheduler gives up a call after its timeout.
+	// The caller of the scheduler reports a call as unanswered after its timeout, and ends it at its
+	// limit.
 	for _, c := range slices.Clone(m.pendingCalls) {
-		if m.now-c.sent > timeoutOf(c) {
-			m.pendingCalls = slices.DeleteFunc(m.pendingCalls, func(o call) bool { return o.number == c.number })
+		i := slices.IndexFunc(m.pendingCalls, func(o call) bool { return o.number == c.number })
+		switch limits := limitsOf(c); {
+		case i < 0:
+		case m.now-c.sent > limits.Limit:
+			m.pendingCalls = slices.Delete(m.pendingCalls, i, i+1)
 			m.loseCall(c)
+		case m.now-c.sent > limits.Timeout && !c.reported:
+			m.pendingCalls[i].reported = true
+			m.reportUnanswered(c)
 		}
 	}
 	m.step(Tick{})
 }
 
-// callTimeout is how long the caller of the scheduler waits for an answer, beyond the wait that a
-// hold asks for.
-const callTimeout = 300 * time.Millisecond
-
-func timeoutOf(c call) time.Duration {
-	if h, ok := c.effect.(HoldWorker); ok {
-		return callTimeout + waitOf(h)
+func limitsOf(c call) CallLimits {
+	switch e := c.effect.(type) {
+	case StartRun:
+		return e.CallLimits
+	case StopRun:
+		return e.CallLimits
+	case HoldWorker:
+		return e.CallLimits
 	}
-	return callTimeout
+	return CallLimits{}
 }
 
 func (m *schedMachine) check(t *rapid.T) {
@@ -326,13 +311,6 @@
 					m.carryOutLate(m.givenUpCalls[i])
 				}
 			},
-			"answerLate": func(t *rapid.T) {
-				if len(m.lateReplies) > 0 {
-					i := rapid.IntRange(0, len(m.lateReplies)-1).Draw(t, "late")
-					m.deliverLateReply(m.lateReplies[i])
-					m.lateReplies = slices.Delete(m.lateReplies, i, i+1)
-				}
-			},
 			"end": func(t *rapid.T) {
 				w := m.workers[rapid.IntRange(0, len(m.workers)-1).Draw(t, "worker")]
 				if keys := w.Running(); len(keys) > 0 {
--- a/sched/place.go
+++ b/sched/place.go
@@ -259,7 +259,7 @@
 	j.unrejectedStarts++
 	s.stats.Starts++
 	w.nextHold = min(w.nextHold, now)
-	s.emit(StartRun{Worker: w.info, Order: fleet.StartOrder{Run: key, Payload: j.spec.Payload, Fence: w.fence, LeaseEnd: until}, Timeout: s.orderTimeout(w)})
+	s.emit(StartRun{Worker: w.info, Order: fleet.StartOrder{Run: key, Payload: j.spec.Payload, Fence: w.fence, LeaseEnd: until}, CallLimits: s.startLimits(now, w)})
 }
 
 // recordFailure counts a failed run. It blocks a worker on which several runs in a row have failed.
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -299,5 +299,5 @@
 	}
 	st.lastSentAt = now
 	s.stats.Stops++
-	s.emit(StopRun{Worker: w.info, Order: fleet.StopOrder{Run: key, Fence: w.fence}, Timeout: s.orderTimeout(w)})
+	s.emit(StopRun{Worker: w.info, Order: fleet.StopOrder{Run: key, Fence: w.fence}, CallLimits: s.orderLimits(now, w)})
 }
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -27,6 +27,7 @@
 
 	lastClock     int64         // newest reading of the worker's clock in ms
 	lastClockAt   time.Duration // the clock showed lastClock at this time or earlier
+	aliveAt       time.Duration // the process with this clock lived at this time or later
 	leaseEndBound time.Duration // all leases granted have ended by then
 
 	runs        map[fleet.RunKey]*run
@@ -95,22 +96,19 @@
 	w.leaseEndBound = max(w.leaseEndBound, now+time.Duration(float64(d)/minClockRate))
 }
 
-// clockStale reports whether the last reading of the worker's clock is so old that the worker may
-// have restarted with another clock. A lease computed from the old clock could then allow the
-// worker to carry out an order seconds late.
-func (w *worker) clockStale(now time.Duration) bool { return now-w.lastClockAt > minRestartTime }
-
 // recordClock records a reading of the worker's clock in ms; 0 means none. The worker took the
-// reading at now or earlier.
-func (w *worker) recordClock(now time.Duration, clock int64) {
+// reading at now or earlier. It reports false for a reading that is older than the last one or comes from
+// another process.
+func (w *worker) recordClock(now time.Duration, clock int64) bool {
 	if clock == 0 {
-		return
+		return false
 	}
 	if clock < w.leaseEndOnWorkerClock(now, 0) && w.lastClockAt != 0 {
-		return // an older reading
+		return false
 	}
 	w.lastClock = clock
 	w.lastClockAt = now
+	return true
 }
 
 // freeCapacity returns the capacity that is left beside all runs that may be running.
