Refuse frames and records with absurd values

Cause: a job from another host with a negative number of tasks ended the process of the commander (makeslice). A frame that echoes a time from the future made its sender count as live until then, so that the work of a dead host went on. A fencing token at the limit made the next one negative. Change: frames are checked before they change the state and refused as a whole, with a log line and the counter FramesRefused; an invalid job is refused alone, so that the messages after it go on.

--- a/host/host.go
+++ b/host/host.go
@@ -83,10 +83,10 @@
 }
 
 // Stats counts the jobs of the host's callers, the cells that it has taken and lost, and the frames and
-// new connections to other hosts.
+// new connections to other hosts. Refused frames held values that no sound host sends.
 type Stats struct {
-	Arrived, PassedOn, Completed, Failed, Refused, Aborted, Gone int64
-	CellsTaken, CellsLost, FramesIn, FramesOut, Redials          int64
+	Arrived, PassedOn, Completed, Failed, Refused, Aborted, Gone       int64
+	CellsTaken, CellsLost, FramesIn, FramesOut, FramesRefused, Redials int64
 }
 
 // New returns the initial state of a process.
@@ -166,7 +166,9 @@
 	case FrameReceived:
 		s.handleFrame(now, e.Frame)
 	case HostsDiscovered:
-		s.maxFence = max(s.maxFence, e.MaxFence)
+		if validFence(e.MaxFence) {
+			s.maxFence = max(s.maxFence, e.MaxFence)
+		}
 		for _, h := range e.Hosts {
 			s.addPeer(h)
 		}
--- a/host/peers.go
+++ b/host/peers.go
@@ -67,7 +67,12 @@
 // handleFrame processes a frame of another host.
 func (s *State) handleFrame(now time.Duration, f *meshpb.Frame) {
 	from := f.GetFrom()
-	if from.GetId() == s.opts.Self.ID || from.GetAddr() == "" {
+	if from.GetId() == s.opts.Self.ID {
+		return
+	}
+	if err := s.frameError(now, f); err != nil {
+		s.stats.FramesRefused++
+		s.log("mesh", "", "frame refused", "peer", from.GetName(), "addr", from.GetAddr(), "err", err)
 		return
 	}
 	s.stats.FramesIn++
--- a/host/submission.go
+++ b/host/submission.go
@@ -26,7 +26,12 @@
 // handleSubmit passes a job of another host's caller to the scheduler, at once or when its submission is
 // confirmed. Between hosts with frequent heartbeats a delayed submission is refused.
 func (s *State) handleSubmit(now time.Duration, p *peer, f *meshpb.Frame, m *meshpb.Submit) {
-	waited := time.Duration(f.GetSent() - m.GetMeasured())
+	if err := submitError(m); err != nil {
+		s.log("jobs", m.GetRequestId(), "invalid job refused", "job", m.GetJobId(), "from", p.info.GetName(), "err", err)
+		s.handleJobFinished(now, sched.JobFinished{Key: sched.JobKey{Host: p.info.GetId(), Seq: m.GetSeq()}, Outcome: sched.Refused, Reason: "the job is invalid"})
+		return
+	}
+	waited := max(0, time.Duration(f.GetSent()-m.GetMeasured()))
 	silent := now - time.Duration(f.GetEcho())
 	job := submittedJob(p.info.GetId(), m, waited)
 	p.lastJobAt = now
--- /dev/null
+++ b/host/validate.go
@@ -0,0 +1,78 @@
+package host
+
+import (
+	"math"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"sesameledge.dev/sesameledge/fleet"
+	"sesameledge.dev/sesameledge/mesh/meshpb"
+)
+
+const (
+	// fenceLimit is above every fencing token: every JSON decoder is exact below it.
+	fenceLimit = 1 << 53
+	// maxSubmittedTasks limits the tasks of a job from another host, to bound the memory that it takes.
+	maxSubmittedTasks = 10000
+	// maxJobTime limits the durations in a job from another host.
+	maxJobTime = 24 * time.Hour
+	// maxCellParts limits the number of cells into which a host may announce that a zone is divided.
+	maxCellParts = 64
+)
+
+// frameError returns what is wrong with a frame that no sound host sends, or nil. Such a frame is ignored
+// as a whole. An echo from the future would make its sender count as live for as long; a fencing token at
+// the limit could not be exceeded.
+func (s *State) frameError(now time.Duration, f *meshpb.Frame) error {
+	switch {
+	case f.GetFrom().GetAddr() == "" || f.GetFrom().GetId() == 0:
+		return errors.New("the sender is not named")
+	case f.GetTo() == s.opts.Self.ID && (f.GetEcho() < 0 || f.GetEcho() > int64(now)):
+		return errors.Newf("it echoes the time %v, which this host has not sent", time.Duration(f.GetEcho()))
+	case f.GetSent() < 0:
+		return errors.New("its time is negative")
+	}
+	return statusError(f.GetStatus())
+}
+
+// statusError returns what is wrong with a status, or nil.
+func statusError(st *meshpb.Status) error {
+	if !validFence(st.GetMaxFence()) {
+		return errors.Newf("the fencing token %d is out of bounds", st.GetMaxFence())
+	}
+	for _, c := range st.GetCells() {
+		switch {
+		case !validFence(c.GetFence()) || c.GetCommanded() < 0:
+			return errors.Newf("the cell %s has a token or a number of workers out of bounds", c.GetName())
+		case fleet.Cell(c.GetName()).Parts() > maxCellParts:
+			return errors.Newf("the cell %s belongs to a zone of too many cells", c.GetName())
+		}
+		for _, l := range c.GetLoads() {
+			if l.GetFree() < 0 || l.GetCapacity() < 0 || l.GetQueued() < 0 || l.GetRate() < 0 || l.GetTaskMs() < 0 {
+				return errors.Newf("the cell %s has a negative load", c.GetName())
+			}
+		}
+	}
+	return nil
+}
+
+func validFence(fence int64) bool { return fence >= 0 && fence < fenceLimit }
+
+// submitError returns what is wrong with a job from another host, or nil.
+func submitError(m *meshpb.Submit) error {
+	r := m.GetRoute()
+	switch {
+	case m.GetTasks() < 1 || m.GetTasks() > maxSubmittedTasks:
+		return errors.Newf("it has %d tasks", m.GetTasks())
+	case m.GetCpu() < 0 || m.GetMemory() < 0 || m.GetGpu() < 0:
+		return errors.New("a task needs a negative amount")
+	case !validJobTime(m.GetAgeNs()) || !validJobTime(m.GetEstimateNs()) || !validJobTime(r.GetTargetNs()) || m.GetLeftNs() > int64(maxJobTime):
+		return errors.New("a duration is out of bounds")
+	case math.IsNaN(r.GetSlackFactor()) || math.IsInf(r.GetSlackFactor(), 0) || r.GetSlackFactor() < 0:
+		return errors.Newf("the slack factor is %v", r.GetSlackFactor())
+	}
+	return nil
+}
+
+func validJobTime(ns int64) bool { return ns >= 0 && ns <= int64(maxJobTime) }
