Send starts at the pace of the commander's link

Cause: a start carries the body of its job, 1.2 KB in the mean. On a host with 2 Mbit/s a job of 8 tasks takes 50 ms of the link, and a burst fills its queue: heartbeats and renewals of leases waited behind bodies, so hosts that lived were lost, cells changed hands and running work was stopped. Tasks beyond that wait in the scheduler, where jobs that cannot start in time are refused at once, and the load that other hosts see holds the wait.

--- a/entry/host.go
+++ b/entry/host.go
@@ -113,13 +113,14 @@
 func (h *Host) newState() *host.State {
 	s := h.settings
 	return host.New(host.Options{
-		Self:       host.Self{Name: s.Host, Zone: s.Zone, Addr: s.Listen.peerAddress(), ID: h.id, Weight: s.weight()},
-		Zones:      s.Zones,
-		Seeds:      s.Seeds,
-		Decode:     host.Decoders{Config: platform.DecodeConfig, Worker: platform.DecodeWorker},
-		Seed:       h.id,
-		Started:    sinceBoot(),
-		UnixMillis: time.Now().UnixMilli(),
+		Self:               host.Self{Name: s.Host, Zone: s.Zone, Addr: s.Listen.peerAddress(), ID: h.id, Weight: s.weight()},
+		Zones:              s.Zones,
+		LinkBytesPerSecond: s.linkBytesPerSecond(),
+		Seeds:              s.Seeds,
+		Decode:             host.Decoders{Config: platform.DecodeConfig, Worker: platform.DecodeWorker},
+		Seed:               h.id,
+		Started:            sinceBoot(),
+		UnixMillis:         time.Now().UnixMilli(),
 	})
 }
 
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -25,6 +25,8 @@
 	// fraction of each that the host may use.
 	Cores     float64 `yaml:"cores"`
 	CoreShare float64 `yaml:"core_share"`
+	// LinkMbps is the capacity of the host's network link in Mbit/s. 0: not known.
+	LinkMbps float64 `yaml:"link_mbps"`
 	// DrainTime is the time after SIGTERM within which the process must end.
 	DrainTime time.Duration `yaml:"drain_time"`
 	Log       Log           `yaml:"log"`
@@ -92,6 +94,7 @@
 	require(s.Memory >= 0, "memory_mb", "must not be negative")
 	require(s.Cores > 0, "cores", "must be positive")
 	require(s.CoreShare > 0 && s.CoreShare <= 1, "core_share", "must be over 0 and at most 1")
+	require(s.LinkMbps >= 0, "link_mbps", "must not be negative")
 	require(s.Log.LinesPerSecond > 0, "log.lines_per_second", "must be positive")
 	for _, a := range []struct{ field, addr string }{
 		{"listen.callers", s.Listen.Callers},
@@ -111,6 +114,9 @@
 // weight returns the CPU capacity of the host in thousandths of a core.
 func (s *Settings) weight() int64 { return int64(s.Cores * s.CoreShare * 1000) }
 
+// linkBytesPerSecond returns the capacity of the host's network link, 0 if it is not known.
+func (s *Settings) linkBytesPerSecond() float64 { return s.LinkMbps * 1e6 / 8 }
+
 // validAddress reports whether addr has the form IP:port.
 func validAddress(addr string) bool {
 	host, _, err := net.SplitHostPort(addr)
--- a/host/host.go
+++ b/host/host.go
@@ -44,9 +44,11 @@
 	// CellWorkers is the number of workers up to which one host commands a zone. 0 means
 	// owner.DefaultCellWorkers.
 	CellWorkers int
-	Decode      Decoders
-	Seed        uint64
-	Started     time.Duration // when the process started, on the clock that gives Step its times
+	// LinkBytesPerSecond is the capacity of the host's network link. 0: not known.
+	LinkBytesPerSecond float64
+	Decode             Decoders
+	Seed               uint64
+	Started            time.Duration // when the process started, on the clock that gives Step its times
 	// UnixMillis is the time of day at Started in Unix ms. It orders the fencing tokens of
 	// processes that do not know of each other; no guarantee depends on it.
 	UnixMillis int64
@@ -96,7 +98,7 @@
 		peers:       make(map[string]*peer),
 		peersByID:   make(map[uint64]*peer),
 		owner:       owner.New(opts.Started, owner.Host{Name: opts.Self.Name, Zone: opts.Self.Zone, ID: opts.Self.ID, Weight: opts.Self.Weight}),
-		sched:       sched.New(),
+		sched:       sched.New(opts.LinkBytesPerSecond),
 		workers:     make(map[string]*workerEntry),
 		zoneParts:   make(map[string]int),
 		jobs:        make(map[uint64]*job),
--- a/sched/call_test.go
+++ b/sched/call_test.go
@@ -17,7 +17,7 @@
 }
 
 func newSlowPool() *slowPool {
-	p := &slowPool{s: New(), now: time.Minute}
+	p := &slowPool{s: New(0), now: time.Minute}
 	info := fleet.Worker{ID: "w0", Service: "s", Zone: "z", Capacity: fleet.Resources{CPU: 64000, Memory: 1000}}
 	p.step(UpdateWorkers{Workers: []fleet.Worker{info}})
 	p.step(TakeWorker{Worker: "w0", Cell: "z", Fence: 1})
--- a/sched/load.go
+++ b/sched/load.go
@@ -60,7 +60,9 @@
 		loads[w.info.Service] = l
 		rates[w.info.Service] += float64(w.info.Capacity.CPU) * packingEfficiency * w.speed
 	}
+	waitingBytes := 0
 	for _, j := range s.queue {
+		waitingBytes += j.waitingBytes()
 		l, ok := loads[j.route.Service]
 		if !ok || j.cell != cell {
 			continue
@@ -68,8 +70,10 @@
 		l.QueuedCPUMillis += int64(len(j.waiting)) * j.spec.Need.CPU * j.taskDuration.Milliseconds()
 		loads[j.route.Service] = l
 	}
+	linkWait := s.link.Wait(s.lastStep, waitingBytes)
 	for service, l := range loads {
 		l.EffectiveCPU = int64(rates[service])
+		l.QueuedCPUMillis = max(l.QueuedCPUMillis, linkWait.Milliseconds()*l.EffectiveCPU)
 		if busy := l.CapacityCPU - l.FreeCPU; busy > 0 {
 			l.MeanTaskDuration = time.Duration(running[service]/busy) * time.Microsecond
 		}
--- a/sched/machine_test.go
+++ b/sched/machine_test.go
@@ -49,7 +49,7 @@
 
 func newSchedMachine() *schedMachine {
 	m := &schedMachine{
-		s: New(), now: time.Minute, taskCounts: make(map[JobKey]int), needs: make(map[string]fleet.Resources),
+		s: New(0), now: time.Minute, taskCounts: make(map[JobKey]int), needs: make(map[string]fleet.Resources),
 		doneTasks: make(map[fleet.Task]bool), outcomes: make(map[JobKey]Outcome), rivalFences: make(map[string]int64), lastFence: 10,
 	}
 	for i := range 3 {
--- a/sched/place.go
+++ b/sched/place.go
@@ -119,7 +119,11 @@
 	var stillWaiting []int
 	var workerIDs, speeds []string
 	mayWait := j.canWait(now) && s.hasInTimeWorker(now, j)
-	for _, index := range j.waiting {
+	for i, index := range j.waiting {
+		if !s.link.Ready(now) {
+			stillWaiting = append(stillWaiting, j.waiting[i:]...)
+			break
+		}
 		c := s.chooseWorker(now, j, workers, mayWait)
 		if c == nil {
 			stillWaiting = append(stillWaiting, index)
@@ -258,10 +262,18 @@
 	j.hasRun[index] = true
 	j.unrejectedStarts++
 	s.stats.Starts++
+	s.link.Reserve(now, j.startSize())
 	w.nextHold = min(w.nextHold, now)
 	s.emit(StartRun{Worker: w.info, Order: fleet.StartOrder{Run: key, Payload: j.spec.Payload, Fence: w.fence, LeaseEnd: until}, CallLimits: s.startLimits(now, w)})
 }
 
+// startOverhead is the size of an order to start a run in bytes, with its headers and without the
+// payload of the job.
+const startOverhead = 500
+
+// startSize returns the size of an order to start a task of the job in bytes.
+func (j *job) startSize() int { return len(j.spec.Payload) + startOverhead }
+
 // recordFailure counts a failed run. It blocks a worker on which several runs in a row have failed.
 func (w *worker) recordFailure(now time.Duration) {
 	w.consecutiveFailures++
--- a/sched/place_test.go
+++ b/sched/place_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
 	"sesameledge.dev/sesameledge/fleet"
+	"sesameledge.dev/sesameledge/pace"
 )
 
 // testPool drives the scheduler with workers that accept every start at once. They answer holds
@@ -20,7 +22,7 @@
 
 // newTestPool returns a pool of workers with the given capacities in cores.
 func newTestPool(cores ...int64) *testPool {
-	p := &testPool{s: New(), now: time.Minute, running: make(map[string]map[fleet.RunKey]bool), outcomes: make(map[JobKey]Outcome)}
+	p := &testPool{s: New(0), now: time.Minute, running: make(map[string]map[fleet.RunKey]bool), outcomes: make(map[JobKey]Outcome)}
 	var list []fleet.Worker
 	for i, c := range cores {
 		id := fmt.Sprintf("w%d", i)
@@ -213,3 +215,43 @@
 		t.Errorf("outcome %v, %d violations", m.outcomes[key], m.s.Stats().Violations)
 	}
 }
+
+// TestBurstOnNarrowLink guards against a burst that fills the network link of the commander, so that
+// heartbeats and renewals of leases are late. Starts leave as the link allows, and jobs whose starts
+// cannot leave in time are refused at once.
+func TestBurstOnNarrowLink(t *testing.T) {
+	const linkBytesPerSecond = 250_000
+	p := newTestPool(640, 640)
+	p.s.link = pace.NewLink(linkBytesPerSecond)
+	payload := strings.Repeat("x", 1500)
+	submit := func(seq uint64) {
+		p.step(Submit{Job: Job{
+			Key: JobKey{Host: 1, Seq: seq}, Cell: "z", Left: 10 * time.Second,
+			Spec:  fleet.JobSpec{ID: fmt.Sprintf("job%d", seq), Tasks: 8, Need: fleet.Resources{CPU: 1000, Memory: 1}, Estimate: 60 * time.Millisecond, Payload: payload},
+			Route: fleet.Route{Name: "r", Service: "s", MaxAttempts: 3, SlackFactor: 1.6, ObjectiveOffset: 60 * time.Millisecond},
+		}})
+	}
+	submit(1)
+	if n := len(p.starts); n == 0 || n == 8 {
+		t.Errorf("%d of 8 starts at once", n)
+	}
+	for seq := uint64(2); seq <= 20; seq++ {
+		submit(seq)
+	}
+	refused := 0
+	for _, o := range p.outcomes {
+		if o == Refused {
+			refused++
+		}
+	}
+	if refused < 15 {
+		t.Errorf("%d of 20 jobs are refused at once, of which the link can carry 2 in time", refused)
+	}
+	for range 12 {
+		p.now += 25 * time.Millisecond
+		p.step(Tick{})
+	}
+	if n := len(p.starts); n != 8*(20-refused) {
+		t.Errorf("%d starts of %d jobs with 8 tasks that were not refused", n, 20-refused)
+	}
+}
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"sesameledge.dev/sesameledge/fleet"
+	"sesameledge.dev/sesameledge/pace"
 	"sesameledge.dev/sesameledge/rtt"
 )
 
@@ -49,6 +50,8 @@
 	queue          []*job // with waiting tasks
 	durations      *durationModel
 	calls          rtt.Estimator // over the calls to all workers
+	link           pace.Link     // network link of the host
+	lastStep       time.Duration // time of the newest event
 	importance     *importance
 	effects        []Effect
 	needsPlacement bool      // a task may have become placeable since the last Place
@@ -69,9 +72,11 @@
 	Violations int64
 }
 
-// New returns an empty state machine.
-func New() *State {
+// New returns an empty state machine for a host with a network link of a capacity in bytes a second; 0
+// means that the capacity is not known.
+func New(linkBytesPerSecond float64) *State {
 	return &State{
+		link:        pace.NewLink(linkBytesPerSecond),
 		workers:     make(map[string]*worker),
 		jobs:        make(map[JobKey]*job),
 		closedCells: make(map[fleet.Cell]bool),
@@ -118,6 +123,7 @@
 
 // Step applies an event. The caller calls Place after the last event of a batch.
 func (s *State) Step(now time.Duration, ev Event) {
+	s.lastStep = now
 	switch e := ev.(type) {
 	case Submit:
 		s.handleSubmit(now, e.Job)
--- a/sched/shed.go
+++ b/sched/shed.go
@@ -74,20 +74,22 @@
 		return
 	}
 	var refusable []*job // without a started task, in the order of their starts
-	neededCPU := int64(0)
+	neededCPU, neededBytes := int64(0), 0
 	for _, j := range s.queue {
 		if j.finished || j.cell != p.cell || j.route.Service != p.service {
 			continue
 		}
 		neededCPU += j.waitingCPU()
+		neededBytes += j.waitingBytes()
 		if j.unrejectedStarts == 0 {
 			refusable = append(refusable, j)
 		}
-		for now+load.shortage(neededCPU) > j.latestStart()+startTolerance && len(refusable) > 0 {
+		for now+max(load.shortage(neededCPU), s.link.Wait(now, neededBytes)) > j.latestStart()+startTolerance && len(refusable) > 0 {
 			i := s.leastWorthPerWork(now, refusable)
 			victim := refusable[i]
 			refusable = slices.Delete(refusable, i, i+1)
 			neededCPU -= victim.waitingCPU()
+			neededBytes -= victim.waitingBytes()
 			s.finish(now, victim, Refused, reasonOverload)
 		}
 	}
@@ -103,6 +105,9 @@
 // waitingCPU returns the CPU that the waiting tasks of the job need, in thousandths of a core.
 func (j *job) waitingCPU() int64 { return int64(len(j.waiting)) * j.spec.Need.CPU }
 
+// waitingBytes returns the size of the orders that start the waiting tasks of the job.
+func (j *job) waitingBytes() int { return len(j.waiting) * j.startSize() }
+
 // leastWorthPerWork returns the index of the job with the least worth for its work.
 func (s *State) leastWorthPerWork(now time.Duration, jobs []*job) int {
 	least := 0
