--- a/entry/exposition.go
+++ b/entry/exposition.go
@@ -28,8 +28,9 @@
 	sched           sched.Stats
 	openJobs        int
 	cells           int
-	version         int64 // of the configuration in force
-	droppedLogLines int64 // log lines dropped since the start
+	callTimeout     time.Duration // of calls to workers
+	version         int64         // of the configuration in force
+	droppedLogLines int64         // log lines dropped since the start
 }
 
 // snapshot reads the current values. It reports false if the event loop has ended.
@@ -38,6 +39,7 @@
 	ok = h.loop.readState(func(_ time.Duration, state *host.State) {
 		s.host, s.sched = state.Stats(), state.Scheduler().Stats()
 		s.openJobs, s.cells = state.OpenJobs(), state.CellCount()
+		s.callTimeout = state.Scheduler().CallTimeout()
 		if c := state.Config(); c != nil {
 			s.version = c.Version
 		}
@@ -88,10 +90,12 @@
 		counter("invariant_violations_total", "Starts that an internal check has stopped.", "", labelValues{"": d.Violations}),
 		counter("cell_changes_total", "Cells that this host has taken and lost.", "change", labelValues{"taken": h.CellsTaken, "lost": h.CellsLost}),
 		counter("frames_total", "Frames exchanged with other hosts.", "direction", labelValues{"in": h.FramesIn, "out": h.FramesOut}),
+		counter("frames_refused_total", "Frames refused because no sound host sends their values.", "", labelValues{"": h.FramesRefused}),
 		counter("redials_total", "Connections to other hosts that were replaced because they were silent.", "", labelValues{"": h.Redials}),
 		counter("log_lines_left_out_total", "Log lines left out to bound the volume.", "", labelValues{"": s.droppedLogLines}),
 		gauge("open_jobs", "Jobs of this host's callers without an answer.", int64(s.openJobs)),
 		gauge("cells", "Cells that this host commands or hands over.", int64(s.cells)),
+		gauge("worker_call_timeout_ms", "Time in ms after which calls to workers count as unanswered. It rises when answers are slow.", s.callTimeout.Milliseconds()),
 		gauge("config_version", "Version of the configuration in force, 0 if there is none.", s.version),
 	}
 }
