Keep a starved host from looking for commanders everywhere

Change: a host below 0.3 core listens for 1.5 s before it takes a cell, as one that knows a larger host does. A host that knows no commander asks four hosts of other zones a second, whose lists name the commanders. Tests: TestSearchForCommandersIsBounded, TestSmallHostListensLonger.

--- a/host/contact.go
+++ b/host/contact.go
@@ -35,18 +35,23 @@
 	// contactLinger is how long the contact to a host is kept after it was last needed. It covers the
 	// jobs that the two hosts still have in progress with each other.
 	contactLinger = 10 * time.Second
-	// searchDelay is how long a new process that knows no commander waits until it contacts the hosts of
-	// all zones. Those of its own zone are enough unless the zone has lost all other hosts.
+	// searchDelay is how long a new process that knows no commander waits until it contacts hosts of other
+	// zones. Those of its own zone are enough unless the zone has lost all other hosts.
 	searchDelay = 5 * time.Second
+	// searchContacts is the number of hosts that it contacts at a time, for searchPeriod. It is small,
+	// because a host that knows no commander may be one that gets too little processor time.
+	searchContacts = 4
+	searchPeriod   = time.Second
 )
 
 // updateContact decides whether this host stays in contact with a peer. It needs the hosts of its zone,
 // among which a commander is chosen, and those with which it may exchange jobs: all hosts if it commands
 // a cell, and otherwise the commanders. The traffic of a host without a cell therefore does not grow with
-// the number of hosts in other zones. A host that knows no commander looks for one everywhere.
-func (s *State) updateContact(now time.Duration, p *peer, searching bool) {
+// the number of hosts in other zones. A host that knows no commander asks a few hosts of other zones at a
+// time; their answers name the commanders. asked tells whether the peer is one of them.
+func (s *State) updateContact(now time.Duration, p *peer, asked bool) {
 	zone := cmp.Or(p.info.GetZone(), p.discoveredZone)
-	if zone == "" || zone == s.opts.Self.Zone || searching || s.mayExchangeJobs(p) {
+	if zone == "" || zone == s.opts.Self.Zone || asked || s.mayExchangeJobs(p) {
 		p.contactNeededAt = now
 		p.contacted = true
 		return
@@ -58,6 +63,12 @@
 	}
 }
 
+// isSearchContact reports whether the peer of an index is among those that a searching host asks now.
+func (s *State) isSearchContact(now time.Duration, index int) bool {
+	turn := index + int(now/searchPeriod)*searchContacts
+	return turn%len(s.sortedPeers) < searchContacts
+}
+
 // searchesCommander reports whether this host knows no live commander although it has listened for long
 // enough to hear of one in its zone.
 func (s *State) searchesCommander(now time.Duration) bool {
--- a/host/contact_test.go
+++ b/host/contact_test.go
@@ -1,9 +1,11 @@
 package host
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
+	"sesameledge.dev/sesameledge/mesh/meshpb"
 	"sesameledge.dev/sesameledge/sched"
 )
 
@@ -93,3 +95,33 @@
 		t.Errorf("the job came to %v %s", j.outcomes, j.reason)
 	}
 }
+
+// TestSearchForCommandersIsBounded guards against a host that hears nobody, because it gets too little
+// processor time, and spends what it has on connections to all hosts of a large deployment, so that it
+// never recovers. One such host applied no configuration for 20 s.
+func TestSearchForCommandersIsBounded(t *testing.T) {
+	s := newTestState("lone", 1)
+	s.opts.Zones = []string{"far"} // no workers in its own zone, so no cell to take
+	var hosts []*meshpb.Host
+	for i := range 150 {
+		hosts = append(hosts, &meshpb.Host{Addr: fmt.Sprintf("10.1.0.%d:1", i), Zone: "far"})
+	}
+	now := time.Duration(0)
+	s.Step(now, HostsDiscovered{Hosts: hosts})
+	for now < 3*contactLinger {
+		now += 100 * time.Millisecond
+		s.Step(now, Tick{})
+		contacted := 0
+		for _, p := range s.sortedPeers {
+			if p.contacted {
+				contacted++
+			}
+		}
+		if limit := searchContacts * int(contactLinger/searchPeriod+2); contacted > limit {
+			t.Fatalf("in contact with %d hosts at once, want at most %d", contacted, limit)
+		}
+	}
+	if s.stats.FramesOut == 0 {
+		t.Error("the host asks nobody")
+	}
+}
--- a/host/peers.go
+++ b/host/peers.go
@@ -143,8 +143,8 @@
 // is applied, so that a process that was suspended does not act on outdated state.
 func (s *State) expireContacts(now time.Duration) {
 	searching := s.searchesCommander(now)
-	for _, p := range s.sortedPeers {
-		s.updateContact(now, p, searching)
+	for i, p := range s.sortedPeers {
+		s.updateContact(now, p, searching && s.isSearchContact(now, i))
 		s.updateJobExchange(now, p)
 		if p.live && !s.contactFresh(now, p) {
 			s.log("mesh", "", "host lost", "peer", p.info.GetName(), "addr", p.info.GetAddr(), "silent", now-p.session.LastContact())
@@ -180,10 +180,21 @@
 	case *meshpb.Message_Hosts:
 		for _, h := range kind.Hosts.GetHosts() {
 			s.addPeer(h)
+			s.contactListedCommander(now, h)
 		}
 	}
 }
 
+// contactListedCommander contacts a host that another one has listed. A list holds the hosts of the
+// receiver's zone and the commanders of the others, so a host of another zone commands cells.
+func (s *State) contactListedCommander(now time.Duration, h *meshpb.Host) {
+	p := s.peers[h.GetAddr()]
+	if p == nil || p.contacted || !s.searchesCommander(now) {
+		return
+	}
+	p.contacted, p.contactNeededAt = true, now
+}
+
 // sendDueFrames sends due heartbeats, and a frame at once to each peer with unsent messages.
 func (s *State) sendDueFrames(now time.Duration) {
 	var status *meshpb.Status
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -26,9 +26,12 @@
 const (
 	// listenTime is how long a new process listens to other hosts before it takes a cell.
 	listenTime = 350 * time.Millisecond
-	// largerHostListenTime is how long it listens if a much larger host of the zone is known, to give
-	// that one time to be heard.
+	// largerHostListenTime is how long it listens if a much larger host of the zone is known, or likely
+	// because it is small itself, to give that one time to be heard.
 	largerHostListenTime = 1500 * time.Millisecond
+	// smallHostWeight is the processor time, in thousandths of a core, below which a host counts as small.
+	// Such a host cannot command a cell of 100 workers and exchange jobs with 100 hosts.
+	smallHostWeight = 300
 	// retakeDelay is the longest pause before a host takes a cell again that it has lost.
 	retakeDelay = 2 * time.Second
 	// minRetakeDelay is that pause after a claim was lost before establishedClaimAge, most likely
@@ -122,7 +125,7 @@
 
 // hasListened reports whether the process has listened long enough to take a cell of a zone.
 func (s *State) hasListened(now time.Duration, zone string) bool {
-	if muchLarger(s.largestWeight[zone], s.self.Weight) {
+	if s.self.Weight < smallHostWeight || muchLarger(s.largestWeight[zone], s.self.Weight) {
 		return now >= s.startedAt+largerHostListenTime
 	}
 	return now >= s.startedAt+listenTime
--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -107,6 +107,19 @@
 	}
 }
 
+// TestSmallHostListensLonger guards against a small host that takes a cell because it is the first to
+// start and has heard nobody. With 110 workers and 146 hosts to serve it got no processor time for
+// anything else, and never recovered.
+func TestSmallHostListensLonger(t *testing.T) {
+	s := newState(Host{Name: "small", Zone: "z", ID: 1, Weight: 144})
+	if _, ok := s.Decide(listenTime+time.Millisecond, "z", nil); ok {
+		t.Error("the small host takes the cell at once")
+	}
+	if _, ok := s.Decide(largerHostListenTime+time.Millisecond, "z", nil); !ok {
+		t.Error("the small host does not take the cell of a zone without another host")
+	}
+}
+
 // TestRetriesSoonAfterFailedTake guards against a zone without service for seconds because its
 // workers have seen a fencing token that no live host knows.
 func TestRetriesSoonAfterFailedTake(t *testing.T) {
