Report a client without hosts, and take overload for no bad request

Without hosts Submit returned no error and no reply, and Run panicked. Reply.BadRequest held for 429, so a job with a key was given up after as many overloaded hosts as there are.

--- a/api/error.go
+++ b/api/error.go
@@ -80,9 +80,12 @@
 	return r.Reason.status()
 }
 
-// BadRequest reports whether the HTTP status of the reply is 4xx. With an unknown outcome that means that
-// the request itself was bad, so that repeating it is of no use.
-func (r *Reply) BadRequest() bool { return r.HTTPStatus() >= 400 && r.HTTPStatus() < 500 }
+// BadRequest reports whether the HTTP status of the reply is 4xx and not 429, which is a refusal for load.
+// With an unknown outcome that means that the request itself was bad, so that repeating it is of no use.
+func (r *Reply) BadRequest() bool {
+	status := r.HTTPStatus()
+	return status >= 400 && status < 500 && status != http.StatusTooManyRequests
+}
 
 // unknownStatus returns the HTTP status for an unknown outcome. It is an error status only if the request
 // itself was bad, so that repeating it is of no use.
--- a/client/request.go
+++ b/client/request.go
@@ -55,7 +55,7 @@
 	c.mu.Lock()
 	first := c.firstHost
 	c.mu.Unlock()
-	var lastErr error
+	lastErr := errors.New("no host is configured")
 	sent := 0
 	for i := range c.opts.Hosts {
 		index := (first + i) % len(c.opts.Hosts)
