Judge contacts by the jobs in progress after a pause

Cause: whether two hosts of different zones exchange jobs was noted at each tick only. A commander that woke from a pause of over a second found the note too old, applied the longer timeout to the host whose caller's job it ran, and went on with the job although that host had counted it as lost and the caller may have sent the job again. Change: the jobs in progress are noted before contacts are judged. Measured: TestPausedCommanderDropsJobsOfOtherZone fails before for a pause of 1.2 s (0 jobs aborted), passes after.

--- a/host/contact.go
+++ b/host/contact.go
@@ -17,6 +17,8 @@
 	standbyContactTimeout    = 1500 * time.Millisecond
 	// jobExchangeLinger is how long after their last job such hosts keep the shorter heartbeatInterval.
 	jobExchangeLinger = time.Second
+	// jobsRecordInterval is the time between two looks at the jobs in progress.
+	jobsRecordInterval = 25 * time.Millisecond
 	// idleHeartbeatInterval and idleContactTimeout apply between hosts of which neither commands a cell.
 	idleHeartbeatInterval = 1 * time.Second
 	idleContactTimeout    = 4 * time.Second
@@ -105,8 +107,14 @@
 	return p.info.GetZone() == s.opts.Self.Zone || p.lastJobAt != 0 && now-p.lastJobAt < jobExchangeLinger
 }
 
-// recordJobsInProgress notes for each peer whether jobs are in progress between it and this host.
+// recordJobsInProgress notes for each peer whether jobs are in progress between it and this host. It runs
+// before contacts are judged, so that after a pause of the process the shorter timeout applies to peers
+// with jobs.
 func (s *State) recordJobsInProgress(now time.Duration) {
+	if now-s.jobsRecordedAt < jobsRecordInterval {
+		return
+	}
+	s.jobsRecordedAt = now
 	for _, j := range s.jobs {
 		if p := s.peersByID[j.hostID]; p != nil {
 			p.lastJobAt = now
--- a/host/host.go
+++ b/host/host.go
@@ -82,6 +82,8 @@
 	rng         *rand.Rand
 	effects     []Effect
 	stats       Stats
+	// jobsRecordedAt is when recordJobsInProgress last ran.
+	jobsRecordedAt time.Duration
 }
 
 // Stats counts the jobs of the host's callers, the cells that it has taken and lost, and the frames and
@@ -191,7 +193,6 @@
 
 func (s *State) handleTick(now time.Duration) {
 	s.expireWorkers(now)
-	s.recordJobsInProgress(now)
 	s.decideCells(now)
 	s.sched.Step(now, sched.Tick{})
 	s.retryJobs(now)
--- a/host/partition_test.go
+++ b/host/partition_test.go
@@ -140,3 +140,24 @@
 		t.Fatalf("%d tasks were started for the delayed job", p.started)
 	}
 }
+
+// TestPausedCommanderDropsJobsOfOtherZone guards against a commander that wakes from a pause of more than
+// a second and goes on with a job whose caller's host has long counted it as lost: the caller may have
+// sent the job again. The hosts are of different zones, whose contacts may be older while no job is in
+// progress between them.
+func TestPausedCommanderDropsJobsOfOtherZone(t *testing.T) {
+	for _, pause := range []time.Duration{600 * time.Millisecond, 1200 * time.Millisecond, 1400 * time.Millisecond} {
+		p := newHostPair()
+		p.submit(1)
+		p.advance(500 * time.Millisecond)
+		if p.started != 1 {
+			t.Fatalf("%d starts, want 1", p.started)
+		}
+		p.partitioned = true
+		p.now += pause // neither host does anything
+		p.step(1, Tick{})
+		if stats := p.hosts[1].sched.Stats(); stats.Aborted != 1 || p.started != 1 {
+			t.Errorf("after a pause of %v: %d jobs aborted and %d starts, want 1 and 1", pause, stats.Aborted, p.started)
+		}
+	}
+}
--- a/host/peers.go
+++ b/host/peers.go
@@ -142,6 +142,7 @@
 // expireContacts marks hosts as lost that have been silent for too long. It runs before any event
 // is applied, so that a process that was suspended does not act on outdated state.
 func (s *State) expireContacts(now time.Duration) {
+	s.recordJobsInProgress(now)
 	searching := s.searchesCommander(now)
 	for i, p := range s.sortedPeers {
 		s.updateContact(now, p, searching && s.isSearchContact(now, i))
