--- a/entry/settings.go
+++ b/entry/settings.go
@@ -26,7 +26,7 @@
 	Cores     float64 `yaml:"cores"`
 	CoreShare float64 `yaml:"core_share"`
 	// LinkMbps is the capacity of the host's network link in Mbit/s. 0: not known.
-	LinkMbps float64 `yaml:"link_mbps"`
+	LinkMbps float64 `yaml:"link_mbps,omitempty"`
 	// DrainTime is the time after SIGTERM within which the process must end.
 	DrainTime time.Duration `yaml:"drain_time"`
 	Log       Log           `yaml:"log"`
