--- a/host/peers.go
+++ b/host/peers.go
@@ -28,18 +28,18 @@
 	// assignedWork is the CPU that the tasks need which were assigned to its cells since
 	// statusReceivedAt, in thousandths of a core.
 	assignedWork       map[fleet.Cell]int64
-	lastJobAt          time.Duration // when a job was last in progress between the two hosts; 0: never
-	unconfirmed        []unconfirmedJob
-	confirmSubmission  bool            // the peer waits for a frame that confirms a job; see unconfirmedJob
-	jobExchangeSince   time.Duration   // when the two hosts began to exchange jobs; 0: they do not
-	frequentHeartbeats bool            // jobs have been exchanged for at least heartbeatTransitionTime
-	replacedIDs        map[uint64]bool // IDs of earlier processes at this address
-	forwardedConfig    int64           // newest configuration version forwarded to it
-	forwardedChange    uint64          // changes of worker entries up to this number were forwarded to it
+	lastJobAt          time.Duration    // when a job was last in progress between the two hosts; 0: never
+	unconfirmed        []unconfirmedJob // from the peer, in the order of receipt
+	confirmSubmission  bool             // the peer waits for a frame that confirms a job; see unconfirmedJob
+	jobExchangeSince   time.Duration    // when the two hosts began to exchange jobs; 0: they do not
+	frequentHeartbeats bool             // jobs have been exchanged for at least heartbeatTransitionTime
+	replacedIDs        map[uint64]bool  // IDs of earlier processes at this address
+	forwardedConfig    int64            // newest configuration version forwarded to it
+	forwardedChange    uint64           // changes of worker entries up to this number were forwarded to it
 }
 
-// addPeer adds a host unless it is known. From then on it is sent frames. A host whose zone is known is
-// also reported to package owner.
+// addPeer adds a host unless it is known; updateContact decides whether it is sent frames. A host whose
+// zone is known is also reported to package owner.
 func (s *State) addPeer(h *meshpb.Host) {
 	if h.GetZone() != "" {
 		s.owner.RecordKnownHost(h.GetZone(), h.GetWeight())
--- a/sched/call.go
+++ b/sched/call.go
@@ -15,8 +15,8 @@
 	// leaseDuration.
 	maxCallTimeout = 350 * time.Millisecond
 	// MaxReplyAge is the time after which the answer to a call is of no use, beyond the wait that a
-	// hold asks for. It is below minRestartTime, so that an answer never outlives the process that gave
-	// it by so much that another process of the worker has given answers since.
+	// hold asks for. It is below minRestartTime, so that an answer arrives before another process of the
+	// worker can have answered.
 	MaxReplyAge = 900 * time.Millisecond
 	// callMargin covers the delay with which a call is ended at its limit.
 	callMargin = 50 * time.Millisecond
