Announce the load of a cell as soon as it has workers

The trace: n1 and n2 knew of the cell of the other zone, taken 0.2 s before, but not of its workers, since a commander writes to hosts of other zones twice a second now; with their own cell handed over they had no cell to pass the jobs to. Change: a commander writes to all hosts when the number of workers that it commands has doubled, the first one included.

--- a/host/cells.go
+++ b/host/cells.go
@@ -115,6 +115,12 @@
 	}
 	zone := cell.Zone()
 	held := heldByOthers(zone, others)
+	before := claim.CommandedCount
+	defer func() {
+		if claim.CommandedCount >= max(1, 2*before) {
+			s.makeAllFramesDue() // hosts of other zones would hear of the workers at the next heartbeat only
+		}
+	}()
 	claim.CommandedCount = 0
 	for _, e := range s.sortedEntries() {
 		if e.info.Zone != zone || s.workerCell(e) != cell || e.expired(now) {
--- a/host/contact_test.go
+++ b/host/contact_test.go
@@ -125,3 +125,34 @@
 		t.Error("the host asks nobody")
 	}
 }
+
+// TestNewCellIsAnnouncedWithItsLoad guards against jobs that are refused although a cell of another zone
+// has just become usable: hosts of other zones hear of its load only at the next heartbeat.
+func TestNewCellIsAnnouncedWithItsLoad(t *testing.T) {
+	w := newSimulation(1, 3, 4, 100)
+	var commander *simHost
+	for range 400 {
+		w.advance(5 * time.Millisecond)
+		for _, h := range w.hosts {
+			if h.zone == "south" && h.state.CellCount() > 0 && len(h.state.ownLoads("south")) > 0 {
+				commander = h
+			}
+		}
+		if commander != nil {
+			break
+		}
+	}
+	if commander == nil {
+		t.Fatal("no host commands workers of the zone")
+	}
+	w.advance(2*simTickInterval + 4*simLatency)
+	for _, h := range w.hosts {
+		if h.zone != "north" {
+			continue
+		}
+		cells := h.state.peers[commander.addr].status.GetCells()
+		if len(cells) != 1 || len(cells[0].GetLoads()) == 0 {
+			t.Errorf("host %s knows of the cells %v", h.name, cells)
+		}
+	}
+}
