--- a/rtt/rtt.go
+++ b/rtt/rtt.go
@@ -37,9 +37,6 @@
 	e.mean += time.Duration(meanGain * float64(sample-e.mean))
 }
 
-// Mean returns the smoothed mean of the samples, 0 without samples.
-func (e *Estimator) Mean() time.Duration { return e.mean }
-
 // Timeout returns how long to wait for an answer, between floor and ceiling. Without samples it is
 // floor.
 func (e *Estimator) Timeout(floor, ceiling time.Duration) time.Duration {
