--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -92,6 +92,9 @@
 	return false
 }
 
+// MaxTasks limits the tasks of one job, to bound the memory that it takes on a host.
+const MaxTasks = 10000
+
 // JobSpec is a job as its caller submits it: one step of tasks, all of which must end as done for the
 // job to complete.
 type JobSpec struct {
--- a/host/cells.go
+++ b/host/cells.go
@@ -44,7 +44,6 @@
 func (s *State) decideCells(now time.Duration) {
 	others := s.liveHosts(now)
 	s.updateZoneParts(now, others)
-	defer func() { s.readsWorkers = s.needsWorkerReads(others) }() // after the decisions on cells
 	for _, c := range s.owner.Claims() {
 		if s.outdated(c.Cell) && !c.Releasing {
 			s.applyDecision(now, c.Cell, owner.Decision{Kind: owner.HandOver, Reason: "the zone is divided anew"})
@@ -59,6 +58,7 @@
 			s.takeWorkers(now, cell, others)
 		}
 	}
+	s.readsWorkers = s.needsWorkerReads(others)
 }
 
 // applyDecision carries out a decision of package owner about a cell.
--- a/host/host.go
+++ b/host/host.go
@@ -96,16 +96,17 @@
 // New returns the initial state of a process.
 func New(opts Options) *State {
 	s := &State{
-		opts:        opts,
-		peers:       make(map[string]*peer),
-		peersByID:   make(map[uint64]*peer),
-		owner:       owner.New(opts.Started, owner.Host{Name: opts.Self.Name, Zone: opts.Self.Zone, ID: opts.Self.ID, Weight: opts.Self.Weight}),
-		sched:       sched.New(opts.LinkBytesPerSecond),
-		workers:     make(map[string]*workerEntry),
-		zoneParts:   make(map[string]int),
-		jobs:        make(map[uint64]*job),
-		fencedUntil: make(map[string]time.Duration), readsWorkers: true,
-		rng: rand.New(rand.NewPCG(opts.Seed, opts.Self.ID)),
+		opts:         opts,
+		peers:        make(map[string]*peer),
+		peersByID:    make(map[uint64]*peer),
+		owner:        owner.New(opts.Started, owner.Host{Name: opts.Self.Name, Zone: opts.Self.Zone, ID: opts.Self.ID, Weight: opts.Self.Weight}),
+		sched:        sched.New(opts.LinkBytesPerSecond),
+		workers:      make(map[string]*workerEntry),
+		zoneParts:    make(map[string]int),
+		jobs:         make(map[uint64]*job),
+		fencedUntil:  make(map[string]time.Duration),
+		readsWorkers: true,
+		rng:          rand.New(rand.NewPCG(opts.Seed, opts.Self.ID)),
 	}
 	for _, addr := range opts.Seeds {
 		s.addPeer(&meshpb.Host{Addr: addr})
--- a/host/knowledge.go
+++ b/host/knowledge.go
@@ -244,7 +244,8 @@
 }
 
 // changedWorkersFor returns the entries of a peer's zone that have changed since they were last
-// forwarded to it. An entry without a record has been removed. Entries of other zones are left out because a host commands only workers of its own
+// forwarded to it. An entry without a record has been removed. Entries of other zones are left out
+// because a host commands only workers of its own
 // zone, and because the traffic would grow with the number of hosts times that of all workers.
 func (s *State) changedWorkersFor(p *peer) []*meshpb.Worker {
 	if !s.forwardsWorkersTo(p) {
--- a/host/validate.go
+++ b/host/validate.go
@@ -13,8 +13,6 @@
 const (
 	// fenceLimit is above every fencing token: every JSON decoder is exact below it.
 	fenceLimit = 1 << 53
-	// maxSubmittedTasks limits the tasks of a job from another host, to bound the memory that it takes.
-	maxSubmittedTasks = 10000
 	// maxJobTime limits the durations in a job from another host.
 	maxJobTime = 24 * time.Hour
 	// maxCellParts limits the number of cells into which a host may announce that a zone is divided.
@@ -63,7 +61,7 @@
 func submitError(m *meshpb.Submit) error {
 	r := m.GetRoute()
 	switch {
-	case m.GetTasks() < 1 || m.GetTasks() > maxSubmittedTasks:
+	case m.GetTasks() < 1 || m.GetTasks() > fleet.MaxTasks:
 		return errors.Newf("it has %d tasks", m.GetTasks())
 	case m.GetCpu() < 0 || m.GetMemory() < 0 || m.GetGpu() < 0:
 		return errors.New("a task needs a negative amount")
