--- a/review/trial/case_twice.go
+++ b/review/trial/case_twice.go
@@ -11,8 +11,10 @@
 const (
 	twiceTime = 95 * time.Second // after which no further host is killed
 	lateTime  = 2 * time.Second  // in which orders are carried out late, from each kill on
-	lateShare = 0.5              // of the orders to start and stop
-	longJobs  = 100              // that the killed host has in progress
+	// settleTime is the time between the last answer and the next jobs.
+	settleTime = 3 * time.Second
+	lateShare  = 0.5 // of the orders to start and stop
+	longJobs   = 100 // that the killed host has in progress
 )
 
 // runTwice kills a host that has passed jobs on, while the minions leave a share of the orders to start
@@ -47,12 +49,12 @@
 		}
 		for i := range longJobs {
 			wg.Go(func() {
-				j := job{id: newJobID(), queue: q, count: 8, cpu: 250, workMillis: 3500, deadline: 8 * time.Second}
+				j := job{id: newJobID(), queue: q, count: 8, cpu: 250, workMillis: 3600, deadline: 8 * time.Second}
 				resendTo := []*host{other, commander}[i%2]
 				newClient(rec, d.fleet).submit(j, killed, resendTo)
 			})
 		}
-		time.Sleep(500*time.Millisecond + rand.N(250*time.Millisecond))
+		time.Sleep(1400*time.Millisecond + rand.N(250*time.Millisecond))
 		close(stop)
 		if trouble {
 			setLateShare(d, lateShare)
@@ -64,6 +66,7 @@
 			}
 		}
 		wg.Wait()
+		time.Sleep(settleTime)
 		if err := d.awaitReady(d.hosts, 10*time.Second); err != nil {
 			return err
 		}
