--- a/entry/settings.go
+++ b/entry/settings.go
@@ -21,12 +21,20 @@
 	Seeds  []string `yaml:"seeds"`     // peer addresses of other hosts, IP:port; some may be out of date
 	Store  string   `yaml:"store"`     // address of the platform's store, IP:port
 	Memory int64    `yaml:"memory_mb"` // of the host, in MiB. 0: no memory limit is set
+	// MaxDescriptors is the number of file descriptors that the process may open. 0: not known.
+	MaxDescriptors int `yaml:"max_descriptors,omitempty"`
 	// Cores and CoreShare give the CPU capacity of the host: the number of cores, and the
 	// fraction of each that the host may use.
 	Cores     float64 `yaml:"cores"`
 	CoreShare float64 `yaml:"core_share"`
 	// LinkMbps is the capacity of the host's network link in Mbit/s. 0: not known.
 	LinkMbps float64 `yaml:"link_mbps,omitempty"`
+	// ResendAfter is the time after a broken connection from which on a caller sends a job again.
+	ResendAfter time.Duration `yaml:"resend_after,omitempty"`
+	// MaxLease is the longest lease that a worker allows.
+	MaxLease time.Duration `yaml:"max_lease,omitempty"`
+	// RemotePenalty is the factor by which a task takes longer on another rack than that of its data.
+	RemotePenalty float64 `yaml:"remote_penalty,omitempty"`
 	// DrainTime is the time after SIGTERM within which the process must end.
 	DrainTime time.Duration `yaml:"drain_time"`
 	Log       Log           `yaml:"log"`
@@ -53,6 +61,9 @@
 const (
 	defaultDrainTime      = 6 * time.Second
 	defaultLinesPerSecond = 400
+	defaultResendAfter    = 1300 * time.Millisecond
+	defaultMaxLease       = time.Second
+	defaultRemotePenalty  = 2.0
 )
 
 // LoadSettings reads and checks a settings file. All problems are reported in one error, a
@@ -68,7 +79,10 @@
 // ParseSettings decodes and checks the text of a settings file. The error is a *finding.Error with
 // all problems; path is only named there.
 func ParseSettings(path string, text []byte) (*Settings, error) {
-	s := &Settings{Cores: 1, CoreShare: 1, DrainTime: defaultDrainTime, Log: Log{LinesPerSecond: defaultLinesPerSecond}}
+	s := &Settings{
+		Cores: 1, CoreShare: 1, DrainTime: defaultDrainTime, ResendAfter: defaultResendAfter, MaxLease: defaultMaxLease,
+		RemotePenalty: defaultRemotePenalty, Log: Log{LinesPerSecond: defaultLinesPerSecond},
+	}
 	list := new(finding.List)
 	doc := strictyaml.Decode(path, text, s, list)
 	if doc.Readable() {
@@ -92,6 +106,10 @@
 	require(len(s.Zones) > 0, "zones", "must name the zones of the deployment")
 	require(s.DrainTime > 0, "drain_time", "must be positive")
 	require(s.Memory >= 0, "memory_mb", "must not be negative")
+	require(s.MaxDescriptors >= 0, "max_descriptors", "must not be negative")
+	require(s.ResendAfter > 0, "resend_after", "must be positive")
+	require(s.MaxLease > 0, "max_lease", "must be positive")
+	require(s.RemotePenalty >= 1, "remote_penalty", "must be at least 1")
 	require(s.Cores > 0, "cores", "must be positive")
 	require(s.CoreShare > 0 && s.CoreShare <= 1, "core_share", "must be over 0 and at most 1")
 	require(s.LinkMbps >= 0, "link_mbps", "must not be negative")
