--- a/sched/invariant.go
+++ b/sched/invariant.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"sesameledge.dev/sesameledge/fleet"
 )
 
 // startError returns the invariant that a start would break, or nil. Placement chooses only starts
@@ -44,12 +46,19 @@
 func (s *State) Check() error {
 	runs := make(map[*job]int)
 	for _, w := range s.sortedWorkers {
+		var used fleet.Resources
+		work := int64(0)
 		for _, r := range sortedRuns(w) {
 			runs[r.job]++
+			used = used.Add(r.need)
+			work += r.work()
 			if !r.job.hasRun[r.index] {
 				return errors.Newf("the run %v on %s is not counted as live", r.key, w.info.ID)
 			}
 		}
+		if used != w.used || work != w.runningWork {
+			return errors.Newf("worker %s counts %+v as used and %d as work; its runs need %+v and %d", w.info.ID, w.used, w.runningWork, used, work)
+		}
 	}
 	for _, j := range s.sortedJobs() {
 		if err := s.checkJob(j, runs[j]); err != nil {
--- a/sched/job.go
+++ b/sched/job.go
@@ -114,7 +114,7 @@
 // endRun ends a run. It finishes the job if this completes it or was the last attempt that the
 // route allows; otherwise it makes the task wait again.
 func (s *State) endRun(now time.Duration, w *worker, r *run, how fleet.RunEnd) {
-	delete(w.runs, r.key)
+	w.removeRun(r)
 	s.needsPlacement = true
 	j := r.job
 	j.activeRuns--
--- a/sched/load.go
+++ b/sched/load.go
@@ -50,13 +50,9 @@
 			continue
 		}
 		l := loads[w.info.Service]
-		free := w.info.Capacity.CPU
-		for _, r := range w.runs {
-			free -= r.need.CPU
-			running[w.info.Service] += r.need.CPU * r.predicted.Microseconds()
-		}
+		running[w.info.Service] += w.runningWork
 		l.CapacityCPU += w.info.Capacity.CPU
-		l.FreeCPU += max(0, free)
+		l.FreeCPU += max(0, w.freeCapacity().CPU)
 		loads[w.info.Service] = l
 		rates[w.info.Service] += float64(w.info.Capacity.CPU) * packingEfficiency * w.speed
 	}
--- a/sched/place.go
+++ b/sched/place.go
@@ -257,7 +257,7 @@
 		key: key, job: j, index: index, need: j.spec.Need, startSentAt: now, leaseUntil: until,
 		predicted: time.Duration(float64(j.taskDuration) / w.speed),
 	}
-	w.runs[key] = r
+	w.addRun(r)
 	j.activeRuns++
 	j.hasRun[index] = true
 	j.unrejectedStarts++
@@ -291,11 +291,10 @@
 	if s.closedCells[j.cell] {
 		return reasonHandover
 	}
-	load, ok := s.Loads(j.cell)[j.route.Service]
-	if !ok || load.CapacityCPU == 0 {
+	switch {
+	case !s.hasCountingWorker(j):
 		return "no worker of the service is at hand"
-	}
-	if !s.fitsSomeWorker(j) {
+	case !s.fitsSomeWorker(j):
 		return "no worker could hold a task of the job"
 	}
 	return ""
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -31,6 +31,8 @@
 	leaseEndBound time.Duration // all leases granted have ended by then
 
 	runs        map[fleet.RunKey]*run
+	used        fleet.Resources              // sum of the needs of runs
+	runningWork int64                        // sum of the work of runs
 	foreignRuns map[fleet.RunKey]*foreignRun // running there, but without a record of this host
 
 	processedEnd    int64 // number of the newest listed end that was processed
@@ -113,13 +115,26 @@
 
 // freeCapacity returns the capacity that is left beside all runs that may be running.
 func (w *worker) freeCapacity() fleet.Resources {
-	left := w.info.Capacity
-	for _, r := range w.runs {
-		left = left.Sub(r.need)
-	}
-	return left
+	return w.info.Capacity.Sub(w.used)
+}
+
+// addRun records a run that the worker may be running or may still start.
+func (w *worker) addRun(r *run) {
+	w.runs[r.key] = r
+	w.used = w.used.Add(r.need)
+	w.runningWork += r.work()
 }
 
+// removeRun forgets a run that is over.
+func (w *worker) removeRun(r *run) {
+	delete(w.runs, r.key)
+	w.used = w.used.Sub(r.need)
+	w.runningWork -= r.work()
+}
+
+// work returns the CPU that the run needs, in thousandths of a core, times its predicted duration in µs.
+func (r *run) work() int64 { return r.need.CPU * r.predicted.Microseconds() }
+
 // acceptsTasks reports whether new tasks may be started on the worker.
 func (w *worker) acceptsTasks(now time.Duration) bool {
 	return (w.phase == phaseHeld || w.phase == phaseLeaving) && !w.info.Draining && !w.removed && w.missedHolds == 0 &&
