Refuse messages that cannot be delivered when they are sent

A message that cannot be encoded made every frame that held it fail, and the session sent it again for ever in front of all later ones: one bad value ended all messages between two hosts. Send now encodes the message first and refuses what cannot be encoded or is larger than a receiver takes; Refusals tells why. Frames hold 64 KiB of messages, so that a backlog stays below the size that receivers take, and the queue is bounded in bytes too.

--- a/session/session.go
+++ b/session/session.go
@@ -14,74 +14,131 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
 	"sesameledge.dev/sesameledge/mesh/meshpb"
 )
 
 const (
 	// resendInterval is the time after which unacknowledged messages are sent again.
 	resendInterval = 200 * time.Millisecond
-	// maxUnacked limits the messages kept for a process that does not acknowledge them.
-	maxUnacked = 4096
+	// maxUnacked limits the messages kept for a process that does not acknowledge them, and
+	// maxUnackedBytes their encoded size.
+	maxUnacked      = 4096
+	maxUnackedBytes = 32 << 20
+	// MaxMessageBytes limits the encoded size of one message. With the status of its sender the frame has
+	// to stay below mesh.MaxFrameBytes, above which no receiver takes it.
+	MaxMessageBytes = 3 << 20
+	// maxFrameMessageBytes is the size of the messages from which on a frame takes no further one, so
+	// that a heartbeat does not wait for long behind other frames.
+	maxFrameMessageBytes = 64 << 10
 )
 
 // Session is the state of the exchange with one process. Create it with New.
 type Session struct {
 	unacked          []*meshpb.Message // messages without acknowledgement, sent or not
+	unackedBytes     int               // encoded size of unacked
 	firstUnacked     uint64            // number of unacked[0]; message numbers begin at 1
-	lastSent         uint64            // highest message number sent so far
+	next             uint64            // number of the next message to put into a frame
+	highestSent      uint64            // highest message number that was in a frame
 	resendTimerStart time.Duration     // when unacked[0] was last sent, or when the newest acknowledgement arrived
 	lastReceived     uint64            // number of the newest message received in order
 	peerStamp        int64             // newest time stamp of the other side, in ns on its clock
 	lastEcho         time.Duration     // newest own time stamp echoed by the other side
+	refusals         []Refusal
+}
+
+// Refusal is a message that Send has not taken.
+type Refusal struct {
+	Message *meshpb.Message
+	Err     error
 }
 
+// ErrFull is the reason for a refusal while too many messages wait for an acknowledgement. The same
+// message may be taken later; for other reasons it never is.
+var ErrFull = errors.New("too many messages wait for an acknowledgement")
+
 // New returns a session with a process from which nothing has been received.
-func New() *Session { return &Session{firstUnacked: 1} }
+func New() *Session { return &Session{firstUnacked: 1, next: 1} }
 
-// Send queues a message for the next frame. It returns false and drops the message if maxUnacked
-// messages are already waiting for an acknowledgement.
+// Send queues a message for the next frame. It drops the message and returns false if it cannot be
+// encoded or is too large, since its frame would never arrive and would be sent again for ever, or if too
+// many messages are already waiting for an acknowledgement. Refusals returns the reason.
 func (s *Session) Send(m *meshpb.Message) bool {
-	if len(s.unacked) >= maxUnacked {
+	size, err := checkMessage(m)
+	if err == nil && (len(s.unacked) >= maxUnacked || s.unackedBytes+size > maxUnackedBytes) {
+		err = ErrFull
+	}
+	if err != nil {
+		s.refusals = append(s.refusals, Refusal{Message: m, Err: err})
 		return false
 	}
 	s.unacked = append(s.unacked, m)
+	s.unackedBytes += size
 	return true
 }
 
+// checkMessage returns the encoded size of a message, or the reason why it cannot be delivered.
+func checkMessage(m *meshpb.Message) (int, error) {
+	encoded, err := proto.Marshal(m)
+	switch {
+	case err != nil:
+		return 0, errors.Wrap(err, "encoding the message")
+	case len(encoded) > MaxMessageBytes:
+		return 0, errors.Newf("the message has %d bytes, %d are possible", len(encoded), MaxMessageBytes)
+	}
+	return len(encoded), nil
+}
+
+// Refusals returns the messages that Send has not taken since the last call.
+func (s *Session) Refusals() []Refusal {
+	out := s.refusals
+	s.refusals = nil
+	return out
+}
+
 // Withdraw replaces the unacknowledged messages that are obsolete by empty ones, whether they were
 // sent or not. The empty messages keep the numbers, so that the receiver sees no gap.
 func (s *Session) Withdraw(obsolete func(*meshpb.Message) bool) {
 	for i, m := range s.unacked {
 		if obsolete(m) {
+			s.unackedBytes -= proto.Size(m)
 			s.unacked[i] = &meshpb.Message{}
 		}
 	}
 }
 
-// HasUnsent reports whether there are messages that have not been in any frame yet.
-func (s *Session) HasUnsent() bool { return s.lastSent+1 < s.firstUnacked+uint64(len(s.unacked)) }
+// HasUnsent reports whether there are messages that have not been in any frame yet, or that are sent
+// again and do not all fit into one frame.
+func (s *Session) HasUnsent() bool { return s.next < s.firstUnacked+uint64(len(s.unacked)) }
 
 // FillFrame sets the time stamps and the acknowledgement of a frame and adds the messages that are
-// due: the unsent ones, or all unacknowledged ones after resendInterval. now is the time on the
-// sender's clock.
+// due, as many as fit: the unsent ones, or all unacknowledged ones after resendInterval. now is the time
+// on the sender's clock.
 func (s *Session) FillFrame(now time.Duration, f *meshpb.Frame) {
 	f.Sent = int64(now)
 	f.Echo = s.peerStamp
 	f.Ack = s.lastReceived
-	from := s.lastSent + 1
-	if len(s.unacked) > 0 && s.lastSent >= s.firstUnacked && now-s.resendTimerStart >= resendInterval {
-		from = s.firstUnacked
+	if len(s.unacked) > 0 && s.next > s.firstUnacked && now-s.resendTimerStart >= resendInterval {
+		s.next = s.firstUnacked
+	}
+	due := s.unacked[s.next-s.firstUnacked:]
+	n, size := 0, 0
+	for n < len(due) && (n == 0 || size+proto.Size(due[n]) <= maxFrameMessageBytes) {
+		size += proto.Size(due[n])
+		n++
 	}
-	end := s.firstUnacked + uint64(len(s.unacked))
-	if from >= end {
+	if n == 0 {
 		return
 	}
-	f.First = from
-	f.Messages = slices.Clone(s.unacked[from-s.firstUnacked:]) // the frame is read after later changes of unacked
-	if from == s.firstUnacked {
+	f.First = s.next
+	f.Messages = slices.Clone(due[:n]) // the frame is read after later changes of unacked
+	if s.next == s.firstUnacked {
 		s.resendTimerStart = now
 	}
-	s.lastSent = end - 1
+	s.next += uint64(n)
+	s.highestSent = max(s.highestSent, s.next-1)
 }
 
 // Receive processes a received frame and returns the messages that were not received before, in order.
@@ -103,12 +160,16 @@
 
 // handleAck removes the messages up to number ack, which the other side has received.
 func (s *Session) handleAck(now time.Duration, ack uint64) {
-	if ack < s.firstUnacked || ack > s.lastSent {
+	if ack < s.firstUnacked || ack > s.highestSent {
 		return // already processed, or from another session
 	}
 	n := ack - s.firstUnacked + 1
+	for _, m := range s.unacked[:n] {
+		s.unackedBytes -= proto.Size(m)
+	}
 	s.unacked = s.unacked[n:]
 	s.firstUnacked += n
+	s.next = max(s.next, s.firstUnacked)
 	s.resendTimerStart = now
 }
 
