Keep one bad value from ending all messages between two hosts

Cause: the key of an entry of another writer went into a field that holds valid UTF-8 only.

Keys, names, addresses and numbers are checked where they are decoded; an entry with a bad key is ignored with a bounded log line, bytes of a Request-Id that are not text are replaced. A message that the session refuses is logged and counted, and its job is refused, or offered to another cell. Reasons of outcomes are made text. Entries of workers are divided over messages by size. Frames that cannot be encoded or decoded are logged and counted (package mesh). Loads and needs whose sums overflow are refused: the choice among cells ended the process on them, and a job of a caller could make the frames of its host invalid. An outcome that is not known counts as one of a job that may have run. The newest records are read past keys that are not text.

--- a/entry/host.go
+++ b/entry/host.go
@@ -65,7 +65,8 @@
 	stopLog         chan struct{} // closed to end the log writer
 	drained         chan struct{} // closed when the host has stopped
 	stopOnce        sync.Once
-	lastReadOK      [2]atomic.Bool // whether the last read of the store succeeded: 0 configuration, 1 workers
+	frameFailures   [2]atomic.Int64 // frames that could not be encoded (0) or decoded (1)
+	lastReadOK      [2]atomic.Bool  // whether the last read of the store succeeded: 0 configuration, 1 workers
 }
 
 // Start starts a host that writes its log to out. It sets the memory limit and the garbage
@@ -81,6 +82,7 @@
 	h.storeTransport = newTransport(4, workerIdleTimeout)
 	h.store = platform.NewStoreClient(s.Store, h.storeTransport)
 	h.links = mesh.NewLinks(peerIP(s))
+	h.links.ReportFailure = func(addr string, err error) { h.reportFrameFailure("out", addr, err) }
 	h.ingress = &ingress{host: h}
 	h.loop = newLoop(h.newState(), h.logger, h)
 	h.loop.readsWorkers.Store(true)
@@ -131,6 +133,7 @@
 		return errors.Wrap(err, "listening for other hosts")
 	}
 	h.mesh = mesh.NewServer(func(f *meshpb.Frame) { h.loop.send(host.FrameReceived{Frame: f}) })
+	h.mesh.ReportFailure = func(err error) { h.reportFrameFailure("in", "", err) }
 	go func() { _ = h.mesh.Serve(peers) }() // returns after Stop
 	h.callerServer = newServer(h.ingress)
 	for _, s := range []struct {
--- a/entry/logs.go
+++ b/entry/logs.go
@@ -15,6 +15,8 @@
 	flushInterval = 100 * time.Millisecond
 	// maxPendingBytes bounds the buffered lines that wait to be written.
 	maxPendingBytes = 256 << 10
+	// maxLineBytes bounds one line. Longer ones quote something from outside, and are cut off.
+	maxLineBytes = 4 << 10
 )
 
 // logWriter buffers log lines until another goroutine writes them, so that a stalled output
@@ -47,6 +49,11 @@
 		return len(line), nil
 	}
 	l.allowed--
+	if len(line) > maxLineBytes {
+		l.pending.Write(line[:maxLineBytes])
+		l.pending.WriteString("...\n")
+		return len(line), nil
+	}
 	return l.pending.Write(line)
 }
 
--- a/entry/store.go
+++ b/entry/store.go
@@ -121,12 +121,13 @@
 	}
 }
 
-// handleWorkerRecords sends worker records to the event loop. It ignores records without a key.
+// handleWorkerRecords sends worker records to the event loop. It ignores records whose key cannot be the
+// ID of a worker.
 func (h *Host) handleWorkerRecords(records []platform.Record, snapshot bool) {
 	ev := host.WorkersRead{Snapshot: snapshot}
 	for _, r := range records {
-		if r.Key == "" {
-			_ = h.logger.Log("part", "store", "msg", "record without a key ignored", "topic", platform.TopicWorkers, "offset", r.Offset)
+		if err := platform.CheckKey(r.Key); err != nil {
+			_ = h.logger.Log("part", "store", "msg", "record ignored", "topic", platform.TopicWorkers, "offset", r.Offset, "err", err)
 			continue
 		}
 		ev.Records = append(ev.Records, host.WorkerRecord{ID: r.Key, Record: r.Value, Offset: r.Offset})
@@ -141,7 +142,7 @@
 	for _, r := range records {
 		known, err := platform.DecodeHost(r.Value)
 		if err != nil {
-			_ = h.logger.Log("part", "store", "msg", "host record ignored", "key", r.Key, "err", err)
+			_ = h.logger.Log("part", "store", "msg", "host record ignored", "offset", r.Offset, "err", err)
 			continue
 		}
 		ev.Hosts = append(ev.Hosts, &meshpb.Host{Name: known.Name, Zone: known.Zone, Addr: known.Addr, Id: known.ID, Weight: known.Weight})
--- a/fleet/worker_call.go
+++ b/fleet/worker_call.go
@@ -20,7 +20,7 @@
 var verdictNames = [...]string{"no answer", "accepted", "fenced", "superseded", "expired", "no room", "no ticket", "invalid", "unhealthy", "other incarnation"}
 
 // String implements fmt.Stringer.
-func (v Verdict) String() string { return verdictNames[v] }
+func (v Verdict) String() string { return NameOf(verdictNames[:], int(v)) }
 
 // StartOrder tells a worker to start a run.
 type StartOrder struct {
@@ -82,7 +82,7 @@
 var runEndNames = [...]string{"unknown", "done", "failed", "stopped", "lapsed", "broken", "alone"}
 
 // String implements fmt.Stringer.
-func (h RunEnd) String() string { return runEndNames[h] }
+func (h RunEnd) String() string { return NameOf(runEndNames[:], int(h)) }
 
 // FinishedRun reports the end of a run.
 type FinishedRun struct {
--- a/host/host.go
+++ b/host/host.go
@@ -87,10 +87,11 @@
 }
 
 // Stats counts the jobs of the host's callers, the cells that it has taken and lost, and the frames and
-// new connections to other hosts. Refused frames held values that no sound host sends.
+// new connections to other hosts. Refused frames held values that no sound host sends, refused messages
+// could not be delivered.
 type Stats struct {
-	Arrived, PassedOn, Completed, Failed, Refused, Aborted, Gone       int64
-	CellsTaken, CellsLost, FramesIn, FramesOut, FramesRefused, Redials int64
+	Arrived, PassedOn, Completed, Failed, Refused, Aborted, Gone                        int64
+	CellsTaken, CellsLost, FramesIn, FramesOut, FramesRefused, Redials, MessagesRefused int64
 }
 
 // New returns the initial state of a process.
--- a/host/jobs.go
+++ b/host/jobs.go
@@ -103,7 +103,7 @@
 // handleJobFinished delivers the outcome of a job from this host's scheduler to the host whose
 // caller submitted the job.
 func (s *State) handleJobFinished(now time.Duration, e sched.JobFinished) {
-	o := &meshpb.Outcome{Seq: e.Key.Seq, Outcome: int32(e.Outcome), Reason: e.Reason}
+	o := &meshpb.Outcome{Seq: e.Key.Seq, Outcome: int32(e.Outcome), Reason: fleet.Printable(e.Reason, maxReasonBytes)}
 	if e.Key.Host == s.opts.Self.ID {
 		s.handleOutcome(now, e.Key.Host, o)
 		return
@@ -120,7 +120,7 @@
 	if j == nil || j.hostID != host {
 		return
 	}
-	result := sched.Outcome(o.GetOutcome())
+	result := decodeOutcome(o.GetOutcome())
 	if result != sched.Refused {
 		s.answerJob(now, j, result, o.GetReason())
 		return
--- a/host/knowledge.go
+++ b/host/knowledge.go
@@ -201,16 +201,15 @@
 	case s.CellCount() == 0 && (age < fallbackForwardDelay || p.info.GetZone() != s.opts.Self.Zone):
 		return
 	}
-	p.forwardedConfig = s.config.Version
-	p.session.Send(&meshpb.Message{Kind: &meshpb.Message_Config{Config: &meshpb.Config{Version: s.config.Version, Record: s.configRecord}}})
+	if s.sendMessage(p, &meshpb.Message{Kind: &meshpb.Message_Config{Config: &meshpb.Config{Version: s.config.Version, Record: s.configRecord}}}) {
+		p.forwardedConfig = s.config.Version
+	}
 }
 
 func (s *State) forwardWorkers(p *peer) {
-	list := s.changedWorkersFor(p)
-	if len(list) > 0 && !p.session.Send(&meshpb.Message{Kind: &meshpb.Message_Workers{Workers: &meshpb.Workers{Workers: list}}}) {
-		return // the peer takes no messages; the entries stay due
+	if s.sendWorkers(p, s.changedWorkersFor(p)) {
+		p.forwardedChange = s.workerChanges
 	}
-	p.forwardedChange = s.workerChanges
 }
 
 // needsWorkerReads reports whether this host has to read the workers' entries from the store itself:
--- a/host/peers.go
+++ b/host/peers.go
@@ -200,6 +200,7 @@
 func (s *State) sendDueFrames(now time.Duration) {
 	var status *meshpb.Status
 	for _, p := range s.sortedPeers {
+		s.reportRefusedMessages(p)
 		if !p.contacted || !p.session.HasUnsent() && now-p.lastSentAt < s.heartbeatIntervalFor(now, p) {
 			continue
 		}
@@ -207,18 +208,25 @@
 		if status == nil {
 			status = s.ownStatus()
 		}
-		f := &meshpb.Frame{
-			From:   &meshpb.Host{Name: s.opts.Self.Name, Zone: s.opts.Self.Zone, Addr: s.opts.Self.Addr, Id: s.opts.Self.ID, Weight: s.opts.Self.Weight},
-			To:     p.info.GetId(),
-			Status: status,
+		for n := 0; n == 0 || n < maxFramesPerStep && p.session.HasUnsent(); n++ {
+			s.sendFrame(now, p, status)
 		}
-		p.session.FillFrame(now, f)
-		p.lastSentAt = now
-		s.stats.FramesOut++
-		s.emit(SendFrame{Addr: p.info.GetAddr(), Frame: f})
 	}
 }
 
+// sendFrame sends a frame with the messages that are due to a peer.
+func (s *State) sendFrame(now time.Duration, p *peer, status *meshpb.Status) {
+	f := &meshpb.Frame{
+		From:   &meshpb.Host{Name: s.opts.Self.Name, Zone: s.opts.Self.Zone, Addr: s.opts.Self.Addr, Id: s.opts.Self.ID, Weight: s.opts.Self.Weight},
+		To:     p.info.GetId(),
+		Status: status,
+	}
+	p.session.FillFrame(now, f)
+	p.lastSentAt = now
+	s.stats.FramesOut++
+	s.emit(SendFrame{Addr: p.info.GetAddr(), Frame: f})
+}
+
 // redialIfSilent replaces the connection to a host that has been silent for redialFraction of its
 // contact timeout.
 func (s *State) redialIfSilent(now time.Duration, p *peer) {
--- a/host/validate.go
+++ b/host/validate.go
@@ -1,7 +1,6 @@
 package host
 
 import (
-	"math"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -14,7 +13,12 @@
 	// fenceLimit is above every fencing token: every JSON decoder is exact below it.
 	fenceLimit = 1 << 53
 	// maxJobTime limits the durations in a job from another host.
-	maxJobTime = 24 * time.Hour
+	maxJobTime = fleet.MaxJobTime
+	// maxLoadAmount, maxLoadQueue and maxLoadTaskMillis limit the numbers in the load of a cell, so that sums
+	// over cells do not overflow.
+	maxLoadAmount     = 1 << 50
+	maxLoadQueue      = 1 << 60
+	maxLoadTaskMillis = 1 << 40
 	// maxCellParts limits the number of cells into which a host may announce that a zone is divided.
 	maxCellParts = 64
 )
@@ -47,14 +51,26 @@
 			return errors.Newf("the cell %s belongs to a zone of too many cells", c.GetName())
 		}
 		for _, l := range c.GetLoads() {
-			if l.GetFree() < 0 || l.GetCapacity() < 0 || l.GetQueued() < 0 || l.GetRate() < 0 || l.GetTaskMs() < 0 {
-				return errors.Newf("the cell %s has a negative load", c.GetName())
+			if !validLoad(l) {
+				return errors.Newf("the cell %s has a load out of bounds", c.GetName())
 			}
 		}
 	}
 	return nil
 }
 
+// validLoad reports whether the numbers of a load are within bounds.
+func validLoad(l *meshpb.Load) bool {
+	within := func(n, limit int64) bool { return n >= 0 && n <= limit }
+	for _, r := range l.GetReleases() {
+		if !within(r.GetAfterMs(), maxLoadTaskMillis) || !within(r.GetCpu(), maxLoadAmount) {
+			return false
+		}
+	}
+	return within(l.GetFree(), maxLoadAmount) && within(l.GetCapacity(), maxLoadAmount) && within(l.GetRate(), maxLoadAmount) &&
+		within(l.GetQueued(), maxLoadQueue) && within(l.GetTaskMs(), maxLoadTaskMillis)
+}
+
 func validFence(fence int64) bool { return fence >= 0 && fence < fenceLimit }
 
 // submitError returns what is wrong with a job from another host, or nil.
@@ -63,11 +79,11 @@
 	switch {
 	case m.GetTasks() < 1 || m.GetTasks() > fleet.MaxTasks:
 		return errors.Newf("it has %d tasks", m.GetTasks())
-	case m.GetCpu() < 0 || m.GetMemory() < 0 || m.GetGpu() < 0:
-		return errors.New("a task needs a negative amount")
+	case !fleet.Resources{CPU: m.GetCpu(), Memory: m.GetMemory(), GPU: m.GetGpu()}.Sane():
+		return errors.New("a task needs an amount out of bounds")
 	case !validJobTime(m.GetAgeNs()) || !validJobTime(m.GetEstimateNs()) || !validJobTime(r.GetTargetNs()) || m.GetLeftNs() > int64(maxJobTime):
 		return errors.New("a duration is out of bounds")
-	case math.IsNaN(r.GetSlackFactor()) || math.IsInf(r.GetSlackFactor(), 0) || r.GetSlackFactor() < 0:
+	case !(r.GetSlackFactor() >= 0 && r.GetSlackFactor() <= fleet.MaxSlackFactor):
 		return errors.Newf("the slack factor is %v", r.GetSlackFactor())
 	}
 	return nil
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -12,7 +12,9 @@
 	"github.com/cockroachdb/errors"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/status"
 
 	"sesameledge.dev/sesameledge/mesh/meshpb"
 )
@@ -28,19 +30,32 @@
 	// unackedTimeout is how long the kernel keeps a connection with sent bytes that the other side
 	// has not acknowledged.
 	unackedTimeout = 2 * time.Second
+	// MaxFrameBytes limits the encoded size of a frame on both sides. Processes of earlier versions take no
+	// larger ones either. Package session keeps the messages of a frame below it.
+	MaxFrameBytes = 4 << 20
 )
 
+// frameFailure reports whether an error says that a frame itself cannot be encoded, decoded or taken for
+// its size. Other errors are those of the connection.
+func frameFailure(err error) bool {
+	code := status.Code(err)
+	return code == codes.Internal || code == codes.ResourceExhausted
+}
+
 // Server receives the frames of other hosts. Create it with NewServer.
 type Server struct {
 	meshpb.UnimplementedMeshServer
 	handleFrame func(*meshpb.Frame)
 	grpc        *grpc.Server
+	// ReportFailure is called for each frame that cannot be decoded, if it is set before Serve. The stream
+	// ends with such a frame.
+	ReportFailure func(error)
 }
 
 // NewServer returns a server that calls handleFrame for each received frame. Calls for frames of
 // different streams run concurrently.
 func NewServer(handleFrame func(*meshpb.Frame)) *Server {
-	s := &Server{handleFrame: handleFrame, grpc: grpc.NewServer(grpc.InitialWindowSize(streamWindowBytes), grpc.NumStreamWorkers(0))}
+	s := &Server{handleFrame: handleFrame, grpc: grpc.NewServer(grpc.InitialWindowSize(streamWindowBytes), grpc.MaxRecvMsgSize(MaxFrameBytes), grpc.NumStreamWorkers(0))}
 	meshpb.RegisterMeshServer(s.grpc, s)
 	return s
 }
@@ -59,7 +74,10 @@
 	for {
 		f, err := stream.Recv()
 		if err != nil {
-			return err // the sender has closed the stream or is gone
+			if s.ReportFailure != nil && frameFailure(err) {
+				s.ReportFailure(errors.Wrap(err, "receiving a frame"))
+			}
+			return err // mostly, the sender has closed the stream or is gone
 		}
 		s.handleFrame(f)
 	}
@@ -67,9 +85,12 @@
 
 // Links holds the streams to other hosts. Create it with NewLinks.
 type Links struct {
-	localIP net.IP
-	mu      sync.Mutex
-	links   map[string]*link // by address
+	// ReportFailure is called with the address for each frame that cannot be encoded or is too large, if it
+	// is set before the first Send. Package session keeps such messages out of frames.
+	ReportFailure func(addr string, err error)
+	localIP       net.IP
+	mu            sync.Mutex
+	links         map[string]*link // by address
 }
 
 // NewLinks returns an empty set of links whose connections use localIP as their source address.
@@ -117,7 +138,7 @@
 	k := l.links[addr]
 	if k == nil {
 		ctx, cancel := context.WithCancel(context.Background())
-		k = &link{addr: addr, localIP: l.localIP, frames: make(chan *meshpb.Frame, maxQueuedFrames), cancel: cancel}
+		k = &link{addr: addr, localIP: l.localIP, frames: make(chan *meshpb.Frame, maxQueuedFrames), cancel: cancel, reportFailure: l.ReportFailure}
 		l.links[addr] = k
 		go k.run(ctx)
 	}
@@ -126,10 +147,11 @@
 
 // link is the stream to one host and the queue of its frames.
 type link struct {
-	addr    string
-	localIP net.IP
-	frames  chan *meshpb.Frame
-	cancel  context.CancelFunc // ends run
+	addr          string
+	localIP       net.IP
+	frames        chan *meshpb.Frame
+	cancel        context.CancelFunc // ends run
+	reportFailure func(addr string, err error)
 }
 
 // run sends frames until ctx ends. After a failure it opens a new stream for the next frame; the frame
@@ -156,6 +178,8 @@
 	for ok && err == nil {
 		if err = stream.Send(f); err == nil {
 			f, ok = k.nextFrame(ctx)
+		} else if k.reportFailure != nil && frameFailure(err) {
+			k.reportFailure(k.addr, errors.Wrap(err, "sending a frame"))
 		}
 	}
 }
@@ -176,6 +200,7 @@
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithContextDialer(k.dialTCP),
 		grpc.WithInitialWindowSize(streamWindowBytes),
+		grpc.WithDefaultCallOptions(grpc.MaxCallSendMsgSize(MaxFrameBytes)),
 		grpc.WithNoProxy(),
 		grpc.WithDisableRetry(),
 		grpc.WithDisableServiceConfig(),
--- a/sched/event.go
+++ b/sched/event.go
@@ -37,7 +37,7 @@
 var outcomeNames = [...]string{"none", "completed", "failed", "refused", "aborted"}
 
 // String implements fmt.Stringer.
-func (o Outcome) String() string { return outcomeNames[o] }
+func (o Outcome) String() string { return fleet.NameOf(outcomeNames[:], int(o)) }
 
 // Event is an input of the state machine.
 type Event interface{ event() }
--- a/sched/load.go
+++ b/sched/load.go
@@ -6,6 +6,10 @@
 	"sesameledge.dev/sesameledge/fleet"
 )
 
+// maxQueuedCPUMillis bounds the sum over the waiting tasks, so that it does not overflow: other hosts
+// refuse the frames of a host with a negative load.
+const maxQueuedCPUMillis = 1 << 60
+
 // Load describes how busy the workers of a service in one cell are. CPU quantities are in
 // thousandths of a core.
 type Load struct {
@@ -67,7 +71,7 @@
 		if !ok || j.cell != cell {
 			continue
 		}
-		l.QueuedCPUMillis += int64(len(j.waiting)) * j.spec.Need.CPU * j.taskDuration.Milliseconds()
+		l.QueuedCPUMillis = min(l.QueuedCPUMillis+int64(len(j.waiting))*j.spec.Need.CPU*j.taskDuration.Milliseconds(), maxQueuedCPUMillis)
 		loads[j.route.Service] = l
 	}
 	linkWait := s.link.Wait(s.lastStep, waitingBytes)
