Date a batch after its events, and read a clock that is behind its estimate

The time of a batch was taken before its events were collected, so the reading of a worker's clock could be dated before it was taken: leases were granted for too long by that time, and on a clock 2% slow every later reading looked older than the estimate and was refused. The time is now taken after the last event. A reading in the answer to a call that was sent after the last one came is newer, and is taken although it is behind the estimate; the bound of the granted leases is raised by the difference.

--- a/entry/loop.go
+++ b/entry/loop.go
@@ -134,27 +134,27 @@
 	return idleTickPeriod
 }
 
-// applyBatch applies an event and the queued ones after it in one step, at most maxBatchEvents.
+// applyBatch applies an event and the queued ones after it in one step, at most maxBatchEvents. The time
+// of the step is taken after the last event: events report what happened at that time or earlier.
 func (l *loop) applyBatch(first any) {
-	now := sinceBoot()
-	events := l.collect(nil, now, first)
+	events := l.collect(nil, first)
 	for n := 1; n < maxBatchEvents; n++ {
 		select {
 		case ev := <-l.events:
-			events = l.collect(events, now, ev)
+			events = l.collect(events, ev)
 			continue
 		default:
 		}
 		break
 	}
-	for _, effect := range l.state.Step(now, events...) {
+	for _, effect := range l.state.Step(sinceBoot(), events...) {
 		l.carryOut(effect)
 	}
 }
 
 // collect appends what an item of the queue means for the state machine to its events. It runs
 // queries at once, and registers or removes the channel for a job's answer.
-func (l *loop) collect(events []host.Event, now time.Duration, ev any) []host.Event {
+func (l *loop) collect(events []host.Event, ev any) []host.Event {
 	switch e := ev.(type) {
 	case jobArrival:
 		l.lastSeq++
@@ -163,7 +163,7 @@
 		e.seq <- l.lastSeq
 		return append(events, e.event)
 	case stateQuery:
-		e.read(now, l.state)
+		e.read(sinceBoot(), l.state)
 		close(e.done)
 		return events
 	case host.CallerGone:
--- a/sched/call.go
+++ b/sched/call.go
@@ -80,7 +80,7 @@
 // recordClockOf records the reading of a worker's clock in the answer to a call, unless the answer is so
 // old that the worker may have another process by now, whose clock began anew.
 func (w *worker) recordClockOf(now, sent, wait time.Duration, clock int64) {
-	if now-sent-wait <= MaxReplyAge && w.recordClock(now, clock) {
+	if now-sent-wait <= MaxReplyAge && w.recordClock(now, sent, clock) {
 		w.aliveAt = max(w.aliveAt, sent)
 	}
 }
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -93,18 +93,30 @@
 
 // raiseLeaseEndBound records that a lease of length d may begin now.
 func (w *worker) raiseLeaseEndBound(now, d time.Duration) {
-	w.leaseEndBound = max(w.leaseEndBound, now+time.Duration(float64(d)/minClockRate))
+	w.leaseEndBound = max(w.leaseEndBound, leaseBound(now, d))
+}
+
+// leaseBound returns when a lease of length d that begins now has ended on the slowest clock.
+func leaseBound(now, d time.Duration) time.Duration {
+	return now + time.Duration(float64(d)/minClockRate)
 }
 
 // recordClock records a reading of the worker's clock in ms; 0 means none. The worker took the
-// reading at now or earlier. It reports false for a reading that is older than the last one or comes from
-// another process.
-func (w *worker) recordClock(now time.Duration, clock int64) bool {
+// reading between sent and now. It reports false for a reading that is older than the last one or comes
+// from another process.
+func (w *worker) recordClock(now, sent time.Duration, clock int64) bool {
 	if clock == 0 {
 		return false
 	}
-	if clock < w.leaseEndOnWorkerClock(now, 0) && w.lastClockAt != 0 {
-		return false
+	if ahead := w.leaseEndOnWorkerClock(now, 0) - clock; ahead > 0 && w.lastClockAt != 0 {
+		if sent < w.lastClockAt || clock < w.lastClock {
+			return false
+		}
+		// The call was sent after the last reading had come, so this one is newer: the estimate is ahead
+		// of the clock, which may run as slowly as the estimate and then never catches up. The leases
+		// granted by it end later than was reckoned, but not later than the longest one that begins now.
+		later := w.leaseEndBound + time.Duration(float64(ahead)/minClockRate*float64(time.Millisecond))
+		w.leaseEndBound = max(w.leaseEndBound, min(later, leaseBound(now, maxLeaseDuration)))
 	}
 	w.lastClock = clock
 	w.lastClockAt = now
