Take SIGHUP from the first moment of an entry host on

The handler was set up after the listeners, so a SIGHUP before that ended the process. It is set up before the settings are read now, and a signal from that time reloads them once the host runs.

--- a/cmd/sesameledged/main.go
+++ b/cmd/sesameledged/main.go
@@ -46,7 +46,12 @@
 		parser.Fail("no settings file")
 	}
 	if args.Entry {
-		os.Exit(run(args, entry.LoadSettings, startEntry))
+		// Before anything that takes time: a SIGHUP without a handler ends the process.
+		reloads := make(chan os.Signal, 1)
+		signal.Notify(reloads, syscall.SIGHUP)
+		os.Exit(run(args, entry.LoadSettings, func(args arguments, s *entry.Settings) (process, error) {
+			return startEntry(args, s, reloads)
+		}))
 	}
 	os.Exit(run(args, settings.Load, startDaemon))
 }
@@ -80,12 +85,12 @@
 }
 
 // startEntry starts an entry host on the platform.
-func startEntry(args arguments, s *entry.Settings) (process, error) {
+func startEntry(args arguments, s *entry.Settings, reloads <-chan os.Signal) (process, error) {
 	h, err := entry.Start(s, os.Stdout)
 	if err != nil {
 		return nil, err
 	}
-	go reloadOnSIGHUP(h, args.Settings)
+	go reloadOnSignal(h, args.Settings, reloads)
 	return h, nil
 }
 
@@ -98,10 +103,8 @@
 	return d, d.Start()
 }
 
-// reloadOnSIGHUP reloads the settings on each SIGHUP.
-func reloadOnSIGHUP(h *entry.Host, path string) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
+// reloadOnSignal reloads the settings on each signal, also on one that came while the process started.
+func reloadOnSignal(h *entry.Host, path string, signals <-chan os.Signal) {
 	for range signals {
 		h.Reload(path)
 	}
