Bound fencing tokens, and forget lost cells

After ten lost cells each new token of a host was 7,680 s higher for good, and the time in a token would have reached 2^53 in May 2029, from where on other hosts refuse all frames of the host that made it.

--- a/entry/store.go
+++ b/entry/store.go
@@ -146,7 +146,9 @@
 			continue
 		}
 		ev.Hosts = append(ev.Hosts, &meshpb.Host{Name: known.Name, Zone: known.Zone, Addr: known.Addr, Id: known.ID, Weight: known.Weight})
-		ev.MaxFence = max(ev.MaxFence, known.Fence)
+		if host.PlausibleFence(known.Fence) {
+			ev.MaxFence = max(ev.MaxFence, known.Fence)
+		}
 	}
 	h.loop.send(ev)
 }
--- a/host/cells.go
+++ b/host/cells.go
@@ -10,35 +10,11 @@
 )
 
 const (
-	// fenceRandomBits is the number of low bits of a fencing token that are random. The token stays
-	// below 2^53, up to which every JSON decoder is exact.
-	fenceRandomBits = 16
-	// fenceEpochMillis is the time in Unix ms at which the clock part of a token is 0.
-	fenceEpochMillis = 1735689600000
-	// fenceJumpMillis is added to the clock part of new tokens after this host has lost a cell. Its
-	// workers have then seen a higher token that this host does not know. The jump exceeds that token
-	// if the clock of the host that made it is ahead by less than this time. It doubles with each
-	// further lost cell.
-	fenceJumpMillis = int64(60000)
-	// maxCountedLosses limits the doubling.
-	maxCountedLosses = 8
 	// workerRetakeDelay is how long this host waits before it takes command again of a worker that has
 	// refused its fencing token.
 	workerRetakeDelay = 2 * time.Second
 )
 
-// newFence returns a fencing token that is higher than all tokens that the host knows. The random part
-// makes it unlikely that two hosts that take a cell at the same time use equal tokens.
-func (s *State) newFence(now time.Duration) int64 {
-	ms := s.opts.UnixMillis - fenceEpochMillis + (now - s.opts.Started).Milliseconds()
-	order := max(ms, s.maxFence>>fenceRandomBits+1)
-	if s.cellLosses > 0 {
-		order += fenceJumpMillis << (min(s.cellLosses, maxCountedLosses) - 1)
-	}
-	s.maxFence = order<<fenceRandomBits | s.rng.Int64N(1<<fenceRandomBits)
-	return s.maxFence
-}
-
 // decideCells takes cells, hands them over or gives them up as package owner decides, and hands
 // over the cells of an earlier division of their zone.
 func (s *State) decideCells(now time.Duration) {
@@ -186,7 +162,7 @@
 	if 2*lost <= total {
 		return
 	}
-	s.cellLosses++
+	s.recordCellLoss(now)
 	s.stats.CellsLost++
 	s.log("owner", "", "cell lost", "cell", cell, "fence", claim.Fence, "lost", lost, "workers", total)
 	s.owner.RecordLoss(now, cell)
--- a/host/host.go
+++ b/host/host.go
@@ -77,7 +77,8 @@
 	// host may take them again.
 	fencedUntil map[string]time.Duration
 	maxFence    int64
-	cellLosses  uint
+	cellLosses  uint          // cells lost in a row, each within lossMemory of the one before
+	cellLostAt  time.Duration // when the newest of them was lost
 	draining    bool
 	rng         *rand.Rand
 	effects     []Effect
@@ -172,7 +173,7 @@
 	case FrameReceived:
 		s.handleFrame(now, e.Frame)
 	case HostsDiscovered:
-		if validFence(e.MaxFence) {
+		if PlausibleFence(e.MaxFence) {
 			s.maxFence = max(s.maxFence, e.MaxFence)
 		}
 		for _, h := range e.Hosts {
