Contain a panic while an event is applied

A panic in the event loop ended the process. What a failed event has changed cannot be known in general, and no check of the state finds all of it, so the event cannot be refused whole: the state machine is replaced by one without cells, runs, jobs and contacts, under a new identity and with what was read (configuration, entries, addresses, highest token). Callers are told that their jobs may have run (502). To other hosts and to workers it is a process that was killed and started again; the fuzzer of hosts does it among its other faults now. Answers to calls of the former state are dropped. Nothing more is taken for 30 s from the worker, the host or the job whose event failed. Panics of queries and log entries change nothing.

The tests of the loop fail on the code before: the process ends.

--- a/entry/exposition.go
+++ b/entry/exposition.go
@@ -31,6 +31,7 @@
 	callTimeout     time.Duration // of calls to workers
 	version         int64         // of the configuration in force
 	droppedLogLines int64         // log lines dropped since the start
+	panics          int64         // panics in the event loop
 	framesNotSent   int64         // frames that could not be encoded
 	framesNotRead   int64         // frames that could not be decoded
 }
@@ -38,6 +39,7 @@
 // snapshot reads the current values. It reports false if the event loop has ended.
 func (h *Host) snapshot() (s snapshot, ok bool) {
 	s.droppedLogLines = h.logOutput.droppedLines()
+	s.panics = h.loop.panics.Load()
 	s.framesNotSent, s.framesNotRead = h.frameFailures[0].Load(), h.frameFailures[1].Load()
 	ok = h.loop.readState(func(_ time.Duration, state *host.State) {
 		s.host, s.sched = state.Stats(), state.Scheduler().Stats()
@@ -96,6 +98,7 @@
 		counter("frames_refused_total", "Frames refused because no sound host sends their values.", "", labelValues{"": h.FramesRefused}),
 		counter("frames_lost_total", "Frames that could not be encoded or decoded, or were too large.", "direction", labelValues{"in": s.framesNotRead, "out": s.framesNotSent}),
 		counter("messages_refused_total", "Messages to other hosts that were not sent: not text, too large, or too many waiting.", "", labelValues{"": h.MessagesRefused}),
+		counter("event_panics_total", "Panics while an event was applied. The host has given up its jobs and cells each time.", "", labelValues{"": s.panics}),
 		counter("redials_total", "Connections to other hosts that were replaced because they were silent.", "", labelValues{"": h.Redials}),
 		counter("log_lines_left_out_total", "Log lines left out to bound the volume.", "", labelValues{"": s.droppedLogLines}),
 		gauge("open_jobs", "Jobs of this host's callers without an answer.", int64(s.openJobs)),
--- a/entry/host.go
+++ b/entry/host.go
@@ -86,7 +86,8 @@
 	h.ingress = &ingress{host: h}
 	h.loop = newLoop(h.newState(), h.logger, h)
 	h.loop.readsWorkers.Store(true)
-	h.workers = newWorkerCaller(h.metrics, h.loop.send)
+	h.workers = newWorkerCaller(h.metrics, h.loop.callSender())
+	h.loop.replaced = func() { h.workers = h.workers.withSender(h.loop.callSender()) }
 	_ = h.logger.Log("part", "entry", "msg", "started", "zone", s.Zone, "id", h.id)
 	go h.loop.serve()
 	ctx, cancel := context.WithCancel(context.Background())
--- a/entry/loop.go
+++ b/entry/loop.go
@@ -26,7 +26,7 @@
 // loop is the event loop of the host. One goroutine applies events to the state machine in
 // batches and carries out the effects that it returns.
 type loop struct {
-	events  chan any // host.Event, jobArrival or stateQuery
+	events  chan any // host.Event, jobArrival, callAnswer or stateQuery
 	state   *host.State
 	logger  log.Logger
 	answers map[uint64]chan<- host.Answer // by the sequence number of the job
@@ -34,6 +34,7 @@
 	effects effectHandler
 	stop    chan struct{} // closed to end the loop
 	ended   chan struct{} // closed when the loop has ended
+	containment
 	// readsWorkers tells other goroutines whether the host has to read the workers' entries.
 	readsWorkers atomic.Bool
 }
@@ -147,8 +148,10 @@
 		}
 		break
 	}
-	for _, effect := range l.state.Step(sinceBoot(), events...) {
-		l.carryOut(effect)
+	for _, effect := range l.step(sinceBoot(), events) {
+		if !l.tryCarryOut(effect) {
+			return // the state is another one
+		}
 	}
 }
 
@@ -161,16 +164,20 @@
 		e.event.Seq = l.lastSeq
 		l.answers[l.lastSeq] = e.answer
 		e.seq <- l.lastSeq
-		return append(events, e.event)
+		return l.admit(events, e.event)
 	case stateQuery:
-		e.read(sinceBoot(), l.state)
-		close(e.done)
+		l.answerQuery(e)
 		return events
+	case callAnswer:
+		if e.generation != l.generation {
+			return events // the state that made the call is gone
+		}
+		return l.admit(events, e.event)
 	case host.CallerGone:
 		delete(l.answers, e.Seq)
 		return append(events, e)
 	case host.Event:
-		return append(events, e)
+		return l.admit(events, e)
 	}
 	return events
 }
--- a/host/host.go
+++ b/host/host.go
@@ -83,6 +83,7 @@
 	rng         *rand.Rand
 	effects     []Effect
 	stats       Stats
+	applying    int // see Applying
 	// jobsRecordedAt is when recordJobsInProgress last ran.
 	jobsRecordedAt time.Duration
 }
@@ -108,6 +109,7 @@
 		jobs:         make(map[uint64]*job),
 		fencedUntil:  make(map[string]time.Duration),
 		readsWorkers: true,
+		applying:     -1,
 		rng:          rand.New(rand.NewPCG(opts.Seed, opts.Self.ID)),
 	}
 	for _, addr := range opts.Seeds {
@@ -152,10 +154,12 @@
 // Step applies a batch of events and returns the effects, which the caller carries out in order.
 func (s *State) Step(now time.Duration, events ...Event) []Effect {
 	s.expireContacts(now)
-	for _, ev := range events {
+	for i, ev := range events {
+		s.applying = i
 		s.applyEvent(now, ev)
 		s.applySchedulerEffects(now)
 	}
+	s.applying = -1
 	s.sched.Place(now)
 	s.applySchedulerEffects(now)
 	s.sendDueFrames(now)
--- a/host/machine_test.go
+++ b/host/machine_test.go
@@ -334,6 +334,7 @@
 			"killAll":       m.killAll,
 			"freeze":        m.freeze,
 			"drain":         m.drain,
+			"replaceState":  m.replaceState,
 			"cut":           m.cut,
 			"cutHost":       m.cutHost,
 			"cutZone":       m.cutZone,
--- /dev/null
+++ b/host/restart.go
@@ -0,0 +1,58 @@
+package host
+
+import (
+	"cmp"
+	"time"
+
+	"sesameledge.dev/sesameledge/mesh/meshpb"
+)
+
+// Applying returns the index of the event that Step is applying or was applying when it panicked, or -1 if
+// it was doing something else.
+func (s *State) Applying() int { return s.applying }
+
+// Successor returns the state to go on with after a panic in Step, as of a new process with the given
+// identity. What the event left behind in s may be half of a change, so nothing that gives a permission
+// is kept: no cells, jobs, runs, leases or contacts. Other hosts and workers see what they see when a process is
+// killed and starts again. What was read is kept: the configuration, the entries of workers, the addresses
+// of hosts and the highest fencing token.
+func (s *State) Successor(id uint64, now time.Duration) *State {
+	if next := s.successor(id, now, true); next != nil {
+		return next
+	}
+	return s.successor(id, now, false)
+}
+
+// successor returns a new state, with the entries of workers if asked for. It returns nil if they cannot
+// be applied.
+func (s *State) successor(id uint64, now time.Duration, withEntries bool) (next *State) {
+	defer func() {
+		if withEntries && recover() != nil {
+			next = nil
+		}
+	}()
+	opts := s.opts
+	opts.UnixMillis += (now - opts.Started).Milliseconds()
+	opts.Self.ID, opts.Seed, opts.Started = id, id, now
+	n := New(opts)
+	n.stats = s.stats
+	n.stats.Aborted += int64(len(s.jobs))
+	n.maxFence = s.maxFence
+	n.config, n.configRecord, n.configAdoptedAt = s.config, s.configRecord, now
+	n.storeReachable = s.storeReachable
+	for _, p := range s.sortedPeers {
+		n.addPeer(&meshpb.Host{Addr: p.info.GetAddr(), Zone: cmp.Or(p.info.GetZone(), p.discoveredZone), Weight: p.info.GetWeight()})
+	}
+	if withEntries {
+		for _, e := range s.sortedEntries() {
+			if e.removedAt == 0 {
+				n.applyWorkerRecord(now, WorkerRecord{ID: e.info.ID, Record: e.record, Offset: e.offset})
+			}
+		}
+	}
+	if s.draining {
+		n.draining = true
+		n.owner.StartDrain()
+	}
+	return n
+}
