Ask the kernel for the caller's connection before a job begins

The connection is looked at, without a read, right before the job is handed to the event loop; the job is refused then, which is true.

A caller that closes one direction only no longer gets an empty 200 for a job that was given up. A panic in a call to a worker or in a read of the store counts as a failed call.

--- a/entry/contain.go
+++ b/entry/contain.go
@@ -1,12 +1,15 @@
 package entry
 
 import (
+	"context"
 	"fmt"
 	"runtime/debug"
 	"strings"
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"sesameledge.dev/sesameledge/fleet"
 	"sesameledge.dev/sesameledge/host"
 	"sesameledge.dev/sesameledge/sched"
@@ -69,6 +72,17 @@
 	return l.state.Step(now, events...)
 }
 
+// performSafely makes a call to a worker. A panic, as on an answer that no worker gives, counts as no
+// answer.
+func performSafely(ctx context.Context, perform func(context.Context) fleet.HoldReply) (reply fleet.HoldReply) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			reply = fleet.HoldReply{Reply: fleet.Reply{Err: errors.Newf("the call failed: %v", cause)}}
+		}
+	}()
+	return perform(ctx)
+}
+
 // tryCarryOut carries out an effect. It reports false if that has failed, so that the state was replaced:
 // it counts on the effect. Log entries may fail.
 func (l *loop) tryCarryOut(effect host.Effect) (done bool) {
--- a/entry/host.go
+++ b/entry/host.go
@@ -137,6 +137,7 @@
 	h.mesh.ReportFailure = func(err error) { h.reportFrameFailure("in", "", err) }
 	go func() { _ = h.mesh.Serve(peers) }() // returns after Stop
 	h.callerServer = newServer(h.ingress)
+	h.callerServer.ConnContext = withCallerConn
 	for _, s := range []struct {
 		addr   string
 		server *http.Server
--- a/entry/ingress.go
+++ b/entry/ingress.go
@@ -147,6 +147,10 @@
 // awaitAnswer hands a job to the event loop, waits for its outcome and writes the response. If
 // the caller disconnects first, it reports that to the state machine.
 func (in *ingress) awaitAnswer(w http.ResponseWriter, r *http.Request, route fleet.Route, spec fleet.JobSpec) {
+	if callerHasLeft(r) {
+		in.refuse(w, r, "the caller has left before its job began", time.Second)
+		return
+	}
 	answer := make(chan host.Answer, 1)
 	seq := make(chan uint64, 1)
 	in.host.loop.send(jobArrival{event: host.JobArrived{Spec: spec, Route: route, Remaining: timeLeft(r, route)}, seq: seq, answer: answer})
@@ -161,6 +165,8 @@
 			in.host.loop.send(host.CallerGone{Seq: n})
 		case <-in.host.loop.ended:
 		}
+		// A caller that has closed one direction only must not read an empty 200.
+		writeJSON(w, http.StatusBadGateway, platform.ErrorBody("the caller has closed the connection"))
 	case <-in.host.loop.ended:
 		writeJSON(w, http.StatusBadGateway, platform.ErrorBody("the host has stopped"))
 	}
--- a/entry/store.go
+++ b/entry/store.go
@@ -95,7 +95,12 @@
 
 // read reads once, from an offset on or the newest record of each key if from is negative. It
 // returns the offset of the next read.
-func (f *topicReader) read(ctx context.Context, from int64) (int64, error) {
+func (f *topicReader) read(ctx context.Context, from int64) (next int64, err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			err = errors.Newf("reading failed: %v", cause)
+		}
+	}()
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout+f.longPoll)
 	defer cancel()
 	if from < 0 {
--- a/entry/workers.go
+++ b/entry/workers.go
@@ -107,7 +107,7 @@
 		expire()
 	})
 	defer timer.Stop()
-	reply := perform(ctx)
+	reply := performSafely(ctx, perform)
 	if reply.Verdict != fleet.NoAnswer {
 		c.transport.recordAnswer(w.Addr)
 	}
