Announce the newest fencing token, and cut long log lines

With 64 tokens queued the newest one was dropped. Only the highest matters, so it takes the place of one that waits, which also saves writes.

--- a/entry/host.go
+++ b/entry/host.go
@@ -35,9 +35,6 @@
 	// gcPercent is above the default of 100, so that there are fewer garbage collections. The
 	// heap is small compared with the limit, and collections delay calls.
 	gcPercent = 200
-	// maxQueuedFences bounds the fencing tokens that wait to be announced while the store is
-	// unreachable. Only the highest one matters.
-	maxQueuedFences = 64
 	// headerTimeout limits the time to read a request's header on every server, idleTimeout the
 	// time that an unused connection stays open.
 	headerTimeout = 3 * time.Second
@@ -61,7 +58,8 @@
 	mesh            *mesh.Server
 	stopStoreAccess context.CancelFunc // ends reads and announcements
 	metrics         *metrics
-	queuedFences    chan int64    // fencing tokens to announce
+	highestFence    atomic.Int64  // fencing token to announce
+	fenceTaken      chan struct{} // holds a value if highestFence has risen
 	stopLog         chan struct{} // closed to end the log writer
 	drained         chan struct{} // closed when the host has stopped
 	stopOnce        sync.Once
@@ -76,7 +74,7 @@
 		debug.SetMemoryLimit(int64(float64(s.Memory<<20) * memoryLimitFraction))
 	}
 	debug.SetGCPercent(gcPercent)
-	h := &Host{settings: s, id: randomID(), metrics: newMetrics(), queuedFences: make(chan int64, maxQueuedFences), logOutput: newLogWriter(s.Log.LinesPerSecond), stopLog: make(chan struct{}), drained: make(chan struct{})}
+	h := &Host{settings: s, id: randomID(), metrics: newMetrics(), fenceTaken: make(chan struct{}, 1), logOutput: newLogWriter(s.Log.LinesPerSecond), stopLog: make(chan struct{}), drained: make(chan struct{})}
 	h.logger = newLogger(h.logOutput, s.Host)
 	go h.logOutput.run(out, h.stopLog)
 	h.storeTransport = newTransport(4, workerIdleTimeout)
@@ -189,12 +187,13 @@
 func (h *Host) holdWorker(e sched.HoldWorker) { h.workers.hold(e) }
 func (h *Host) sendFrame(e host.SendFrame)    { h.links.Send(e.Addr, e.Frame) }
 
-// announceFence queues a fencing token for announceHost. It drops the token if the queue is full.
+// announceFence makes announceHost write a fencing token. Only the highest one matters, so a later token
+// takes the place of one that waits because the store is unreachable.
 func (h *Host) announceFence(e host.AnnounceFence) {
+	h.highestFence.Store(max(h.highestFence.Load(), e.Fence))
 	select {
-	case h.queuedFences <- e.Fence:
+	case h.fenceTaken <- struct{}{}:
 	default:
-		_ = h.logger.Log("part", "store", "msg", "fencing token not announced", "fence", e.Fence)
 	}
 }
 
--- a/entry/logs.go
+++ b/entry/logs.go
@@ -43,18 +43,17 @@
 func (l *logWriter) Write(line []byte) (int, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.allowed <= 0 || l.pending.Len()+len(line) > maxPendingBytes {
+	if l.allowed <= 0 || l.pending.Len()+min(len(line), maxLineBytes) > maxPendingBytes {
 		l.dropped++
 		l.droppedTotal++
 		return len(line), nil
 	}
 	l.allowed--
+	l.pending.Write(line[:min(len(line), maxLineBytes)])
 	if len(line) > maxLineBytes {
-		l.pending.Write(line[:maxLineBytes])
 		l.pending.WriteString("...\n")
-		return len(line), nil
 	}
-	return l.pending.Write(line)
+	return len(line), nil
 }
 
 // run writes the buffered lines to out until stop is closed, and then the rest.
--- a/entry/store.go
+++ b/entry/store.go
@@ -166,8 +166,8 @@
 	for {
 		h.writeHostRecord(ctx, record)
 		select {
-		case fence := <-h.queuedFences:
-			record.Fence = max(record.Fence, fence)
+		case <-h.fenceTaken:
+			record.Fence = h.highestFence.Load()
 		case <-ctx.Done():
 			return
 		}
