Send hostile messages to a host, and keep room for cancellations

Submissions take one half of the queue to a host at most: a refused job can go elsewhere, its cancellation cannot. The property test of package host applies messages of every kind.

--- a/host/messages_test.go
+++ b/host/messages_test.go
@@ -7,7 +7,9 @@
 	"time"
 
 	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
 
+	"sesameledge.dev/sesameledge/internal/hostile"
 	"sesameledge.dev/sesameledge/mesh/meshpb"
 	"sesameledge.dev/sesameledge/sched"
 	"sesameledge.dev/sesameledge/session"
@@ -141,3 +143,36 @@
 		t.Error(err)
 	}
 }
+
+// TestHostileMessagesEndNothing sends messages of every kind with hostile strings, sizes and numbers from
+// one host to another. It guards against a message that ends the process of its receiver, that makes its
+// frames unfit for others, or that keeps later jobs from being served.
+func TestHostileMessagesEndNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := newHostPair()
+		link := p.hosts[0].peers["north:1"].session
+		for range rapid.IntRange(1, 10).Draw(t, "messages") {
+			m := hostile.Message(t)
+			if rapid.Bool().Draw(t, "plausible") && m.GetSubmit() != nil {
+				m.GetSubmit().Tasks, m.GetSubmit().Cell, m.GetSubmit().LeftNs = 2, "north", int64(time.Second)
+			}
+			link.Send(m)
+			p.step(0, Tick{})
+			if _, err := proto.Marshal(p.hosts[1].ownStatus()); err != nil {
+				t.Fatal(err)
+			}
+			if err := statusError(p.hosts[1].ownStatus()); err != nil {
+				t.Fatal(err)
+			}
+		}
+		p.advance(1500 * time.Millisecond)
+		p.submit(100)
+		p.advance(300 * time.Millisecond)
+		if len(p.answers) == 0 && p.started == 0 {
+			t.Error("a later job was neither started nor answered")
+		}
+		if err := p.hosts[1].sched.Check(); err != nil {
+			t.Error(err)
+		}
+	})
+}
--- a/session/limits_test.go
+++ b/session/limits_test.go
@@ -54,6 +54,9 @@
 	if r := s.Refusals(); len(r) != 1 || r[0].Err != ErrFull {
 		t.Errorf("refusals %v", r)
 	}
+	if !s.Send(newTestMessage(1)) {
+		t.Error("a cancellation was refused because submissions wait")
+	}
 	s.Withdraw(func(*meshpb.Message) bool { return true })
 	if !s.Send(newSubmit(payload)) {
 		t.Error("a queue of withdrawn messages takes no message")
--- a/session/session.go
+++ b/session/session.go
@@ -67,7 +67,7 @@
 // many messages are already waiting for an acknowledgement. Refusals returns the reason.
 func (s *Session) Send(m *meshpb.Message) bool {
 	size, err := checkMessage(m)
-	if err == nil && (len(s.unacked) >= maxUnacked || s.unackedBytes+size > maxUnackedBytes) {
+	if err == nil && !s.hasRoom(m, size) {
 		err = ErrFull
 	}
 	if err != nil {
@@ -79,6 +79,16 @@
 	return true
 }
 
+// hasRoom reports whether the queue takes a message of a size. Submissions leave one half to other messages:
+// a job that is refused can go elsewhere, but its cancellation or outcome cannot.
+func (s *Session) hasRoom(m *meshpb.Message, size int) bool {
+	count, bytes := maxUnacked, maxUnackedBytes
+	if m.GetSubmit() != nil {
+		count, bytes = count/2, bytes/2
+	}
+	return len(s.unacked) < count && s.unackedBytes+size <= bytes
+}
+
 // checkMessage returns the encoded size of a message, or the reason why it cannot be delivered.
 func checkMessage(m *meshpb.Message) (int, error) {
 	encoded, err := proto.Marshal(m)
