--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -82,6 +82,8 @@
 	vars.Set("latency", expvar.Func(func() any { return h.metrics.summaries() }))
 	vars.Set("worker_call_timeout_ms", expvar.Func(func() any { return h.workerCallTimeout().Milliseconds() }))
 	vars.Set("log_lines_left_out", expvar.Func(func() any { return h.logOutput.droppedLines() }))
+	vars.Set("event_panics", expvar.Func(func() any { return h.loop.panics.Load() }))
+	vars.Set("frames_lost", expvar.Func(func() any { return h.frameFailures[0].Load() + h.frameFailures[1].Load() }))
 	vars.Set("memstats", expvar.Get("memstats"))
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /debug/vars", func(w http.ResponseWriter, _ *http.Request) {
