--- a/entry/host.go
+++ b/entry/host.go
@@ -35,9 +35,6 @@
 	// gcPercent is above the default of 100, so that there are fewer garbage collections. The
 	// heap is small compared with the limit, and collections delay calls.
 	gcPercent = 200
-	// maxQueuedFences bounds the fencing tokens that wait to be announced while the store is
-	// unreachable. Only the highest one matters.
-	maxQueuedFences = 64
 	// headerTimeout limits the time to read a request's header on every server, idleTimeout the
 	// time that an unused connection stays open.
 	headerTimeout = 3 * time.Second
@@ -61,11 +58,13 @@
 	mesh            *mesh.Server
 	stopStoreAccess context.CancelFunc // ends reads and announcements
 	metrics         *metrics
-	queuedFences    chan int64    // fencing tokens to announce
+	highestFence    atomic.Int64  // fencing token to announce
+	fenceTaken      chan struct{} // holds a value if highestFence has risen
 	stopLog         chan struct{} // closed to end the log writer
 	drained         chan struct{} // closed when the host has stopped
 	stopOnce        sync.Once
-	lastReadOK      [2]atomic.Bool // whether the last read of the store succeeded: 0 configuration, 1 workers
+	frameFailures   [2]atomic.Int64 // frames that could not be encoded (0) or decoded (1)
+	lastReadOK      [2]atomic.Bool  // whether the last read of the store succeeded: 0 configuration, 1 workers
 }
 
 // Start starts a host that writes its log to out. It sets the memory limit and the garbage
@@ -75,16 +74,18 @@
 		debug.SetMemoryLimit(int64(float64(s.Memory<<20) * memoryLimitFraction))
 	}
 	debug.SetGCPercent(gcPercent)
-	h := &Host{settings: s, id: randomID(), metrics: newMetrics(), queuedFences: make(chan int64, maxQueuedFences), logOutput: newLogWriter(s.Log.LinesPerSecond), stopLog: make(chan struct{}), drained: make(chan struct{})}
+	h := &Host{settings: s, id: randomID(), metrics: newMetrics(), fenceTaken: make(chan struct{}, 1), logOutput: newLogWriter(s.Log.LinesPerSecond), stopLog: make(chan struct{}), drained: make(chan struct{})}
 	h.logger = newLogger(h.logOutput, s.Host)
 	go h.logOutput.run(out, h.stopLog)
 	h.storeTransport = newTransport(4, workerIdleTimeout)
 	h.store = platform.NewStoreClient(s.Store, h.storeTransport)
 	h.links = mesh.NewLinks(peerIP(s))
+	h.links.ReportFailure = func(addr string, err error) { h.reportFrameFailure("out", addr, err) }
 	h.ingress = &ingress{host: h}
 	h.loop = newLoop(h.newState(), h.logger, h)
 	h.loop.readsWorkers.Store(true)
-	h.workers = newWorkerCaller(h.metrics, h.loop.send)
+	h.workers = newWorkerCaller(h.metrics, h.loop.callSender())
+	h.loop.replaced = func() { h.workers = h.workers.withSender(h.loop.callSender()) }
 	_ = h.logger.Log("part", "entry", "msg", "started", "zone", s.Zone, "id", h.id)
 	go h.loop.serve()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -133,8 +134,10 @@
 		return errors.Wrap(err, "listening for other hosts")
 	}
 	h.mesh = mesh.NewServer(func(f *meshpb.Frame) { h.loop.send(host.FrameReceived{Frame: f}) })
+	h.mesh.ReportFailure = func(err error) { h.reportFrameFailure("in", "", err) }
 	go func() { _ = h.mesh.Serve(peers) }() // returns after Stop
 	h.callerServer = newServer(h.ingress)
+	h.callerServer.ConnContext = withCallerConn
 	for _, s := range []struct {
 		addr   string
 		server *http.Server
@@ -186,12 +189,13 @@
 func (h *Host) holdWorker(e sched.HoldWorker) { h.workers.hold(e) }
 func (h *Host) sendFrame(e host.SendFrame)    { h.links.Send(e.Addr, e.Frame) }
 
-// announceFence queues a fencing token for announceHost. It drops the token if the queue is full.
+// announceFence makes announceHost write a fencing token. Only the highest one matters, so a later token
+// takes the place of one that waits because the store is unreachable.
 func (h *Host) announceFence(e host.AnnounceFence) {
+	h.highestFence.Store(max(h.highestFence.Load(), e.Fence))
 	select {
-	case h.queuedFences <- e.Fence:
+	case h.fenceTaken <- struct{}{}:
 	default:
-		_ = h.logger.Log("part", "store", "msg", "fencing token not announced", "fence", e.Fence)
 	}
 }
 
--- a/entry/logs.go
+++ b/entry/logs.go
@@ -15,6 +15,8 @@
 	flushInterval = 100 * time.Millisecond
 	// maxPendingBytes bounds the buffered lines that wait to be written.
 	maxPendingBytes = 256 << 10
+	// maxLineBytes bounds one line. Longer ones quote something from outside, and are cut off.
+	maxLineBytes = 4 << 10
 )
 
 // logWriter buffers log lines until another goroutine writes them, so that a stalled output
@@ -41,13 +43,17 @@
 func (l *logWriter) Write(line []byte) (int, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.allowed <= 0 || l.pending.Len()+len(line) > maxPendingBytes {
+	if l.allowed <= 0 || l.pending.Len()+min(len(line), maxLineBytes) > maxPendingBytes {
 		l.dropped++
 		l.droppedTotal++
 		return len(line), nil
 	}
 	l.allowed--
-	return l.pending.Write(line)
+	l.pending.Write(line[:min(len(line), maxLineBytes)])
+	if len(line) > maxLineBytes {
+		l.pending.WriteString("...\n")
+	}
+	return len(line), nil
 }
 
 // run writes the buffered lines to out until stop is closed, and then the rest.
--- a/entry/loop.go
+++ b/entry/loop.go
@@ -26,7 +26,7 @@
 // loop is the event loop of the host. One goroutine applies events to the state machine in
 // batches and carries out the effects that it returns.
 type loop struct {
-	events  chan any // host.Event, jobArrival or stateQuery
+	events  chan any // host.Event, jobArrival, callAnswer or stateQuery
 	state   *host.State
 	logger  log.Logger
 	answers map[uint64]chan<- host.Answer // by the sequence number of the job
@@ -34,6 +34,7 @@
 	effects effectHandler
 	stop    chan struct{} // closed to end the loop
 	ended   chan struct{} // closed when the loop has ended
+	containment
 	// readsWorkers tells other goroutines whether the host has to read the workers' entries.
 	readsWorkers atomic.Bool
 }
@@ -134,43 +135,49 @@
 	return idleTickPeriod
 }
 
-// applyBatch applies an event and the queued ones after it in one step, at most maxBatchEvents.
+// applyBatch applies an event and the queued ones after it in one step, at most maxBatchEvents. The time
+// of the step is taken after the last event: events report what happened at that time or earlier.
 func (l *loop) applyBatch(first any) {
-	now := sinceBoot()
-	events := l.collect(nil, now, first)
+	events := l.collect(nil, first)
 	for n := 1; n < maxBatchEvents; n++ {
 		select {
 		case ev := <-l.events:
-			events = l.collect(events, now, ev)
+			events = l.collect(events, ev)
 			continue
 		default:
 		}
 		break
 	}
-	for _, effect := range l.state.Step(now, events...) {
-		l.carryOut(effect)
+	for _, effect := range l.step(sinceBoot(), events) {
+		if !l.tryCarryOut(effect) {
+			return // the state is another one
+		}
 	}
 }
 
 // collect appends what an item of the queue means for the state machine to its events. It runs
 // queries at once, and registers or removes the channel for a job's answer.
-func (l *loop) collect(events []host.Event, now time.Duration, ev any) []host.Event {
+func (l *loop) collect(events []host.Event, ev any) []host.Event {
 	switch e := ev.(type) {
 	case jobArrival:
 		l.lastSeq++
 		e.event.Seq = l.lastSeq
 		l.answers[l.lastSeq] = e.answer
 		e.seq <- l.lastSeq
-		return append(events, e.event)
+		return l.admit(events, e.event)
 	case stateQuery:
-		e.read(now, l.state)
-		close(e.done)
+		l.answerQuery(e)
 		return events
+	case callAnswer:
+		if e.generation != l.generation {
+			return events // the state that made the call is gone
+		}
+		return l.admit(events, e.event)
 	case host.CallerGone:
 		delete(l.answers, e.Seq)
 		return append(events, e)
 	case host.Event:
-		return append(events, e)
+		return l.admit(events, e)
 	}
 	return events
 }
--- a/entry/store.go
+++ b/entry/store.go
@@ -95,7 +95,12 @@
 
 // read reads once, from an offset on or the newest record of each key if from is negative. It
 // returns the offset of the next read.
-func (f *topicReader) read(ctx context.Context, from int64) (int64, error) {
+func (f *topicReader) read(ctx context.Context, from int64) (next int64, err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			err = errors.Newf("reading failed: %v", cause)
+		}
+	}()
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout+f.longPoll)
 	defer cancel()
 	if from < 0 {
@@ -121,12 +126,13 @@
 	}
 }
 
-// handleWorkerRecords sends worker records to the event loop. It ignores records without a key.
+// handleWorkerRecords sends worker records to the event loop. It ignores records whose key cannot be the
+// ID of a worker.
 func (h *Host) handleWorkerRecords(records []platform.Record, snapshot bool) {
 	ev := host.WorkersRead{Snapshot: snapshot}
 	for _, r := range records {
-		if r.Key == "" {
-			_ = h.logger.Log("part", "store", "msg", "record without a key ignored", "topic", platform.TopicWorkers, "offset", r.Offset)
+		if err := platform.CheckKey(r.Key); err != nil {
+			_ = h.logger.Log("part", "store", "msg", "record ignored", "topic", platform.TopicWorkers, "offset", r.Offset, "err", err)
 			continue
 		}
 		ev.Records = append(ev.Records, host.WorkerRecord{ID: r.Key, Record: r.Value, Offset: r.Offset})
@@ -141,11 +147,13 @@
 	for _, r := range records {
 		known, err := platform.DecodeHost(r.Value)
 		if err != nil {
-			_ = h.logger.Log("part", "store", "msg", "host record ignored", "key", r.Key, "err", err)
+			_ = h.logger.Log("part", "store", "msg", "host record ignored", "offset", r.Offset, "err", err)
 			continue
 		}
 		ev.Hosts = append(ev.Hosts, &meshpb.Host{Name: known.Name, Zone: known.Zone, Addr: known.Addr, Id: known.ID, Weight: known.Weight})
-		ev.MaxFence = max(ev.MaxFence, known.Fence)
+		if host.PlausibleFence(known.Fence) {
+			ev.MaxFence = max(ev.MaxFence, known.Fence)
+		}
 	}
 	h.loop.send(ev)
 }
@@ -158,8 +166,8 @@
 	for {
 		h.writeHostRecord(ctx, record)
 		select {
-		case fence := <-h.queuedFences:
-			record.Fence = max(record.Fence, fence)
+		case <-h.fenceTaken:
+			record.Fence = h.highestFence.Load()
 		case <-ctx.Done():
 			return
 		}
--- a/host/host.go
+++ b/host/host.go
@@ -79,20 +79,23 @@
 	// host may take them again.
 	fencedUntil map[string]time.Duration
 	maxFence    int64
-	cellLosses  uint
+	cellLosses  uint          // cells lost in a row, each within lossMemory of the one before
+	cellLostAt  time.Duration // when the newest of them was lost
 	draining    bool
 	rng         *rand.Rand
 	effects     []Effect
 	stats       Stats
+	applying    int // see Applying
 	// jobsRecordedAt is when recordJobsInProgress last ran.
 	jobsRecordedAt time.Duration
 }
 
 // Stats counts the jobs of the host's callers, the cells that it has taken and lost, and the frames and
-// new connections to other hosts. Refused frames held values that no sound host sends.
+// new connections to other hosts. Refused frames held values that no sound host sends, refused messages
+// could not be delivered.
 type Stats struct {
-	Arrived, PassedOn, Completed, Failed, Refused, Aborted, Gone       int64
-	CellsTaken, CellsLost, FramesIn, FramesOut, FramesRefused, Redials int64
+	Arrived, PassedOn, Completed, Failed, Refused, Aborted, Gone                        int64
+	CellsTaken, CellsLost, FramesIn, FramesOut, FramesRefused, Redials, MessagesRefused int64
 }
 
 // New returns the initial state of a process.
@@ -108,6 +111,7 @@
 		jobs:         make(map[uint64]*job),
 		fencedUntil:  make(map[string]time.Duration),
 		readsWorkers: true,
+		applying:     -1,
 		rng:          rand.New(rand.NewPCG(opts.Seed, opts.Self.ID)),
 	}
 	s.sched.SetPolicy(opts.Placement)
@@ -153,10 +157,12 @@
 // Step applies a batch of events and returns the effects, which the caller carries out in order.
 func (s *State) Step(now time.Duration, events ...Event) []Effect {
 	s.expireContacts(now)
-	for _, ev := range events {
+	for i, ev := range events {
+		s.applying = i
 		s.applyEvent(now, ev)
 		s.applySchedulerEffects(now)
 	}
+	s.applying = -1
 	s.sched.Place(now)
 	s.applySchedulerEffects(now)
 	s.sendDueFrames(now)
@@ -174,7 +180,7 @@
 	case FrameReceived:
 		s.handleFrame(now, e.Frame)
 	case HostsDiscovered:
-		if validFence(e.MaxFence) {
+		if PlausibleFence(e.MaxFence) {
 			s.maxFence = max(s.maxFence, e.MaxFence)
 		}
 		for _, h := range e.Hosts {
