Cancel jobs by their ID on all hosts

DELETE of a running job was answered 410 and the job ran on. The host that gets it now asks every commander that may run the job, which stops it, refuses later submissions of the ID for 10 s and confirms. The answer is 200 or 410 when all have confirmed, and 503 if that takes longer than 2 s. The caller of the job gets the state cancelled at once.

--- a/entry/exposition.go
+++ b/entry/exposition.go
@@ -75,10 +75,15 @@
 		counter("jobs_arrived_total", "Jobs of this host's callers.", "", labelValues{"": h.Arrived}),
 		counter("jobs_answered_total", "Jobs of this host's callers that have ended, by outcome.", "outcome", labelValues{
 			"completed": h.Completed, "failed": h.Failed, "refused": h.Refused, "aborted": h.Aborted, "caller_gone": h.Gone,
+			"cancelled": h.Cancelled,
 		}),
 		counter("jobs_passed_on_total", "Jobs handed to another host.", "", labelValues{"": h.PassedOn}),
 		counter("jobs_scheduled_total", "Jobs of all hosts that have ended on the workers of this host, by outcome.", "outcome", labelValues{
 			"completed": d.Completed, "failed": d.Failed, "refused": d.Refused, "aborted": d.Aborted,
+			"cancelled": d.Cancelled,
+		}),
+		counter("cancellations_total", "Cancellations by this host's callers, by result.", "result", labelValues{
+			"done": h.CancelsDone, "not_found": h.CancelsNotFound, "unknown": h.CancelsUnknown,
 		}),
 		counter("run_starts_total", "Starts sent to workers.", "", labelValues{"": d.Starts}),
 		counter("run_stops_total", "Stops sent to workers.", "", labelValues{"": d.Stops}),
--- a/entry/ingress.go
+++ b/entry/ingress.go
@@ -98,6 +98,8 @@
 	case r.Method == http.MethodGet && id == "":
 		// A submission is answered when its job has ended, so no accepted job is pending.
 		writeJSON(w, http.StatusOK, platform.PendingBody(0))
+	case r.Method == http.MethodDelete && platform.ValidJobID(id):
+		in.cancel(w, r, route, id)
 	case r.Method == http.MethodGet || r.Method == http.MethodDelete:
 		writeJSON(w, http.StatusGone, platform.ErrorBody("no such job"))
 	default:
@@ -185,6 +187,8 @@
 		writeJSON(w, http.StatusOK, platform.StateBody(platform.StateCompleted))
 	case sched.Failed:
 		writeJSON(w, http.StatusOK, platform.StateBody(platform.StateFailed))
+	case sched.Cancelled:
+		writeJSON(w, http.StatusOK, platform.StateBody(platform.StateCancelled))
 	case sched.Refused:
 		setRetryAfter(w, a.RetryAfter)
 		writeJSON(w, http.StatusServiceUnavailable, platform.ErrorBody(a.Reason))
--- a/entry/loop.go
+++ b/entry/loop.go
@@ -26,11 +26,12 @@
 // loop is the event loop of the host. One goroutine applies events to the state machine in
 // batches and carries out the effects that it returns.
 type loop struct {
-	events  chan any // host.Event, jobArrival or stateQuery
+	events  chan any // host.Event, jobArrival, cancelRequest or stateQuery
 	state   *host.State
 	logger  log.Logger
-	answers map[uint64]chan<- host.Answer // by the sequence number of the job
-	lastSeq uint64                        // last sequence number given to a job
+	answers map[uint64]chan<- host.Answer       // by the sequence number of the job
+	lastSeq uint64                              // last sequence number given to a job or a cancellation
+	cancels map[uint64]chan<- host.CancelAnswer // by the sequence number of the cancellation
 	effects effectHandler
 	stop    chan struct{} // closed to end the loop
 	ended   chan struct{} // closed when the loop has ended
@@ -71,6 +72,7 @@
 		state:   state,
 		logger:  logger,
 		answers: make(map[uint64]chan<- host.Answer),
+		cancels: make(map[uint64]chan<- host.CancelAnswer),
 		effects: effects,
 		stop:    make(chan struct{}),
 		ended:   make(chan struct{}),
@@ -162,6 +164,11 @@
 		l.answers[l.lastSeq] = e.answer
 		e.seq <- l.lastSeq
 		return append(events, e.event)
+	case cancelRequest:
+		l.lastSeq++
+		e.event.Seq = l.lastSeq
+		l.cancels[l.lastSeq] = e.answer
+		return append(events, e.event)
 	case stateQuery:
 		e.read(now, l.state)
 		close(e.done)
@@ -183,6 +190,11 @@
 			delete(l.answers, e.Seq)
 			ch <- e
 		}
+	case host.CancelAnswer:
+		if ch := l.cancels[e.Seq]; ch != nil {
+			delete(l.cancels, e.Seq)
+			ch <- e
+		}
 	case host.SendFrame:
 		l.effects.sendFrame(e)
 	case host.Redial:
--- /dev/null
+++ b/host/cancelled.go
@@ -0,0 +1,98 @@
+package host
+
+import (
+	"slices"
+	"time"
+
+	"sesameledge.dev/sesameledge/fleet"
+)
+
+const (
+	// cancelMemory is how long a cancelled job is remembered. Submissions that were sent before the
+	// cancellation may be delayed for seconds by paused hosts and partitions.
+	cancelMemory = 10 * time.Second
+	// maxRememberedCancels bounds the remembered jobs of all hosts, maxOwnCancels those that were cancelled
+	// through this host. A new commander is told of the latter at once, so they have to fit into a session.
+	maxRememberedCancels = 16384
+	maxOwnCancels        = 2048
+	// maxJobNameBytes bounds the strings of a cancellation from another host.
+	maxJobNameBytes = 4096
+)
+
+// jobName identifies a job as its caller does. A name without a host is that of a job from a host of an
+// earlier version, and names the job with the ID on any route.
+type jobName struct{ id, host, prefix string }
+
+func newJobName(id string, r fleet.Route) jobName {
+	return jobName{id: id, host: r.Host, prefix: r.Prefix}
+}
+
+// matches reports whether two names may be those of one job.
+func (n jobName) matches(o jobName) bool {
+	return n.id == o.id && (n.host == "" || o.host == "" || n.host == o.host && n.prefix == o.prefix)
+}
+
+// cancelledJob is a job that was cancelled, remembered until its time is over.
+type cancelledJob struct {
+	name  jobName
+	until time.Duration
+	found bool // it was in progress, or has been submitted since
+	own   bool // it was cancelled through this host, which tells new commanders of it
+}
+
+// cancellations holds the cancelled jobs that the host remembers.
+type cancellations struct {
+	byID     map[string][]*cancelledJob
+	expiring []*cancelledJob // in the order in which they are forgotten
+	own      int             // remembered jobs that were cancelled through this host
+	pending  []*cancellation
+	told     map[uint64]bool // commanders that have been sent the own jobs
+}
+
+func newCancellations() *cancellations {
+	return &cancellations{byID: make(map[string][]*cancelledJob), told: make(map[uint64]bool)}
+}
+
+// find returns the remembered cancellation of a job, or nil.
+func (c *cancellations) find(now time.Duration, name jobName) *cancelledJob {
+	for _, j := range c.byID[name.id] {
+		if now < j.until && j.name.matches(name) {
+			return j
+		}
+	}
+	return nil
+}
+
+// remember remembers a cancelled job. It returns nil if too many are remembered.
+func (c *cancellations) remember(now time.Duration, name jobName, own bool) *cancelledJob {
+	c.expire(now)
+	if len(c.expiring) >= maxRememberedCancels || own && c.own >= maxOwnCancels {
+		return nil
+	}
+	j := &cancelledJob{name: name, until: now + cancelMemory, own: own}
+	if old := c.find(now, name); old != nil {
+		j.found = old.found
+	}
+	if own {
+		c.own++
+	}
+	c.byID[name.id] = append(c.byID[name.id], j)
+	c.expiring = append(c.expiring, j)
+	return j
+}
+
+// expire forgets the cancelled jobs whose time is over.
+func (c *cancellations) expire(now time.Duration) {
+	for len(c.expiring) > 0 && now >= c.expiring[0].until {
+		j := c.expiring[0]
+		c.expiring = c.expiring[1:]
+		if j.own {
+			c.own--
+		}
+		rest := slices.DeleteFunc(c.byID[j.name.id], func(o *cancelledJob) bool { return o == j })
+		c.byID[j.name.id] = rest
+		if len(rest) == 0 {
+			delete(c.byID, j.name.id)
+		}
+	}
+}
--- a/host/host.go
+++ b/host/host.go
@@ -84,6 +84,7 @@
 	stats       Stats
 	// jobsRecordedAt is when recordJobsInProgress last ran.
 	jobsRecordedAt time.Duration
+	cancels        *cancellations
 }
 
 // Stats counts the jobs of the host's callers, the cells that it has taken and lost, and the frames and
@@ -91,6 +92,8 @@
 type Stats struct {
 	Arrived, PassedOn, Completed, Failed, Refused, Aborted, Gone       int64
 	CellsTaken, CellsLost, FramesIn, FramesOut, FramesRefused, Redials int64
+	// Cancelled counts jobs that ended by a cancellation, the others cancellations by their result.
+	Cancelled, CancelsDone, CancelsNotFound, CancelsUnknown int64
 }
 
 // New returns the initial state of a process.
@@ -106,6 +109,7 @@
 		jobs:         make(map[uint64]*job),
 		fencedUntil:  make(map[string]time.Duration),
 		readsWorkers: true,
+		cancels:      newCancellations(),
 		rng:          rand.New(rand.NewPCG(opts.Seed, opts.Self.ID)),
 	}
 	for _, addr := range opts.Seeds {
@@ -138,8 +142,11 @@
 // CellCount returns the number of cells that the host commands or is handing over.
 func (s *State) CellCount() int { return len(s.owner.Claims()) }
 
-// NeedsFrequentTicks reports whether the host has cells or callers' jobs, whose deadlines need frequent ticks.
-func (s *State) NeedsFrequentTicks() bool { return len(s.jobs) > 0 || s.CellCount() > 0 }
+// NeedsFrequentTicks reports whether the host has cells, callers' jobs or cancellations, whose deadlines
+// need frequent ticks.
+func (s *State) NeedsFrequentTicks() bool {
+	return len(s.jobs) > 0 || s.CellCount() > 0 || len(s.cancels.pending) > 0
+}
 
 func (s *State) emit(e Effect) { s.effects = append(s.effects, e) }
 
@@ -156,6 +163,7 @@
 	}
 	s.sched.Place(now)
 	s.applySchedulerEffects(now)
+	s.settleCancellations(now)
 	s.sendDueFrames(now)
 	out := s.effects
 	s.effects = nil
@@ -168,6 +176,8 @@
 		s.handleJobArrived(now, e)
 	case CallerGone:
 		s.handleCallerGone(now, e.Seq)
+	case CancelRequested:
+		s.handleCancelRequested(now, e)
 	case FrameReceived:
 		s.handleFrame(now, e.Frame)
 	case HostsDiscovered:
--- a/host/jobs.go
+++ b/host/jobs.go
@@ -40,6 +40,10 @@
 	s.stats.Arrived++
 	j := &job{seq: e.Seq, spec: e.Spec, route: e.Route, arrived: now, deadline: now + e.Remaining, refusedBy: make(map[fleet.Cell]bool)}
 	s.jobs[e.Seq] = j
+	if s.wasCancelled(now, e.Spec.ID, e.Route) {
+		s.answerJob(now, j, sched.Cancelled, reasonCancelled)
+		return
+	}
 	s.assignJob(now, j)
 }
 
@@ -96,6 +100,7 @@
 		Route: &meshpb.Route{
 			Name: j.route.Name, Service: j.route.Service, Priority: int32(j.route.Priority),
 			MaxAttempts: int32(j.route.MaxAttempts), SlackFactor: j.route.SlackFactor, TargetNs: int64(j.route.ObjectiveOffset),
+			Host: j.route.Host, Prefix: j.route.Prefix,
 		},
 	}
 }
@@ -104,6 +109,9 @@
 // caller submitted the job.
 func (s *State) handleJobFinished(now time.Duration, e sched.JobFinished) {
 	o := &meshpb.Outcome{Seq: e.Key.Seq, Outcome: int32(e.Outcome), Reason: e.Reason}
+	if e.Outcome == sched.Cancelled {
+		o.Outcome, o.Cancelled = int32(sched.Aborted), true // hosts of earlier versions do not know Cancelled
+	}
 	if e.Key.Host == s.opts.Self.ID {
 		s.handleOutcome(now, e.Key.Host, o)
 		return
@@ -121,6 +129,9 @@
 		return
 	}
 	result := sched.Outcome(o.GetOutcome())
+	if o.GetCancelled() {
+		result = sched.Cancelled
+	}
 	if result != sched.Refused {
 		s.answerJob(now, j, result, o.GetReason())
 		return
@@ -151,6 +162,8 @@
 		a.RetryAfter = minRetryAfter + time.Duration(s.rng.Int64N(int64(retryAfterJitter)))
 	case sched.Aborted:
 		s.stats.Aborted++
+	case sched.Cancelled:
+		s.stats.Cancelled++
 	}
 	s.log("jobs", j.spec.RequestID, "job answered", "job", j.spec.ID, "route", j.route.Name, "outcome", o, "reason", reason, "cell", j.cell, "took", now-j.arrived)
 	s.emit(a)
--- a/host/machine_test.go
+++ b/host/machine_test.go
@@ -330,6 +330,7 @@
 		t.Repeat(map[string]func(*rapid.T){
 			"submit":        m.submit,
 			"leave":         m.leave,
+			"cancel":        m.cancel,
 			"kill":          m.kill,
 			"killAll":       m.killAll,
 			"freeze":        m.freeze,
--- a/host/peers.go
+++ b/host/peers.go
@@ -172,6 +172,10 @@
 	case *meshpb.Message_Cancel:
 		p.dropUnconfirmed(kind.Cancel.GetSeq())
 		s.sched.Step(now, sched.Cancel{Key: sched.JobKey{Host: p.info.GetId(), Seq: kind.Cancel.GetSeq()}})
+	case *meshpb.Message_CancelJob:
+		s.handleCancelJob(now, p, kind.CancelJob)
+	case *meshpb.Message_CancelJobReply:
+		s.handleCancelJobReply(p, kind.CancelJobReply)
 	case *meshpb.Message_Outcome:
 		s.handleOutcome(now, p.info.GetId(), kind.Outcome)
 	case *meshpb.Message_Config:
--- a/host/simulation_jobs_test.go
+++ b/host/simulation_jobs_test.go
@@ -24,6 +24,11 @@
 	done       map[int]bool // tasks that have ended as done, by index
 	gone       bool         // the caller has given up
 	resends    int
+	cancelled  bool          // its caller has sent a cancellation
+	ackedAt    time.Duration // when the first cancellation was acknowledged; 0: none was
+	runs       []simRun      // that workers have accepted
+	sentAfter  bool          // it was submitted again after its cancellation was sent
+	killsAtAck int           // processes that had been killed by ackedAt
 }
 
 // maxResends limits how often a caller resends a job.
@@ -65,10 +70,11 @@
 	h.seq++
 	h.open[h.seq] = j
 	j.open++
+	j.sentAfter = j.sentAfter || j.cancelled
 	h.deliver(h.processCount, JobArrived{
 		Seq: h.seq, Remaining: 3 * time.Second,
 		Spec:  fleet.JobSpec{ID: j.id, Tasks: j.tasks, Need: j.need, Estimate: 200 * time.Millisecond, Ephemeral: true},
-		Route: fleet.Route{Name: "r", Service: "s", MaxAttempts: 2, SlackFactor: 1.6, ObjectiveOffset: time.Second},
+		Route: fleet.Route{Name: "r", Host: simRouteHost, Prefix: simRoutePrefix, Service: "s", MaxAttempts: 2, SlackFactor: 1.6, ObjectiveOffset: time.Second},
 	})
 }
 
@@ -127,6 +133,12 @@
 		if !j.failing {
 			h.w.fail("%s failed without a failed task", j.id)
 		}
+	case sched.Cancelled:
+		j.open--
+		j.unresolved++
+		if !j.cancelled {
+			h.w.fail("%s was cancelled by nobody", j.id)
+		}
 	case sched.Aborted:
 		j.unresolved++
 		h.w.resendLater(j)
@@ -268,6 +280,7 @@
 		return reply
 	}
 	j.started = true
+	c.recordStart(j, o.Run)
 	w.check()
 	w.checkRefusal(j)
 	born := ww.Born
--- a/host/simulation_test.go
+++ b/host/simulation_test.go
@@ -46,6 +46,7 @@
 	failure     error         // first violation that was found
 	tracing     bool
 	cellWorkers int
+	kills       int      // processes that were killed
 	trace       []string // orders and answers, if tracing
 }
 
@@ -224,6 +225,7 @@
 	version      int64              // of the configuration in force
 	storeCut     bool
 	draining     bool
+	cancels      map[uint64]*simJob // jobs whose cancellations have no answer, by sequence number
 }
 
 func (h *simHost) clock() time.Duration { return h.w.now + h.skew }
@@ -236,6 +238,7 @@
 	h.frozen, h.stalled, h.draining = false, false, false
 	h.inbox, h.outbox, h.version = nil, nil, 0
 	h.open = make(map[uint64]*simJob)
+	h.cancels = make(map[uint64]*simJob)
 	h.state = New(Options{
 		Self:  Self{Name: h.name, Zone: h.zone, Addr: h.addr, ID: w.nextID, Weight: 400},
 		Zones: simZones, Seeds: []string{w.hosts[0].addr, w.hosts[len(w.hosts)-1].addr},
@@ -259,6 +262,7 @@
 		return
 	}
 	h.processCount++
+	h.w.kills++
 	h.state = nil
 	for seq := range h.seq + 1 {
 		if j := h.open[seq]; j != nil {
@@ -350,6 +354,8 @@
 		switch e := effect.(type) {
 		case Answer:
 			h.answered(e)
+		case CancelAnswer:
+			h.cancelAnswered(e)
 		case SendFrame:
 			h.send(e)
 		case Redial:
--- a/host/submission.go
+++ b/host/submission.go
@@ -36,6 +36,8 @@
 	job := submittedJob(p.info.GetId(), m, waited)
 	p.lastJobAt = now
 	switch {
+	case s.wasCancelled(now, job.Spec.ID, job.Route):
+		s.handleJobFinished(now, sched.JobFinished{Key: job.Key, Outcome: sched.Cancelled, Reason: reasonCancelled})
 	case waited+silent <= contactTimeout:
 		s.sched.Step(now, sched.Submit{Job: job})
 	case p.frequentHeartbeats || waited > contactTimeout:
@@ -67,6 +69,7 @@
 		Route: fleet.Route{
 			Name: r.GetName(), Service: r.GetService(), Priority: int(r.GetPriority()),
 			MaxAttempts: int(r.GetMaxAttempts()), SlackFactor: r.GetSlackFactor(), ObjectiveOffset: time.Duration(r.GetTargetNs()),
+			Host: r.GetHost(), Prefix: r.GetPrefix(),
 		},
 		Age: time.Duration(m.GetAgeNs()) + waited, Left: time.Duration(m.GetLeftNs()) - waited,
 	}
--- a/sched/event.go
+++ b/sched/event.go
@@ -32,9 +32,10 @@
 	Failed            // a task failed in as many attempts as its route allows
 	Refused           // no task of the job has run or will run
 	Aborted           // given up; tasks of the job may have run
+	Cancelled         // cancelled by a caller; tasks of the job may have run
 )
 
-var outcomeNames = [...]string{"none", "completed", "failed", "refused", "aborted"}
+var outcomeNames = [...]string{"none", "completed", "failed", "refused", "aborted", "cancelled"}
 
 // String implements fmt.Stringer.
 func (o Outcome) String() string { return outcomeNames[o] }
--- a/sched/job.go
+++ b/sched/job.go
@@ -96,6 +96,8 @@
 		s.stats.Refused++
 	case Aborted:
 		s.stats.Aborted++
+	case Cancelled:
+		s.stats.Cancelled++
 	}
 }
 
@@ -264,3 +266,16 @@
 	}
 	return n
 }
+
+// CancelJobs cancels the jobs with an ID on the routes for which match returns true, stops their runs, and
+// returns their number.
+func (s *State) CancelJobs(now time.Duration, id, reason string, match func(fleet.Route) bool) int {
+	n := 0
+	for _, j := range s.sortedJobs() {
+		if j.spec.ID == id && match(j.route) {
+			s.finish(now, j, Cancelled, reason)
+			n++
+		}
+	}
+	return n
+}
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -67,7 +67,7 @@
 	// them. Hangs counts runs stopped because they made no progress.
 	Starts, Done, FailedRuns, Lapsed, Lost, Hangs, Doubts, Stops, Foreign int64
 	// Jobs by outcome.
-	Completed, Failed, Refused, Aborted int64
+	Completed, Failed, Refused, Aborted, Cancelled int64
 	// Violations counts starts that were prevented because they would have broken an invariant.
 	Violations int64
 }
