--- a/host/cancellation.go
+++ b/host/cancellation.go
@@ -80,7 +80,7 @@
 func (s *State) handleCancelRequested(now time.Duration, e CancelRequested) {
 	c := &cancellation{seq: e.Seq, requestID: e.RequestID, arrived: now, deadline: now + maxCancelWait, confirmed: make(map[uint64]bool)}
 	if e.Remaining > 0 {
-		c.deadline = now + min(e.Remaining, maxCancelWait)
+		c.deadline = now + min(e.Remaining*9/10, maxCancelWait) // the answer has to arrive in time
 	}
 	name := newJobName(e.Job, e.Route)
 	if c.job = s.cancels.remember(now, name, true); c.job == nil {
@@ -104,13 +104,18 @@
 // stopCancelled ends the submissions of a cancelled job that this host has: those of its own callers,
 // those that wait for a confirmation, and those in the scheduler.
 func (s *State) stopCancelled(now time.Duration, c *cancelledJob) {
-	for _, j := range s.sortedJobs() {
+	var own []*job
+	for _, j := range s.jobs {
 		if newJobName(j.spec.ID, j.route).matches(c.name) {
-			c.found = true
-			s.cancelJob(now, j)
-			s.answerJob(now, j, sched.Cancelled, reasonCancelled)
+			own = append(own, j)
 		}
 	}
+	slices.SortFunc(own, func(a, b *job) int { return cmp.Compare(a.seq, b.seq) })
+	for _, j := range own {
+		c.found = true
+		s.cancelJob(now, j)
+		s.answerJob(now, j, sched.Cancelled, reasonCancelled)
+	}
 	for _, p := range s.sortedPeers {
 		p.unconfirmed = slices.DeleteFunc(p.unconfirmed, func(u unconfirmedJob) bool {
 			if !newJobName(u.job.Spec.ID, u.job.Route).matches(c.name) {
--- a/sched/job.go
+++ b/sched/job.go
@@ -270,12 +270,15 @@
 // CancelJobs cancels the jobs with an ID on the routes for which match returns true, stops their runs, and
 // returns their number.
 func (s *State) CancelJobs(now time.Duration, id, reason string, match func(fleet.Route) bool) int {
-	n := 0
-	for _, j := range s.sortedJobs() {
+	var named []*job
+	for _, j := range s.jobs {
 		if j.spec.ID == id && match(j.route) {
-			s.finish(now, j, Cancelled, reason)
-			n++
+			named = append(named, j)
 		}
 	}
-	return n
+	slices.SortFunc(named, compareJobs)
+	for _, j := range named {
+		s.finish(now, j, Cancelled, reason)
+	}
+	return len(named)
 }
--- a/sched/place.go
+++ b/sched/place.go
@@ -318,8 +318,11 @@
 	for _, j := range s.jobs {
 		jobs = append(jobs, j)
 	}
-	slices.SortFunc(jobs, func(a, b *job) int {
-		return cmp.Or(cmp.Compare(a.key.Host, b.key.Host), cmp.Compare(a.key.Seq, b.key.Seq))
-	})
+	slices.SortFunc(jobs, compareJobs)
 	return jobs
 }
+
+// compareJobs orders jobs by their keys.
+func compareJobs(a, b *job) int {
+	return cmp.Or(cmp.Compare(a.key.Host, b.key.Host), cmp.Compare(a.key.Seq, b.key.Seq))
+}
