--- a/entry/contain.go
+++ b/entry/contain.go
@@ -138,6 +138,10 @@
 	for seq := range l.answers {
 		l.answerAborted(seq)
 	}
+	for seq, ch := range l.cancels {
+		delete(l.cancels, seq)
+		ch <- host.CancelAnswer{Seq: seq, Result: host.CancelUnknown, Reason: "the host failed while it had the request"}
+	}
 }
 
 // answerAborted tells a caller that its job may have run.
--- a/host/host.go
+++ b/host/host.go
@@ -88,6 +88,7 @@
 	applying    int // see Applying
 	// jobsRecordedAt is when recordJobsInProgress last ran.
 	jobsRecordedAt time.Duration
+	cancels        *cancellations
 }
 
 // Stats counts the jobs of the host's callers, the cells that it has taken and lost, and the frames and
@@ -96,6 +97,8 @@
 type Stats struct {
 	Arrived, PassedOn, Completed, Failed, Refused, Aborted, Gone                        int64
 	CellsTaken, CellsLost, FramesIn, FramesOut, FramesRefused, Redials, MessagesRefused int64
+	// Cancelled counts jobs that ended by a cancellation, the others cancellations by their result.
+	Cancelled, CancelsDone, CancelsNotFound, CancelsUnknown int64
 }
 
 // New returns the initial state of a process.
@@ -112,6 +115,7 @@
 		fencedUntil:  make(map[string]time.Duration),
 		readsWorkers: true,
 		applying:     -1,
+		cancels:      newCancellations(),
 		rng:          rand.New(rand.NewPCG(opts.Seed, opts.Self.ID)),
 	}
 	s.sched.SetPolicy(opts.Placement)
@@ -145,8 +149,11 @@
 // CellCount returns the number of cells that the host commands or is handing over.
 func (s *State) CellCount() int { return len(s.owner.Claims()) }
 
-// NeedsFrequentTicks reports whether the host has cells or callers' jobs, whose deadlines need frequent ticks.
-func (s *State) NeedsFrequentTicks() bool { return len(s.jobs) > 0 || s.CellCount() > 0 }
+// NeedsFrequentTicks reports whether the host has cells, callers' jobs or cancellations, whose deadlines
+// need frequent ticks.
+func (s *State) NeedsFrequentTicks() bool {
+	return len(s.jobs) > 0 || s.CellCount() > 0 || len(s.cancels.pending) > 0
+}
 
 func (s *State) emit(e Effect) { s.effects = append(s.effects, e) }
 
@@ -165,6 +172,7 @@
 	s.applying = -1
 	s.sched.Place(now)
 	s.applySchedulerEffects(now)
+	s.settleCancellations(now)
 	s.sendDueFrames(now)
 	out := s.effects
 	s.effects = nil
@@ -177,6 +185,8 @@
 		s.handleJobArrived(now, e)
 	case CallerGone:
 		s.handleCallerGone(now, e.Seq)
+	case CancelRequested:
+		s.handleCancelRequested(now, e)
 	case FrameReceived:
 		s.handleFrame(now, e.Frame)
 	case HostsDiscovered:
--- a/sched/job.go
+++ b/sched/job.go
@@ -104,6 +104,8 @@
 		s.stats.Refused++
 	case Aborted:
 		s.stats.Aborted++
+	case Cancelled:
+		s.stats.Cancelled++
 	}
 }
 
@@ -272,3 +274,19 @@
 	}
 	return n
 }
+
+// CancelJobs cancels the jobs with an ID on the routes for which match returns true, stops their runs, and
+// returns their number.
+func (s *State) CancelJobs(now time.Duration, id, reason string, match func(fleet.Route) bool) int {
+	var named []*job
+	for _, j := range s.jobs {
+		if j.spec.ID == id && match(j.route) {
+			named = append(named, j)
+		}
+	}
+	slices.SortFunc(named, compareJobs)
+	for _, j := range named {
+		s.finish(now, j, Cancelled, reason)
+	}
+	return len(named)
+}
