--- a/sched/place.go
+++ b/sched/place.go
@@ -101,10 +101,12 @@
 	return pools
 }
 
-// sortQueue sorts the jobs by the time by which they should start; those that are late come last.
+// sortQueue sorts the jobs by the time by which they should start; those that are late come last. With
+// Policy.LookAhead, a late job that has begun keeps its place: what has run would be lost if the rest
+// waited behind every new job.
 func (s *State) sortQueue(now time.Duration) {
 	slices.SortStableFunc(s.queue, func(a, b *job) int {
-		la, lb := a.isLate(now), b.isLate(now)
+		la, lb := s.goesLast(now, a), s.goesLast(now, b)
 		if la != lb {
 			if la {
 				return 1
@@ -115,6 +117,10 @@
 	})
 }
 
+func (s *State) goesLast(now time.Duration, j *job) bool {
+	return j.isLate(now) && !(s.policy.LookAhead && j.unrejectedStarts > 0)
+}
+
 // latestStart is the latest time at which the job's tasks can start for an answer within the
 // objective.
 func (j *job) latestStart() time.Duration { return j.arrived + j.objective - j.taskDuration }
