Show operators what becomes of each queue

Reasons for refusals move to the file on admission.

Measured: go test ./sched ./host ./entry passes.

--- a/entry/exposition.go
+++ b/entry/exposition.go
@@ -31,9 +31,10 @@
 	callTimeout     time.Duration // of calls to workers
 	version         int64         // of the configuration in force
 	droppedLogLines int64         // log lines dropped since the start
-	panics          int64         // panics in the event loop
-	framesNotSent   int64         // frames that could not be encoded
-	framesNotRead   int64         // frames that could not be decoded
+	queues          []sched.QueueDump
+	panics          int64 // panics in the event loop
+	framesNotSent   int64 // frames that could not be encoded
+	framesNotRead   int64 // frames that could not be decoded
 }
 
 // snapshot reads the current values. It reports false if the event loop has ended.
@@ -45,6 +46,7 @@
 		s.host, s.sched = state.Stats(), state.Scheduler().Stats()
 		s.openJobs, s.cells = state.OpenJobs(), state.CellCount()
 		s.callTimeout = state.Scheduler().CallTimeout()
+		s.queues = state.Scheduler().Queues()
 		if c := state.Config(); c != nil {
 			s.version = c.Version
 		}
@@ -76,7 +78,7 @@
 // families returns the counters and gauges.
 func (s snapshot) families() []*dto.MetricFamily {
 	h, d := s.host, s.sched
-	return []*dto.MetricFamily{
+	return append([]*dto.MetricFamily{
 		counter("jobs_arrived_total", "Jobs of this host's callers.", "", labelValues{"": h.Arrived}),
 		counter("jobs_answered_total", "Jobs of this host's callers that have ended, by outcome.", "outcome", labelValues{
 			"completed": h.Completed, "failed": h.Failed, "refused": h.Refused, "aborted": h.Aborted, "caller_gone": h.Gone,
@@ -110,7 +112,7 @@
 		gauge("cells", "Cells that this host commands or hands over.", int64(s.cells)),
 		gauge("worker_call_timeout_ms", "Time in ms after which calls to workers count as unanswered. It rises when answers are slow.", s.callTimeout.Milliseconds()),
 		gauge("config_version", "Version of the configuration in force, 0 if there is none.", s.version),
-	}
+	}, queueFamilies(s.queues)...)
 }
 
 // labelValues maps each value of a metric's label to the metric's value.
--- a/entry/exposition_test.go
+++ b/entry/exposition_test.go
@@ -20,7 +20,8 @@
 	for _, d := range []time.Duration{500 * time.Microsecond, 15 * time.Millisecond, 300 * time.Millisecond, 30 * time.Second} {
 		m.observeAnswer(sched.Completed, d)
 	}
-	current := snapshot{host: host.Stats{Arrived: 7, Refused: 2}, sched: sched.Stats{Starts: 9, Violations: 1}, openJobs: 3, version: 12}
+	current := snapshot{host: host.Stats{Arrived: 7, Refused: 2}, sched: sched.Stats{Starts: 9, Violations: 1}, openJobs: 3, version: 12,
+		queues: []sched.QueueDump{{Service: "s", Route: "quotes", Results: map[sched.QueueResult]int64{sched.QueueOverloaded: 5}}}}
 	var text bytes.Buffer
 	if err := writeFamilies(&text, append(current.families(), m.latencyFamily())); err != nil {
 		t.Fatal(err)
@@ -35,6 +36,7 @@
 		"sesameledge_jobs_answered_total{outcome=\"refused\"} 2\n",
 		"sesameledge_invariant_violations_total 1\n",
 		"sesameledge_config_version 12\n",
+		"sesameledge_queue_jobs_total{route=\"quotes\",result=\"overloaded\"} 5\n",
 	} {
 		if !strings.Contains(text.String(), want) {
 			t.Errorf("no line %q", want)
--- a/host/dump.go
+++ b/host/dump.go
@@ -18,6 +18,7 @@
 	Peers         []PeerDump         `json:"peers"`
 	Jobs          []JobDump          `json:"jobs"`
 	Workers       []sched.WorkerDump `json:"workers"`
+	Queues        []sched.QueueDump  `json:"queues"` // whose jobs run on this host's workers
 }
 
 // CellDump is a cell that the host commands.
@@ -57,7 +58,7 @@
 func (s *State) Dump(now time.Duration) Dump {
 	d := Dump{
 		Host: s.opts.Self.Name, Zone: s.opts.Self.Zone, ID: s.opts.Self.ID,
-		Draining: s.draining, StoreReached: s.storeReachable, Workers: s.sched.Dump(now),
+		Draining: s.draining, StoreReached: s.storeReachable, Workers: s.sched.Dump(now), Queues: s.sched.Queues(),
 	}
 	if s.config != nil {
 		d.ConfigVersion = s.config.Version
--- a/sched/admission.go
+++ b/sched/admission.go
@@ -40,6 +40,8 @@
 			refusable = slices.Delete(refusable, i, i+1)
 			neededCPU -= victim.waitingCPU()
 			neededBytes -= victim.waitingBytes()
+			s.logEvent(victim.spec.RequestID, "job refused for overload", "job", victim.spec.ID, "queue", victim.route.Name, "priority", victim.route.Priority,
+				"use", victim.share.use, "to_serve", j.spec.ID, "wait", f.wait(neededCPU+victim.waitingCPU()), "left", latest-now, "free", f.free)
 			s.shares.recordRefusal(now, victim)
 			s.finish(now, victim, Refused, reasonOverload)
 			s.shares.divide(now, p.service)
@@ -50,6 +52,31 @@
 	}
 }
 
+// refusalReason returns why a new job cannot be served, or an empty string if it can.
+func (s *State) refusalReason(j *job) string {
+	if s.closedCells[j.cell] {
+		return reasonHandover
+	}
+	switch {
+	case !s.hasCountingWorker(j):
+		return "no worker of the service is at hand"
+	case !s.fitsSomeWorker(j):
+		return "no worker could hold a task of the job"
+	}
+	return ""
+}
+
+// fitsSomeWorker reports whether any worker has the capacity and the label for a task of the job.
+func (s *State) fitsSomeWorker(j *job) bool {
+	for _, w := range s.sortedWorkers {
+		if w.countsAsCapacity() && j.eligible(w) && w.info.Capacity.Fits(j.spec.Need) &&
+			(j.spec.Label == "" || w.info.HasLabel(j.spec.Label)) {
+			return true
+		}
+	}
+	return false
+}
+
 // latestAdmission is the latest time at which the job's tasks may be predicted to start. It leaves time
 // for tasks that take longer than predicted, for example on a slow worker.
 func (j *job) latestAdmission() time.Duration {
--- a/sched/job.go
+++ b/sched/job.go
@@ -90,6 +90,7 @@
 		s.stopRuns(now, j)
 	}
 	s.countOutcome(o)
+	s.countFinished(now, j, o, reason)
 	s.emit(JobFinished{Key: j.key, Outcome: o, Reason: reason})
 	s.needsPlacement = true
 }
--- a/sched/place.go
+++ b/sched/place.go
@@ -149,6 +149,7 @@
 			stillWaiting = append(stillWaiting, index)
 			if s.policy.LookAhead && s.reservations < maxReservations && j.reserve(now, workers) {
 				s.reservations++
+				s.countQueue(j, QueueReserved)
 			}
 			continue
 		}
@@ -314,31 +315,6 @@
 // sound workers two runs in a thousand fail.
 const maxConsecutiveFailures = 2
 
-// refusalReason returns why a new job cannot be served, or an empty string if it can.
-func (s *State) refusalReason(j *job) string {
-	if s.closedCells[j.cell] {
-		return reasonHandover
-	}
-	switch {
-	case !s.hasCountingWorker(j):
-		return "no worker of the service is at hand"
-	case !s.fitsSomeWorker(j):
-		return "no worker could hold a task of the job"
-	}
-	return ""
-}
-
-// fitsSomeWorker reports whether any worker has the capacity and the label for a task of the job.
-func (s *State) fitsSomeWorker(j *job) bool {
-	for _, w := range s.sortedWorkers {
-		if w.countsAsCapacity() && j.eligible(w) && w.info.Capacity.Fits(j.spec.Need) &&
-			(j.spec.Label == "" || w.info.HasLabel(j.spec.Label)) {
-			return true
-		}
-	}
-	return false
-}
-
 // sortedJobs returns the jobs in a fixed order.
 func (s *State) sortedJobs() []*job {
 	jobs := make([]*job, 0, len(s.jobs))
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -62,6 +62,7 @@
 	needsPlacement  bool      // a task may have become placeable since the last Place
 	sortedWorkers   []*worker // by ID
 	stats           Stats
+	queueCounters   map[queueKey]queueCounters
 	closedCells     map[fleet.Cell]bool // refuse jobs while their workers are handed over
 }
 
@@ -81,14 +82,15 @@
 // means that the capacity is not known.
 func New(linkBytesPerSecond float64) *State {
 	return &State{
-		link:        pace.NewLink(linkBytesPerSecond),
-		workers:     make(map[string]*worker),
-		jobs:        make(map[JobKey]*job),
-		closedCells: make(map[fleet.Cell]bool),
-		durations:   newDurationModel(),
-		importance:  newImportance(),
-		shares:      new(shares),
-		policy:      Policy{RemotePenalty: otherRackSlowdown},
+		link:          pace.NewLink(linkBytesPerSecond),
+		workers:       make(map[string]*worker),
+		jobs:          make(map[JobKey]*job),
+		closedCells:   make(map[fleet.Cell]bool),
+		queueCounters: make(map[queueKey]queueCounters),
+		durations:     newDurationModel(),
+		importance:    newImportance(),
+		shares:        new(shares),
+		policy:        Policy{RemotePenalty: otherRackSlowdown},
 	}
 }
 
