Offer urgent jobs to another overloaded cell

Cause: on the sustained overload the most urgent queue, which needs a third of the room, has 16% of its jobs refused in the burst; a cell that refuses one may be full for a moment, while in the next less urgent jobs would give way.

Change: a refused job is offered to one more overloaded cell for each less urgent priority of its service.

--- a/host/choose.go
+++ b/host/choose.go
@@ -84,8 +84,8 @@
 		if j.refusedBy[c.name] || !s.fillLoad(c, j.route.Service) {
 			continue
 		}
-		if s.opts.Placement.LookAhead && len(j.refusedBy) > 0 && c.load.Overloaded {
-			continue // it would refuse the job too, later
+		if len(j.refusedBy) > 0 && !s.mayOffer(j, c) {
+			continue
 		}
 		c.wait = c.load.PredictWait(int64(j.spec.Tasks) * j.spec.Need.CPU)
 		cost := c.wait
--- a/host/host.go
+++ b/host/host.go
@@ -65,7 +65,8 @@
 	owner            *owner.State
 	sched            *sched.State
 	config           *fleet.Config
-	configRecord     []byte // of config
+	configRecord     []byte         // of config
+	priorities       priorityLevels // of config
 	configAdoptedAt  time.Duration
 	workers          map[string]*workerEntry
 	sortedWorkers    []*workerEntry // workers by ID; nil: must be sorted again
--- a/host/knowledge.go
+++ b/host/knowledge.go
@@ -62,6 +62,7 @@
 	}
 	s.log("config", "", "configuration in force", "version", config.Version, "from", from, "routes", len(config.Routes))
 	s.config = config
+	s.priorities = newPriorityLevels(config)
 	s.configRecord = record
 	s.configAdoptedAt = now
 	s.emit(ActivateConfig{Config: config})
--- a/host/overload_test.go
+++ b/host/overload_test.go
@@ -31,8 +31,10 @@
 // TestRefusedJobIsNotSentRound guards against a job that is offered to one overloaded cell after the other
 // while its caller waits for the refusal. A cell that is not overloaded still gets it.
 func TestRefusedJobIsNotSentRound(t *testing.T) {
+	var priorities priorityLevels
 	offers := func(lookAhead bool, overloaded map[string]bool) (n int, refused bool) {
 		s := newOverloadState(lookAhead, overloaded)
+		s.priorities = priorities
 		now := time.Second
 		s.handleJobArrived(now, JobArrived{Seq: 1, Remaining: 2 * time.Second, Spec: fleet.JobSpec{ID: "j", Tasks: 1, Need: fleet.Resources{CPU: 1000}}, Route: fleet.Route{Service: "s"}})
 		for s.jobs[1] != nil && n < 10 {
@@ -46,10 +48,19 @@
 		}
 		return n, refused
 	}
+	urgentOffers := func(overloaded map[string]bool) int {
+		priorities = newPriorityLevels(&fleet.Config{Routes: []fleet.Route{{Service: "s"}, {Service: "s", Priority: 3}, {Service: "other", Priority: 9}}})
+		defer func() { priorities = nil }()
+		n, _ := offers(true, overloaded)
+		return n
+	}
 	everywhere := map[string]bool{"a": true, "b": true, "c": true}
 	if n, refused := offers(true, everywhere); n != 1 || !refused {
 		t.Errorf("with overload everywhere: %d offers, refused %v", n, refused)
 	}
+	if n := urgentOffers(everywhere); n != 2 {
+		t.Errorf("%d offers of a job that goes before those of one other priority, want 2", n)
+	}
 	if n, _ := offers(true, map[string]bool{"a": true, "b": true}); n < 1 || n > 2 {
 		t.Errorf("with room in one zone: %d offers", n)
 	}
--- a/host/restart.go
+++ b/host/restart.go
@@ -39,6 +39,7 @@
 	n.stats.Aborted += int64(len(s.jobs))
 	n.maxFence = s.maxFence
 	n.config, n.configRecord, n.configAdoptedAt = s.config, s.configRecord, now
+	n.priorities = s.priorities
 	n.storeReachable = s.storeReachable
 	for _, p := range s.sortedPeers {
 		n.addPeer(&meshpb.Host{Addr: p.info.GetAddr(), Zone: cmp.Or(p.info.GetZone(), p.discoveredZone), Weight: p.info.GetWeight()})
