Write the times that bound a run without a caller once

The time to notice a lost host, the lease and the time after which callers send a job again were constants of three packages, whose comments added up different sums. Package timing computes them from resend_after and max_lease and says when no lease is left that adds up. Not used yet.

--- /dev/null
+++ b/timing/timing.go
@@ -0,0 +1,84 @@
+// Package timing holds the times that together decide how long a run can outlast the wish for it. It does
+// no I/O. Packages sched and host take their time limits from it, and package entry checks the settings
+// of a deployment with it. docs/design/lease-budget.md has the table of the causes of a stop.
+package timing
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// DefaultResendAfter and DefaultMaxLease are assumed where the settings name no value.
+	DefaultResendAfter = 1300 * time.Millisecond
+	DefaultMaxLease    = time.Second
+	// MinClockRate is the lowest rate at which the steady clock of a worker may run, relative to that of
+	// the host. A lease is reckoned on the clock of the worker, so a slow one makes it longer.
+	MinClockRate = 0.98
+
+	// contactTimeout is the age of the last contact with a host above which nothing is done for its jobs
+	// any more. Shorter values take hosts with a congested link for lost ones.
+	contactTimeout = 450 * time.Millisecond
+	// lease is the length of a granted lease where the deployment allows it, and minLease the shortest
+	// one with which workers can be held: a hold waits for 250 ms for the end of a run, and two calls of
+	// 100 ms have to fit in besides.
+	lease, minLease = 700 * time.Millisecond, 450 * time.Millisecond
+	// runEndTime is the longest time that a worker takes to end a run once its lease has lapsed or it
+	// has taken a stop.
+	runEndTime = 50 * time.Millisecond
+	// schedulingMargin covers timers that fire late on the workers, and the time between the break of a
+	// caller's connection and its notice on a host that runs.
+	schedulingMargin = 50 * time.Millisecond
+)
+
+// Budget holds the time limits of a deployment. Create it with New.
+type Budget struct {
+	ResendAfter    time.Duration // after which callers send a job again
+	MaxLease       time.Duration // longest lease that a worker allows
+	ContactTimeout time.Duration // age of a contact above which the other host's jobs get no more leases
+	Lease          time.Duration // granted by a start or a hold, on the clock of the worker
+}
+
+// New returns the time limits for a deployment. 0 stands for the default. Limits of a larger
+// resendAfter are those of the default; for a smaller one the lease is shortened. It returns an error if
+// no lease is left with which workers can be held.
+func New(resendAfter, maxLease time.Duration) (Budget, error) {
+	if resendAfter == 0 {
+		resendAfter = DefaultResendAfter
+	}
+	if maxLease == 0 {
+		maxLease = DefaultMaxLease
+	}
+	b := Budget{ResendAfter: resendAfter, MaxLease: maxLease, ContactTimeout: contactTimeout}
+	left := time.Duration(float64(resendAfter-contactTimeout-runEndTime-schedulingMargin) * MinClockRate)
+	b.Lease = min(lease, maxLease, left.Truncate(time.Millisecond))
+	if maxLease < minLease {
+		return b, errors.Newf("a lease of at most %v is too short to hold workers; they need %v", maxLease, minLease)
+	}
+	if b.Lease < minLease {
+		b.Lease = minLease
+		return b, errors.Newf("callers send a job again after %v, but its earlier runs may go on for %v: %v to notice a lost host, %v for the shortest lease on a clock 2%% slow, %v to end them and %v to spare",
+			resendAfter, b.LongestRun(), b.ContactTimeout, OnHostClock(b.Lease).Round(time.Millisecond), runEndTime, schedulingMargin)
+	}
+	return b, nil
+}
+
+// Default returns the time limits of a deployment that names none.
+func Default() Budget {
+	b, err := New(0, 0)
+	if err != nil {
+		panic(err) // the default values add up; a test shows it
+	}
+	return b
+}
+
+// LongestRun returns the time for which a run can go on after its caller's connection has broken. It is
+// the sum that has to stay below ResendAfter: leases are granted until the contact with the caller's host
+// is ContactTimeout old, and a stop that stays without answer does not lengthen this.
+func (b Budget) LongestRun() time.Duration {
+	return b.ContactTimeout + OnHostClock(b.Lease).Round(time.Millisecond) + runEndTime + schedulingMargin
+}
+
+// OnHostClock returns how long a time on the clock of a worker takes at most on that of a host.
+func OnHostClock(d time.Duration) time.Duration { return time.Duration(float64(d) / MinClockRate) }
