Grant no lease to a run that may not be wanted any more

Change: from the moment at which nobody waits for a run, the lease of its worker is not extended until the worker has taken the stop. The same holds while the last complete contact with the host of its caller is older than the contact timeout, also where that host does not count as lost yet; a contact is complete if no message from before it is missing (Frame.last). A task waits while a run of an earlier submission of its job may go on, known or found on a worker. The limits come from package timing.

That stands for one job submitted again, whose task now waits; each has a name of its own now. What the test asks for is unchanged.

--- a/host/contact.go
+++ b/host/contact.go
@@ -8,9 +8,6 @@
 const (
 	// heartbeatInterval is the time between two frames to a host with which this host exchanges jobs.
 	heartbeatInterval = 100 * time.Millisecond
-	// contactTimeout is the age of the last contact above which a host counts as lost. Together with
-	// a worker's lease it must stay below the time after which callers resend a job.
-	contactTimeout = 450 * time.Millisecond
 	// standbyHeartbeatInterval and standbyContactTimeout apply between a commander and a host of another
 	// zone while they have no jobs in progress with each other.
 	standbyHeartbeatInterval = 500 * time.Millisecond
@@ -23,7 +20,7 @@
 	idleHeartbeatInterval = 1 * time.Second
 	idleContactTimeout    = 4 * time.Second
 	// heartbeatTransitionTime is how long two hosts that begin to exchange jobs have to switch to
-	// heartbeatInterval before contactTimeout applies to them.
+	// heartbeatInterval before the shorter contact timeout applies to them.
 	heartbeatTransitionTime = 300 * time.Millisecond
 	// redialFraction is the fraction of the contact timeout after which a connection is replaced.
 	redialFraction = 0.55
@@ -127,11 +124,23 @@
 	}
 }
 
+// suspectOwner tells the scheduler whether the jobs of a peer are in doubt: the last contact by which all
+// that the peer had withdrawn was known here is older than the contact timeout, although the peer does
+// not count as lost yet, since its heartbeats are rare or a message of it is missing. Its jobs keep what
+// they have and get nothing more.
+func (s *State) suspectOwner(now time.Duration, p *peer) {
+	suspected := p.live && now-p.session.LastCompleteContact() > s.opts.Timing.ContactTimeout
+	if suspected != p.suspected {
+		p.suspected = suspected
+		s.sched.SuspectHost(p.info.GetId(), suspected)
+	}
+}
+
 // contactTimeoutFor returns the age of the last contact above which the peer counts as lost.
 func (s *State) contactTimeoutFor(p *peer) time.Duration {
 	switch {
 	case p.frequentHeartbeats:
-		return contactTimeout
+		return s.opts.Timing.ContactTimeout
 	case s.mayExchangeJobs(p):
 		return standbyContactTimeout
 	default:
--- a/host/host.go
+++ b/host/host.go
@@ -17,6 +17,7 @@
 	"sesameledge.dev/sesameledge/mesh/meshpb"
 	"sesameledge.dev/sesameledge/owner"
 	"sesameledge.dev/sesameledge/sched"
+	"sesameledge.dev/sesameledge/timing"
 )
 
 // Self describes this process.
@@ -47,8 +48,10 @@
 	// LinkBytesPerSecond is the capacity of the host's network link. 0: not known.
 	LinkBytesPerSecond float64
 	Decode             Decoders
-	Seed               uint64
-	Started            time.Duration // when the process started, on the clock that gives Step its times
+	// Timing holds the time limits of the deployment. The zero value means timing.Default.
+	Timing  timing.Budget
+	Seed    uint64
+	Started time.Duration // when the process started, on the clock that gives Step its times
 	// UnixMillis is the time of day at Started in Unix ms. It orders the fencing tokens of
 	// processes that do not know of each other; no guarantee depends on it.
 	UnixMillis int64
@@ -95,6 +98,9 @@
 
 // New returns the initial state of a process.
 func New(opts Options) *State {
+	if opts.Timing == (timing.Budget{}) {
+		opts.Timing = timing.Default()
+	}
 	s := &State{
 		opts:         opts,
 		peers:        make(map[string]*peer),
@@ -108,6 +114,7 @@
 		readsWorkers: true,
 		rng:          rand.New(rand.NewPCG(opts.Seed, opts.Self.ID)),
 	}
+	s.sched.SetTiming(opts.Timing)
 	for _, addr := range opts.Seeds {
 		s.addPeer(&meshpb.Host{Addr: addr})
 	}
--- a/host/jobs.go
+++ b/host/jobs.go
@@ -72,7 +72,7 @@
 	}
 	p := c.peer
 	p.lastJobAt = now
-	p.confirmSubmission = now-p.session.LastContact() > contactTimeout/2
+	p.confirmSubmission = now-p.session.LastContact() > s.opts.Timing.ContactTimeout/2
 	s.stats.PassedOn++
 	s.log("jobs", j.spec.RequestID, "job passed on", "job", j.spec.ID, "cell", c.name, "to", c.peer.info.GetName(), "wait", c.wait, "age", now-c.peer.statusReceivedAt)
 }
--- a/host/peers.go
+++ b/host/peers.go
@@ -21,6 +21,7 @@
 	session          *session.Session
 	status           *meshpb.Status
 	live             bool
+	suspected        bool // its jobs get no more leases; see suspectOwner
 	firstContactAt   time.Duration
 	lastSentAt       time.Duration // when the last frame was sent to it
 	redialedAt       time.Duration
@@ -91,6 +92,7 @@
 	}
 	messages := p.session.Receive(now, f)
 	s.markLive(now, p)
+	s.suspectOwner(now, p)
 	if f.GetStatus() != nil {
 		p.status = f.GetStatus()
 		p.statusReceivedAt = now
@@ -151,6 +153,7 @@
 			s.log("mesh", "", "host lost", "peer", p.info.GetName(), "addr", p.info.GetAddr(), "silent", now-p.session.LastContact())
 			s.handlePeerLost(now, p)
 		}
+		s.suspectOwner(now, p)
 	}
 }
 
@@ -159,6 +162,7 @@
 func (s *State) handlePeerLost(now time.Duration, p *peer) {
 	p.live = false
 	p.unconfirmed = nil
+	s.suspectOwner(now, p)
 	if n := s.sched.CancelJobsOfHost(now, p.info.GetId()); n > 0 {
 		s.log("mesh", "", "jobs of a lost host cancelled", "peer", p.info.GetName(), "jobs", n)
 	}
--- a/host/simulation_jobs_test.go
+++ b/host/simulation_jobs_test.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"cmp"
 	"fmt"
 	"time"
 
@@ -66,8 +67,8 @@
 	h.open[h.seq] = j
 	j.open++
 	h.deliver(h.processCount, JobArrived{
-		Seq: h.seq, Remaining: 3 * time.Second,
-		Spec:  fleet.JobSpec{ID: j.id, Tasks: j.tasks, Need: j.need, Estimate: 200 * time.Millisecond, Ephemeral: true},
+		Seq: h.seq, Remaining: cmp.Or(w.patience, 3*time.Second),
+		Spec:  fleet.JobSpec{ID: j.id, Tasks: j.tasks, Need: j.need, Estimate: cmp.Or(w.estimate, 200*time.Millisecond), Ephemeral: true},
 		Route: fleet.Route{Name: "r", Service: "s", MaxAttempts: 2, SlackFactor: 1.6, ObjectiveOffset: time.Second},
 	})
 }
@@ -154,7 +155,7 @@
 	switch {
 	case ww.cut || ww.zoneCut && ww.info.Zone != h.zone || w.now < ww.DownUntil:
 		return
-	case w.rng.Float64() < ww.lateShare:
+	case w.rng.Float64() < ww.lateShare || ww.lateStopShare > 0 && isStop(effect) && w.rng.Float64() < ww.lateStopShare:
 		born := ww.Born
 		w.after(time.Duration(200+w.rng.Int64N(6000))*time.Millisecond, func() {
 			if ww.Born == born {
@@ -169,6 +170,11 @@
 	w.after(simLatency, c.arrive)
 }
 
+func isStop(e Effect) bool {
+	_, ok := e.(sched.StopRun)
+	return ok
+}
+
 // target returns the worker of an order and how long the host waits for the reply.
 func (w *simulation) target(effect Effect) (*simWorker, sched.CallLimits) {
 	var id string
--- a/host/simulation_test.go
+++ b/host/simulation_test.go
@@ -43,6 +43,8 @@
 	nextID      uint64
 	nextJob     int
 	load        time.Duration // time between two jobs of the background load; 0: no load
+	estimate    time.Duration // of a task, from the callers. 0: 200 ms
+	patience    time.Duration // for which callers wait for an answer. 0: 3 s
 	failure     error         // first violation that was found
 	tracing     bool
 	cellWorkers int
@@ -135,6 +137,7 @@
 	zoneCut        bool     // it is unreachable from the hosts of other zones
 	lateShare      float64  // share of the orders that are carried out late and not answered
 	lostReplyShare float64  // share of the orders that are carried out at once and not answered
+	lateStopShare  float64  // share of the stops that are carried out late and not answered
 }
 
 func (w *simulation) addWorker(id, zone string, rate float64) {
@@ -397,7 +400,7 @@
 		return
 	}
 	f := e.Frame
-	sent := &meshpb.Frame{From: f.GetFrom(), To: f.GetTo(), Sent: f.GetSent(), Echo: f.GetEcho(), Ack: f.GetAck(), First: f.GetFirst(), Messages: f.GetMessages(), Status: f.GetStatus()}
+	sent := &meshpb.Frame{From: f.GetFrom(), To: f.GetTo(), Sent: f.GetSent(), Echo: f.GetEcho(), Ack: f.GetAck(), First: f.GetFirst(), Messages: f.GetMessages(), Status: f.GetStatus(), Last: f.GetLast()}
 	process := to.processCount
 	link := h.w.links[[2]int{h.index, to.index}]
 	deliver := func() {
--- a/host/submission.go
+++ b/host/submission.go
@@ -36,9 +36,9 @@
 	job := submittedJob(p.info.GetId(), m, waited)
 	p.lastJobAt = now
 	switch {
-	case waited+silent <= contactTimeout:
+	case waited+silent <= s.opts.Timing.ContactTimeout:
 		s.sched.Step(now, sched.Submit{Job: job})
-	case p.frequentHeartbeats || waited > contactTimeout:
+	case p.frequentHeartbeats || waited > s.opts.Timing.ContactTimeout:
 		s.refuseStale(now, job, "waited", waited, "silent", silent)
 	default:
 		p.unconfirmed = append(p.unconfirmed, unconfirmedJob{job: job, receivedAt: now})
--- a/sched/call.go
+++ b/sched/call.go
@@ -12,7 +12,7 @@
 	minOrderTimeout = 80 * time.Millisecond
 	minHoldTimeout  = 100 * time.Millisecond
 	// maxCallTimeout is the longest such time. With holdWait it leaves time for another hold within
-	// leaseDuration.
+	// a lease.
 	maxCallTimeout = 350 * time.Millisecond
 	// MaxReplyAge is the time after which the answer to a call is of no use, beyond the wait that a
 	// hold asks for. It is below minRestartTime, so that an answer arrives before another process of the
--- a/sched/call_test.go
+++ b/sched/call_test.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -52,7 +53,7 @@
 func (p *slowPool) submit(seq uint64) {
 	p.step(Submit{Job: Job{
 		Key: JobKey{Host: 1, Seq: seq}, Cell: "z", Left: 10 * time.Second,
-		Spec:  fleet.JobSpec{ID: "job", Tasks: 1, Need: fleet.Resources{CPU: 1000, Memory: 1}, Estimate: time.Second},
+		Spec:  fleet.JobSpec{ID: fmt.Sprintf("job%d", seq), Tasks: 1, Need: fleet.Resources{CPU: 1000, Memory: 1}, Estimate: time.Second},
 		Route: fleet.Route{Name: "r", Service: "s", MaxAttempts: 3, SlackFactor: 1.6, ObjectiveOffset: 5 * time.Second},
 	}})
 }
--- a/sched/hold.go
+++ b/sched/hold.go
@@ -13,6 +13,7 @@
 	if w.holdOpen || w.phase == phaseNone || now < w.nextHold {
 		return
 	}
+	withheld := s.withholdsLease(now, w)
 	order := fleet.HoldOrder{Fence: w.fence, AckedNumber: w.processedEnd}
 	switch {
 	case w.phase == phaseTaking || w.missedHolds > 0 && len(w.runs) == 0:
@@ -21,16 +22,16 @@
 		if w.missedHolds == 0 && !w.holdUrgent {
 			order.WaitMillis = int(holdWait.Milliseconds())
 		}
-		if !w.withholdsLease(now) && !w.clockStale(now) {
-			order.LeaseEnd = w.leaseEndOnWorkerClock(now, leaseDuration)
-			w.raiseLeaseEndBound(now, leaseDuration)
+		if !withheld && !w.clockStale(now) {
+			order.LeaseEnd = w.leaseEndOnWorkerClock(now, s.timing.Lease)
+			w.raiseLeaseEndBound(now, s.timing.Lease)
 		}
 	case w.processedEnd == w.acknowledgedEnd && !w.holdUrgent:
 		return
 	}
 	w.holdUrgent = false
-	if len(w.foreignRuns) > 0 {
-		order.WaitMillis = int(stopRetryInterval.Milliseconds())
+	if len(w.foreignRuns) > 0 || withheld && order.WaitMillis > 0 {
+		order.WaitMillis = int(stopRetryInterval.Milliseconds()) // the stops are answered by then
 	}
 	w.holdSeq++
 	w.holdOpen = true
@@ -111,7 +112,7 @@
 	if w.phase == phaseTaking {
 		// The former commander may have extended the lease just before this host took the worker, and
 		// a lease never shortens.
-		w.raiseLeaseEndBound(now, maxLeaseDuration)
+		w.raiseLeaseEndBound(now, s.timing.MaxLease)
 	}
 	if w.phase == phaseTaking && len(w.foreignRuns) == 0 {
 		w.phase = phaseHeld
@@ -134,7 +135,7 @@
 		s.logEvent("", "worker restarted", "worker", w.info.ID, "born", born, "runs", len(w.runs))
 		w.processedEnd, w.acknowledgedEnd = 0, 0
 		w.lastClock, w.lastClockAt, w.aliveAt = 0, 0, 0
-		w.foreignRuns = make(map[fleet.RunKey]*foreignRun)
+		s.clearForeignRuns(w)
 		for _, r := range sortedRuns(w) {
 			if r.listedIncarnation == w.incarnation {
 				s.endRun(now, w, r, fleet.EndUnknown)
@@ -152,7 +153,7 @@
 
 // endListedRun ends a run that a worker has listed as finished.
 func (s *State) endListedRun(now time.Duration, w *worker, f fleet.FinishedRun) {
-	delete(w.foreignRuns, f.Run)
+	s.removeForeignRun(w, f.Run)
 	r := w.runs[f.Run]
 	if r == nil {
 		return
@@ -175,13 +176,13 @@
 			s.stats.Foreign++
 			s.logEvent("", "stopping a run of another host", "worker", w.info.ID, "task", row.Run.Task, "attempt", row.Run.Attempt)
 			f := &foreignRun{stop: stopState{wantedSince: now}}
-			w.foreignRuns[row.Run] = f
+			s.addForeignRun(w, row.Run, f)
 			s.sendStop(now, w, row.Run, &f.stop)
 		}
 	}
 	for key := range w.foreignRuns {
 		if !running[key] {
-			delete(w.foreignRuns, key)
+			s.removeForeignRun(w, key)
 		}
 	}
 	return running
--- a/sched/job.go
+++ b/sched/job.go
@@ -115,6 +115,7 @@
 // route allows; otherwise it makes the task wait again.
 func (s *State) endRun(now time.Duration, w *worker, r *run, how fleet.RunEnd) {
 	delete(w.runs, r.key)
+	s.taskRuns.remove(r.key.Task)
 	s.needsPlacement = true
 	j := r.job
 	j.activeRuns--
--- a/sched/lease_test.go
+++ b/sched/lease_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"sesameledge.dev/sesameledge/timing"
 )
 
 // TestNoSecondRunDuringFormerLease guards against starting a second run of a task while the first
@@ -11,8 +13,8 @@
 func TestNoSecondRunDuringFormerLease(t *testing.T) {
 	p := newTestPool(32, 32)
 	p.s.workers["w1"].missedHolds = 1 // only w0 takes tasks at first
-	// Another host has taken w0 before and extended its lease by maxLeaseDuration.
-	formerEnd := p.now + maxLeaseDuration
+	// Another host has taken w0 before and extended its lease by the longest lease.
+	formerEnd := p.now + timing.DefaultMaxLease
 	p.step(TakeWorker{Worker: "w0", Cell: "z", Fence: 2})
 	p.submit(1, "short", 1, 100*time.Millisecond)
 	if len(p.starts) != 1 || p.starts[0].Worker.ID != "w0" {
@@ -24,7 +26,7 @@
 		p.s.workers["w1"].recordClockOf(p.now, p.now, 0, p.now.Milliseconds())
 		p.step(Tick{}) // w0 answers no hold
 		if len(p.starts) > 1 && p.now < formerEnd {
-			t.Fatalf("started again after %v; the former lease ends after %v", p.now-time.Minute, maxLeaseDuration)
+			t.Fatalf("started again after %v; the former lease ends after %v", p.now-time.Minute, timing.DefaultMaxLease)
 		}
 	}
 	for range 20 {
--- a/sched/place.go
+++ b/sched/place.go
@@ -78,7 +78,7 @@
 func (s *State) usableWorkers(now time.Duration) map[pool][]*candidate {
 	pools := make(map[pool][]*candidate)
 	for _, w := range s.sortedWorkers {
-		if !w.acceptsTasks(now) {
+		if !w.acceptsTasks(now) || s.withholdsLease(now, w) {
 			continue
 		}
 		if w.clockStale(now) {
@@ -124,7 +124,10 @@
 			stillWaiting = append(stillWaiting, j.waiting[i:]...)
 			break
 		}
-		c := s.chooseWorker(now, j, workers, mayWait)
+		var c *candidate
+		if s.mayStart(j, index) {
+			c = s.chooseWorker(now, j, workers, mayWait)
+		}
 		if c == nil {
 			stillWaiting = append(stillWaiting, index)
 			continue
@@ -251,13 +254,14 @@
 // startTask starts a run of a task on a worker.
 func (s *State) startTask(now time.Duration, j *job, index int, w *worker) {
 	key := j.nextRunKey(index)
-	until := w.leaseEndOnWorkerClock(now, leaseDuration)
-	w.raiseLeaseEndBound(now, leaseDuration)
+	until := w.leaseEndOnWorkerClock(now, s.timing.Lease)
+	w.raiseLeaseEndBound(now, s.timing.Lease)
 	r := &run{
 		key: key, job: j, index: index, need: j.spec.Need, startSentAt: now, leaseUntil: until,
 		predicted: time.Duration(float64(j.taskDuration) / w.speed),
 	}
 	w.runs[key] = r
+	s.taskRuns.add(key.Task)
 	j.activeRuns++
 	j.hasRun[index] = true
 	j.unrejectedStarts++
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -9,22 +9,17 @@
 	"sesameledge.dev/sesameledge/fleet"
 	"sesameledge.dev/sesameledge/pace"
 	"sesameledge.dev/sesameledge/rtt"
+	"sesameledge.dev/sesameledge/timing"
 )
 
 const (
 	// holdWait is how long a worker waits for the end of a run before it answers a hold. It is the
 	// period of lease renewals.
 	holdWait = 250 * time.Millisecond
-	// leaseDuration is the lease that a start or a hold grants from now on. Together with the time in
-	// which the loss of an entry host is noticed it is shorter than the time after which a caller
-	// sends a job again.
-	leaseDuration = 700 * time.Millisecond
-	// maxLeaseDuration is the longest lease that a worker allows.
-	maxLeaseDuration = time.Second
 	// minRestartTime is the shortest time in which a worker restarts.
 	minRestartTime = time.Second
-	// stopGracePeriod is how long a run that has to stop may go on before the lease of its worker is
-	// no longer extended.
+	// stopGracePeriod is how long a run whose job is still wanted, and which has to stop, may go on
+	// before the lease of its worker is no longer extended.
 	stopGracePeriod = 200 * time.Millisecond
 	// stopRetryInterval is the time after which an unanswered stop is sent again.
 	stopRetryInterval = 150 * time.Millisecond
@@ -58,6 +53,10 @@
 	sortedWorkers  []*worker // by ID
 	stats          Stats
 	closedCells    map[fleet.Cell]bool // refuse jobs while their workers are handed over
+	timing         timing.Budget
+	suspectedHosts map[uint64]bool // see SuspectHost
+	taskRuns       taskCounts      // runs that may be running, of all submissions of a job
+	foreignTasks   taskCounts      // foreign runs
 }
 
 // Stats counts what the state machine has done since New.
@@ -82,6 +81,11 @@
 		closedCells: make(map[fleet.Cell]bool),
 		durations:   newDurationModel(),
 		importance:  newImportance(),
+
+		timing:         timing.Default(),
+		suspectedHosts: make(map[uint64]bool),
+		taskRuns:       make(taskCounts),
+		foreignTasks:   make(taskCounts),
 	}
 }
 
@@ -169,6 +173,7 @@
 		}
 		w.removed = true
 		if len(w.runs) == 0 {
+			s.clearForeignRuns(w)
 			delete(s.workers, id)
 		}
 	}
@@ -230,7 +235,7 @@
 	}
 	s.logEvent("", "worker taken by another host", "worker", w.info.ID, "fence", w.fence, "runs", len(w.runs))
 	w.phase = phaseNone
-	w.foreignRuns = make(map[fleet.RunKey]*foreignRun)
+	s.clearForeignRuns(w)
 	s.emit(WorkerLost{Worker: w.info.ID})
 }
 
--- /dev/null
+++ b/sched/wanted_test.go
@@ -0,0 +1,93 @@
+package sched
+
+import (
+	"testing"
+	"time"
+
+	"sesameledge.dev/sesameledge/fleet"
+	"sesameledge.dev/sesameledge/timing"
+)
+
+// newLongRun returns a pool with one worker that runs a task of a job of process 1 for another 10 s.
+func newLongRun(workers ...int64) (*testPool, *worker) {
+	p := newTestPool(workers...)
+	p.submit(1, "long", 1, 10*time.Second)
+	return p, p.s.workers[p.starts[0].Worker.ID]
+}
+
+// pass lets time pass in ticks. The workers answer their holds at once and give readings of their clocks.
+func (p *testPool) pass(d time.Duration) {
+	for end := p.now + d; p.now < end; {
+		p.now += 25 * time.Millisecond
+		p.step(Tick{})
+		for id, w := range p.s.workers {
+			if w.holdOpen {
+				p.answerHold(id, w.holdSeq)
+			}
+		}
+	}
+}
+
+// TestNoLeaseForUnwantedRun guards against leases for a run that nobody waits for any more: its task may
+// be started by another host soon. The lease of its worker is extended again as soon as the worker has
+// taken the stop.
+func TestNoLeaseForUnwantedRun(t *testing.T) {
+	p, w := newLongRun(32)
+	p.pass(timing.DefaultMaxLease) // until the lease of a former commander counts no more
+	p.s.CancelJobsOfHost(p.now, 1)
+	lost := p.now
+	p.pass(stopGracePeriod / 2) // no stop is answered
+	if limit := lost + timing.OnHostClock(timing.Default().Lease); w.leaseEndBound > limit {
+		t.Errorf("the lease goes on for %v after the last wish for the run, want %v at most", w.leaseEndBound-lost, limit-lost)
+	}
+	p.step(StopReply{Worker: w.info.ID, Run: p.starts[0].Order.Run, Sent: p.now, Fence: 1, Reply: fleet.Reply{Verdict: fleet.Accepted, ClockMillis: p.now.Milliseconds()}})
+	before := w.leaseEndBound
+	p.pass(stopGracePeriod / 4)
+	if w.leaseEndBound <= before {
+		t.Error("the lease is not extended after the stop was answered")
+	}
+}
+
+// TestNoLeaseForSuspectedHost guards against leases and starts for jobs whose host has been silent for
+// longer than the contact timeout and does not count as lost yet.
+func TestNoLeaseForSuspectedHost(t *testing.T) {
+	p, w := newLongRun(64)
+	p.pass(timing.DefaultMaxLease)
+	p.s.SuspectHost(1, true)
+	before := w.leaseEndBound
+	p.submit(2, "late", 1, 2*time.Second)
+	p.pass(300 * time.Millisecond)
+	if w.leaseEndBound > before || len(p.starts) != 1 {
+		t.Errorf("lease extended by %v and %d starts, want 0 and 1", w.leaseEndBound-before, len(p.starts))
+	}
+	p.s.SuspectHost(1, false)
+	p.pass(50 * time.Millisecond)
+	if w.leaseEndBound <= before || len(p.starts) != 2 {
+		t.Errorf("lease extended by %v and %d starts after the suspicion, want more and 2", w.leaseEndBound-before, len(p.starts))
+	}
+}
+
+// TestResubmissionWaitsForEarlierRun guards against a second run of a task whose job another host submits
+// again while the run of the earlier submission goes on: until the host of the earlier one is known to be
+// lost, and then until the lease of its worker has certainly ended.
+func TestResubmissionWaitsForEarlierRun(t *testing.T) {
+	p, w := newLongRun(32, 32)
+	first := p.starts[0]
+	p.step(Submit{Job: Job{
+		Key: JobKey{Host: 2, Seq: 1}, Cell: "z", Left: 30 * time.Second, Spec: fleet.JobSpec{ID: "long1", Tasks: 1, Need: fleet.Resources{CPU: 27000, Memory: 64}, Estimate: 10 * time.Second},
+		Route: fleet.Route{Name: "long", Service: "s", MaxAttempts: 3, SlackFactor: 1.6, ObjectiveOffset: time.Second},
+	}})
+	p.pass(200 * time.Millisecond)
+	p.s.CancelJobsOfHost(p.now, 1) // the stop is never answered
+	for end := w.leaseEndBound; p.now <= end; {
+		if len(p.starts) != 1 {
+			t.Fatalf("%v is started while %v may go on", p.starts[1].Order.Run, first.Order.Run)
+		}
+		p.pass(25 * time.Millisecond)
+	}
+	delete(p.running[w.info.ID], first.Order.Run)
+	p.pass(50 * time.Millisecond)
+	if len(p.starts) != 2 {
+		t.Errorf("%d starts after the lease has ended, want 2", len(p.starts))
+	}
+}
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -5,6 +5,7 @@
 
 	"sesameledge.dev/sesameledge/fleet"
 	"sesameledge.dev/sesameledge/rtt"
+	"sesameledge.dev/sesameledge/timing"
 )
 
 // phase is the state of the command over a worker.
@@ -80,20 +81,16 @@
 // out after the host had ended it.
 type foreignRun struct{ stop stopState }
 
-// minClockRate is the lowest rate at which the steady clock of a worker may run, relative to the
-// host's.
-const minClockRate = 0.98
-
 // leaseEndOnWorkerClock returns the end, on the worker's clock in ms, of a lease that lasts at most
-// d from now by that clock, as long as the clock runs no slower than minClockRate.
+// d from now by that clock, as long as the clock runs no slower than timing.MinClockRate.
 func (w *worker) leaseEndOnWorkerClock(now, d time.Duration) int64 {
-	elapsed := float64(now-w.lastClockAt) * minClockRate
+	elapsed := float64(now-w.lastClockAt) * timing.MinClockRate
 	return w.lastClock + int64((time.Duration(elapsed) + d).Milliseconds())
 }
 
 // raiseLeaseEndBound records that a lease of length d may begin now.
 func (w *worker) raiseLeaseEndBound(now, d time.Duration) {
-	w.leaseEndBound = max(w.leaseEndBound, now+time.Duration(float64(d)/minClockRate))
+	w.leaseEndBound = max(w.leaseEndBound, now+timing.OnHostClock(d))
 }
 
 // recordClock records a reading of the worker's clock in ms; 0 means none. The worker took the
@@ -120,10 +117,11 @@
 	return left
 }
 
-// acceptsTasks reports whether new tasks may be started on the worker.
+// acceptsTasks reports whether new tasks may be started on the worker, as long as its lease may be
+// extended.
 func (w *worker) acceptsTasks(now time.Duration) bool {
 	return (w.phase == phaseHeld || w.phase == phaseLeaving) && !w.info.Draining && !w.removed && w.missedHolds == 0 &&
-		len(w.foreignRuns) == 0 && now >= w.blockedUntil && !w.withholdsLease(now)
+		len(w.foreignRuns) == 0 && now >= w.blockedUntil
 }
 
 // countsAsCapacity reports whether the worker adds to the capacity of its service, now or soon.
@@ -131,17 +129,6 @@
 	return w.phase == phaseHeld && !w.info.Draining && !w.removed && w.missedHolds == 0
 }
 
-// withholdsLease reports whether the lease is not extended, so that runs end with it: foreign runs,
-// or runs whose stop has stayed without effect for stopGracePeriod.
-func (w *worker) withholdsLease(now time.Duration) bool {
-	for _, r := range w.runs {
-		if r.stop.isOverdue(now) {
-			return true
-		}
-	}
-	return len(w.foreignRuns) > 0
-}
-
 // isOverdue reports whether the stop has taken too long to go on extending the lease.
 func (s stopState) isOverdue(now time.Duration) bool {
 	return s.wantedSince != 0 && now-s.wantedSince > stopGracePeriod
--- a/session/session.go
+++ b/session/session.go
@@ -33,6 +33,7 @@
 	lastReceived     uint64            // number of the newest message received in order
 	peerStamp        int64             // newest time stamp of the other side, in ns on its clock
 	lastEcho         time.Duration     // newest own time stamp echoed by the other side
+	lastCompleteEcho time.Duration     // the same of frames that no missing message came before
 }
 
 // New returns a session with a process from which nothing has been received.
@@ -68,6 +69,7 @@
 	f.Sent = int64(now)
 	f.Echo = s.peerStamp
 	f.Ack = s.lastReceived
+	f.Last = s.firstUnacked + uint64(len(s.unacked)) - 1
 	from := s.lastSent + 1
 	if len(s.unacked) > 0 && s.lastSent >= s.firstUnacked && now-s.resendTimerStart >= resendInterval {
 		from = s.firstUnacked
@@ -98,6 +100,9 @@
 		s.lastReceived = n
 		newMessages = append(newMessages, m)
 	}
+	if s.lastReceived >= f.GetLast() {
+		s.lastCompleteEcho = max(s.lastCompleteEcho, time.Duration(f.GetEcho()))
+	}
 	return newMessages
 }
 
@@ -116,5 +121,9 @@
 // its echo. 0 means that no frame has been echoed.
 func (s *Session) LastContact() time.Duration { return s.lastEcho }
 
+// LastCompleteContact returns the same as LastContact of those frames before which all messages of the
+// other process had arrived. What it has withdrawn before that time is known here.
+func (s *Session) LastCompleteContact() time.Duration { return s.lastCompleteEcho }
+
 // Unacknowledged returns the number of messages that the process has not acknowledged.
 func (s *Session) Unacknowledged() int { return len(s.unacked) }
