Give a restarted worker no tasks by its former entry

Change: while the entry names another process than the one that answers, the worker gets no tasks and does not count as capacity. The commander's host asks for the entries at once, at most every 150 ms; one read serves all workers that restart together. An entry that is newer than the lists leads to a hold. Entries without a process start are taken as before. sameWorker compares kind and rack.

The settings are checked against package timing, and the time limits are logged at the start.

The workers of the host simulation have another capacity after each restart now.

--- a/entry/host.go
+++ b/entry/host.go
@@ -62,6 +62,7 @@
 	stopStoreAccess context.CancelFunc // ends reads and announcements
 	metrics         *metrics
 	queuedFences    chan int64    // fencing tokens to announce
+	workersWanted   chan struct{} // the workers' entries are to be read at once
 	stopLog         chan struct{} // closed to end the log writer
 	drained         chan struct{} // closed when the host has stopped
 	stopOnce        sync.Once
@@ -75,7 +76,7 @@
 		debug.SetMemoryLimit(int64(float64(s.Memory<<20) * memoryLimitFraction))
 	}
 	debug.SetGCPercent(gcPercent)
-	h := &Host{settings: s, id: randomID(), metrics: newMetrics(), queuedFences: make(chan int64, maxQueuedFences), logOutput: newLogWriter(s.Log.LinesPerSecond), stopLog: make(chan struct{}), drained: make(chan struct{})}
+	h := &Host{settings: s, id: randomID(), metrics: newMetrics(), queuedFences: make(chan int64, maxQueuedFences), workersWanted: make(chan struct{}, 1), logOutput: newLogWriter(s.Log.LinesPerSecond), stopLog: make(chan struct{}), drained: make(chan struct{})}
 	h.logger = newLogger(h.logOutput, s.Host)
 	go h.logOutput.run(out, h.stopLog)
 	h.storeTransport = newTransport(4, workerIdleTimeout)
@@ -86,6 +87,8 @@
 	h.loop.readsWorkers.Store(true)
 	h.workers = newWorkerCaller(h.metrics, h.loop.send)
 	_ = h.logger.Log("part", "entry", "msg", "started", "zone", s.Zone, "id", h.id)
+	b := s.timing()
+	_ = h.logger.Log("part", "entry", "msg", "time limits", "resend_after", b.ResendAfter, "contact", b.ContactTimeout, "lease", b.Lease, "longest_run", b.LongestRun())
 	go h.loop.serve()
 	ctx, cancel := context.WithCancel(context.Background())
 	h.stopStoreAccess = cancel
@@ -121,6 +124,7 @@
 		Seed:               h.id,
 		Started:            sinceBoot(),
 		UnixMillis:         time.Now().UnixMilli(),
+		Timing:             s.timing(),
 	})
 }
 
@@ -161,7 +165,7 @@
 	go h.announceHost(ctx)
 	for _, f := range []*topicReader{
 		{topic: platform.TopicOperator, longPoll: configLongPoll, handle: h.handleConfigRecords, reportRead: h.storeReadReporter(0)},
-		{topic: platform.TopicWorkers, interval: workersReadInterval, wanted: h.loop.readsWorkers.Load, handle: h.handleWorkerRecords, reportRead: h.storeReadReporter(1)},
+		{topic: platform.TopicWorkers, interval: workersReadInterval, wake: h.workersWanted, wanted: h.loop.readsWorkers.Load, handle: h.handleWorkerRecords, reportRead: h.storeReadReporter(1)},
 		{topic: platform.TopicHosts, interval: hostsReadInterval, handle: h.handleHostRecords, reportRead: func(bool) {}},
 	} {
 		f.store, f.storeTransport, f.logger = h.store, h.storeTransport, h.logger
@@ -193,6 +197,15 @@
 	}
 }
 
+// readWorkers ends the pause before the next read of the workers' entries. A read that is under way is
+// followed by another one at once.
+func (h *Host) readWorkers() {
+	select {
+	case h.workersWanted <- struct{}{}:
+	default:
+	}
+}
+
 func (h *Host) redial(e host.Redial)       { h.links.CloseLink(e.Addr) } // the next frame opens a new one
 func (h *Host) closeLink(e host.CloseLink) { h.links.CloseLink(e.Addr) }
 func (h *Host) useConfig(c *fleet.Config)  { h.ingress.routes.Store(newRouteTable(c)) }
--- a/entry/loop.go
+++ b/entry/loop.go
@@ -49,6 +49,7 @@
 	closeLink(host.CloseLink)
 	announceFence(host.AnnounceFence)
 	useConfig(*fleet.Config)
+	readWorkers()
 }
 
 // jobArrival is a caller's job with the channels for its sequence number and its answer. Both
@@ -193,6 +194,8 @@
 		l.effects.announceFence(e)
 	case host.ActivateConfig:
 		l.effects.useConfig(e.Config)
+	case host.ReadWorkers:
+		l.effects.readWorkers()
 	case host.LogEntry:
 		l.log(e)
 	case sched.StartRun:
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"net"
 	"os"
 	"time"
@@ -10,6 +11,7 @@
 
 	"sesameledge.dev/sesameledge/finding"
 	"sesameledge.dev/sesameledge/strictyaml"
+	"sesameledge.dev/sesameledge/timing"
 )
 
 // Settings is the content of an entry host's settings file.
@@ -109,6 +111,14 @@
 	require(s.MaxDescriptors >= 0, "max_descriptors", "must not be negative")
 	require(s.ResendAfter > 0, "resend_after", "must be positive")
 	require(s.MaxLease > 0, "max_lease", "must be positive")
+	if s.ResendAfter > 0 && s.MaxLease > 0 {
+		field := "resend_after"
+		if s.MaxLease < timing.MinLease {
+			field = "max_lease"
+		}
+		_, err := timing.New(s.ResendAfter, s.MaxLease)
+		require(err == nil, field, fmt.Sprint(err))
+	}
 	require(s.RemotePenalty >= 1, "remote_penalty", "must be at least 1")
 	require(s.Cores > 0, "cores", "must be positive")
 	require(s.CoreShare > 0 && s.CoreShare <= 1, "core_share", "must be over 0 and at most 1")
@@ -129,6 +139,12 @@
 	}
 }
 
+// timing returns the time limits of the deployment. ParseSettings has checked that they add up.
+func (s *Settings) timing() timing.Budget {
+	b, _ := timing.New(s.ResendAfter, s.MaxLease)
+	return b
+}
+
 // weight returns the CPU capacity of the host in thousandths of a core.
 func (s *Settings) weight() int64 { return int64(s.Cores * s.CoreShare * 1000) }
 
--- a/entry/store.go
+++ b/entry/store.go
@@ -43,6 +43,8 @@
 	longPoll       time.Duration // longest time that the store may delay an answer without records
 	interval       time.Duration // pause between two reads
 	logger         log.Logger
+	// wake ends the pause between two reads; nil: nothing does.
+	wake <-chan struct{}
 	// wanted reports whether the topic has to be read now; nil: always.
 	wanted func() bool
 	// handle processes records. A snapshot holds the newest record of every key.
@@ -68,7 +70,7 @@
 			from = next
 			retry.Reset()
 			f.reportRead(true)
-			pause.For(ctx, f.interval)
+			f.pause(ctx)
 			continue
 		}
 		if ctx.Err() != nil {
@@ -86,6 +88,17 @@
 	}
 }
 
+// pause waits for the interval between two reads, until it is woken or until ctx ends.
+func (f *topicReader) pause(ctx context.Context) {
+	timer := time.NewTimer(f.interval)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-f.wake:
+	case <-ctx.Done():
+	}
+}
+
 // waitUntilWanted waits until the topic has to be read or ctx ends.
 func (f *topicReader) waitUntilWanted(ctx context.Context) {
 	for ctx.Err() == nil && !f.wanted() {
--- a/host/event.go
+++ b/host/event.go
@@ -104,6 +104,9 @@
 // ActivateConfig makes a configuration apply to all requests that arrive from now on.
 type ActivateConfig struct{ Config *fleet.Config }
 
+// ReadWorkers asks for a read of the workers' entries from the store at once.
+type ReadWorkers struct{}
+
 // LogEntry is a log entry about a decision of the host or its scheduler.
 type LogEntry struct {
 	Part    string
--- a/host/host.go
+++ b/host/host.go
@@ -87,6 +87,8 @@
 	stats       Stats
 	// jobsRecordedAt is when recordJobsInProgress last ran.
 	jobsRecordedAt time.Duration
+	// entriesWantedAt is when the workers' entries were last asked for out of turn.
+	entriesWantedAt time.Duration
 }
 
 // Stats counts the jobs of the host's callers, the cells that it has taken and lost, and the frames and
@@ -203,6 +205,9 @@
 	s.expireWorkers(now)
 	s.decideCells(now)
 	s.sched.Step(now, sched.Tick{})
+	if s.sched.AwaitsEntries() {
+		s.wantEntries(now)
+	}
 	s.retryJobs(now)
 	s.forwardToPeers(now)
 }
@@ -219,6 +224,8 @@
 			s.handleWorkerFenced(now, e.Worker)
 		case sched.WorkerReleased:
 			s.handleWorkerReleased(e.Worker)
+		case sched.EntriesWanted:
+			s.wantEntries(now)
 		case sched.LogEntry:
 			s.log("sched", e.RequestID, e.Message, e.Fields...)
 		default:
--- a/host/knowledge.go
+++ b/host/knowledge.go
@@ -26,6 +26,9 @@
 	// are forwarded to it. All hosts may start at once, and without the delay each commander would
 	// send all entries to each of them.
 	workerForwardDelay = 1500 * time.Millisecond
+	// entriesWantedInterval is the shortest time between two reads of the workers' entries that are
+	// asked for out of turn. A process may answer a little before its entry is in the store.
+	entriesWantedInterval = 150 * time.Millisecond
 )
 
 // workerEntry is a worker's entry in the store.
@@ -119,6 +122,16 @@
 	s.sortedWorkers = nil
 }
 
+// wantEntries asks for a read of the workers' entries, because a worker has another process than its
+// entry describes. One read serves all workers that restart within entriesWantedInterval.
+func (s *State) wantEntries(now time.Duration) {
+	if s.entriesWantedAt != 0 && now-s.entriesWantedAt < entriesWantedInterval {
+		return
+	}
+	s.entriesWantedAt = now
+	s.emit(ReadWorkers{})
+}
+
 // markRemoved records that the removal of a worker's entry was read.
 func (s *State) markRemoved(now time.Duration, e *workerEntry) {
 	e.removedAt = now
@@ -131,9 +144,9 @@
 	e.change = s.workerChanges
 }
 
-// sameWorker reports whether two entries of a worker are equal. Kind and Rack are not compared.
+// sameWorker reports whether two entries of a worker are equal.
 func sameWorker(a, b fleet.Worker) bool {
-	return a.Addr == b.Addr && a.Draining == b.Draining && a.Service == b.Service &&
+	return a.Addr == b.Addr && a.Draining == b.Draining && a.Service == b.Service && a.Kind == b.Kind && a.Rack == b.Rack &&
 		a.Zone == b.Zone && a.Capacity == b.Capacity && a.ProcessStart == b.ProcessStart && slices.Equal(a.Labels, b.Labels)
 }
 
--- a/host/machine_test.go
+++ b/host/machine_test.go
@@ -218,8 +218,7 @@
 
 func (m *hostMachine) restartWorker(t *rapid.T) {
 	ww := m.worker(t)
-	ww.Restart(m.w.now + drawTime(t, "down", int(minWorkerRestart.Milliseconds()), 3000))
-	ww.waiters = nil
+	m.w.restartWorker(ww, drawTime(t, "down", int(minWorkerRestart.Milliseconds()), 3000))
 }
 
 // minWorkerRestart is the shortest time in which a worker restarts, as package sched assumes. A worker
@@ -232,8 +231,7 @@
 func (m *hostMachine) hideWorker(t *rapid.T) {
 	ww := m.worker(t)
 	ww.unlisted = !ww.unlisted
-	ww.Restart(m.w.now + minWorkerRestart)
-	ww.waiters = nil
+	m.w.restartWorker(ww, minWorkerRestart)
 	m.w.publishWorker(ww)
 }
 
--- a/host/simulation_test.go
+++ b/host/simulation_test.go
@@ -141,7 +141,7 @@
 }
 
 func (w *simulation) addWorker(id, zone string, rate float64) {
-	capacity := fleet.Resources{CPU: 64000, Memory: 1000}
+	capacity := fleet.Resources{CPU: fullCapacity, Memory: 1000}
 	ww := &simWorker{
 		Worker: workermodel.New(id, capacity, rate),
 		info:   fleet.Worker{ID: id, Service: "s", Zone: zone, Addr: id, Capacity: capacity},
@@ -154,6 +154,7 @@
 func (w *simulation) publishWorker(ww *simWorker) {
 	w.offset++
 	ww.offset = w.offset
+	ww.info.ProcessStart, ww.info.Capacity = ww.Born, ww.Capacity
 	w.entries[fmt.Sprintf("%s %d", ww.ID, ww.offset)] = ww.info
 }
 
@@ -227,6 +228,7 @@
 	version      int64              // of the configuration in force
 	storeCut     bool
 	draining     bool
+	reads        int // of the store, out of turn
 }
 
 func (h *simHost) clock() time.Duration { return h.w.now + h.skew }
@@ -283,11 +285,17 @@
 	h.w.after(simTickInterval, func() { h.tick(process) })
 }
 
-// readStore lets a process read the whole store, as far as it needs it, at each storeReadInterval until it ends.
+// readStore lets a process read the store at each storeReadInterval until it ends.
 func (h *simHost) readStore(process int) {
 	if h.processCount != process {
 		return
 	}
+	h.readStoreOnce()
+	h.w.after(storeReadInterval, func() { h.readStore(process) })
+}
+
+// readStoreOnce lets a process read the whole store, as far as it needs it.
+func (h *simHost) readStoreOnce() {
 	if !h.storeCut && !h.frozen {
 		read := WorkersRead{Snapshot: true}
 		for _, ww := range h.w.workers {
@@ -307,7 +315,6 @@
 	} else if !h.frozen {
 		h.step(StoreReachability{})
 	}
-	h.w.after(storeReadInterval, func() { h.readStore(process) })
 }
 
 // deliver passes events to the process with that number, or queues them while it is frozen. Events for
@@ -363,6 +370,14 @@
 			if !h.storeCut {
 				h.w.fence = max(h.w.fence, e.Fence)
 			}
+		case ReadWorkers:
+			h.reads++
+			process := h.processCount
+			h.w.after(2*simLatency, func() {
+				if h.processCount == process {
+					h.readStoreOnce()
+				}
+			})
 		case ActivateConfig:
 			if e.Config.Version < h.version {
 				h.w.fail("host %s went from configuration %d back to %d", h.name, h.version, e.Config.Version)
--- a/sched/event.go
+++ b/sched/event.go
@@ -155,6 +155,10 @@
 // WorkerReleased reports that no run of this host is left on a released worker.
 type WorkerReleased struct{ Worker string }
 
+// EntriesWanted reports that a worker has another process than its entry describes, and gets no tasks
+// until the entry of that process is passed on with UpdateWorkers.
+type EntriesWanted struct{}
+
 // LogEntry is an entry for the log.
 type LogEntry struct {
 	Message   string
@@ -168,4 +172,5 @@
 func (JobFinished) effect()    {}
 func (WorkerLost) effect()     {}
 func (WorkerReleased) effect() {}
+func (EntriesWanted) effect()  {}
 func (LogEntry) effect()       {}
--- a/sched/hold.go
+++ b/sched/hold.go
@@ -96,6 +96,7 @@
 		w.missedHolds = 0
 	}
 	s.detectRestart(now, w, e.Reply.ProcessStart)
+	s.hearProcess(w, e.Reply.ProcessStart)
 	w.recordClockOf(now, e.Sent, e.Wait, e.Reply.ClockMillis)
 	w.nextHold = now
 	s.needsPlacement = true
@@ -120,6 +121,9 @@
 	}
 	if len(w.runs) == 0 && len(w.foreignRuns) == 0 {
 		w.nextHold = now + maxAckDelay
+		if w.entryOutdated() {
+			w.nextHold, w.holdUrgent = now+entryProbeInterval, true
+		}
 		s.releaseIfIdle(w)
 	}
 }
@@ -243,6 +247,7 @@
 		return
 	}
 	if e.Reply.Verdict == fleet.Accepted {
+		s.hearOrder(now, w, e.Reply.ProcessStart)
 		w.lastBlockTime = 0
 		if r.confirmedAt == 0 {
 			r.confirmedAt = now
@@ -296,6 +301,7 @@
 		return // a later Tick sends it again
 	}
 	w.recordClockOf(now, e.Sent, 0, e.Reply.ClockMillis)
+	s.hearOrder(now, w, e.Reply.ProcessStart)
 	if r := w.runs[e.Run]; r != nil {
 		r.stop.acceptedAt = now
 		if r.unansweredAt != 0 && r.confirmedAt == 0 {
--- a/sched/invariant.go
+++ b/sched/invariant.go
@@ -22,6 +22,8 @@
 		return errors.New("the worker runs tasks of another host")
 	case !w.freeCapacity().Fits(j.spec.Need):
 		return errors.New("the free capacity of the worker is too small for the task")
+	case w.entryOutdated():
+		return errors.New("the entry of the worker describes another process")
 	case w.clockStale(now):
 		return errors.New("the last reading of the worker's clock is too old")
 	case j.finished:
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -164,8 +164,10 @@
 		if info.Draining && !w.info.Draining {
 			s.logEvent("", "worker drains", "worker", info.ID)
 		}
+		former := w.info.ProcessStart
 		w.info = info
 		w.removed = false
+		s.compareEntry(now, w, former)
 	}
 	for id, w := range s.workers {
 		if listed[id] {
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -26,6 +26,8 @@
 	fence       int64 // token under which the host commands the worker
 	incarnation int64 // start of the process that the lists came from, in Unix ms; 0: no list yet
 
+	heardProcess int64 // start of the process that has answered last, in Unix ms; 0: unknown
+
 	lastClock     int64         // newest reading of the worker's clock in ms
 	lastClockAt   time.Duration // the clock showed lastClock at this time or earlier
 	aliveAt       time.Duration // the process with this clock lived at this time or later
@@ -121,12 +123,12 @@
 // extended.
 func (w *worker) acceptsTasks(now time.Duration) bool {
 	return (w.phase == phaseHeld || w.phase == phaseLeaving) && !w.info.Draining && !w.removed && w.missedHolds == 0 &&
-		len(w.foreignRuns) == 0 && now >= w.blockedUntil
+		len(w.foreignRuns) == 0 && now >= w.blockedUntil && !w.entryOutdated()
 }
 
 // countsAsCapacity reports whether the worker adds to the capacity of its service, now or soon.
 func (w *worker) countsAsCapacity() bool {
-	return w.phase == phaseHeld && !w.info.Draining && !w.removed && w.missedHolds == 0
+	return w.phase == phaseHeld && !w.info.Draining && !w.removed && w.missedHolds == 0 && !w.entryOutdated()
 }
 
 // isOverdue reports whether the stop has taken too long to go on extending the lease.
--- a/timing/timing.go
+++ b/timing/timing.go
@@ -16,14 +16,15 @@
 	// MinClockRate is the lowest rate at which the steady clock of a worker may run, relative to that of
 	// the host. A lease is reckoned on the clock of the worker, so a slow one makes it longer.
 	MinClockRate = 0.98
+	// MinLease is the shortest lease with which workers can be held: a hold waits for 250 ms for the end
+	// of a run, and two calls of 100 ms have to fit in besides.
+	MinLease = 450 * time.Millisecond
 
 	// contactTimeout is the age of the last contact with a host above which nothing is done for its jobs
 	// any more. Shorter values take hosts with a congested link for lost ones.
 	contactTimeout = 450 * time.Millisecond
-	// lease is the length of a granted lease where the deployment allows it, and minLease the shortest
-	// one with which workers can be held: a hold waits for 250 ms for the end of a run, and two calls of
-	// 100 ms have to fit in besides.
-	lease, minLease = 700 * time.Millisecond, 450 * time.Millisecond
+	// lease is the length of a granted lease where the deployment allows it.
+	lease = 700 * time.Millisecond
 	// runEndTime is the longest time that a worker takes to end a run once its lease has lapsed or it
 	// has taken a stop.
 	runEndTime = 50 * time.Millisecond
@@ -53,11 +54,11 @@
 	b := Budget{ResendAfter: resendAfter, MaxLease: maxLease, ContactTimeout: contactTimeout}
 	left := time.Duration(float64(resendAfter-contactTimeout-runEndTime-schedulingMargin) * MinClockRate)
 	b.Lease = min(lease, maxLease, left.Truncate(time.Millisecond))
-	if maxLease < minLease {
-		return b, errors.Newf("a lease of at most %v is too short to hold workers; they need %v", maxLease, minLease)
+	if maxLease < MinLease {
+		return b, errors.Newf("a lease of at most %v is too short to hold workers; they need %v", maxLease, MinLease)
 	}
-	if b.Lease < minLease {
-		b.Lease = minLease
+	if b.Lease < MinLease {
+		b.Lease = MinLease
 		return b, errors.Newf("callers send a job again after %v, but its earlier runs may go on for %v: %v to notice a lost host, %v for the shortest lease on a clock 2%% slow, %v to end them and %v to spare",
 			resendAfter, b.LongestRun(), b.ContactTimeout, OnHostClock(b.Lease).Round(time.Millisecond), runEndTime, schedulingMargin)
 	}
