--- a/sched/dump.go
+++ b/sched/dump.go
@@ -16,6 +16,8 @@
 	FreeCPU  int64     `json:"free_cpu"` // thousandths of a core
 	LeaseMS  int64     `json:"lease_ms"`
 	Foreign  int       `json:"foreign_runs"`
+	Outdated bool      `json:"entry_outdated"` // its entry describes another process; it gets no tasks
+	Withheld bool      `json:"lease_withheld"`
 	Runs     []RunDump `json:"runs"`
 }
 
@@ -44,6 +46,7 @@
 			Worker: w.info.ID, Zone: w.info.Zone, Cell: string(w.cell), Phase: phaseNames[w.phase], Fence: w.fence,
 			Draining: w.info.Draining, Removed: w.removed, Speed: w.speed, Misses: w.missedHolds,
 			FreeCPU: w.freeCapacity().CPU, LeaseMS: max(0, w.leaseEndBound-now).Milliseconds(), Foreign: len(w.foreignRuns),
+			Outdated: w.entryOutdated(), Withheld: s.withholdsLease(now, w),
 		}
 		for _, r := range sortedRuns(w) {
 			d.Runs = append(d.Runs, RunDump{
