Merge the budget of leases and the entries of restarted workers

The reading of a worker's clock that is behind its estimate bounds leases by the setting for the longest lease.

--- a/entry/loop_test.go
+++ b/entry/loop_test.go
@@ -22,6 +22,7 @@
 func (*recordedEffects) closeLink(host.CloseLink)         {}
 func (*recordedEffects) announceFence(host.AnnounceFence) {}
 func (*recordedEffects) useConfig(*fleet.Config)          {}
+func (*recordedEffects) readWorkers()                     {}
 
 // newTestLoop returns a loop of a host with one peer. It is not served.
 func newTestLoop() (*loop, *recordedEffects) {
--- a/host/host.go
+++ b/host/host.go
@@ -17,6 +17,7 @@
 	"sesameledge.dev/sesameledge/mesh/meshpb"
 	"sesameledge.dev/sesameledge/owner"
 	"sesameledge.dev/sesameledge/sched"
+	"sesameledge.dev/sesameledge/timing"
 )
 
 // Self describes this process.
@@ -49,8 +50,10 @@
 	// LinkBytesPerSecond is the capacity of the host's network link. 0: not known.
 	LinkBytesPerSecond float64
 	Decode             Decoders
-	Seed               uint64
-	Started            time.Duration // when the process started, on the clock that gives Step its times
+	// Timing holds the time limits of the deployment. The zero value means timing.Default.
+	Timing  timing.Budget
+	Seed    uint64
+	Started time.Duration // when the process started, on the clock that gives Step its times
 	// UnixMillis is the time of day at Started in Unix ms. It orders the fencing tokens of
 	// processes that do not know of each other; no guarantee depends on it.
 	UnixMillis int64
@@ -90,6 +93,8 @@
 	// jobsRecordedAt is when recordJobsInProgress last ran.
 	jobsRecordedAt time.Duration
 	cancels        *cancellations
+	// entriesWantedAt is when the workers' entries were last asked for out of turn.
+	entriesWantedAt time.Duration
 }
 
 // Stats counts the jobs of the host's callers, the cells that it has taken and lost, and the frames and
@@ -104,6 +109,9 @@
 
 // New returns the initial state of a process.
 func New(opts Options) *State {
+	if opts.Timing == (timing.Budget{}) {
+		opts.Timing = timing.Default()
+	}
 	s := &State{
 		opts:         opts,
 		peers:        make(map[string]*peer),
@@ -120,6 +128,7 @@
 		rng:          rand.New(rand.NewPCG(opts.Seed, opts.Self.ID)),
 	}
 	s.sched.SetPolicy(opts.Placement)
+	s.sched.SetTiming(opts.Timing)
 	for _, addr := range opts.Seeds {
 		s.addPeer(&meshpb.Host{Addr: addr})
 	}
@@ -216,6 +225,9 @@
 	s.expireWorkers(now)
 	s.decideCells(now)
 	s.sched.Step(now, sched.Tick{})
+	if s.sched.AwaitsEntries() {
+		s.wantEntries(now)
+	}
 	s.retryJobs(now)
 	s.forwardToPeers(now)
 }
@@ -232,6 +244,8 @@
 			s.handleWorkerFenced(now, e.Worker)
 		case sched.WorkerReleased:
 			s.handleWorkerReleased(e.Worker)
+		case sched.EntriesWanted:
+			s.wantEntries(now)
 		case sched.LogEntry:
 			s.log("sched", e.RequestID, e.Message, e.Fields...)
 		default:
--- a/host/simulation_test.go
+++ b/host/simulation_test.go
@@ -43,6 +43,8 @@
 	nextID      uint64
 	nextJob     int
 	load        time.Duration // time between two jobs of the background load; 0: no load
+	estimate    time.Duration // of a task, from the callers. 0: 200 ms
+	patience    time.Duration // for which callers wait for an answer. 0: 3 s
 	failure     error         // first violation that was found
 	tracing     bool
 	cellWorkers int
@@ -136,10 +138,11 @@
 	zoneCut        bool     // it is unreachable from the hosts of other zones
 	lateShare      float64  // share of the orders that are carried out late and not answered
 	lostReplyShare float64  // share of the orders that are carried out at once and not answered
+	lateStopShare  float64  // share of the stops that are carried out late and not answered
 }
 
 func (w *simulation) addWorker(id, zone string, rate float64) {
-	capacity := fleet.Resources{CPU: 64000, Memory: 1000}
+	capacity := fleet.Resources{CPU: fullCapacity, Memory: 1000}
 	ww := &simWorker{
 		Worker: workermodel.New(id, capacity, rate),
 		info:   fleet.Worker{ID: id, Service: "s", Zone: zone, Addr: id, Capacity: capacity},
@@ -152,6 +155,7 @@
 func (w *simulation) publishWorker(ww *simWorker) {
 	w.offset++
 	ww.offset = w.offset
+	ww.info.ProcessStart, ww.info.Capacity = ww.Born, ww.Capacity
 	w.entries[fmt.Sprintf("%s %d", ww.ID, ww.offset)] = ww.info
 }
 
@@ -226,6 +230,7 @@
 	storeCut     bool
 	draining     bool
 	cancels      map[uint64]*simJob // jobs whose cancellations have no answer, by sequence number
+	reads        int                // of the store, out of turn
 }
 
 func (h *simHost) clock() time.Duration { return h.w.now + h.skew }
@@ -284,11 +289,17 @@
 	h.w.after(simTickInterval, func() { h.tick(process) })
 }
 
-// readStore lets a process read the whole store, as far as it needs it, at each storeReadInterval until it ends.
+// readStore lets a process read the store at each storeReadInterval until it ends.
 func (h *simHost) readStore(process int) {
 	if h.processCount != process {
 		return
 	}
+	h.readStoreOnce()
+	h.w.after(storeReadInterval, func() { h.readStore(process) })
+}
+
+// readStoreOnce lets a process read the whole store, as far as it needs it.
+func (h *simHost) readStoreOnce() {
 	if !h.storeCut && !h.frozen {
 		read := WorkersRead{Snapshot: true}
 		for _, ww := range h.w.workers {
@@ -308,7 +319,6 @@
 	} else if !h.frozen {
 		h.step(StoreReachability{})
 	}
-	h.w.after(storeReadInterval, func() { h.readStore(process) })
 }
 
 // deliver passes events to the process with that number, or queues them while it is frozen. Events for
@@ -366,6 +376,14 @@
 			if !h.storeCut {
 				h.w.fence = max(h.w.fence, e.Fence)
 			}
+		case ReadWorkers:
+			h.reads++
+			process := h.processCount
+			h.w.after(2*simLatency, func() {
+				if h.processCount == process {
+					h.readStoreOnce()
+				}
+			})
 		case ActivateConfig:
 			if e.Config.Version < h.version {
 				h.w.fail("host %s went from configuration %d back to %d", h.name, h.version, e.Config.Version)
@@ -403,7 +421,7 @@
 		return
 	}
 	f := e.Frame
-	sent := &meshpb.Frame{From: f.GetFrom(), To: f.GetTo(), Sent: f.GetSent(), Echo: f.GetEcho(), Ack: f.GetAck(), First: f.GetFirst(), Messages: f.GetMessages(), Status: f.GetStatus()}
+	sent := &meshpb.Frame{From: f.GetFrom(), To: f.GetTo(), Sent: f.GetSent(), Echo: f.GetEcho(), Ack: f.GetAck(), First: f.GetFirst(), Messages: f.GetMessages(), Status: f.GetStatus(), Last: f.GetLast()}
 	process := to.processCount
 	link := h.w.links[[2]int{h.index, to.index}]
 	deliver := func() {
--- a/host/submission.go
+++ b/host/submission.go
@@ -38,9 +38,9 @@
 	switch {
 	case s.wasCancelled(now, job.Spec.ID, job.Route):
 		s.handleJobFinished(now, sched.JobFinished{Key: job.Key, Outcome: sched.Cancelled, Reason: reasonCancelled})
-	case waited+silent <= contactTimeout:
+	case waited+silent <= s.opts.Timing.ContactTimeout:
 		s.sched.Step(now, sched.Submit{Job: job})
-	case p.frequentHeartbeats || waited > contactTimeout:
+	case p.frequentHeartbeats || waited > s.opts.Timing.ContactTimeout:
 		s.refuseStale(now, job, "waited", waited, "silent", silent)
 	default:
 		p.unconfirmed = append(p.unconfirmed, unconfirmedJob{job: job, receivedAt: now})
--- a/sched/call.go
+++ b/sched/call.go
@@ -12,7 +12,7 @@
 	minOrderTimeout = 80 * time.Millisecond
 	minHoldTimeout  = 100 * time.Millisecond
 	// maxCallTimeout is the longest such time. With holdWait it leaves time for another hold within
-	// leaseDuration.
+	// a lease.
 	maxCallTimeout = 350 * time.Millisecond
 	// MaxReplyAge is the time after which the answer to a call is of no use, beyond the wait that a
 	// hold asks for. It is below minRestartTime, so that an answer arrives before another process of the
@@ -79,8 +79,8 @@
 
 // recordClockOf records the reading of a worker's clock in the answer to a call, unless the answer is so
 // old that the worker may have another process by now, whose clock began anew.
-func (w *worker) recordClockOf(now, sent, wait time.Duration, clock int64) {
-	if now-sent-wait <= MaxReplyAge && w.recordClock(now, sent, clock) {
+func (s *State) recordClockOf(now time.Duration, w *worker, sent, wait time.Duration, clock int64) {
+	if now-sent-wait <= MaxReplyAge && w.recordClock(now, sent, s.timing.MaxLease, clock) {
 		w.aliveAt = max(w.aliveAt, sent)
 	}
 }
--- a/sched/clock_test.go
+++ b/sched/clock_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"sesameledge.dev/sesameledge/timing"
 )
 
 // TestClockBehindEstimateIsRead guards against a worker that gets no lease any more: once its estimated
@@ -10,15 +12,15 @@
 // would look older than the one before.
 func TestClockBehindEstimateIsRead(t *testing.T) {
 	const ahead = 20 * time.Millisecond
-	w := &worker{}
+	s, w := New(0), &worker{}
 	start := time.Minute
 	clock := func(now time.Duration) int64 {
-		return 1000 + time.Duration(float64(now-start)*minClockRate).Milliseconds()
+		return 1000 + time.Duration(float64(now-start)*timing.MinClockRate).Milliseconds()
 	}
-	w.recordClockOf(start, start, 0, clock(start+ahead)) // dated before it was taken
+	s.recordClockOf(start, w, start, 0, clock(start+ahead)) // dated before it was taken
 	bound := w.leaseEndBound
 	for now := start + 250*time.Millisecond; now < start+3*time.Second; now += 250 * time.Millisecond {
-		w.recordClockOf(now, now-5*time.Millisecond, 0, clock(now))
+		s.recordClockOf(now, w, now-5*time.Millisecond, 0, clock(now))
 		if w.clockStale(now + 100*time.Millisecond) {
 			t.Fatalf("no reading was taken since %v after the start", w.lastClockAt-start)
 		}
@@ -31,8 +33,8 @@
 // TestOlderClockIsNotRead guards against an answer that was overtaken by a newer one, or that comes from
 // another process whose clock began anew, and is taken for the time of the worker.
 func TestOlderClockIsNotRead(t *testing.T) {
-	w := &worker{}
-	w.recordClockOf(10*time.Second, 10*time.Second, 0, 5000)
+	s, w := New(0), &worker{}
+	s.recordClockOf(10*time.Second, w, 10*time.Second, 0, 5000)
 	for name, r := range map[string]struct {
 		sent  time.Duration
 		clock int64
@@ -40,7 +42,7 @@
 		"overtaken":       {sent: 9900 * time.Millisecond, clock: 5010},
 		"another process": {sent: 10050 * time.Millisecond, clock: 300},
 	} {
-		w.recordClockOf(10100*time.Millisecond, r.sent, 0, r.clock)
+		s.recordClockOf(10100*time.Millisecond, w, r.sent, 0, r.clock)
 		if w.lastClock != 5000 || w.lastClockAt != 10*time.Second {
 			t.Errorf("%s: the reading %d was taken", name, r.clock)
 		}
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -9,22 +9,17 @@
 	"sesameledge.dev/sesameledge/fleet"
 	"sesameledge.dev/sesameledge/pace"
 	"sesameledge.dev/sesameledge/rtt"
+	"sesameledge.dev/sesameledge/timing"
 )
 
 const (
 	// holdWait is how long a worker waits for the end of a run before it answers a hold. It is the
 	// period of lease renewals.
 	holdWait = 250 * time.Millisecond
-	// leaseDuration is the lease that a start or a hold grants from now on. Together with the time in
-	// which the loss of an entry host is noticed it is shorter than the time after which a caller
-	// sends a job again.
-	leaseDuration = 700 * time.Millisecond
-	// maxLeaseDuration is the longest lease that a worker allows.
-	maxLeaseDuration = time.Second
 	// minRestartTime is the shortest time in which a worker restarts.
 	minRestartTime = time.Second
-	// stopGracePeriod is how long a run that has to stop may go on before the lease of its worker is
-	// no longer extended.
+	// stopGracePeriod is how long a run whose job is still wanted, and which has to stop, may go on
+	// before the lease of its worker is no longer extended.
 	stopGracePeriod = 200 * time.Millisecond
 	// stopRetryInterval is the time after which an unanswered stop is sent again.
 	stopRetryInterval = 150 * time.Millisecond
@@ -64,6 +59,10 @@
 	stats           Stats
 	queueCounters   map[queueKey]queueCounters
 	closedCells     map[fleet.Cell]bool // refuse jobs while their workers are handed over
+	timing          timing.Budget
+	suspectedHosts  map[uint64]bool // see SuspectHost
+	taskRuns        taskCounts      // runs that may be running, of all submissions of a job
+	foreignTasks    taskCounts      // foreign runs
 }
 
 // Stats counts what the state machine has done since New.
@@ -82,15 +81,19 @@
 // means that the capacity is not known.
 func New(linkBytesPerSecond float64) *State {
 	return &State{
-		link:          pace.NewLink(linkBytesPerSecond),
-		workers:       make(map[string]*worker),
-		jobs:          make(map[JobKey]*job),
-		closedCells:   make(map[fleet.Cell]bool),
-		queueCounters: make(map[queueKey]queueCounters),
-		durations:     newDurationModel(),
-		importance:    newImportance(),
-		shares:        new(shares),
-		policy:        Policy{RemotePenalty: otherRackSlowdown},
+		link:           pace.NewLink(linkBytesPerSecond),
+		workers:        make(map[string]*worker),
+		jobs:           make(map[JobKey]*job),
+		closedCells:    make(map[fleet.Cell]bool),
+		queueCounters:  make(map[queueKey]queueCounters),
+		durations:      newDurationModel(),
+		importance:     newImportance(),
+		shares:         new(shares),
+		policy:         Policy{RemotePenalty: otherRackSlowdown},
+		timing:         timing.Default(),
+		suspectedHosts: make(map[uint64]bool),
+		taskRuns:       make(taskCounts),
+		foreignTasks:   make(taskCounts),
 	}
 }
 
@@ -169,8 +172,10 @@
 		if info.Draining && !w.info.Draining {
 			s.logEvent("", "worker drains", "worker", info.ID)
 		}
+		former := w.info.ProcessStart
 		w.info = info
 		w.removed = false
+		s.compareEntry(now, w, former)
 	}
 	for id, w := range s.workers {
 		if listed[id] {
@@ -178,6 +183,7 @@
 		}
 		w.removed = true
 		if len(w.runs) == 0 {
+			s.clearForeignRuns(w)
 			delete(s.workers, id)
 		}
 	}
@@ -239,7 +245,7 @@
 	}
 	s.logEvent("", "worker taken by another host", "worker", w.info.ID, "fence", w.fence, "runs", len(w.runs))
 	w.phase = phaseNone
-	w.foreignRuns = make(map[fleet.RunKey]*foreignRun)
+	s.clearForeignRuns(w)
 	s.emit(WorkerLost{Worker: w.info.ID})
 }
 
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -6,6 +6,7 @@
 
 	"sesameledge.dev/sesameledge/fleet"
 	"sesameledge.dev/sesameledge/rtt"
+	"sesameledge.dev/sesameledge/timing"
 )
 
 // phase is the state of the command over a worker.
@@ -26,6 +27,8 @@
 	fence       int64 // token under which the host commands the worker
 	incarnation int64 // start of the process that the lists came from, in Unix ms; 0: no list yet
 
+	heardProcess int64 // start of the process that has answered last, in Unix ms; 0: unknown
+
 	lastClock     int64         // newest reading of the worker's clock in ms
 	lastClockAt   time.Duration // the clock showed lastClock at this time or earlier
 	aliveAt       time.Duration // the process with this clock lived at this time or later
@@ -84,14 +87,10 @@
 // out after the host had ended it.
 type foreignRun struct{ stop stopState }
 
-// minClockRate is the lowest rate at which the steady clock of a worker may run, relative to the
-// host's.
-const minClockRate = 0.98
-
 // leaseEndOnWorkerClock returns the end, on the worker's clock in ms, of a lease that lasts at most
-// d from now by that clock, as long as the clock runs no slower than minClockRate.
+// d from now by that clock, as long as the clock runs no slower than timing.MinClockRate.
 func (w *worker) leaseEndOnWorkerClock(now, d time.Duration) int64 {
-	elapsed := float64(now-w.lastClockAt) * minClockRate
+	elapsed := float64(now-w.lastClockAt) * timing.MinClockRate
 	return w.lastClock + int64((time.Duration(elapsed) + d).Milliseconds())
 }
 
@@ -102,13 +101,13 @@
 
 // leaseBound returns when a lease of length d that begins now has ended on the slowest clock.
 func leaseBound(now, d time.Duration) time.Duration {
-	return now + time.Duration(float64(d)/minClockRate)
+	return now + timing.OnHostClock(d)
 }
 
 // recordClock records a reading of the worker's clock in ms; 0 means none. The worker took the
 // reading between sent and now. It reports false for a reading that is older than the last one or comes
 // from another process.
-func (w *worker) recordClock(now, sent time.Duration, clock int64) bool {
+func (w *worker) recordClock(now, sent, maxLease time.Duration, clock int64) bool {
 	if clock == 0 {
 		return false
 	}
@@ -119,8 +118,8 @@
 		// The call was sent after the last reading had come, so this one is newer: the estimate is ahead
 		// of the clock, which may run as slowly as the estimate and then never catches up. The leases
 		// granted by it end later than was reckoned, but not later than the longest one that begins now.
-		later := w.leaseEndBound + time.Duration(float64(ahead)/minClockRate*float64(time.Millisecond))
-		w.leaseEndBound = max(w.leaseEndBound, min(later, leaseBound(now, maxLeaseDuration)))
+		later := w.leaseEndBound + time.Duration(float64(ahead)/timing.MinClockRate*float64(time.Millisecond))
+		w.leaseEndBound = max(w.leaseEndBound, min(later, leaseBound(now, maxLease)))
 	}
 	w.lastClock = clock
 	w.lastClockAt = now
@@ -151,26 +150,16 @@
 // work returns the CPU that the run needs, in thousandths of a core, times its predicted duration in µs.
 func (r *run) work() int64 { return r.need.CPU * r.predicted.Microseconds() }
 
-// acceptsTasks reports whether new tasks may be started on the worker.
+// acceptsTasks reports whether new tasks may be started on the worker, as long as its lease may be
+// extended.
 func (w *worker) acceptsTasks(now time.Duration) bool {
 	return (w.phase == phaseHeld || w.phase == phaseLeaving) && !w.info.Draining && !w.removed && w.missedHolds == 0 &&
-		len(w.foreignRuns) == 0 && now >= w.blockedUntil && !w.withholdsLease(now)
+		len(w.foreignRuns) == 0 && now >= w.blockedUntil && !w.entryOutdated()
 }
 
 // countsAsCapacity reports whether the worker adds to the capacity of its service, now or soon.
 func (w *worker) countsAsCapacity() bool {
-	return w.phase == phaseHeld && !w.info.Draining && !w.removed && w.missedHolds == 0
-}
-
-// withholdsLease reports whether the lease is not extended, so that runs end with it: foreign runs,
-// or runs whose stop has stayed without effect for stopGracePeriod.
-func (w *worker) withholdsLease(now time.Duration) bool {
-	for _, r := range w.runs {
-		if r.stop.isOverdue(now) {
-			return true
-		}
-	}
-	return len(w.foreignRuns) > 0
+	return w.phase == phaseHeld && !w.info.Draining && !w.removed && w.missedHolds == 0 && !w.entryOutdated()
 }
 
 // isOverdue reports whether the stop has taken too long to go on extending the lease.
--- a/session/session.go
+++ b/session/session.go
@@ -47,6 +47,7 @@
 	peerStamp        int64             // newest time stamp of the other side, in ns on its clock
 	lastEcho         time.Duration     // newest own time stamp echoed by the other side
 	refusals         []Refusal
+	lastCompleteEcho time.Duration // the same of frames that no missing message came before
 }
 
 // Refusal is a message that Send has not taken.
@@ -130,6 +131,7 @@
 	f.Sent = int64(now)
 	f.Echo = s.peerStamp
 	f.Ack = s.lastReceived
+	f.Last = s.firstUnacked + uint64(len(s.unacked)) - 1
 	if len(s.unacked) > 0 && s.next > s.firstUnacked && now-s.resendTimerStart >= resendInterval {
 		s.next = s.firstUnacked
 	}
@@ -165,6 +167,9 @@
 		s.lastReceived = n
 		newMessages = append(newMessages, m)
 	}
+	if s.lastReceived >= f.GetLast() {
+		s.lastCompleteEcho = max(s.lastCompleteEcho, time.Duration(f.GetEcho()))
+	}
 	return newMessages
 }
 
@@ -187,5 +192,9 @@
 // its echo. 0 means that no frame has been echoed.
 func (s *Session) LastContact() time.Duration { return s.lastEcho }
 
+// LastCompleteContact returns the same as LastContact of those frames before which all messages of the
+// other process had arrived. What it has withdrawn before that time is known here.
+func (s *Session) LastCompleteContact() time.Duration { return s.lastCompleteEcho }
+
 // Unacknowledged returns the number of messages that the process has not acknowledged.
 func (s *Session) Unacknowledged() int { return len(s.unacked) }
