Keep new work away from evacuated zones, and count cold workers by their speed

Cause: nothing read the operator's request to evacuate a zone, nor how long a worker stays slow after its start. Change: each host keeps a copy of the requests that is complete up to an offset of the store, from its own reads or from a peer. No task starts in an evacuated zone, nor anywhere before the copy is complete. Jobs that have not begun are refused there, so that their hosts offer them elsewhere. A cold worker counts with the speed that was learned for its service, and its runs teach nothing about the warm one.

--- a/entry/exposition.go
+++ b/entry/exposition.go
@@ -31,12 +31,14 @@
 	callTimeout     time.Duration // of calls to workers
 	version         int64         // of the configuration in force
 	droppedLogLines int64         // log lines dropped since the start
+	evacuations     []host.EvacuationDump
 }
 
 // snapshot reads the current values. It reports false if the event loop has ended.
 func (h *Host) snapshot() (s snapshot, ok bool) {
 	s.droppedLogLines = h.logOutput.droppedLines()
-	ok = h.loop.readState(func(_ time.Duration, state *host.State) {
+	ok = h.loop.readState(func(now time.Duration, state *host.State) {
+		s.evacuations = state.Evacuations(now)
 		s.host, s.sched = state.Stats(), state.Scheduler().Stats()
 		s.openJobs, s.cells = state.OpenJobs(), state.CellCount()
 		s.callTimeout = state.Scheduler().CallTimeout()
@@ -71,7 +73,7 @@
 // families returns the counters and gauges.
 func (s snapshot) families() []*dto.MetricFamily {
 	h, d := s.host, s.sched
-	return []*dto.MetricFamily{
+	return append([]*dto.MetricFamily{
 		counter("jobs_arrived_total", "Jobs of this host's callers.", "", labelValues{"": h.Arrived}),
 		counter("jobs_answered_total", "Jobs of this host's callers that have ended, by outcome.", "outcome", labelValues{
 			"completed": h.Completed, "failed": h.Failed, "refused": h.Refused, "aborted": h.Aborted, "caller_gone": h.Gone,
@@ -97,9 +99,38 @@
 		gauge("cells", "Cells that this host commands or hands over.", int64(s.cells)),
 		gauge("worker_call_timeout_ms", "Time in ms after which calls to workers count as unanswered. It rises when answers are slow.", s.callTimeout.Milliseconds()),
 		gauge("config_version", "Version of the configuration in force, 0 if there is none.", s.version),
+	}, s.zoneGauges()...)
+}
+
+// zoneGauges returns the gauges with one metric for each availability zone.
+func (s snapshot) zoneGauges() []*dto.MetricFamily {
+	if len(s.evacuations) == 0 {
+		return nil // no zones are known, and a family needs a metric
+	}
+	return []*dto.MetricFamily{
+		s.zoneGauge("evacuation_requested", "1 for each zone that gets no new work.", func(e host.EvacuationDump) int64 {
+			if e.Requested {
+				return 1
+			}
+			return 0
+		}),
+		s.zoneGauge("evacuation_in_force_ms", "Time in ms since the evacuation of a zone came into force on this host, 0 if it has not.", func(e host.EvacuationDump) int64 { return e.InForceMS }),
+		s.zoneGauge("zone_runs", "Runs on the workers of a zone that this host commands.", func(e host.EvacuationDump) int64 { return int64(e.Runs) }),
 	}
 }
 
+// zoneGauge returns a gauge family with one metric for each availability zone.
+func (s snapshot) zoneGauge(name, help string, value func(host.EvacuationDump) int64) *dto.MetricFamily {
+	f := &dto.MetricFamily{Name: ptr(namePrefix + name), Help: ptr(help), Type: dto.MetricType_GAUGE.Enum()}
+	for _, e := range s.evacuations {
+		f.Metric = append(f.Metric, &dto.Metric{
+			Label: []*dto.LabelPair{{Name: ptr("zone"), Value: ptr(e.Zone)}},
+			Gauge: &dto.Gauge{Value: ptr(float64(value(e)))},
+		})
+	}
+	return f
+}
+
 // labelValues maps each value of a metric's label to the metric's value.
 type labelValues map[string]int64
 
--- a/entry/host.go
+++ b/entry/host.go
@@ -118,6 +118,7 @@
 		LinkBytesPerSecond: s.linkBytesPerSecond(),
 		Seeds:              s.Seeds,
 		Decode:             host.Decoders{Config: platform.DecodeConfig, Worker: platform.DecodeWorker},
+		AwaitEvacuations:   true,
 		Seed:               h.id,
 		Started:            sinceBoot(),
 		UnixMillis:         time.Now().UnixMilli(),
@@ -160,7 +161,7 @@
 func (h *Host) startStoreAccess(ctx context.Context) {
 	go h.announceHost(ctx)
 	for _, f := range []*topicReader{
-		{topic: platform.TopicOperator, longPoll: configLongPoll, handle: h.handleConfigRecords, reportRead: h.storeReadReporter(0)},
+		{topic: platform.TopicOperator, longPoll: configLongPoll, handle: h.handleOperatorRecords, reportRead: h.storeReadReporter(0)},
 		{topic: platform.TopicWorkers, interval: workersReadInterval, wanted: h.loop.readsWorkers.Load, handle: h.handleWorkerRecords, reportRead: h.storeReadReporter(1)},
 		{topic: platform.TopicHosts, interval: hostsReadInterval, handle: h.handleHostRecords, reportRead: func(bool) {}},
 	} {
--- a/entry/store.go
+++ b/entry/store.go
@@ -45,8 +45,9 @@
 	logger         log.Logger
 	// wanted reports whether the topic has to be read now; nil: always.
 	wanted func() bool
-	// handle processes records. A snapshot holds the newest record of every key.
-	handle func(records []platform.Record, snapshot bool)
+	// handle processes records. A snapshot holds the newest record of every key. All records before the
+	// offset end have been read.
+	handle func(records []platform.Record, snapshot bool, end int64)
 	// reportRead is told after each read whether it succeeded.
 	reportRead func(succeeded bool)
 }
@@ -101,28 +102,34 @@
 	if from < 0 {
 		records, next, err := f.store.ReadNewest(ctx, f.topic)
 		if err == nil {
-			f.handle(records, true)
+			f.handle(records, true, next)
 		}
 		return next, err
 	}
 	records, next, err := f.store.Read(ctx, f.topic, from, f.longPoll)
 	if err == nil && len(records) > 0 {
-		f.handle(records, false)
+		f.handle(records, false, next)
 	}
 	return next, err
 }
 
-// handleConfigRecords sends the operator's configuration to the event loop.
-func (h *Host) handleConfigRecords(records []platform.Record, _ bool) {
+// handleOperatorRecords sends the operator's configuration and requests to evacuate zones to the event
+// loop.
+func (h *Host) handleOperatorRecords(records []platform.Record, snapshot bool, end int64) {
+	evacuations := host.EvacuationsRead{Snapshot: snapshot, End: end}
 	for _, r := range records {
 		if r.Key == platform.KeyConfig && len(r.Value) > 0 {
 			h.loop.send(host.ConfigRead{Record: r.Value})
 		}
+		if e, ok := platform.DecodeEvacuation(r); ok {
+			evacuations.Evacuations = append(evacuations.Evacuations, e)
+		}
 	}
+	h.loop.send(evacuations)
 }
 
 // handleWorkerRecords sends worker records to the event loop. It ignores records without a key.
-func (h *Host) handleWorkerRecords(records []platform.Record, snapshot bool) {
+func (h *Host) handleWorkerRecords(records []platform.Record, snapshot bool, _ int64) {
 	ev := host.WorkersRead{Snapshot: snapshot}
 	for _, r := range records {
 		if r.Key == "" {
@@ -136,7 +143,7 @@
 
 // handleHostRecords sends the addresses of entry hosts and their highest fencing token to the
 // event loop. It ignores records that cannot be decoded.
-func (h *Host) handleHostRecords(records []platform.Record, _ bool) {
+func (h *Host) handleHostRecords(records []platform.Record, _ bool, _ int64) {
 	var ev host.HostsDiscovered
 	for _, r := range records {
 		known, err := platform.DecodeHost(r.Value)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -80,6 +80,10 @@
 	// ProcessStart is when the worker's process started, in Unix ms; 0 if unknown. A new value means a new
 	// incarnation, which runs no tasks and has seen no fencing token.
 	ProcessStart int64
+	// ColdLeft is how much longer the worker stays slow after its start, from when its entry was written.
+	ColdLeft time.Duration
+	// ColdUntil is when that ends on the clock of the host that has read the entry; 0: the worker is warm.
+	ColdUntil time.Duration
 }
 
 // HasLabel reports whether the worker has a label.
--- a/host/choose.go
+++ b/host/choose.go
@@ -81,7 +81,7 @@
 	var bestCost time.Duration
 	free := int64(0) // total over the cells so far whose cost equals bestCost
 	for _, c := range s.availableCells(now) {
-		if j.refusedBy[c.name] || !s.fillLoad(c, j.route.Service) {
+		if j.refusedBy[c.name] || !s.mayStartIn(c) || !s.fillLoad(c, j.route.Service) {
 			continue
 		}
 		c.wait = c.load.PredictWait(int64(j.spec.Tasks) * j.spec.Need.CPU)
@@ -89,6 +89,7 @@
 		if c.name.Zone() != s.opts.Self.Zone {
 			cost += crossZonePenalty
 		}
+		cost += s.slowdown(c, j)
 		switch {
 		case best == nil || cost < bestCost:
 			best, bestCost, free = c, cost, max(1, c.load.FreeCPU)
--- a/host/dump.go
+++ b/host/dump.go
@@ -8,16 +8,21 @@
 
 // Dump is the state of a host for operators. Times are in ms.
 type Dump struct {
-	Host          string             `json:"host"`
-	Zone          string             `json:"zone"`
-	ID            uint64             `json:"id"`
-	Draining      bool               `json:"draining"`
-	ConfigVersion int64              `json:"config_version"`
-	StoreReached  bool               `json:"store_reached"`
-	Cells         []CellDump         `json:"cells"`
-	Peers         []PeerDump         `json:"peers"`
-	Jobs          []JobDump          `json:"jobs"`
-	Workers       []sched.WorkerDump `json:"workers"`
+	Host          string `json:"host"`
+	Zone          string `json:"zone"`
+	ID            uint64 `json:"id"`
+	Draining      bool   `json:"draining"`
+	ConfigVersion int64  `json:"config_version"`
+	StoreReached  bool   `json:"store_reached"`
+	// Evacuations lists the zones; EvacuationsKnown is false as long as the host does not know which are
+	// evacuated. ColdSpeeds are the speeds of cold workers by service, relative to warm ones.
+	Evacuations      []EvacuationDump   `json:"evacuations"`
+	EvacuationsKnown bool               `json:"evacuations_known"`
+	ColdSpeeds       map[string]float64 `json:"cold_speeds"`
+	Cells            []CellDump         `json:"cells"`
+	Peers            []PeerDump         `json:"peers"`
+	Jobs             []JobDump          `json:"jobs"`
+	Workers          []sched.WorkerDump `json:"workers"`
 }
 
 // CellDump is a cell that the host commands.
@@ -58,6 +63,7 @@
 	d := Dump{
 		Host: s.opts.Self.Name, Zone: s.opts.Self.Zone, ID: s.opts.Self.ID,
 		Draining: s.draining, StoreReached: s.storeReachable, Workers: s.sched.Dump(now),
+		Evacuations: s.Evacuations(now), EvacuationsKnown: s.evacuations.known, ColdSpeeds: s.sched.ColdSpeeds(),
 	}
 	if s.config != nil {
 		d.ConfigVersion = s.config.Version
--- a/host/event.go
+++ b/host/event.go
@@ -35,6 +35,15 @@
 // ConfigRead reports a configuration that was read from the store, still encoded.
 type ConfigRead struct{ Record []byte }
 
+// EvacuationsRead holds requests to evacuate zones that were read from the store. A snapshot holds the
+// request of every zone that is to be evacuated; otherwise only newer requests and withdrawals are listed.
+// All records before the offset End have been read.
+type EvacuationsRead struct {
+	Evacuations []fleet.Evacuation
+	Snapshot    bool
+	End         int64
+}
+
 // WorkerRecord is the entry of a worker in the store. An empty Record means that the entry was
 // removed.
 type WorkerRecord struct {
@@ -67,6 +76,7 @@
 func (FrameReceived) hostEvent()     {}
 func (HostsDiscovered) hostEvent()   {}
 func (ConfigRead) hostEvent()        {}
+func (EvacuationsRead) hostEvent()   {}
 func (WorkersRead) hostEvent()       {}
 func (StoreReachability) hostEvent() {}
 func (WorkerEvent) hostEvent()       {}
--- a/host/host.go
+++ b/host/host.go
@@ -46,9 +46,11 @@
 	CellWorkers int
 	// LinkBytesPerSecond is the capacity of the host's network link. 0: not known.
 	LinkBytesPerSecond float64
-	Decode             Decoders
-	Seed               uint64
-	Started            time.Duration // when the process started, on the clock that gives Step its times
+	// AwaitEvacuations makes the host start no tasks before it knows which zones are evacuated.
+	AwaitEvacuations bool
+	Decode           Decoders
+	Seed             uint64
+	Started          time.Duration // when the process started, on the clock that gives Step its times
 	// UnixMillis is the time of day at Started in Unix ms. It orders the fencing tokens of
 	// processes that do not know of each other; no guarantee depends on it.
 	UnixMillis int64
@@ -65,6 +67,7 @@
 	config           *fleet.Config
 	configRecord     []byte // of config
 	configAdoptedAt  time.Duration
+	evacuations      evacuations
 	workers          map[string]*workerEntry
 	sortedWorkers    []*workerEntry // workers by ID; nil: must be sorted again
 	zoneParts        map[string]int // cells into which each zone is divided
@@ -108,6 +111,7 @@
 		readsWorkers: true,
 		rng:          rand.New(rand.NewPCG(opts.Seed, opts.Self.ID)),
 	}
+	s.restrictStarts(opts.Started)
 	for _, addr := range opts.Seeds {
 		s.addPeer(&meshpb.Host{Addr: addr})
 	}
@@ -179,6 +183,8 @@
 		}
 	case ConfigRead:
 		s.applyConfig(now, e.Record, "store")
+	case EvacuationsRead:
+		s.handleEvacuationsRead(now, e)
 	case WorkersRead:
 		s.handleWorkersRead(now, e)
 	case StoreReachability:
--- a/host/knowledge.go
+++ b/host/knowledge.go
@@ -108,8 +108,9 @@
 		}
 		return
 	}
+	info.ColdUntil = coldUntil(now, old, r.Offset, info)
 	e := &workerEntry{info: info, record: r.Record, offset: r.Offset}
-	if old != nil && sameWorker(old.info, info) && old.removedAt == 0 {
+	if old != nil && sameWorker(old.info, info) && sameColdness(now, old.info, info) && old.removedAt == 0 {
 		e.change = old.change
 	} else {
 		s.countChange(e)
@@ -185,6 +186,7 @@
 			continue
 		}
 		s.forwardConfig(now, p)
+		s.forwardEvacuations(now, p)
 		if (!p.status.GetStoreReachable() || len(p.status.GetCells()) == 0) && now-p.firstContactAt >= workerForwardDelay {
 			s.forwardWorkers(p)
 		}
--- a/host/machine_test.go
+++ b/host/machine_test.go
@@ -243,6 +243,12 @@
 	m.w.publishWorker(ww)
 }
 
+// evacuate asks for the evacuation of a zone or withdraws it, and perhaps drops the history of the store.
+func (m *hostMachine) evacuate(t *rapid.T) {
+	m.w.evacuate(rapid.SampledFrom(simZones).Draw(t, "zone"), rapid.Bool().Draw(t, "requested"))
+	m.w.lostHistory = rapid.Bool().Draw(t, "lostHistory")
+}
+
 // heal ends all faults of networks and workers.
 func (m *hostMachine) heal() {
 	m.setZoneCut(false, false)
@@ -256,6 +262,9 @@
 func (m *hostMachine) recover(t *rapid.T) {
 	m.heal()
 	m.w.load = 0
+	for _, zone := range simZones {
+		m.w.evacuate(zone, false)
+	}
 	for _, h := range m.w.hosts {
 		h.wake()
 	}
@@ -343,6 +352,7 @@
 			"drainWorker":   m.drainWorker,
 			"hideWorker":    m.hideWorker,
 			"publish":       func(*rapid.T) { m.w.version++ },
+			"evacuate":      m.evacuate,
 			"pass":          func(t *rapid.T) { m.w.advance(drawTime(t, "ms", 1, 100)) },
 			"passLong":      func(t *rapid.T) { m.w.advance(drawTime(t, "ms", 100, 1500)) },
 			"passAgain":     func(t *rapid.T) { m.w.advance(drawTime(t, "ms", 100, 3000)) },
--- a/host/peers.go
+++ b/host/peers.go
@@ -35,7 +35,9 @@
 	frequentHeartbeats bool             // jobs have been exchanged for at least heartbeatTransitionTime
 	replacedIDs        map[uint64]bool  // IDs of earlier processes at this address
 	forwardedConfig    int64            // newest configuration version forwarded to it
-	forwardedChange    uint64           // changes of worker entries up to this number were forwarded to it
+	// forwardedEvacuations is the position up to which evacuations were forwarded to it, plus one.
+	forwardedEvacuations int64
+	forwardedChange      uint64 // changes of worker entries up to this number were forwarded to it
 }
 
 // addPeer adds a host unless it is known; updateContact decides whether it is sent frames. A host whose
@@ -120,7 +122,7 @@
 	p.live = false
 	p.firstContactAt = now
 	p.contacted, p.contactNeededAt = true, now // it may need the answer to find other hosts
-	p.forwardedConfig, p.forwardedChange = 0, 0
+	p.forwardedConfig, p.forwardedChange, p.forwardedEvacuations = 0, 0, 0
 	s.peersByID[from.GetId()] = p
 	p.redialedAt = now
 	s.emit(Redial{Addr: from.GetAddr()}) // the connection may be in backoff after failed attempts
@@ -176,6 +178,8 @@
 		s.handleOutcome(now, p.info.GetId(), kind.Outcome)
 	case *meshpb.Message_Config:
 		s.applyConfig(now, kind.Config.GetRecord(), p.info.GetName())
+	case *meshpb.Message_Evacuations:
+		s.handleForwardedEvacuations(now, p, kind.Evacuations)
 	case *meshpb.Message_Workers:
 		s.handleForwardedWorkers(now, kind.Workers)
 	case *meshpb.Message_Hosts:
--- a/host/simulation_jobs_test.go
+++ b/host/simulation_jobs_test.go
@@ -268,6 +268,7 @@
 		return reply
 	}
 	j.started = true
+	ww.starts++
 	w.check()
 	w.checkRefusal(j)
 	born := ww.Born
--- a/host/simulation_test.go
+++ b/host/simulation_test.go
@@ -40,6 +40,8 @@
 	offset      int64                   // of the newest record
 	version     int64                   // of the newest configuration
 	fence       int64                   // highest announced fencing token
+	requests    []fleet.Evacuation      // the operator's requests and withdrawals, by offset
+	lostHistory bool                    // the store returns only the requests in force
 	nextID      uint64
 	nextJob     int
 	load        time.Duration // time between two jobs of the background load; 0: no load
@@ -133,6 +135,7 @@
 	unlisted       bool     // it has no entry in the store
 	cut            bool     // it is unreachable from all hosts
 	zoneCut        bool     // it is unreachable from the hosts of other zones
+	starts         int      // accepted starts of tasks
 	lateShare      float64  // share of the orders that are carried out late and not answered
 	lostReplyShare float64  // share of the orders that are carried out at once and not answered
 }
@@ -223,7 +226,9 @@
 	open         map[uint64]*simJob // jobs whose callers wait
 	version      int64              // of the configuration in force
 	storeCut     bool
-	draining     bool
+	// evacuationsRead is the offset from which the process reads the requests next; -1: none was read.
+	evacuationsRead int
+	draining        bool
 }
 
 func (h *simHost) clock() time.Duration { return h.w.now + h.skew }
@@ -236,9 +241,11 @@
 	h.frozen, h.stalled, h.draining = false, false, false
 	h.inbox, h.outbox, h.version = nil, nil, 0
 	h.open = make(map[uint64]*simJob)
+	h.evacuationsRead = -1
 	h.state = New(Options{
-		Self:  Self{Name: h.name, Zone: h.zone, Addr: h.addr, ID: w.nextID, Weight: 400},
-		Zones: simZones, Seeds: []string{w.hosts[0].addr, w.hosts[len(w.hosts)-1].addr},
+		AwaitEvacuations: true,
+		Self:             Self{Name: h.name, Zone: h.zone, Addr: h.addr, ID: w.nextID, Weight: 400},
+		Zones:            simZones, Seeds: []string{w.hosts[0].addr, w.hosts[len(w.hosts)-1].addr},
 		Decode: Decoders{
 			Config: func(record []byte) (*fleet.Config, error) {
 				return &fleet.Config{Version: int64(len(record))}, nil
@@ -296,7 +303,7 @@
 		for _, o := range h.w.hosts {
 			hosts.Hosts = append(hosts.Hosts, &meshpb.Host{Addr: o.addr})
 		}
-		events := []Event{ConfigRead{Record: make([]byte, h.w.version)}, hosts, StoreReachability{Reachable: true}}
+		events := []Event{ConfigRead{Record: make([]byte, h.w.version)}, h.readEvacuations(), hosts, StoreReachability{Reachable: true}}
 		if h.state.ReadsWorkers() {
 			events = append(events, read)
 		}
@@ -365,7 +372,10 @@
 				h.w.fail("host %s went from configuration %d back to %d", h.name, h.version, e.Config.Version)
 			}
 			h.version = e.Config.Version
-		case sched.StartRun, sched.StopRun, sched.HoldWorker:
+		case sched.StartRun:
+			h.checkZoneOpen(e.Worker.Zone)
+			h.w.order(h, e)
+		case sched.StopRun, sched.HoldWorker:
 			h.w.order(h, e)
 		}
 	}
--- a/host/validate.go
+++ b/host/validate.go
@@ -39,6 +39,9 @@
 	if !validFence(st.GetMaxFence()) {
 		return errors.Newf("the fencing token %d is out of bounds", st.GetMaxFence())
 	}
+	if st.GetEvacuationOffset() < 0 {
+		return errors.Newf("the position %d of the evacuations is negative", st.GetEvacuationOffset())
+	}
 	for _, c := range st.GetCells() {
 		switch {
 		case !validFence(c.GetFence()) || c.GetCommanded() < 0:
--- a/sched/dump.go
+++ b/sched/dump.go
@@ -12,6 +12,7 @@
 	Draining bool      `json:"draining"`
 	Removed  bool      `json:"removed"`
 	Speed    float64   `json:"speed"`    // relative to the mean of all workers
+	ColdMS   int64     `json:"cold_ms"`  // how much longer it stays slow after its start
 	Misses   int       `json:"misses"`   // failed holds in a row
 	FreeCPU  int64     `json:"free_cpu"` // thousandths of a core
 	LeaseMS  int64     `json:"lease_ms"`
@@ -42,7 +43,7 @@
 		}
 		d := WorkerDump{
 			Worker: w.info.ID, Zone: w.info.Zone, Cell: string(w.cell), Phase: phaseNames[w.phase], Fence: w.fence,
-			Draining: w.info.Draining, Removed: w.removed, Speed: w.speed, Misses: w.missedHolds,
+			Draining: w.info.Draining, Removed: w.removed, Speed: w.speed, ColdMS: w.coldLeft(now).Milliseconds(), Misses: w.missedHolds,
 			FreeCPU: w.freeCapacity().CPU, LeaseMS: max(0, w.leaseEndBound-now).Milliseconds(), Foreign: len(w.foreignRuns),
 		}
 		for _, r := range sortedRuns(w) {
--- a/sched/invariant.go
+++ b/sched/invariant.go
@@ -16,6 +16,8 @@
 		return errors.New("the host does not command the worker")
 	case w.info.Draining || w.removed:
 		return errors.New("the worker is draining or no longer in the directory")
+	case s.restrictions.reason(w.info.Zone) != "":
+		return errors.New(s.restrictions.reason(w.info.Zone))
 	case !j.eligible(w):
 		return errors.New("the worker belongs to another service or cell")
 	case len(w.foreignRuns) > 0:
--- a/sched/load.go
+++ b/sched/load.go
@@ -45,6 +45,7 @@
 	loads := make(map[string]Load)
 	rates := make(map[string]float64)
 	running := make(map[string]int64) // CPU of the running tasks, times their predicted durations in µs
+	busyCPU := make(map[string]int64) // CPU of the running tasks
 	for _, w := range s.sortedWorkers {
 		if !w.countsAsCapacity() || w.cell != cell {
 			continue
@@ -54,11 +55,13 @@
 		for _, r := range w.runs {
 			free -= r.need.CPU
 			running[w.info.Service] += r.need.CPU * r.predicted.Microseconds()
+			busyCPU[w.info.Service] += r.need.CPU
 		}
 		l.CapacityCPU += w.info.Capacity.CPU
-		l.FreeCPU += max(0, free)
+		speed := s.currentSpeed(s.lastStep, w)
+		l.FreeCPU += int64(float64(max(0, free)) * speed / w.speed) // a cold worker counts by what it can do
 		loads[w.info.Service] = l
-		rates[w.info.Service] += float64(w.info.Capacity.CPU) * packingEfficiency * w.speed
+		rates[w.info.Service] += float64(w.info.Capacity.CPU) * packingEfficiency * speed
 	}
 	waitingBytes := 0
 	for _, j := range s.queue {
@@ -74,7 +77,7 @@
 	for service, l := range loads {
 		l.EffectiveCPU = int64(rates[service])
 		l.QueuedCPUMillis = max(l.QueuedCPUMillis, linkWait.Milliseconds()*l.EffectiveCPU)
-		if busy := l.CapacityCPU - l.FreeCPU; busy > 0 {
+		if busy := busyCPU[service]; busy > 0 {
 			l.MeanTaskDuration = time.Duration(running[service]/busy) * time.Microsecond
 		}
 		loads[service] = l
--- a/sched/model.go
+++ b/sched/model.go
@@ -76,6 +76,9 @@
 		return
 	}
 	w.consecutiveFailures = 0
+	if s.recordColdRun(w, r, took) {
+		return
+	}
 	j := r.job
 	s.durations.record(j.route.Name, j.spec.Estimate, took, w.speed)
 	logSpeedSample := math.Log(j.taskDuration.Seconds() / took.Seconds())
--- a/sched/place.go
+++ b/sched/place.go
@@ -22,6 +22,7 @@
 		return
 	}
 	s.needsPlacement = false
+	s.endRestrictedJobs(now)
 	s.compactQueue()
 	if len(s.queue) == 0 {
 		return
@@ -156,7 +157,7 @@
 		if !c.free.Fits(j.spec.Need) || !j.allowsWorker(c.w) {
 			continue
 		}
-		score := j.score(now, c, mayWait)
+		score := j.score(now, c, s.speedFor(now, c.w, j.taskDuration), mayWait)
 		if score > bestScore {
 			best, bestScore = c, score
 		}
@@ -165,8 +166,7 @@
 }
 
 // score rates a worker for a task of the job. 0 means that the task should wait.
-func (j *job) score(now time.Duration, c *candidate, mayWait bool) float64 {
-	speed := c.w.speed
+func (j *job) score(now time.Duration, c *candidate, speed float64, mayWait bool) float64 {
 	if j.spec.Rack != "" && c.w.info.Rack != j.spec.Rack {
 		speed /= otherRackSlowdown
 	}
@@ -185,7 +185,7 @@
 // end in time if it started now.
 func (s *State) hasInTimeWorker(now time.Duration, j *job) bool {
 	for _, w := range s.sortedWorkers {
-		if j.eligible(w) && w.countsAsCapacity() && w.info.Capacity.Fits(j.spec.Need) && j.inTime(now, w.speed) {
+		if j.eligible(w) && w.countsAsCapacity() && w.info.Capacity.Fits(j.spec.Need) && j.inTime(now, s.speedFor(now, w, j.taskDuration)) {
 			return true
 		}
 	}
@@ -255,7 +255,8 @@
 	w.raiseLeaseEndBound(now, leaseDuration)
 	r := &run{
 		key: key, job: j, index: index, need: j.spec.Need, startSentAt: now, leaseUntil: until,
-		predicted: time.Duration(float64(j.taskDuration) / w.speed),
+		predicted: time.Duration(float64(j.taskDuration) / s.speedFor(now, w, j.taskDuration)),
+		coldUntil: w.info.ColdUntil,
 	}
 	w.runs[key] = r
 	j.activeRuns++
@@ -291,6 +292,9 @@
 	if s.closedCells[j.cell] {
 		return reasonHandover
 	}
+	if reason := s.restrictions.reason(j.cell.Zone()); reason != "" {
+		return reason
+	}
 	load, ok := s.Loads(j.cell)[j.route.Service]
 	if !ok || load.CapacityCPU == 0 {
 		return "no worker of the service is at hand"
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -58,6 +58,8 @@
 	sortedWorkers  []*worker // by ID
 	stats          Stats
 	closedCells    map[fleet.Cell]bool // refuse jobs while their workers are handed over
+	restrictions   startRestrictions
+	cold           *coldModel
 }
 
 // Stats counts what the state machine has done since New.
@@ -82,6 +84,7 @@
 		closedCells: make(map[fleet.Cell]bool),
 		durations:   newDurationModel(),
 		importance:  newImportance(),
+		cold:        newColdModel(),
 	}
 }
 
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -60,6 +60,7 @@
 	need              fleet.Resources
 	startSentAt       time.Duration
 	predicted         time.Duration // duration on this worker
+	coldUntil         time.Duration // when the worker was expected to be warm as the run started; 0: it was warm
 	confirmedAt       time.Duration // when the worker was first known to run it; 0: not yet
 	leaseUntil        int64         // end of the lease in the start, on the worker's clock in ms; 0: unknown since a restart
 	listedIncarnation int64         // incarnation that has listed the run; 0: none
