--- a/standin/fleetsim/order.go
+++ b/standin/fleetsim/order.go
@@ -130,6 +130,9 @@
 		duration = time.Duration(w.faults.SlowFactor * float64(duration))
 	}
 	now := time.Now()
+	if now.Before(w.coldUntil) {
+		duration *= ColdSlowdown
+	}
 	w.running[o.Task] = &activeRun{
 		number: o.Attempt, start: now, end: now.Add(duration), fails: rand.Float64() < w.faults.FailedShare,
 	}
--- a/standin/fleetsim/publish.go
+++ b/standin/fleetsim/publish.go
@@ -19,10 +19,19 @@
 	s.PutJSON("keyed.servers", w.ID, map[string]any{
 		"service": Service, "addr": addr, "zone": zone, "version": "v1", "slots": 8, "state": state,
 		"capacity": map[string]int64{"cpu": w.Capacity, "memMb": 65536, "gpu": 0},
-		"labels":   []string{"a", "r1"}, "seq": 1,
+		"labels":   []string{"a", "r1"}, "seq": 1, "coldLeftMs": w.coldLeft().Milliseconds(),
 	})
 }
 
+// PutEvacuation requests the evacuation of an availability zone or withdraws it, as the operator does.
+func (s *Store) PutEvacuation(zone string, requested bool) {
+	value := []byte("{}")
+	if !requested {
+		value = nil
+	}
+	s.Put("keyed.op", "evacuate/"+zone, value)
+}
+
 // RemoveWorkerEntry removes the record of a worker, as the platform does when the worker has left or its lease has
 // ended.
 func (s *Store) RemoveWorkerEntry(w *Worker) { s.Put("keyed.servers", w.ID, nil) }
--- a/standin/fleetsim/worker.go
+++ b/standin/fleetsim/worker.go
@@ -15,6 +15,7 @@
 	mu               sync.Mutex
 	clockRate        float64 // speed of its clock; 1 is real time
 	faults           Faults
+	coldUntil        time.Time // until then tasks that start take ColdSlowdown times as long
 	history          []EndedRun
 	processStart     time.Time
 	fence            int64                 // highest fencing token seen
@@ -119,6 +120,23 @@
 	w.faults = f
 }
 
+// ColdSlowdown is the factor on the durations of tasks that start on a cold worker.
+const ColdSlowdown = 3
+
+// SetCold makes the worker slow for some time, as one that has just started is.
+func (w *Worker) SetCold(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.coldUntil = time.Now().Add(d)
+}
+
+// coldLeft returns how much longer the worker is slow after its start.
+func (w *Worker) coldLeft() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return max(0, time.Until(w.coldUntil))
+}
+
 // History returns the runs that have ended.
 func (w *Worker) History() []EndedRun {
 	w.mu.Lock()
--- a/standin/soak/deployment.go
+++ b/standin/soak/deployment.go
@@ -45,6 +45,8 @@
 	publishTimes      []time.Time // of each configuration, in order
 	activeStoreFaults int         // number of store faults that have not ended
 	lastStoreFaultEnd time.Time   // zero if none has ended
+	storeFaults       []interval  // all store faults
+	evacuations       []evacuation
 
 	stalls stalls
 }
--- a/standin/soak/fault_platform.go
+++ b/standin/soak/fault_platform.go
@@ -28,11 +28,14 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.activeStoreFaults++
+	d.storeFaults = append(d.storeFaults, interval{from: time.Now()})
+	n := len(d.storeFaults) - 1
 	return func() {
 		d.mu.Lock()
 		defer d.mu.Unlock()
 		d.activeStoreFaults--
 		d.lastStoreFaultEnd = time.Now()
+		d.storeFaults[n].to = d.lastStoreFaultEnd
 	}
 }
 
--- a/standin/soak/run.go
+++ b/standin/soak/run.go
@@ -31,6 +31,7 @@
 type report struct {
 	seed          uint64
 	startedFaults []string // in order of their start, with start and duration
+	evacuations   []string // with start and duration
 	jobs          int
 	outcomes      map[string]int // number of requests by answer
 	findings      []string
@@ -53,7 +54,8 @@
 	for _, f := range r.findings {
 		fmt.Fprintf(&b, "\n  FINDING: %s", f)
 	}
-	fmt.Fprintf(&b, "\n  faults: %s\n  logs in %s", strings.Join(r.startedFaults, "; "), filepath.Base(r.logs))
+	fmt.Fprintf(&b, "\n  faults: %s\n  evacuations: %s\n  logs in %s",
+		strings.Join(r.startedFaults, "; "), strings.Join(r.evacuations, "; "), filepath.Base(r.logs))
 	return b.String()
 }
 
@@ -115,12 +117,15 @@
 			d.watchConfig(h, stopWatch)
 		}()
 	}
+	evacuated := d.evacuateZones(ctx, rand.New(rand.NewPCG(r.seed, 0)), r, length)
 	d.injectFaults(ctx, rng, r, length)
+	<-evacuated
 	stopLoad()
 	close(stopWatch)
 	wg.Wait()
 	d.checkRecovery(c, rng)
 	c.checkJobs()
+	d.checkEvacuations()
 	r.countAnswers(c)
 	r.stallTime = d.stalls.total()
 }
