--- a/host/evacuation.go
+++ b/host/evacuation.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -165,7 +166,7 @@
 	known := s.evacuations.known
 	changed := adopt()
 	if !known && s.evacuations.known {
-		s.log("evacuation", "", "evacuated zones known", "from", from, "position", s.evacuations.position, "zones", s.evacuations.sortedZones())
+		s.log("evacuation", "", "evacuated zones known", "from", from, "position", s.evacuations.position, "zones", strings.Join(s.evacuations.sortedZones(), ","))
 	}
 	for _, zone := range changed {
 		message := "zone taken back"
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -163,6 +163,9 @@
 		if info.Draining && !w.info.Draining {
 			s.logEvent("", "worker drains", "worker", info.ID)
 		}
+		if info.ColdUntil > now && w.coldLeft(now) == 0 {
+			s.logEvent("", "worker is cold", "worker", info.ID, "left", info.ColdUntil-now, "assumed_speed", s.cold.speed(info.Service))
+		}
 		w.info = info
 		w.removed = false
 	}
