--- a/host/evacuation_test.go
+++ b/host/evacuation_test.go
@@ -118,6 +118,12 @@
 	w.evacuate("north", true)
 	w.advance(time.Second)
 	requireEmpty(t, w, "north", 4*time.Second)
+	for _, h := range w.hosts {
+		j := &job{route: fleet.Route{Service: "s"}, spec: fleet.JobSpec{Tasks: 1}}
+		if c, ok := h.state.chooseCell(h.clock(), j); !ok || c.name.Zone() == "north" {
+			t.Errorf("host %s passes a job to the evacuated zone, which costs a refusal (%v)", h.name, ok)
+		}
+	}
 	load := w.load
 	w.load = 0
 	w.advance(4 * time.Second) // until the backlog of the other zone is gone
@@ -150,10 +156,10 @@
 			w.advance(time.Second)
 			w.hosts[2].boot()
 		},
-		"one host cut off from the store before": func(w *simulation) { w.hosts[0].storeCut = true },
-		"zone cut":                               func(w *simulation) { m(w).setZoneCut(true, false) },
-		"host restarted":                         func(w *simulation) { w.hosts[2].kill(); w.advance(100 * time.Millisecond); w.hosts[2].boot() },
-		"commander lost":                         func(w *simulation) { w.commander("north").kill() },
+		"zone cut off from the store before": func(w *simulation) { w.hosts[0].storeCut, w.hosts[2].storeCut = true, true },
+		"zone cut":                           func(w *simulation) { m(w).setZoneCut(true, false) },
+		"host restarted":                     func(w *simulation) { w.hosts[2].kill(); w.advance(100 * time.Millisecond); w.hosts[2].boot() },
+		"commander lost":                     func(w *simulation) { w.commander("north").kill() },
 		"all hosts restarted": func(w *simulation) {
 			for _, h := range w.hosts {
 				h.kill()
@@ -245,6 +251,27 @@
 	})
 }
 
+// TestNothingStartsBeforeEvacuationsAreKnown guards against a commander that has just started and starts tasks
+// although its zone may be evacuated.
+func TestNothingStartsBeforeEvacuationsAreKnown(t *testing.T) {
+	p := newHostPair()
+	commander := p.hosts[1]
+	commander.opts.AwaitEvacuations = true
+	commander.restrictStarts(p.now)
+	p.submit(1)
+	p.step(1, arrivedJob(2))
+	p.advance(100 * time.Millisecond)
+	if p.started != 0 {
+		t.Errorf("%d tasks were started", p.started)
+	}
+	p.step(1, EvacuationsRead{Snapshot: true, End: 1})
+	p.submit(3)
+	p.advance(100 * time.Millisecond)
+	if p.started != 2 { // the commander's own job has waited, the first one was refused
+		t.Errorf("%d tasks were started when the evacuations were known, want 2", p.started)
+	}
+}
+
 // TestAllZonesEvacuatedRefusesAtOnce guards against callers that wait although no zone can run their job.
 func TestAllZonesEvacuatedRefusesAtOnce(t *testing.T) {
 	w := newSimulation(3, 1, 2, 0)
