Let only cold workers delay the choice of a cell

Change: a commander reports the processors that it lacks because workers are cold. Tests of sched pass.

--- a/host/choose.go
+++ b/host/choose.go
@@ -121,7 +121,7 @@
 			}
 			c.load = sched.Load{
 				FreeCPU: l.GetFree(), CapacityCPU: l.GetCapacity(), QueuedCPUMillis: l.GetQueued(), EffectiveCPU: l.GetRate(),
-				MeanTaskDuration: time.Duration(l.GetTaskMs()) * time.Millisecond,
+				MeanTaskDuration: time.Duration(l.GetTaskMs()) * time.Millisecond, ColdCPU: l.GetCold(),
 			}
 			c.load.AddAssigned(c.peer.assignedWork[c.name])
 			return c.load.CapacityCPU > 0
@@ -144,7 +144,7 @@
 	for _, service := range slices.Sorted(maps.Keys(loads)) {
 		l := loads[service]
 		list = append(list, &meshpb.Load{
-			Service: service, Free: l.FreeCPU, Capacity: l.CapacityCPU, Queued: l.QueuedCPUMillis, Rate: l.EffectiveCPU, TaskMs: l.MeanTaskDuration.Milliseconds(),
+			Service: service, Free: l.FreeCPU, Capacity: l.CapacityCPU, Queued: l.QueuedCPUMillis, Rate: l.EffectiveCPU, TaskMs: l.MeanTaskDuration.Milliseconds(), Cold: l.ColdCPU,
 		})
 	}
 	return list
--- a/host/validate.go
+++ b/host/validate.go
@@ -50,7 +50,7 @@
 			return errors.Newf("the cell %s belongs to a zone of too many cells", c.GetName())
 		}
 		for _, l := range c.GetLoads() {
-			if l.GetFree() < 0 || l.GetCapacity() < 0 || l.GetQueued() < 0 || l.GetRate() < 0 || l.GetTaskMs() < 0 {
+			if l.GetFree() < 0 || l.GetCapacity() < 0 || l.GetQueued() < 0 || l.GetRate() < 0 || l.GetTaskMs() < 0 || l.GetCold() < 0 {
 				return errors.Newf("the cell %s has a negative load", c.GetName())
 			}
 		}
--- a/sched/cold.go
+++ b/sched/cold.go
@@ -17,9 +17,9 @@
 	minColdSpeed = 0.1
 	// minColdShare is the share of a task's time on a cold worker from which on the task is a sample.
 	minColdShare = 0.5
-	// minCellSpeed is the mean speed of a cell's workers below which Slowdown counts them as slow. Speeds
-	// are relative to the mean, so those of warm cells differ little.
-	minCellSpeed = 0.8
+	// minColdCPUShare is the share of a cell's CPU that has to be missing for Slowdown to count it. While few
+	// workers are cold, tasks start on the others.
+	minColdCPUShare = 0.2
 )
 
 // coldModel estimates for each service how fast its workers are while they are cold, relative to the same
@@ -61,12 +61,12 @@
 // coldLeft returns how much longer the worker stays slow after its start.
 func (w *worker) coldLeft(now time.Duration) time.Duration { return max(0, w.info.ColdUntil-now) }
 
-// currentSpeed returns the speed that a worker has now, relative to the mean of all workers when warm.
-func (s *State) currentSpeed(now time.Duration, w *worker) float64 {
+// currentColdSpeed returns the speed that a worker has now, relative to the same worker when warm.
+func (s *State) currentColdSpeed(now time.Duration, w *worker) float64 {
 	if w.coldLeft(now) == 0 {
-		return w.speed
+		return 1
 	}
-	return w.speed * s.cold.speed(w.info.Service)
+	return s.cold.speed(w.info.Service)
 }
 
 // speedFor returns the mean speed of a worker during a task that starts now and takes the given time on a
@@ -107,13 +107,11 @@
 	return speeds
 }
 
-// Slowdown returns how much longer a task of a duration is expected to run on the cell's workers than on
-// workers of mean speed. It is 0 unless the cell as a whole is slow, as it is while most of its workers are
-// cold.
+// Slowdown returns how much longer a task of a duration is expected to run in the cell than it would if all
+// workers there were warm. It is 0 unless many of them are cold.
 func (l Load) Slowdown(d time.Duration) time.Duration {
-	speed := float64(l.EffectiveCPU) / (packingEfficiency * float64(max(1, l.CapacityCPU)))
-	if speed <= 0 || speed >= minCellSpeed {
+	if cold := float64(l.ColdCPU); cold <= 0 || cold < minColdCPUShare*(cold+float64(l.EffectiveCPU)) {
 		return 0
 	}
-	return time.Duration(float64(d) * (1/speed - 1))
+	return time.Duration(float64(d) * float64(l.ColdCPU) / float64(max(1, l.EffectiveCPU)))
 }
--- a/sched/load.go
+++ b/sched/load.go
@@ -13,6 +13,7 @@
 	CapacityCPU      int64         // CPU of the commanded workers
 	QueuedCPUMillis  int64         // sum over the waiting tasks of needed CPU times predicted duration in ms
 	EffectiveCPU     int64         // CPU that tasks can use, weighted by the speeds of the workers
+	ColdCPU          int64         // CPU that EffectiveCPU lacks because workers are cold
 	MeanTaskDuration time.Duration // mean predicted duration of the running tasks, weighted by their CPU
 }
 
@@ -58,10 +59,12 @@
 			busyCPU[w.info.Service] += r.need.CPU
 		}
 		l.CapacityCPU += w.info.Capacity.CPU
-		speed := s.currentSpeed(s.lastStep, w)
-		l.FreeCPU += int64(float64(max(0, free)) * speed / w.speed) // a cold worker counts by what it can do
+		cold := s.currentColdSpeed(s.lastStep, w)
+		l.FreeCPU += int64(float64(max(0, free)) * cold) // a cold worker counts by what it can do
+		rate := float64(w.info.Capacity.CPU) * packingEfficiency * w.speed
+		l.ColdCPU += int64(rate * (1 - cold))
 		loads[w.info.Service] = l
-		rates[w.info.Service] += float64(w.info.Capacity.CPU) * packingEfficiency * speed
+		rates[w.info.Service] += rate * cold
 	}
 	waitingBytes := 0
 	for _, j := range s.queue {
