--- a/host/simulation_jobs_test.go
+++ b/host/simulation_jobs_test.go
@@ -26,6 +26,9 @@
 	resends    int
 }
 
+// simColdSlowdown is the factor on the run time of tasks that start on a cold worker.
+const simColdSlowdown = 3
+
 // maxResends limits how often a caller resends a job.
 const maxResends = 4
 
@@ -272,7 +275,11 @@
 	w.check()
 	w.checkRefusal(j)
 	born := ww.Born
-	w.after(j.takes, func() {
+	takes := j.takes
+	if w.now < ww.coldUntil {
+		takes *= simColdSlowdown
+	}
+	w.after(takes, func() {
 		w.expire()
 		if ww.Born != born || !ww.IsRunning(o.Run) {
 			return
--- a/host/simulation_test.go
+++ b/host/simulation_test.go
@@ -136,8 +136,9 @@
 	cut            bool     // it is unreachable from all hosts
 	zoneCut        bool     // it is unreachable from the hosts of other zones
 	starts         int      // accepted starts of tasks
-	lateShare      float64  // share of the orders that are carried out late and not answered
-	lostReplyShare float64  // share of the orders that are carried out at once and not answered
+	coldUntil      time.Duration
+	lateShare      float64 // share of the orders that are carried out late and not answered
+	lostReplyShare float64 // share of the orders that are carried out at once and not answered
 }
 
 func (w *simulation) addWorker(id, zone string, rate float64) {
