Refuse callers of an evacuated zone at once while it is cut off

Change: when all cells with a live commander have been in evacuated zones for that long, further jobs are refused at once.

--- a/host/evacuation.go
+++ b/host/evacuation.go
@@ -24,6 +24,8 @@
 	position  int64                     // offset of the first record in the store that is not covered
 	changed   int64                     // position after the newest change
 	changedAt time.Duration             // when that change was adopted
+	// closedSince is since when all cells with a live commander are in evacuated zones; 0: they are not.
+	closedSince time.Duration
 }
 
 // zoneEvacuation is a request that is in force.
@@ -198,15 +200,34 @@
 	return !s.evacuations.evacuated(c.name.Zone()) && (c.peer != nil || !s.awaitsEvacuations())
 }
 
-// allEvacuated reports whether all zones of the deployment are evacuated.
-func (s *State) allEvacuated() bool {
-	return len(s.opts.Zones) > 0 && !slices.ContainsFunc(s.opts.Zones, func(zone string) bool { return !s.evacuations.evacuated(zone) })
+// recordClosedCells notes since when only evacuated zones have a live commander.
+func (s *State) recordClosedCells(now time.Duration) {
+	e := &s.evacuations
+	if len(e.zones) == 0 {
+		e.closedSince = 0
+		return
+	}
+	cells := s.availableCells(now)
+	switch {
+	case len(cells) == 0 || slices.ContainsFunc(cells, s.mayStartIn):
+		e.closedSince = 0
+	case e.closedSince == 0:
+		e.closedSince = now
+	}
 }
 
-// evacuatedReason returns why jobs are refused while all zones are evacuated, or an empty string.
-func (s *State) evacuatedReason() string {
-	if s.allEvacuated() {
+// evacuatedReason returns why it is of no use to wait for a cell, or an empty string: all zones of the
+// deployment are evacuated, or the commanders of the others have been lost for longer than a change of
+// command takes. Callers of an evacuated zone that is cut off are then refused at once.
+func (s *State) evacuatedReason(now time.Duration) string {
+	e := &s.evacuations
+	switch {
+	case len(e.zones) == 0:
+		return ""
+	case !slices.ContainsFunc(s.opts.Zones, func(zone string) bool { return !e.evacuated(zone) }):
 		return "all zones are evacuated"
+	case e.closedSince != 0 && now-e.closedSince >= cellWaitLimit:
+		return "all zones that can be reached are evacuated"
 	}
 	return ""
 }
--- a/host/evacuation_test.go
+++ b/host/evacuation_test.go
@@ -272,16 +272,24 @@
 	}
 }
 
-// TestAllZonesEvacuatedRefusesAtOnce guards against callers that wait although no zone can run their job.
-func TestAllZonesEvacuatedRefusesAtOnce(t *testing.T) {
-	w := newSimulation(3, 1, 2, 0)
-	w.advance(3 * time.Second)
-	w.evacuate("north", true)
-	w.evacuate("south", true)
-	w.advance(time.Second)
-	j := w.submit(w.hosts[0], 1, 50*time.Millisecond, false)
-	w.advance(20 * time.Millisecond)
-	if fmt.Sprint(j.outcomes) != fmt.Sprint([]sched.Outcome{sched.Refused}) {
-		t.Errorf("outcomes %v %s", j.outcomes, j.reason)
+// TestClosedZonesRefuseAtOnce guards against callers that wait although no zone can run their job: all zones are
+// evacuated, or an evacuated one is cut off.
+func TestClosedZonesRefuseAtOnce(t *testing.T) {
+	for name, begin := range map[string]func(*hostMachine){
+		"all zones": func(m *hostMachine) { m.w.evacuate("south", true) },
+		"cut off":   func(m *hostMachine) { m.setZoneCut(true, false) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newSimulation(3, 1, 2, 0)
+			w.advance(3 * time.Second)
+			w.evacuate("north", true)
+			begin(&hostMachine{w: w})
+			w.advance(3 * time.Second)
+			j := w.submit(w.hosts[0], 1, 50*time.Millisecond, false)
+			w.advance(20 * time.Millisecond)
+			if fmt.Sprint(j.outcomes) != fmt.Sprint([]sched.Outcome{sched.Refused}) {
+				t.Errorf("outcomes %v %s", j.outcomes, j.reason)
+			}
+		})
 	}
 }
--- a/host/host.go
+++ b/host/host.go
@@ -202,6 +202,7 @@
 	s.expireWorkers(now)
 	s.decideCells(now)
 	s.sched.Step(now, sched.Tick{})
+	s.recordClosedCells(now)
 	s.retryJobs(now)
 	s.forwardToPeers(now)
 }
--- a/host/jobs.go
+++ b/host/jobs.go
@@ -49,8 +49,9 @@
 func (s *State) assignJob(now time.Duration, j *job) {
 	c, ok := s.chooseCell(now, j)
 	if !ok {
-		if len(j.refusedBy) > 0 || now-j.arrived >= cellWaitLimit || s.allEvacuated() {
-			s.answerJob(now, j, sched.Refused, cmp.Or(j.refusalReason, s.evacuatedReason(), "no host commands workers of the service"))
+		evacuated := s.evacuatedReason(now)
+		if len(j.refusedBy) > 0 || now-j.arrived >= cellWaitLimit || evacuated != "" {
+			s.answerJob(now, j, sched.Refused, cmp.Or(j.refusalReason, evacuated, "no host commands workers of the service"))
 		}
 		return
 	}
