--- a/host/evacuation.go
+++ b/host/evacuation.go
@@ -224,7 +224,7 @@
 	switch {
 	case len(e.zones) == 0:
 		return ""
-	case !slices.ContainsFunc(s.opts.Zones, func(zone string) bool { return !e.evacuated(zone) }):
+	case len(s.opts.Zones) > 0 && !slices.ContainsFunc(s.opts.Zones, func(zone string) bool { return !e.evacuated(zone) }):
 		return "all zones are evacuated"
 	case e.closedSince != 0 && now-e.closedSince >= cellWaitLimit:
 		return "all zones that can be reached are evacuated"
