--- a/entry/contain.go
+++ b/entry/contain.go
@@ -107,7 +107,7 @@
 	var out []host.Event
 	for i, ev := range events {
 		switch ev.(type) {
-		case host.ConfigRead, host.WorkersRead, host.HostsDiscovered, host.StoreReachability, host.Drain:
+		case host.ConfigRead, host.EvacuationsRead, host.WorkersRead, host.HostsDiscovered, host.StoreReachability, host.Drain:
 			if i != failed {
 				out = append(out, ev)
 			}
--- a/entry/exposition.go
+++ b/entry/exposition.go
@@ -35,6 +35,7 @@
 	panics          int64 // panics in the event loop
 	framesNotSent   int64 // frames that could not be encoded
 	framesNotRead   int64 // frames that could not be decoded
+	evacuations     []host.EvacuationDump
 }
 
 // snapshot reads the current values. It reports false if the event loop has ended.
@@ -42,7 +43,8 @@
 	s.droppedLogLines = h.logOutput.droppedLines()
 	s.panics = h.loop.panics.Load()
 	s.framesNotSent, s.framesNotRead = h.frameFailures[0].Load(), h.frameFailures[1].Load()
-	ok = h.loop.readState(func(_ time.Duration, state *host.State) {
+	ok = h.loop.readState(func(now time.Duration, state *host.State) {
+		s.evacuations = state.Evacuations(now)
 		s.host, s.sched = state.Stats(), state.Scheduler().Stats()
 		s.openJobs, s.cells = state.OpenJobs(), state.CellCount()
 		s.callTimeout = state.Scheduler().CallTimeout()
@@ -112,7 +114,36 @@
 		gauge("cells", "Cells that this host commands or hands over.", int64(s.cells)),
 		gauge("worker_call_timeout_ms", "Time in ms after which calls to workers count as unanswered. It rises when answers are slow.", s.callTimeout.Milliseconds()),
 		gauge("config_version", "Version of the configuration in force, 0 if there is none.", s.version),
-	}, queueFamilies(s.queues)...)
+	}, append(s.zoneGauges(), queueFamilies(s.queues)...)...)
+}
+
+// zoneGauges returns the gauges with one metric for each availability zone.
+func (s snapshot) zoneGauges() []*dto.MetricFamily {
+	if len(s.evacuations) == 0 {
+		return nil // no zones are known, and a family needs a metric
+	}
+	return []*dto.MetricFamily{
+		s.zoneGauge("evacuation_requested", "1 for each zone that gets no new work.", func(e host.EvacuationDump) int64 {
+			if e.Requested {
+				return 1
+			}
+			return 0
+		}),
+		s.zoneGauge("evacuation_in_force_ms", "Time in ms since the evacuation of a zone came into force on this host, 0 if it has not.", func(e host.EvacuationDump) int64 { return e.InForceMS }),
+		s.zoneGauge("zone_runs", "Runs on the workers of a zone that this host commands.", func(e host.EvacuationDump) int64 { return int64(e.Runs) }),
+	}
+}
+
+// zoneGauge returns a gauge family with one metric for each availability zone.
+func (s snapshot) zoneGauge(name, help string, value func(host.EvacuationDump) int64) *dto.MetricFamily {
+	f := &dto.MetricFamily{Name: ptr(namePrefix + name), Help: ptr(help), Type: dto.MetricType_GAUGE.Enum()}
+	for _, e := range s.evacuations {
+		f.Metric = append(f.Metric, &dto.Metric{
+			Label: []*dto.LabelPair{{Name: ptr("zone"), Value: ptr(e.Zone)}},
+			Gauge: &dto.Gauge{Value: ptr(float64(value(e)))},
+		})
+	}
+	return f
 }
 
 // labelValues maps each value of a metric's label to the metric's value.
--- a/entry/store_test.go
+++ b/entry/store_test.go
@@ -57,7 +57,7 @@
 	l, _ := newTestLoop()
 	var out bytes.Buffer
 	h := &Host{loop: l, logger: log.NewLogfmtLogger(&out)}
-	h.handleWorkerRecords([]platform.Record{{Key: "\xff\xfe0", Value: []byte("{}")}, {Key: strings.Repeat("k", 5000)}, {Key: "i-1", Value: []byte("{}")}}, true)
+	h.handleWorkerRecords([]platform.Record{{Key: "\xff\xfe0", Value: []byte("{}")}, {Key: strings.Repeat("k", 5000)}, {Key: "i-1", Value: []byte("{}")}}, true, 0)
 	if ev := (<-l.events).(host.WorkersRead); len(ev.Records) != 1 || ev.Records[0].ID != "i-1" {
 		t.Errorf("the records %+v were taken", ev.Records)
 	}
@@ -68,7 +68,7 @@
 	const highest = `{"name":"h","addr":"127.0.0.1:1","fence":FENCE}`
 	h.handleHostRecords([]platform.Record{
 		{Value: []byte(strings.Replace(highest, "FENCE", "9007199254740991", 1))}, {Value: []byte(strings.Replace(highest, "FENCE", "7", 1))}, {Key: "\xff", Value: []byte("\xff")},
-	}, true)
+	}, true, 0)
 	if ev := (<-l.events).(host.HostsDiscovered); ev.MaxFence != 7 || len(ev.Hosts) != 2 {
 		t.Errorf("got %+v, want the token 7", ev)
 	}
--- a/host/choose.go
+++ b/host/choose.go
@@ -81,7 +81,7 @@
 	var bestCost time.Duration
 	free := int64(0) // total over the cells so far whose cost equals bestCost
 	for _, c := range s.availableCells(now) {
-		if j.refusedBy[c.name] || !s.fillLoad(c, j.route.Service) {
+		if j.refusedBy[c.name] || !s.mayStartIn(c) || !s.fillLoad(c, j.route.Service) {
 			continue
 		}
 		if len(j.refusedBy) > 0 && !s.mayOffer(j, c) {
@@ -92,6 +92,7 @@
 		if c.name.Zone() != s.opts.Self.Zone {
 			cost += crossZonePenalty
 		}
+		cost += s.slowdown(c, j)
 		switch {
 		case best == nil || cost < bestCost:
 			best, bestCost, free = c, cost, max(1, c.load.FreeCPU)
@@ -123,7 +124,7 @@
 			}
 			c.load = sched.Load{
 				FreeCPU: l.GetFree(), CapacityCPU: l.GetCapacity(), QueuedCPUMillis: l.GetQueued(), EffectiveCPU: l.GetRate(),
-				MeanTaskDuration: time.Duration(l.GetTaskMs()) * time.Millisecond, Overloaded: l.GetOverloaded(),
+				MeanTaskDuration: time.Duration(l.GetTaskMs()) * time.Millisecond, Overloaded: l.GetOverloaded(), ColdCPU: l.GetCold(),
 			}
 			c.load.AddAssigned(c.peer.assignedWork[c.name])
 			return c.load.CapacityCPU > 0
@@ -146,7 +147,7 @@
 	for _, service := range slices.Sorted(maps.Keys(loads)) {
 		l := loads[service]
 		list = append(list, &meshpb.Load{
-			Service: service, Free: l.FreeCPU, Capacity: l.CapacityCPU, Queued: l.QueuedCPUMillis, Rate: l.EffectiveCPU, TaskMs: l.MeanTaskDuration.Milliseconds(), Overloaded: l.Overloaded,
+			Service: service, Free: l.FreeCPU, Capacity: l.CapacityCPU, Queued: l.QueuedCPUMillis, Rate: l.EffectiveCPU, TaskMs: l.MeanTaskDuration.Milliseconds(), Overloaded: l.Overloaded, Cold: l.ColdCPU,
 		})
 	}
 	return list
--- a/host/host.go
+++ b/host/host.go
@@ -49,7 +49,9 @@
 	Placement sched.Policy
 	// LinkBytesPerSecond is the capacity of the host's network link. 0: not known.
 	LinkBytesPerSecond float64
-	Decode             Decoders
+	// AwaitEvacuations makes the host start no tasks before it knows which zones are evacuated.
+	AwaitEvacuations bool
+	Decode           Decoders
 	// Timing holds the time limits of the deployment. The zero value means timing.Default.
 	Timing  timing.Budget
 	Seed    uint64
@@ -71,6 +73,7 @@
 	configRecord     []byte         // of config
 	priorities       priorityLevels // of config
 	configAdoptedAt  time.Duration
+	evacuations      evacuations
 	workers          map[string]*workerEntry
 	sortedWorkers    []*workerEntry // workers by ID; nil: must be sorted again
 	zoneParts        map[string]int // cells into which each zone is divided
@@ -129,6 +132,7 @@
 	}
 	s.sched.SetPolicy(opts.Placement)
 	s.sched.SetTiming(opts.Timing)
+	s.restrictStarts(opts.Started)
 	for _, addr := range opts.Seeds {
 		s.addPeer(&meshpb.Host{Addr: addr})
 	}
@@ -208,6 +212,8 @@
 		}
 	case ConfigRead:
 		s.applyConfig(now, e.Record, "store")
+	case EvacuationsRead:
+		s.handleEvacuationsRead(now, e)
 	case WorkersRead:
 		s.handleWorkersRead(now, e)
 	case StoreReachability:
@@ -228,6 +234,7 @@
 	if s.sched.AwaitsEntries() {
 		s.wantEntries(now)
 	}
+	s.recordClosedCells(now)
 	s.retryJobs(now)
 	s.forwardToPeers(now)
 }
--- a/host/restart.go
+++ b/host/restart.go
@@ -41,6 +41,8 @@
 	n.config, n.configRecord, n.configAdoptedAt = s.config, s.configRecord, now
 	n.priorities = s.priorities
 	n.storeReachable = s.storeReachable
+	n.evacuations = s.evacuations // known positions; what the failed event held comes from other hosts
+	n.restrictStarts(now)
 	for _, p := range s.sortedPeers {
 		n.addPeer(&meshpb.Host{Addr: p.info.GetAddr(), Zone: cmp.Or(p.info.GetZone(), p.discoveredZone), Weight: p.info.GetWeight()})
 	}
--- a/host/simulation_jobs_test.go
+++ b/host/simulation_jobs_test.go
@@ -32,6 +32,9 @@
 	killsAtAck int           // processes that had been killed by ackedAt
 }
 
+// simColdSlowdown is the factor on the run time of tasks that start on a cold worker.
+const simColdSlowdown = 3
+
 // maxResends limits how often a caller resends a job.
 const maxResends = 4
 
@@ -287,10 +290,15 @@
 	}
 	j.started = true
 	c.recordStart(j, o.Run)
+	ww.starts++
 	w.check()
 	w.checkRefusal(j)
 	born := ww.Born
-	w.after(j.takes, func() {
+	takes := j.takes
+	if w.now < ww.coldUntil {
+		takes *= simColdSlowdown
+	}
+	w.after(takes, func() {
 		w.expire()
 		if ww.Born != born || !ww.IsRunning(o.Run) {
 			return
--- a/host/validate.go
+++ b/host/validate.go
@@ -43,6 +43,9 @@
 	if !validFence(st.GetMaxFence()) {
 		return errors.Newf("the fencing token %d is out of bounds", st.GetMaxFence())
 	}
+	if st.GetEvacuationOffset() < 0 {
+		return errors.Newf("the position %d of the evacuations is negative", st.GetEvacuationOffset())
+	}
 	for _, c := range st.GetCells() {
 		switch {
 		case !validFence(c.GetFence()) || c.GetCommanded() < 0:
@@ -62,7 +65,7 @@
 // validLoad reports whether the numbers of a load are within bounds.
 func validLoad(l *meshpb.Load) bool {
 	within := func(n, limit int64) bool { return n >= 0 && n <= limit }
-	return within(l.GetFree(), maxLoadAmount) && within(l.GetCapacity(), maxLoadAmount) && within(l.GetRate(), maxLoadAmount) &&
+	return within(l.GetFree(), maxLoadAmount) && within(l.GetCapacity(), maxLoadAmount) && within(l.GetRate(), maxLoadAmount) && within(l.GetCold(), maxLoadAmount) &&
 		within(l.GetQueued(), maxLoadQueue) && within(l.GetTaskMs(), maxLoadTaskMillis)
 }
 
--- a/sched/admission.go
+++ b/sched/admission.go
@@ -57,6 +57,9 @@
 	if s.closedCells[j.cell] {
 		return reasonHandover
 	}
+	if reason := s.restrictions.reason(j.cell.Zone()); reason != "" {
+		return reason
+	}
 	switch {
 	case !s.hasCountingWorker(j):
 		return "no worker of the service is at hand"
@@ -117,8 +120,9 @@
 			continue
 		}
 		workers++
-		f.free += max(0, w.freeCapacity().CPU)
-		effective += float64(w.info.Capacity.CPU) * packingEfficiency
+		cold := s.currentColdSpeed(now, w)
+		f.free += int64(float64(max(0, w.freeCapacity().CPU)) * cold)
+		effective += float64(w.info.Capacity.CPU) * packingEfficiency * cold
 		for _, r := range w.runList {
 			f.releases = append(f.releases, cpuRelease{after: r.predictedEnd(now) - now, cpu: r.need.CPU})
 			f.released += r.need.CPU
--- a/sched/load.go
+++ b/sched/load.go
@@ -17,6 +17,7 @@
 	CapacityCPU      int64         // CPU of the commanded workers
 	QueuedCPUMillis  int64         // sum over the waiting tasks of needed CPU times predicted duration in ms
 	EffectiveCPU     int64         // CPU that tasks can use, weighted by the speeds of the workers
+	ColdCPU          int64         // CPU that EffectiveCPU lacks because workers are cold
 	MeanTaskDuration time.Duration // mean predicted duration of the running tasks, weighted by their CPU
 	Overloaded       bool          // jobs of the service were refused for overload a short time ago
 }
@@ -50,16 +51,21 @@
 	loads := make(map[string]Load)
 	rates := make(map[string]float64)
 	running := make(map[string]int64) // CPU of the running tasks, times their predicted durations in µs
+	busyCPU := make(map[string]int64) // CPU of the running tasks
 	for _, w := range s.sortedWorkers {
 		if !w.countsAsCapacity() || w.cell != cell {
 			continue
 		}
 		l := loads[w.info.Service]
 		running[w.info.Service] += w.runningWork
+		busyCPU[w.info.Service] += w.used.CPU
 		l.CapacityCPU += w.info.Capacity.CPU
-		l.FreeCPU += max(0, w.freeCapacity().CPU)
+		cold := s.currentColdSpeed(s.lastStep, w)
+		l.FreeCPU += int64(float64(max(0, w.freeCapacity().CPU)) * cold) // a cold worker counts by what it can do
+		rate := float64(w.info.Capacity.CPU) * packingEfficiency * w.speed
+		l.ColdCPU += int64(rate * (1 - cold))
 		loads[w.info.Service] = l
-		rates[w.info.Service] += float64(w.info.Capacity.CPU) * packingEfficiency * w.speed
+		rates[w.info.Service] += rate * cold
 	}
 	waitingBytes := 0
 	for _, j := range s.queue {
@@ -76,7 +82,7 @@
 		l.EffectiveCPU = int64(rates[service])
 		l.Overloaded = s.shares.overloaded(s.lastStep, service)
 		l.QueuedCPUMillis = max(l.QueuedCPUMillis, linkWait.Milliseconds()*l.EffectiveCPU)
-		if busy := l.CapacityCPU - l.FreeCPU; busy > 0 {
+		if busy := busyCPU[service]; busy > 0 {
 			l.MeanTaskDuration = time.Duration(running[service]/busy) * time.Microsecond
 		}
 		loads[service] = l
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -63,6 +63,8 @@
 	suspectedHosts  map[uint64]bool // see SuspectHost
 	taskRuns        taskCounts      // runs that may be running, of all submissions of a job
 	foreignTasks    taskCounts      // foreign runs
+	restrictions    startRestrictions
+	cold            *coldModel
 }
 
 // Stats counts what the state machine has done since New.
@@ -94,6 +96,7 @@
 		suspectedHosts: make(map[uint64]bool),
 		taskRuns:       make(taskCounts),
 		foreignTasks:   make(taskCounts),
+		cold:           newColdModel(),
 	}
 }
 
@@ -172,6 +175,9 @@
 		if info.Draining && !w.info.Draining {
 			s.logEvent("", "worker drains", "worker", info.ID)
 		}
+		if info.ColdUntil > now && w.coldLeft(now) == 0 {
+			s.logEvent("", "worker is cold", "worker", info.ID, "left", info.ColdUntil-now, "assumed_speed", s.cold.speed(info.Service))
+		}
 		former := w.info.ProcessStart
 		w.info = info
 		w.removed = false
