--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -39,9 +39,12 @@
 	Standby          bool // its machines are switched off
 }
 
-// RequestLimits limit the requests of callers.
+// RequestLimits limit the requests of callers. Zero sets no limit.
 type RequestLimits struct {
-	BodyBytes int64 // size of a request body
+	BodyBytes     int64         // size of a request body
+	HeaderBytes   int64         // size of a request header
+	HeaderTimeout time.Duration // to receive a header
+	IdleTimeout   time.Duration // between two requests of a connection
 }
 
 // Resources is the capacity of a worker or the need of a task.
