Admit requests and connections against a budget

Cause: bodies were read whole, whatever others were being read, connections had no bound, and nothing ended a body that stood still. Now every listener has an account (package admission). Bodies are kept in pooled segments that are reserved as they arrive, against a share of memory_mb; connections against max_descriptors and the memory. Without room the slowest are closed and the others are refused (503). Frames between hosts are accounted in the same way, and those that wait to be processed are bounded in bytes.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -35,11 +35,13 @@
 	BodyTooSlow                 // the body arrives more slowly than the minimum rate
 	AnswerUnread                // the client does not take the answer
 	IdleTooLong                 // no request for too long
+	HeaderTooLarge              // the header is larger than the configuration allows
+	BodyRefused                 // the body can never be a job
 	reasonCount
 )
 
 var reasonNames = [reasonCount]string{
-	"no_connections", "no_memory", "sender_share", "dropped", "header_slow", "body_slow", "answer_unread", "idle",
+	"no_connections", "no_memory", "sender_share", "dropped", "header_slow", "body_slow", "answer_unread", "idle", "header_large", "body_refused",
 }
 
 // String returns the name of the reason in metrics and logs.
--- a/entry/exposition.go
+++ b/entry/exposition.go
@@ -55,7 +55,7 @@
 		return
 	}
 	w.Header().Set("Content-Type", string(expfmt.NewFormat(expfmt.TypeTextPlain)))
-	_ = writeFamilies(w, append(s.families(), h.metrics.latencyFamily())) // fails only if the client has disconnected
+	_ = writeFamilies(w, append(append(s.families(), h.gateFamilies()...), h.metrics.latencyFamily())) // fails only if the client has disconnected
 }
 
 // writeFamilies writes metric families in the Prometheus text format.
--- a/entry/host.go
+++ b/entry/host.go
@@ -17,13 +17,11 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
 
 	"sesameledge.dev/sesameledge/fleet"
 	"sesameledge.dev/sesameledge/host"
 	"sesameledge.dev/sesameledge/mesh"
-	"sesameledge.dev/sesameledge/mesh/meshpb"
 	"sesameledge.dev/sesameledge/platform"
 	"sesameledge.dev/sesameledge/sched"
 )
@@ -56,6 +54,9 @@
 	storeTransport  *http.Transport // connections to the store
 	links           *mesh.Links
 	ingress         *ingress
+	gates           []*gate // of all listeners
+	callers         *gate   // also in gates
+	requestLines    lineLimit
 	servers         []*http.Server
 	callerServer    *http.Server // also in servers
 	mesh            *mesh.Server
@@ -92,6 +93,7 @@
 	if err := h.listen(); err != nil {
 		return nil, err
 	}
+	go h.sweepGates(ctx)
 	h.startStoreAccess(ctx)
 	return h, nil
 }
@@ -126,36 +128,30 @@
 
 // listen opens the listeners and starts to serve them.
 func (h *Host) listen() error {
-	peers, err := net.Listen("tcp4", h.settings.Listen.Peers)
+	s := h.settings
+	peers, err := h.openGate("peers", s.Listen.Peers, s.peerLimits(), 0)
 	if err != nil {
-		return errors.Wrap(err, "listening for other hosts")
+		return err
 	}
-	h.mesh = mesh.NewServer(func(f *meshpb.Frame) { h.loop.send(host.FrameReceived{Frame: f}) })
-	go func() { _ = h.mesh.Serve(peers) }() // returns after Stop
-	h.callerServer = newServer(h.ingress)
-	for _, s := range []struct {
-		addr   string
-		server *http.Server
-	}{
-		{h.settings.Listen.Callers, h.callerServer},
-		{h.settings.Listen.Ready, newServer(http.HandlerFunc(h.serveReady))},
-		{h.settings.Listen.Metrics, newServer(h.operatorHandler())},
-	} {
-		l, err := net.Listen("tcp4", s.addr)
-		if err != nil {
-			return errors.Wrap(err, "listening")
-		}
-		h.servers = append(h.servers, s.server)
-		go func() { _ = s.server.Serve(l) }() // returns after Shutdown or Close
+	if h.callers, err = h.openGate("callers", s.Listen.Callers, s.callerLimits(fleet.RequestLimits{}), receiveBufferBytes); err != nil {
+		return err
+	}
+	ready, err := h.openGate("ready", s.Listen.Ready, s.operatorLimits(), receiveBufferBytes)
+	if err != nil {
+		return err
+	}
+	operators, err := h.openGate("metrics", s.Listen.Metrics, s.operatorLimits(), receiveBufferBytes)
+	if err != nil {
+		return err
 	}
+	h.mesh = h.newMeshServer(peers)
+	go func() { _ = h.mesh.Serve(peers) }() // returns after Stop
+	h.callerServer = h.serveHTTP(h.callers, h.ingress)
+	h.serveHTTP(ready, phases(http.HandlerFunc(h.serveReady)))
+	h.serveHTTP(operators, phases(h.operatorHandler()))
 	return nil
 }
 
-// newServer returns an HTTP server with the time limits of this package.
-func newServer(handler http.Handler) *http.Server {
-	return &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-}
-
 // startStoreAccess starts the goroutines that read the store and announce this host there.
 func (h *Host) startStoreAccess(ctx context.Context) {
 	go h.announceHost(ctx)
@@ -195,10 +191,18 @@
 
 func (h *Host) redial(e host.Redial)       { h.links.CloseLink(e.Addr) } // the next frame opens a new one
 func (h *Host) closeLink(e host.CloseLink) { h.links.CloseLink(e.Addr) }
-func (h *Host) useConfig(c *fleet.Config)  { h.ingress.routes.Store(newRouteTable(c)) }
+func (h *Host) useConfig(c *fleet.Config) {
+	h.ingress.routes.Store(newRouteTable(c))
+	h.useLimits(c.Limits)
+}
 
-// logRequest logs a decision about a request that has not become a job.
+// logRequest logs a decision about a request that has not become a job. A crowd of such requests leaves
+// room in the log for other lines.
 func (h *Host) logRequest(r *http.Request, message string, fields ...any) {
+	if !h.requestLines.allow(time.Now(), h.settings.Log.LinesPerSecond/requestLinesDivisor) {
+		h.logOutput.leaveOut()
+		return
+	}
 	fields = append([]any{"part", "ingress", "msg", message, "request", platform.RequestID(r.Header)}, fields...)
 	_ = h.logger.Log(fields...) // logWriter.Write never returns an error
 }
--- a/entry/ingress.go
+++ b/entry/ingress.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"io"
 	"net"
 	"net/http"
 	"sort"
@@ -10,8 +9,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
+	"sesameledge.dev/sesameledge/admission"
 	"sesameledge.dev/sesameledge/fleet"
 	"sesameledge.dev/sesameledge/host"
 	"sesameledge.dev/sesameledge/platform"
@@ -78,6 +76,9 @@
 func (in *ingress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	in.openRequests.Add(1)
 	defer in.openRequests.Add(-1)
+	conn := connOf(r.Context())
+	conn.enter(receivingPhase(r))
+	defer conn.enter(admission.Answered)
 	if in.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -107,12 +108,11 @@
 
 // submit serves the submission of a job.
 func (in *ingress) submit(w http.ResponseWriter, r *http.Request, current *routeTable, route fleet.Route, id string) {
-	spec, status, err := in.readJob(w, r, current, id)
-	if err != nil {
-		in.host.logRequest(r, "bad request", "route", route.Name, "job", id, "err", err)
-		writeJSON(w, status, platform.ErrorBody(err.Error()))
+	spec, ok := in.receiveJob(w, r, current, route, id)
+	if !ok {
 		return
 	}
+	connOf(r.Context()).enter(admission.Running)
 	switch {
 	case spec.UnsupportedReason != "":
 		in.refuse(w, r, "not supported: "+spec.UnsupportedReason, time.Minute)
@@ -127,23 +127,6 @@
 	in.awaitAnswer(w, r, route, spec)
 }
 
-// readJob reads and decodes a submission. With an error, the int is the HTTP status to answer.
-func (in *ingress) readJob(w http.ResponseWriter, r *http.Request, current *routeTable, id string) (fleet.JobSpec, int, error) {
-	if !platform.ValidJobID(id) {
-		return fleet.JobSpec{}, http.StatusBadRequest, errors.New("the path does not end with the name of a job")
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, current.maxBodyBytes()))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return fleet.JobSpec{}, http.StatusRequestEntityTooLarge, errors.New("the body is too large")
-	case err != nil:
-		return fleet.JobSpec{}, http.StatusBadRequest, errors.Wrap(err, "reading the body")
-	}
-	spec, err := platform.DecodeJob(id, r.Header, body)
-	return spec, http.StatusBadRequest, err
-}
-
 // awaitAnswer hands a job to the event loop, waits for its outcome and writes the response. If
 // the caller disconnects first, it reports that to the state machine.
 func (in *ingress) awaitAnswer(w http.ResponseWriter, r *http.Request, route fleet.Route, spec fleet.JobSpec) {
--- a/entry/logs.go
+++ b/entry/logs.go
@@ -50,6 +50,14 @@
 	return l.pending.Write(line)
 }
 
+// leaveOut counts a line that the caller does not write, so that the log tells of it.
+func (l *logWriter) leaveOut() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.dropped++
+	l.droppedTotal++
+}
+
 // run writes the buffered lines to out until stop is closed, and then the rest.
 func (l *logWriter) run(out io.Writer, stop <-chan struct{}) {
 	ticker := time.NewTicker(flushInterval)
--- a/entry/loop.go
+++ b/entry/loop.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"sync/atomic"
 	"time"
 
@@ -26,14 +27,18 @@
 // loop is the event loop of the host. One goroutine applies events to the state machine in
 // batches and carries out the effects that it returns.
 type loop struct {
-	events  chan any // host.Event, jobArrival or stateQuery
+	events  chan any // host.Event, jobArrival, frameArrival or stateQuery
 	state   *host.State
 	logger  log.Logger
 	answers map[uint64]chan<- host.Answer // by the sequence number of the job
 	lastSeq uint64                        // last sequence number given to a job
 	effects effectHandler
-	stop    chan struct{} // closed to end the loop
-	ended   chan struct{} // closed when the loop has ended
+	// processed is called after the current step, for each frame in it.
+	processed []func()
+	stop      chan struct{}   // closed to end the loop
+	context   context.Context // ends with the loop
+	cancel    context.CancelFunc
+	ended     chan struct{} // closed when the loop has ended
 	// readsWorkers tells other goroutines whether the host has to read the workers' entries.
 	readsWorkers atomic.Bool
 }
@@ -66,7 +71,10 @@
 }
 
 func newLoop(state *host.State, logger log.Logger, effects effectHandler) *loop {
+	ctx, cancel := context.WithCancel(context.Background())
 	return &loop{
+		context: ctx,
+		cancel:  cancel,
 		events:  make(chan any, eventQueueLength),
 		state:   state,
 		logger:  logger,
@@ -101,6 +109,7 @@
 // close ends the loop and waits until it has ended.
 func (l *loop) close() {
 	close(l.stop)
+	l.cancel()
 	<-l.ended
 }
 
@@ -150,6 +159,10 @@
 	for _, effect := range l.state.Step(now, events...) {
 		l.carryOut(effect)
 	}
+	for _, done := range l.processed {
+		done()
+	}
+	l.processed = l.processed[:0]
 }
 
 // collect appends what an item of the queue means for the state machine to its events. It runs
@@ -166,6 +179,9 @@
 		e.read(now, l.state)
 		close(e.done)
 		return events
+	case frameArrival:
+		l.processed = append(l.processed, e.processed)
+		return append(events, host.FrameReceived{Frame: e.frame})
 	case host.CallerGone:
 		delete(l.answers, e.Seq)
 		return append(events, e)
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -82,6 +82,7 @@
 	vars.Set("latency", expvar.Func(func() any { return h.metrics.summaries() }))
 	vars.Set("worker_call_timeout_ms", expvar.Func(func() any { return h.workerCallTimeout().Milliseconds() }))
 	vars.Set("log_lines_left_out", expvar.Func(func() any { return h.logOutput.droppedLines() }))
+	vars.Set("clients", expvar.Func(func() any { return h.gateStats() }))
 	vars.Set("memstats", expvar.Get("memstats"))
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /debug/vars", func(w http.ResponseWriter, _ *http.Request) {
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -37,7 +37,9 @@
 	RemotePenalty float64 `yaml:"remote_penalty,omitempty"`
 	// DrainTime is the time after SIGTERM within which the process must end.
 	DrainTime time.Duration `yaml:"drain_time"`
-	Log       Log           `yaml:"log"`
+	// Clients limits what clients may use of the host.
+	Clients Clients `yaml:"clients,omitempty"`
+	Log     Log     `yaml:"log"`
 }
 
 // Listen holds the addresses of an entry host, each IP:port.
@@ -124,6 +126,7 @@
 		require(validAddress(a.addr), a.field, "must be an address of the form IP:port")
 	}
 	require(s.Listen.Advertise == "" || validAddress(s.Listen.Advertise), "listen.advertise", "must be an address of the form IP:port")
+	s.checkClients(doc, list)
 	for _, addr := range s.Seeds {
 		require(validAddress(addr), "seeds", "must hold addresses of the form IP:port")
 	}
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -17,7 +17,16 @@
 	"sesameledge.dev/sesameledge/mesh/meshpb"
 )
 
+// MaxFrameBytes is the size of the largest frame that a host accepts.
+const MaxFrameBytes = 4 << 20
+
 const (
+	// maxStreams limits the streams of one connection. Hosts use one, and a new one after a failure.
+	maxStreams = 4
+	// maxHeaderBytes limits the header of a stream, which hosts leave almost empty.
+	maxHeaderBytes = 8 << 10
+	// handshakeTimeout limits the time until a new connection speaks HTTP/2.
+	handshakeTimeout = 3 * time.Second
 	// maxQueuedFrames limits the frames that wait for a connection to one host.
 	maxQueuedFrames = 64
 	// connectTimeout limits one attempt to connect. A reachable host of another zone answers within
@@ -38,9 +47,14 @@
 }
 
 // NewServer returns a server that calls handleFrame for each received frame. Calls for frames of
-// different streams run concurrently.
-func NewServer(handleFrame func(*meshpb.Frame)) *Server {
-	s := &Server{handleFrame: handleFrame, grpc: grpc.NewServer(grpc.InitialWindowSize(streamWindowBytes), grpc.NumStreamWorkers(0))}
+// different streams run concurrently. The options are added to those of the server.
+func NewServer(handleFrame func(*meshpb.Frame), options ...grpc.ServerOption) *Server {
+	options = append([]grpc.ServerOption{
+		grpc.InitialWindowSize(streamWindowBytes), grpc.NumStreamWorkers(0),
+		grpc.MaxRecvMsgSize(MaxFrameBytes), grpc.MaxConcurrentStreams(maxStreams), grpc.MaxHeaderListSize(maxHeaderBytes),
+		grpc.ConnectionTimeout(handshakeTimeout),
+	}, options...)
+	s := &Server{handleFrame: handleFrame, grpc: grpc.NewServer(options...)}
 	meshpb.RegisterMeshServer(s.grpc, s)
 	return s
 }
