--- a/admission/admission.go
+++ b/admission/admission.go
@@ -257,6 +257,12 @@
 	return c == nil || c.dropped
 }
 
+// Unfinished reports whether a connection's request is being received or its answer sent.
+func (l *Ledger) Unfinished(id ID) bool {
+	c := l.connections[id]
+	return c != nil && (c.phase == Header || c.phase == Body || c.phase == Answered)
+}
+
 // drop marks a connection as told to close.
 func (l *Ledger) drop(c *connection, r Reason) ID {
 	c.dropped = true
--- a/entry/gate.go
+++ b/entry/gate.go
@@ -46,7 +46,8 @@
 type gate struct {
 	*net.TCPListener
 	name    string
-	refusal []byte // written to connections that are not admitted
+	refusal []byte                      // written to connections that are not admitted
+	prepare func(syscall.RawConn) error // sets options of admitted connections, nil for none
 	now     func() time.Duration
 
 	mu          sync.Mutex
@@ -103,6 +104,7 @@
 			return nil, err
 		}
 		if c := g.admit(tcp); c != nil {
+			g.setOptions(tcp)
 			return c, nil
 		}
 		if g.refusal != nil {
@@ -113,6 +115,16 @@
 	}
 }
 
+// setOptions sets the options of an admitted connection. Without them it works, too.
+func (g *gate) setOptions(tcp *net.TCPConn) {
+	if g.prepare == nil {
+		return
+	}
+	if raw, err := tcp.SyscallConn(); err == nil {
+		_ = g.prepare(raw)
+	}
+}
+
 // admit opens the account of a connection. It returns nil if the connection is not admitted.
 func (g *gate) admit(tcp *net.TCPConn) *guardedConn {
 	sender, _, _ := net.SplitHostPort(tcp.RemoteAddr().String()) // a TCP address has both
@@ -134,6 +146,7 @@
 	var conns []*guardedConn
 	for _, id := range ids {
 		if c := g.conns[id]; c != nil {
+			c.reset = g.ledger.Unfinished(id)
 			conns = append(conns, c)
 		}
 	}
@@ -144,7 +157,9 @@
 // free their memory then.
 func abort(conns []*guardedConn) {
 	for _, c := range conns {
-		_ = c.TCPConn.SetLinger(0) // what the client has not taken is dropped, too
+		if c.reset {
+			_ = c.TCPConn.SetLinger(0) // the kernel drops what the client has not taken
+		}
 		_ = c.TCPConn.Close()
 	}
 }
@@ -204,6 +219,7 @@
 	held   int64                             // bytes reserved for the current request, changed by one goroutine at a time
 	onRead atomic.Pointer[func(n int) error] // called for what is received; an error ends the connection
 	once   sync.Once
+	reset  bool // set before abort closes the connection
 }
 
 // Read implements net.Conn. It accounts for what is received.
--- a/entry/host.go
+++ b/entry/host.go
@@ -144,6 +144,7 @@
 	if err != nil {
 		return err
 	}
+	peers.prepare = setUnackedTimeout
 	h.mesh = h.newMeshServer(peers)
 	go func() { _ = h.mesh.Serve(peers) }() // returns after Stop
 	h.callerServer = h.serveHTTP(h.callers, h.ingress)
--- a/entry/limits.go
+++ b/entry/limits.go
@@ -67,6 +67,8 @@
 	frameMemoryShare = 0.05
 	// minFrameMemory lets hosts of any size receive the largest frames.
 	minFrameMemory = 2 * mesh.MaxFrameBytes
+	// peerIdleTimeout is the time after which a silent connection of another host is closed.
+	peerIdleTimeout = 10 * time.Minute
 	// operatorBytes is the memory for requests of operators and of readiness checks.
 	operatorBytes = 2 << 20
 
@@ -123,11 +125,12 @@
 	}
 }
 
-// peerLimits returns the limits of the port for other hosts. These send a frame a second at least.
+// peerLimits returns the limits of the port for other hosts. These send a frame a second at least while
+// they know this host.
 func (s *Settings) peerLimits() admission.Limits {
 	return admission.Limits{
 		Connections: s.peerConnections(), Bytes: s.frameBytes(),
-		HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		HeaderTimeout: headerTimeout, IdleTimeout: peerIdleTimeout,
 		MinRate: defaultMinBodyRate, RateWindow: defaultRateWindow,
 	}
 }
--- a/entry/servers.go
+++ b/entry/servers.go
@@ -6,15 +6,23 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"sesameledge.dev/sesameledge/admission"
 	"sesameledge.dev/sesameledge/fleet"
 	"sesameledge.dev/sesameledge/platform"
 )
 
-// requestLinesDivisor leaves most lines of the log to what is not about single requests.
-const requestLinesDivisor = 4
+const (
+	// requestLinesDivisor leaves most lines of the log to what is not about single requests.
+	requestLinesDivisor = 4
+	// peerUnackedTimeout is the time after which the connection of another host is closed if the host does
+	// not acknowledge what was sent.
+	peerUnackedTimeout = 20 * time.Second
+)
 
 // openGate opens a guarded listener.
 func (h *Host) openGate(name, addr string, limits admission.Limits, receiveBuffer int) (*gate, error) {
@@ -25,6 +33,14 @@
 	return g, err
 }
 
+// setUnackedTimeout makes the kernel close a connection of another host that has not acknowledged what
+// was sent. The gRPC server sets the option only on connections that it has accepted itself.
+func setUnackedTimeout(c syscall.RawConn) error {
+	return c.Control(func(fd uintptr) {
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(peerUnackedTimeout.Milliseconds()))
+	})
+}
+
 // serveHTTP serves HTTP on a guarded listener until the server is shut down.
 func (h *Host) serveHTTP(g *gate, handler http.Handler) *http.Server {
 	g.refusal = busyResponse()
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -21,8 +21,8 @@
 const MaxFrameBytes = 4 << 20
 
 const (
-	// maxStreams limits the streams of one connection. Hosts use one, and a new one after a failure.
-	maxStreams = 4
+	// maxStreams limits the streams of one connection. Hosts use one, and a new one after it has failed.
+	maxStreams = 1
 	// maxHeaderBytes limits the header of a stream, which hosts leave almost empty.
 	maxHeaderBytes = 8 << 10
 	// handshakeTimeout limits the time until a new connection speaks HTTP/2.
