--- a/admission/admission.go
+++ b/admission/admission.go
@@ -27,16 +27,16 @@
 
 // The reasons, in the order in which they are reported.
 const (
-	NoConnections Reason = iota // no connection is left and none can be dropped
-	NoMemory                    // the memory is reserved and nobody can be dropped
-	SenderShare                 // one sender uses most of the connections and there are others
-	Dropped                     // closed to make room for another client
-	HeaderTooSlow               // the header did not arrive in time
-	BodyTooSlow                 // the body arrives more slowly than the minimum rate
-	AnswerUnread                // the client does not take the answer
-	IdleTooLong                 // no request for too long
-	HeaderTooLarge              // the header is larger than the configuration allows
-	BodyRefused                 // the body can never be a job
+	NoConnections  Reason = iota // no connection is left and none can be dropped
+	NoMemory                     // the memory is reserved and nobody can be dropped
+	SenderShare                  // one sender uses most of the connections and there are others
+	Dropped                      // closed to make room for another client
+	HeaderTooSlow                // the header did not arrive in time
+	BodyTooSlow                  // the body arrives more slowly than the minimum rate
+	AnswerUnread                 // the client does not take the answer
+	IdleTooLong                  // no request for too long
+	HeaderTooLarge               // the header is larger than the configuration allows
+	BodyRefused                  // the body can never be a job
 	reasonCount
 )
 
--- a/entry/host.go
+++ b/entry/host.go
@@ -192,6 +192,8 @@
 
 func (h *Host) redial(e host.Redial)       { h.links.CloseLink(e.Addr) } // the next frame opens a new one
 func (h *Host) closeLink(e host.CloseLink) { h.links.CloseLink(e.Addr) }
+
+// useConfig applies the routes and the limits of a configuration.
 func (h *Host) useConfig(c *fleet.Config) {
 	h.ingress.routes.Store(newRouteTable(c))
 	h.useLimits(c.Limits)
@@ -200,7 +202,7 @@
 // logRequest logs a decision about a request that has not become a job. A crowd of such requests leaves
 // room in the log for other lines.
 func (h *Host) logRequest(r *http.Request, message string, fields ...any) {
-	if !h.requestLines.allow(time.Now(), h.settings.Log.LinesPerSecond/requestLinesDivisor) {
+	if !h.requestLines.allow(time.Now(), max(1, h.settings.Log.LinesPerSecond/requestLinesDivisor)) {
 		h.logOutput.leaveOut()
 		return
 	}
--- a/entry/limits.go
+++ b/entry/limits.go
@@ -53,7 +53,8 @@
 	minOperatorConnections  = 8
 
 	// receiveBufferBytes is the kernel's buffer for what is received on a caller's connection and was not
-	// read. It is memory of the host, too. It carries 40 Mbit/s over the 3 ms to callers.
+	// read. It is memory of the host, too. At 3 ms to callers and back a window of that size carries
+	// 40 Mbit/s.
 	receiveBufferBytes = 32 << 10
 	// connectionBytes is the memory of a caller's connection: its stack, its buffers and a small request.
 	connectionBytes = receiveBufferBytes + 32<<10
