Keep small read buffers for connections of other hosts

Cause: gRPC gives up its read buffer of 32 KiB while a connection is idle only if it knows the type of the connection, and the guarded one is of another type.

--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -27,6 +27,9 @@
 	maxHeaderBytes = 8 << 10
 	// handshakeTimeout limits the time until a new connection speaks HTTP/2.
 	handshakeTimeout = 3 * time.Second
+	// readBufferBytes is the read buffer of a connection. The default of 32 KiB is kept by each connection
+	// whose type gRPC does not know. Larger frames are read without it.
+	readBufferBytes = 4 << 10
 	// maxQueuedFrames limits the frames that wait for a connection to one host.
 	maxQueuedFrames = 64
 	// connectTimeout limits one attempt to connect. A reachable host of another zone answers within
@@ -52,7 +55,7 @@
 	options = append([]grpc.ServerOption{
 		grpc.InitialWindowSize(streamWindowBytes), grpc.NumStreamWorkers(0),
 		grpc.MaxRecvMsgSize(MaxFrameBytes), grpc.MaxConcurrentStreams(maxStreams), grpc.MaxHeaderListSize(maxHeaderBytes),
-		grpc.ConnectionTimeout(handshakeTimeout),
+		grpc.ConnectionTimeout(handshakeTimeout), grpc.ReadBufferSize(readBufferBytes), grpc.SharedWriteBuffer(true),
 	}, options...)
 	s := &Server{handleFrame: handleFrame, grpc: grpc.NewServer(options...)}
 	meshpb.RegisterMeshServer(s.grpc, s)
