--- a/entry/callerconn_test.go
+++ b/entry/callerconn_test.go
@@ -24,7 +24,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			l, _ := newTestLoop()
-			in := &ingress{host: &Host{loop: l, logger: log.NewNopLogger(), metrics: newMetrics()}}
+			in := &ingress{host: &Host{settings: &Settings{}, loop: l, logger: log.NewNopLogger(), metrics: newMetrics()}}
 			answered := make(chan int, 1)
 			server := httptest.NewUnstartedServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 				time.Sleep(50 * time.Millisecond) // the body is not read, so that the server notes nothing
@@ -32,7 +32,7 @@
 				in.awaitAnswer(w, r, fleet.Route{}, fleet.JobSpec{})
 				answered <- w.Code
 			}))
-			server.Config.ConnContext = withCallerConn
+			server.Config.ConnContext = withConn
 			server.Start()
 			defer server.Close()
 			defer close(l.ended)
--- a/entry/loop.go
+++ b/entry/loop.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"sync/atomic"
 	"time"
 
@@ -26,15 +27,19 @@
 // loop is the event loop of the host. One goroutine applies events to the state machine in
 // batches and carries out the effects that it returns.
 type loop struct {
-	events  chan any // host.Event, jobArrival, cancelRequest, callAnswer or stateQuery
+	events  chan any // host.Event, jobArrival, cancelRequest, frameArrival, callAnswer or stateQuery
 	state   *host.State
 	logger  log.Logger
 	answers map[uint64]chan<- host.Answer       // by the sequence number of the job
 	lastSeq uint64                              // last sequence number given to a job or a cancellation
 	cancels map[uint64]chan<- host.CancelAnswer // by the sequence number of the cancellation
 	effects effectHandler
-	stop    chan struct{} // closed to end the loop
-	ended   chan struct{} // closed when the loop has ended
+	// processed is called after the current step, for each frame in it.
+	processed []func()
+	stop      chan struct{}   // closed to end the loop
+	context   context.Context // ends with the loop
+	cancel    context.CancelFunc
+	ended     chan struct{} // closed when the loop has ended
 	containment
 	// readsWorkers tells other goroutines whether the host has to read the workers' entries.
 	readsWorkers atomic.Bool
@@ -69,7 +74,10 @@
 }
 
 func newLoop(state *host.State, logger log.Logger, effects effectHandler) *loop {
+	ctx, cancel := context.WithCancel(context.Background())
 	return &loop{
+		context: ctx,
+		cancel:  cancel,
 		events:  make(chan any, eventQueueLength),
 		state:   state,
 		logger:  logger,
@@ -105,6 +113,7 @@
 // close ends the loop and waits until it has ended.
 func (l *loop) close() {
 	close(l.stop)
+	l.cancel()
 	<-l.ended
 }
 
@@ -141,6 +150,7 @@
 // applyBatch applies an event and the queued ones after it in one step, at most maxBatchEvents. The time
 // of the step is taken after the last event: events report what happened at that time or earlier.
 func (l *loop) applyBatch(first any) {
+	defer l.releaseFrames()
 	events := l.collect(nil, first)
 	for n := 1; n < maxBatchEvents; n++ {
 		select {
@@ -158,6 +168,14 @@
 	}
 }
 
+// releaseFrames calls the functions of the frames of the step that has ended.
+func (l *loop) releaseFrames() {
+	for _, done := range l.processed {
+		done()
+	}
+	l.processed = l.processed[:0]
+}
+
 // collect appends what an item of the queue means for the state machine to its events. It runs
 // queries at once, and registers or removes the channel for a job's answer.
 func (l *loop) collect(events []host.Event, ev any) []host.Event {
@@ -181,6 +199,9 @@
 			return events // the state that made the call is gone
 		}
 		return l.admit(events, e.event)
+	case frameArrival:
+		l.processed = append(l.processed, e.processed)
+		return l.admit(events, host.FrameReceived{Frame: e.frame})
 	case host.CallerGone:
 		delete(l.answers, e.Seq)
 		return append(events, e)
