Check a configuration before it is sent

sesameledge config check reports what hosts would refuse, entries that can never match, limits that contradict each other, and what changes from the version in force, with the place of each finding. Hosts log the same findings, ten at most, when a configuration comes into force; they accepted it silently.

--- a/command/config.go
+++ b/command/config.go
@@ -15,6 +15,7 @@
 
 // ConfigCmd groups the commands for the configuration of a deployment.
 type ConfigCmd struct {
+	Check    *ConfigCheckCmd    `arg:"subcommand:check" help:"check a configuration of entry hosts on the platform, as its operators publish it, before it is sent"`
 	Validate *ConfigValidateCmd `arg:"subcommand:validate" help:"check a configuration file"`
 	Publish  *ConfigPublishCmd  `arg:"subcommand:publish" help:"publish a configuration file"`
 	Rollback *ConfigRollbackCmd `arg:"subcommand:rollback" help:"publish the text of an earlier revision again"`
--- a/entry/host.go
+++ b/entry/host.go
@@ -116,6 +116,7 @@
 		Self:               host.Self{Name: s.Host, Zone: s.Zone, Addr: s.Listen.peerAddress(), ID: h.id, Weight: s.weight()},
 		Zones:              s.Zones,
 		LinkBytesPerSecond: s.linkBytesPerSecond(),
+		MemoryMB:           s.Memory,
 		Seeds:              s.Seeds,
 		Decode:             host.Decoders{Config: platform.DecodeConfig, Worker: platform.DecodeWorker},
 		Seed:               h.id,
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -41,7 +41,10 @@
 
 // RequestLimits limit the requests of callers.
 type RequestLimits struct {
-	BodyBytes int64 // size of a request body
+	BodyBytes     int64         // size of a request body
+	HeaderBytes   int64         // size of a request header; 0: none. Hosts do not apply it
+	HeaderTimeout time.Duration // to send a header; 0: none. Hosts do not apply it
+	IdleTimeout   time.Duration // of an unused connection; 0: none. Hosts do not apply it
 }
 
 // Resources is the capacity of a worker or the need of a task.
--- a/host/host.go
+++ b/host/host.go
@@ -46,9 +46,11 @@
 	CellWorkers int
 	// LinkBytesPerSecond is the capacity of the host's network link. 0: not known.
 	LinkBytesPerSecond float64
-	Decode             Decoders
-	Seed               uint64
-	Started            time.Duration // when the process started, on the clock that gives Step its times
+	// MemoryMB is the memory of the host in MiB. 0: not known.
+	MemoryMB int64
+	Decode   Decoders
+	Seed     uint64
+	Started  time.Duration // when the process started, on the clock that gives Step its times
 	// UnixMillis is the time of day at Started in Unix ms. It orders the fencing tokens of
 	// processes that do not know of each other; no guarantee depends on it.
 	UnixMillis int64
--- a/host/knowledge.go
+++ b/host/knowledge.go
@@ -61,6 +61,7 @@
 		return
 	}
 	s.log("config", "", "configuration in force", "version", config.Version, "from", from, "routes", len(config.Routes))
+	s.logConfigFindings(config)
 	s.config = config
 	s.configRecord = record
 	s.configAdoptedAt = now
