--- a/command/configcheck.go
+++ b/command/configcheck.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -223,9 +224,9 @@
 	for _, c := range r.Changes {
 		switch c.Kind {
 		case configcheck.Added:
-			fmt.Fprintf(env.Out, "+ %s  %s\n", c.Entry, c.After)
+			fmt.Fprintln(env.Out, strings.TrimSpace("+ "+c.Entry+"  "+c.After))
 		case configcheck.Removed:
-			fmt.Fprintf(env.Out, "- %s  %s\n", c.Entry, c.Before)
+			fmt.Fprintln(env.Out, strings.TrimSpace("- "+c.Entry+"  "+c.Before))
 		default:
 			fmt.Fprintf(env.Out, "~ %s  %s: %s -> %s\n", c.Entry, c.Field, c.Before, c.After)
 		}
