--- a/host/simulation_test.go
+++ b/host/simulation_test.go
@@ -225,6 +225,7 @@
 	version      int64              // of the configuration in force
 	storeCut     bool
 	draining     bool
+	tookCellAt   time.Duration      // when it last took a cell
 	cancels      map[uint64]*simJob // jobs whose cancellations have no answer, by sequence number
 }
 
@@ -363,6 +364,7 @@
 				h.w.links[[2]int{h.index, o.index}].redial()
 			}
 		case AnnounceFence:
+			h.tookCellAt = h.w.now
 			if !h.storeCut {
 				h.w.fence = max(h.w.fence, e.Fence)
 			}
