--- a/entry/host.go
+++ b/entry/host.go
@@ -124,6 +124,7 @@
 		CellWorkers:        s.CellWorkers,
 		Placement:          sched.Policy{LookAhead: s.LookAhead, RemotePenalty: s.RemotePenalty},
 		LinkBytesPerSecond: s.linkBytesPerSecond(),
+		MemoryMB:           s.Memory,
 		Seeds:              s.Seeds,
 		Decode:             host.Decoders{Config: platform.DecodeConfig, Worker: platform.DecodeWorker},
 		AwaitEvacuations:   true,
--- a/entry/servers.go
+++ b/entry/servers.go
@@ -69,7 +69,7 @@
 // useLimits applies the configuration's limits to the callers' port.
 func (h *Host) useLimits(c fleet.RequestLimits) {
 	h.callers.setLimits(h.settings.callerLimits(c))
-	h.callers.setHeaderLimit(cmp.Or(c.HeaderBytes, defaultHeaderBytes))
+	h.callers.setHeaderLimit(cmp.Or(max(0, c.HeaderBytes), defaultHeaderBytes))
 	if room := h.settings.requestBytes(); 2*c.BodyBytes > room {
 		_ = h.logger.Log("part", "ingress", "msg", "the configuration allows bodies that do not fit into the memory for requests",
 			"body_bytes", c.BodyBytes, "memory_for_requests", room)
--- a/host/host.go
+++ b/host/host.go
@@ -49,6 +49,8 @@
 	Placement sched.Policy
 	// LinkBytesPerSecond is the capacity of the host's network link. 0: not known.
 	LinkBytesPerSecond float64
+	// MemoryMB is the memory of the host in MiB. 0: not known.
+	MemoryMB int64
 	// AwaitEvacuations makes the host start no tasks before it knows which zones are evacuated.
 	AwaitEvacuations bool
 	Decode           Decoders
--- a/host/simulation_test.go
+++ b/host/simulation_test.go
@@ -237,6 +237,7 @@
 	draining        bool
 	cancels         map[uint64]*simJob // jobs whose cancellations have no answer, by sequence number
 	reads           int                // of the store, out of turn
+	tookCellAt      time.Duration      // when it last took a cell
 }
 
 func (h *simHost) clock() time.Duration { return h.w.now + h.skew }
@@ -381,6 +382,7 @@
 				h.w.links[[2]int{h.index, o.index}].redial()
 			}
 		case AnnounceFence:
+			h.tookCellAt = h.w.now
 			if !h.storeCut {
 				h.w.fence = max(h.w.fence, e.Fence)
 			}
