Predict tasks on other racks with the penalty from the settings

Change: one function gives the speed of a worker for a job, rack and cold start included; placement, reservations, predicted ends and learning use it.

--- a/sched/model.go
+++ b/sched/model.go
@@ -69,6 +69,18 @@
 	}
 }
 
+// isRemote reports whether a worker is on another rack than the data of the job.
+func (j *job) isRemote(w *worker) bool { return j.spec.Rack != "" && w.info.Rack != j.spec.Rack }
+
+// speedOf returns the speed of a worker for a task of the job that starts now.
+func (s *State) speedOf(now time.Duration, w *worker, j *job) float64 {
+	speed := s.speedFor(now, w, j.taskDuration)
+	if j.isRemote(w) {
+		speed /= s.policy.RemotePenalty
+	}
+	return speed
+}
+
 // recordDuration updates the estimates for the route and the worker of a run that has ended done.
 func (s *State) recordDuration(now time.Duration, w *worker, r *run) {
 	took := now - r.startSentAt
@@ -80,6 +92,10 @@
 		return
 	}
 	j := r.job
+	if j.isRemote(w) {
+		// Otherwise a crowd on one rack would make all workers of the others look slow.
+		took = time.Duration(float64(took) / s.policy.RemotePenalty)
+	}
 	s.durations.record(j.route.Name, j.spec.Estimate, took, w.speed)
 	logSpeedSample := math.Log(j.taskDuration.Seconds() / took.Seconds())
 	logSpeed := math.Log(w.speed)
--- a/sched/place.go
+++ b/sched/place.go
@@ -151,7 +151,7 @@
 		}
 		if c == nil {
 			stillWaiting = append(stillWaiting, index)
-			if s.policy.LookAhead && s.reservations < maxReservations && j.reserve(now, workers) {
+			if s.policy.LookAhead && s.reservations < maxReservations && s.reserve(now, j, workers) {
 				s.reservations++
 				s.countQueue(j, QueueReserved)
 			}
@@ -181,10 +181,10 @@
 	var best *candidate
 	var bestScore float64
 	for _, c := range workers {
-		if !c.free.Fits(j.spec.Need) || !j.allowsWorker(c.w) || !c.leavesReserved(now, j) {
+		if !c.free.Fits(j.spec.Need) || !j.allowsWorker(c.w) || !s.leavesReserved(now, c, j) {
 			continue
 		}
-		score := j.score(now, c, s.speedFor(now, c.w, j.taskDuration), mayWait)
+		score := j.score(now, c, s.speedOf(now, c.w, j), mayWait)
 		if score > bestScore {
 			best, bestScore = c, score
 		}
@@ -194,9 +194,6 @@
 
 // score rates a worker for a task of the job. 0 means that the task should wait.
 func (j *job) score(now time.Duration, c *candidate, speed float64, mayWait bool) float64 {
-	if j.spec.Rack != "" && c.w.info.Rack != j.spec.Rack {
-		speed /= otherRackSlowdown
-	}
 	freeCapacityBonus := freeCapacityWeight * float64(c.free.CPU) / float64(max(1, c.w.info.Capacity.CPU))
 	switch {
 	case j.inTime(now, speed):
@@ -212,7 +209,7 @@
 // end in time if it started now.
 func (s *State) hasInTimeWorker(now time.Duration, j *job) bool {
 	for _, w := range s.sortedWorkers {
-		if j.eligible(w) && w.countsAsCapacity() && w.info.Capacity.Fits(j.spec.Need) && j.inTime(now, s.speedFor(now, w, j.taskDuration)) {
+		if j.eligible(w) && w.countsAsCapacity() && w.info.Capacity.Fits(j.spec.Need) && j.inTime(now, s.speedOf(now, w, j)) {
 			return true
 		}
 	}
@@ -240,8 +237,9 @@
 }
 
 const (
-	// otherRackSlowdown is how many times longer a task takes on another rack than that of its data.
-	otherRackSlowdown = 2
+	// defaultRemotePenalty is how many times longer a task takes on another rack than that of its data, if
+	// the policy does not say.
+	defaultRemotePenalty = 2.0
 	// freeCapacityWeight makes the emptier of two workers of similar speed score higher.
 	freeCapacityWeight = 0.1
 	// inTimeBonus is higher than every speed.
@@ -287,7 +285,7 @@
 	w.raiseLeaseEndBound(now, s.timing.Lease)
 	r := &run{
 		key: key, job: j, index: index, need: j.spec.Need, startSentAt: now, leaseUntil: until,
-		predicted: time.Duration(float64(j.taskDuration) / s.speedFor(now, w, j.taskDuration)),
+		predicted: s.durationOf(now, w, j),
 		coldUntil: w.info.ColdUntil,
 	}
 	w.addRun(r)
--- a/sched/reserve.go
+++ b/sched/reserve.go
@@ -39,7 +39,7 @@
 
 // reserve keeps room for a task of the job on the worker that will have it first and on which the task is
 // expected to end in time. It reports false if there is none.
-func (j *job) reserve(now time.Duration, workers []*candidate) bool {
+func (s *State) reserve(now time.Duration, j *job, workers []*candidate) bool {
 	var best *candidate
 	var bestAt time.Duration
 	for _, c := range workers {
@@ -47,7 +47,7 @@
 			continue
 		}
 		at, ok := c.roomAt(now, j.spec.Need)
-		if ok && (best == nil || at < bestAt) && at+time.Duration(float64(j.taskDuration)/c.w.speed) <= j.arrived+j.objective {
+		if ok && (best == nil || at < bestAt) && at+s.durationOf(now, c.w, j) <= j.arrived+j.objective {
 			best, bestAt = c, at
 		}
 	}
@@ -58,6 +58,11 @@
 	return true
 }
 
+// durationOf predicts how long a task of the job takes on a worker.
+func (s *State) durationOf(now time.Duration, w *worker, j *job) time.Duration {
+	return time.Duration(float64(j.taskDuration) / s.speedOf(now, w, j))
+}
+
 // roomAt returns when the worker is predicted to have room for a task, if its running tasks are the only
 // ones. It reports false if it never has.
 func (c *candidate) roomAt(now time.Duration, need fleet.Resources) (time.Duration, bool) {
@@ -93,8 +98,8 @@
 
 // leavesReserved reports whether a task of the job that starts now leaves the room that is reserved on
 // the worker: it ends before, or there is enough beside it.
-func (c *candidate) leavesReserved(now time.Duration, j *job) bool {
-	if c.reserved == nil || now+time.Duration(float64(j.taskDuration)/c.w.speed) <= c.reserved.at {
+func (s *State) leavesReserved(now time.Duration, c *candidate, j *job) bool {
+	if c.reserved == nil || now+s.durationOf(now, c.w, j) <= c.reserved.at {
 		return true
 	}
 	free := c.free.Sub(j.spec.Need)
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -91,7 +91,7 @@
 		durations:      newDurationModel(),
 		importance:     newImportance(),
 		shares:         new(shares),
-		policy:         Policy{RemotePenalty: otherRackSlowdown},
+		policy:         Policy{RemotePenalty: defaultRemotePenalty},
 		timing:         timing.Default(),
 		suspectedHosts: make(map[uint64]bool),
 		taskRuns:       make(taskCounts),
@@ -261,7 +261,7 @@
 	// tasks will start, and divides the room of an overloaded service by the priorities of its routes.
 	LookAhead bool
 	// RemotePenalty is the factor by which a task takes longer on another rack than that of its data; 0
-	// means otherRackSlowdown.
+	// means defaultRemotePenalty.
 	RemotePenalty float64
 }
 
@@ -269,7 +269,7 @@
 func (s *State) SetPolicy(p Policy) {
 	s.policy = p
 	if s.policy.RemotePenalty == 0 {
-		s.policy.RemotePenalty = otherRackSlowdown
+		s.policy.RemotePenalty = defaultRemotePenalty
 	}
 }
 
