Sharpen the tests of lost cancellations, foreign runs and late entries

Three mutations passed the tests before: contacts that count as complete with a message missing, starts beside foreign runs of the same task, and no second read for an entry that is not in the store at the first answer.

--- a/host/entries_test.go
+++ b/host/entries_test.go
@@ -8,14 +8,14 @@
 	"sesameledge.dev/sesameledge/sched"
 )
 
-// restartWorker replaces the process of a worker by one that answers after the time down and has another
-// capacity.
-func (w *simulation) restartWorker(ww *simWorker, down time.Duration) {
+// restartWorker replaces the process of a worker by one that answers after the time down, has another
+// capacity and writes its entry after another delay.
+func (w *simulation) restartWorker(ww *simWorker, down, entryDelay time.Duration) {
 	ww.Restart(w.now + down)
 	ww.waiters = nil
 	ww.Capacity.CPU = fullCapacity + smallCapacity - ww.Capacity.CPU
 	born := ww.Born
-	w.after(down, func() {
+	w.after(down+entryDelay, func() {
 		if ww.Born == born {
 			w.publishWorker(ww)
 		}
@@ -31,7 +31,7 @@
 	w := newSimulation(1, 2, 6, 100)
 	w.advance(3 * time.Second)
 	for _, ww := range w.workers {
-		w.restartWorker(ww, minWorkerRestart)
+		w.restartWorker(ww, minWorkerRestart, 0)
 	}
 	w.load = 25 * time.Millisecond
 	w.advance(minWorkerRestart - time.Millisecond)
@@ -59,6 +59,38 @@
 	}
 }
 
+// usable reports whether the commander of a worker has the entry of its process.
+func (w *simulation) usable(ww *simWorker) bool {
+	for _, h := range w.hosts {
+		if h.state.sched.AcceptedBy(ww.ID) && h.state.workers[ww.ID].info.ProcessStart == ww.Born {
+			return true
+		}
+	}
+	return false
+}
+
+// TestEntryAfterAnswerIsRead guards against a restarted worker that stays unused until the next read in
+// turn, because its entry was not yet in the store when it first answered.
+func TestEntryAfterAnswerIsRead(t *testing.T) {
+	const entryDelay = 50 * time.Millisecond
+	for seed := range uint64(10) {
+		w := newSimulation(seed, 2, 2, 100)
+		w.load = 25 * time.Millisecond
+		w.advance(3*time.Second + time.Duration(w.rng.Int64N(int64(storeReadInterval))))
+		ww := w.workers[0]
+		w.restartWorker(ww, minWorkerRestart, entryDelay)
+		w.advance(minWorkerRestart)
+		for heardAt := time.Duration(0); !w.usable(ww); w.advance(5 * time.Millisecond) {
+			if heardAt == 0 && ww.Fence != 0 {
+				heardAt = w.now
+			}
+			if heardAt != 0 && w.now-heardAt > entriesWantedInterval+2*simTickInterval {
+				t.Fatalf("seed %d: the worker is not used %v after its first answer", seed, w.now-heardAt)
+			}
+		}
+	}
+}
+
 // TestSameWorker guards against a change of a worker that is not passed on to the scheduler.
 func TestSameWorker(t *testing.T) {
 	a := fleet.Worker{ID: "w", Kind: "a", Rack: "r1", ProcessStart: 1}
--- a/host/lease_budget_test.go
+++ b/host/lease_budget_test.go
@@ -97,17 +97,22 @@
 }
 
 // TestLateStopsOfLostCancellation guards against the same where the frames with the cancellations are
-// lost, heartbeats still arrive for a while, and then the host is cut off.
+// lost twice, other frames still arrive meanwhile, and then the host is cut off.
 func TestLateStopsOfLostCancellation(t *testing.T) {
 	lateStops(t, func(m *hostMachine, h *simHost) {
-		for _, link := range m.linksOf(h) {
-			link.cut = true
+		setCut := func(cut bool) {
+			for _, link := range m.linksOf(h) {
+				link.held, link.cut = nil, cut
+			}
 		}
+		setCut(true)
 		h.leaveAll()
-		for _, link := range m.linksOf(h) {
-			link.held, link.cut = nil, false
-			m.w.after(190*time.Millisecond, func() { link.cut = true })
-			m.w.after(4*time.Second, func() { link.heal(m.w) })
+		for i := range 39 {
+			setCut(i == 20 || i == 21) // when unacknowledged messages are sent again
+			m.w.submit(h, 1, 15*time.Millisecond, false)
+			m.w.advance(10 * time.Millisecond)
 		}
+		setCut(true)
+		m.w.after(4*time.Second, func() { setCut(false) })
 	})
 }
--- a/host/machine_test.go
+++ b/host/machine_test.go
@@ -218,7 +218,7 @@
 
 func (m *hostMachine) restartWorker(t *rapid.T) {
 	ww := m.worker(t)
-	m.w.restartWorker(ww, drawTime(t, "down", int(minWorkerRestart.Milliseconds()), 3000))
+	m.w.restartWorker(ww, drawTime(t, "down", int(minWorkerRestart.Milliseconds()), 3000), 0)
 }
 
 // minWorkerRestart is the shortest time in which a worker restarts, as package sched assumes. A worker
@@ -231,7 +231,7 @@
 func (m *hostMachine) hideWorker(t *rapid.T) {
 	ww := m.worker(t)
 	ww.unlisted = !ww.unlisted
-	m.w.restartWorker(ww, minWorkerRestart)
+	m.w.restartWorker(ww, minWorkerRestart, 0)
 	m.w.publishWorker(ww)
 }
 
--- a/sched/wanted_test.go
+++ b/sched/wanted_test.go
@@ -89,3 +89,22 @@
 		t.Errorf("%d starts after the lease has ended, want 2", len(p.starts))
 	}
 }
+
+// TestTaskWaitsForForeignRun guards against a start of a task that a worker still runs for a former
+// commander, whose jobs this host knows nothing of.
+func TestTaskWaitsForForeignRun(t *testing.T) {
+	p := newTestPool(32, 32)
+	foreign := fleet.RunKey{Task: fleet.Task{Job: "long1"}, Attempt: 1}
+	p.running["w0"][foreign] = true
+	p.step(TakeWorker{Worker: "w0", Cell: "z", Fence: 2})
+	p.submit(1, "long", 1, 5*time.Second)
+	p.pass(200 * time.Millisecond)
+	if len(p.starts) != 0 {
+		t.Fatalf("%v is started on %s beside the run on w0", p.starts[0].Order.Run, p.starts[0].Worker.ID)
+	}
+	delete(p.running["w0"], foreign)
+	p.pass(100 * time.Millisecond)
+	if len(p.starts) != 1 {
+		t.Errorf("%d starts after the foreign run has ended, want 1", len(p.starts))
+	}
+}
