Count a cell as overloaded by the share of the work that it refuses

One refusal made a cell count as overloaded for half a second, so that jobs that it could have taken were refused by others.

--- a/sched/load.go
+++ b/sched/load.go
@@ -19,7 +19,7 @@
 	EffectiveCPU     int64         // CPU that tasks can use, weighted by the speeds of the workers
 	ColdCPU          int64         // CPU that EffectiveCPU lacks because workers are cold
 	MeanTaskDuration time.Duration // mean predicted duration of the running tasks, weighted by their CPU
-	Overloaded       bool          // jobs of the service were refused for overload a short time ago
+	Overloaded       bool          // a good part of the work offered lately was refused for overload
 }
 
 // TakeWorker adds tasks that need so much CPU in total and that have been assigned since the load was
@@ -80,7 +80,7 @@
 	linkWait := s.link.Wait(s.lastStep, waitingBytes)
 	for service, l := range loads {
 		l.EffectiveCPU = int64(rates[service])
-		l.Overloaded = s.shares.overloaded(s.lastStep, service)
+		l.Overloaded = s.shares.overloaded(service)
 		l.QueuedCPUMillis = max(l.QueuedCPUMillis, linkWait.Milliseconds()*l.EffectiveCPU)
 		if busy := busyCPU[service]; busy > 0 {
 			l.MeanTaskDuration = time.Duration(running[service]/busy) * time.Microsecond
--- a/sched/share.go
+++ b/sched/share.go
@@ -32,8 +32,11 @@
 	priorityFactor = 2.0
 	// maxPriorityLevels bounds the powers of priorityFactor.
 	maxPriorityLevels = 16
-	// pressureTime is how long after a refusal a service counts as overloaded.
+	// pressureTime is how long after a refusal the room of a service is divided among its queues.
 	pressureTime = 500 * time.Millisecond
+	// overloadShare is the share of the offered work from which on, when refused, a service counts as
+	// overloaded for other hosts.
+	overloadShare = 0.15
 	// maxUse bounds the use of a queue's part.
 	maxUse = 2.0
 )
@@ -75,8 +78,21 @@
 	m.queues = slices.DeleteFunc(m.queues, func(q *queueShare) bool { return q.offered < 1 })
 }
 
-// overloaded reports whether jobs of a service were refused for overload a short time ago.
-func (m *shares) overloaded(now time.Duration, service string) bool {
+// overloaded reports whether a good part of the work offered to a service has been refused lately. Single
+// refusals, as in a burst of a moment, leave room for jobs that other cells refuse.
+func (m *shares) overloaded(service string) bool {
+	offered, admitted := 0.0, 0.0
+	for _, q := range m.queues {
+		if q.service == service {
+			offered += q.offered
+			admitted += q.admitted
+		}
+	}
+	return offered > 0 && admitted < (1-overloadShare)*offered
+}
+
+// pressed reports whether jobs of a service were refused for overload a short time ago.
+func (m *shares) pressed(now time.Duration, service string) bool {
 	for _, q := range m.queues {
 		if q.service == service && q.refusedAt != 0 && now-q.refusedAt < pressureTime {
 			return true
@@ -97,7 +113,7 @@
 		total += q.admitted
 		open = append(open, q)
 	}
-	if total <= 0 || !m.overloaded(now, service) {
+	if total <= 0 || !m.pressed(now, service) {
 		return
 	}
 	all := slices.Clone(open)
