Give the soak's check of evacuations teeth

Change: a start is charged to the hosts whose logs name its job, and 1.5 s without a fault of the store are enough to have read the request.

--- a/standin/soak/evacuation.go
+++ b/standin/soak/evacuation.go
@@ -4,6 +4,9 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
 	"time"
 
 	"sesameledge.dev/sesameledge/standin/fleetsim"
@@ -12,6 +15,8 @@
 const (
 	// evacuationLimit is the time after which no task may start in an evacuated zone.
 	evacuationLimit = 5 * time.Second
+	// requestReadTime is how long without faults of the store is enough for all hosts to read a request.
+	requestReadTime = 1500 * time.Millisecond
 	// maxEvacuationPause limits the pause before each evacuation.
 	maxEvacuationPause = 3 * time.Second
 	// quickEvacuation is the longest time between a request and its withdrawal in quick succession.
@@ -40,8 +45,8 @@
 			if left <= 0 || ctx.Err() != nil {
 				return
 			}
-			lasts := time.Duration(rng.Int64N(int64(2 * evacuationLimit)))
-			if rng.IntN(3) == 0 {
+			lasts := evacuationLimit + time.Duration(rng.Int64N(int64(evacuationLimit)))
+			if rng.IntN(2) == 0 {
 				lasts = time.Duration(rng.Int64N(int64(quickEvacuation)))
 			}
 			e := evacuation{zone: d.zones[rng.IntN(len(d.zones))], interval: interval{from: time.Now()}}
@@ -74,27 +79,59 @@
 }
 
 // checkEvacuations adds a finding for each task that started in a zone later than evacuationLimit after its
-// evacuation and before it was taken back, unless a fault within excusePeriod before excuses it.
+// evacuation and before it was taken back, unless a fault of the host that started it excuses it, a fault of
+// the store, or a stall of this process.
 func (d *deployment) checkEvacuations() {
+	starters := d.startersByJob()
 	for _, w := range d.workers {
 		for _, run := range w.History() {
 			for _, e := range d.evacuations {
-				if e.zone == w.zone && run.Start.After(e.from.Add(evacuationLimit)) && run.Start.Before(e.to) && !d.excusesStart(w, run.Start) {
-					d.addFinding("task %s started on %s %v after the evacuation of %s", run.Task, w.ID, run.Start.Sub(e.from), e.zone)
+				if e.zone != w.zone || run.Start.Before(e.from.Add(evacuationLimit)) || run.Start.After(e.to) || d.excusesStart(e, starters[jobOf(run.Task)], run.Start) {
+					continue
 				}
+				d.addFinding("task %s started on %s %v after the evacuation of %s", run.Task, w.ID, run.Start.Sub(e.from), e.zone)
 			}
 		}
 	}
 }
 
-// excusesStart reports whether a worker may have got a start at a time although its zone was evacuated: a
-// host of the zone had an unplanned fault shortly before, the store had one, or this process stalled.
-func (d *deployment) excusesStart(w *workerNode, at time.Time) bool {
-	from := at.Add(-excusePeriod)
+// jobOf returns the job in the name of a task.
+func jobOf(task string) string {
+	job, _, _ := strings.Cut(task, ".")
+	return job
+}
+
+// startersByJob returns the hosts whose logs say that they have started tasks of a job.
+func (d *deployment) startersByJob() map[string][]*hostNode {
+	starters := make(map[string][]*hostNode)
 	for _, h := range d.hosts {
-		if h.zone == w.zone && h.hadUnplannedFault(from, at) {
+		text, err := os.ReadFile(filepath.Join(d.runDir, h.name+".log"))
+		if err != nil {
+			continue // a spare host that was never started
+		}
+		for _, line := range strings.Split(string(text), "\n") {
+			if _, after, found := strings.Cut(line, `msg="tasks started" job=`); found {
+				job, _, _ := strings.Cut(after, " ")
+				starters[job] = append(starters[job], h)
+			}
+		}
+	}
+	return starters
+}
+
+// excusesStart reports whether a start in an evacuated zone is excused: shortly before it, a host that may
+// have started it had an unplanned fault, or there was never time enough to read the request.
+func (d *deployment) excusesStart(e evacuation, starters []*hostNode, at time.Time) bool {
+	from := at.Add(-excusePeriod)
+	for _, h := range starters {
+		if h.hadUnplannedFault(from, at) {
 			return true
 		}
 	}
-	return d.stalls.overlap(from, at) || anyIntervalOverlaps(d.storeFaults, from, at)
+	for t := e.from; t.Add(requestReadTime).Before(at); t = t.Add(stallCheckInterval) {
+		if !anyIntervalOverlaps(d.storeFaults, t, t.Add(requestReadTime)) {
+			return d.stalls.overlap(from, at)
+		}
+	}
+	return true
 }
