--- a/owner/cell.go
+++ b/owner/cell.go
@@ -13,6 +13,9 @@
 	// minFillShare decides when a zone gets fewer cells: a division into n cells is given up when the
 	// workers are fewer than this share of what n-1 cells can hold.
 	minFillShare = 0.6
+	// maxFillShare is the same for a zone that gets more cells. Each new division hands over all workers, and
+	// while workers are replaced the entries of old and new ones are there together for some seconds.
+	maxFillShare = 1.3
 )
 
 // CellOf returns the cell of a worker in a zone that is divided into so many parts. The name of the
@@ -22,8 +25,8 @@
 }
 
 // Parts returns the number of cells into which a zone with so many workers is divided, so that no
-// host commands more than cellWorkers however large the zone is. A division that commanders
-// announce is kept while it fits. All hosts therefore come to the same division, and workers that
+// host commands many more than cellWorkers however large the zone is. A division that commanders
+// announce is kept while it fits, from minFillShare to maxFillShare. All hosts therefore come to the same division, and workers that
 // join or leave do not make it change back and forth.
 func Parts(workers, cellWorkers int, announced []Claim) int {
 	best := 0
@@ -42,5 +45,6 @@
 // worker is known, every division does.
 func divisionFits(workers, cellWorkers, parts int) bool {
 	least := minFillShare * float64((parts-1)*cellWorkers)
-	return workers == 0 || workers <= parts*cellWorkers && float64(workers) >= least
+	most := maxFillShare * float64(parts*cellWorkers)
+	return workers == 0 || float64(workers) >= least && float64(workers) <= most
 }
