Count workers that are being taken as room, and start late jobs on idle workers

Cause: between the take of a cell and the answers of its workers the cell counted as one without workers, so jobs were refused, and other hosts saw no room there. With look-ahead admission a job past its latest admission was refused although all workers were idle, and before that all jobs less entitled than it, in time or not, because no refusal could make it be in time.

Change: a worker that has been asked for its runs and has left no such call unanswered counts as capacity. Jobs wait in the queue and start as workers answer. A late job starts if nothing else needs the room, and is refused alone otherwise.

--- a/sched/admission.go
+++ b/sched/admission.go
@@ -31,6 +31,15 @@
 		case now > latest:
 			continue // it has begun and is late, whatever is refused
 		}
+		if now > latest {
+			if !f.hasRoom(neededCPU) {
+				refusable = refusable[:len(refusable)-1]
+				neededCPU -= j.waitingCPU()
+				neededBytes -= j.waitingBytes()
+				s.refuseForOverload(now, p, j)
+			}
+			continue // it is late, whatever else is refused, and starts only where no other job needs the room
+		}
 		for len(refusable) > 0 && now+max(f.wait(neededCPU), s.link.Wait(now, neededBytes)) > latest {
 			i := leastEntitled(refusable)
 			victim := refusable[i]
@@ -40,9 +49,7 @@
 			refusable = slices.Delete(refusable, i, i+1)
 			neededCPU -= victim.waitingCPU()
 			neededBytes -= victim.waitingBytes()
-			s.shares.recordRefusal(now, victim)
-			s.finish(now, victim, Refused, reasonOverload)
-			s.shares.divide(now, p.service)
+			s.refuseForOverload(now, p, victim)
 			if victim == j {
 				break
 			}
@@ -50,6 +57,13 @@
 	}
 }
 
+// refuseForOverload refuses a job of a pool whose room does not suffice.
+func (s *State) refuseForOverload(now time.Duration, p pool, j *job) {
+	s.shares.recordRefusal(now, j)
+	s.finish(now, j, Refused, reasonOverload)
+	s.shares.divide(now, p.service)
+}
+
 // latestAdmission is the latest time at which the job's tasks may be predicted to start. It leaves time
 // for tasks that take longer than predicted, for example on a slow worker.
 func (j *job) latestAdmission() time.Duration {
@@ -69,6 +83,7 @@
 // forecast predicts when room becomes free in a pool.
 type forecast struct {
 	free     int64 // CPU that is free now, in thousandths of a core
+	coming   int64 // CPU that tasks can use on workers that are being taken
 	releases []cpuRelease
 	rate     float64       // CPU that becomes free per second after the last release
 	last     time.Duration // time of the last release from now on
@@ -90,7 +105,11 @@
 			continue
 		}
 		workers++
-		f.free += max(0, w.freeCapacity().CPU)
+		if w.isBeingTaken() {
+			f.addComing(w)
+		} else {
+			f.free += max(0, w.freeCapacity().CPU)
+		}
 		effective += float64(w.info.Capacity.CPU) * packingEfficiency
 		for _, r := range w.runList {
 			f.releases = append(f.releases, cpuRelease{after: r.predictedEnd(now) - now, cpu: r.need.CPU})
@@ -104,6 +123,8 @@
 	slices.SortFunc(f.releases, func(a, b cpuRelease) int { return int(a.after - b.after) })
 	if n := len(f.releases); n > 0 {
 		f.last = f.releases[n-1].after
+	}
+	if f.released > 0 {
 		f.rate = effective / max(busyWork/float64(f.released), minMeanDuration.Seconds())
 	}
 	return f
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -159,7 +159,7 @@
 
 // countsAsCapacity reports whether the worker adds to the capacity of its service, now or soon.
 func (w *worker) countsAsCapacity() bool {
-	return w.phase == phaseHeld && !w.info.Draining && !w.removed && w.missedHolds == 0
+	return (w.phase == phaseHeld || w.isBeingTaken()) && !w.info.Draining && !w.removed && w.missedHolds == 0
 }
 
 // withholdsLease reports whether the lease is not extended, so that runs end with it: foreign runs,
