--- /dev/null
+++ b/sched/taking_test.go
@@ -0,0 +1,110 @@
+package sched
+
+import (
+	"testing"
+	"time"
+
+	"sesameledge.dev/sesameledge/fleet"
+)
+
+// takenPool returns a scheduler that has begun to take two workers, and the holds that they have not
+// answered.
+func takenPool(policy Policy, now time.Duration) (*State, []HoldWorker) {
+	s := New(0)
+	s.SetPolicy(policy)
+	capacity := fleet.Resources{CPU: 64000, Memory: 1000}
+	s.Step(now, UpdateWorkers{Workers: []fleet.Worker{
+		{ID: "w0", Service: "s", Zone: "z", Capacity: capacity}, {ID: "w1", Service: "s", Zone: "z", Capacity: capacity},
+	}})
+	for _, id := range []string{"w0", "w1"} {
+		s.Step(now, TakeWorker{Worker: id, Cell: "z", Fence: 1})
+	}
+	var holds []HoldWorker
+	for _, e := range s.Ready() {
+		if h, ok := e.(HoldWorker); ok {
+			holds = append(holds, h)
+		}
+	}
+	return s, holds
+}
+
+// shortJob returns a job with a slack of 90 ms, whose caller came the given time ago.
+func shortJob(seq uint64, tasks int, age time.Duration) Submit {
+	return Submit{Job: Job{
+		Key: JobKey{Host: 1, Seq: seq}, Cell: "z", Age: age, Left: 3*time.Second - age,
+		Spec:  fleet.JobSpec{ID: jobName(JobKey{Host: 1, Seq: seq}), Tasks: tasks, Need: fleet.Resources{CPU: 8000, Memory: 64}, Estimate: 50 * time.Millisecond},
+		Route: fleet.Route{Name: "r", Service: "s", MaxAttempts: 2, SlackFactor: 1.6, ObjectiveOffset: 60 * time.Millisecond},
+	}}
+}
+
+// outcomesAndStarts places tasks and returns the ends of jobs and the number of starts.
+func outcomesAndStarts(s *State, now time.Duration) (finished []JobFinished, starts int) {
+	s.Place(now)
+	for _, e := range s.Ready() {
+		switch e := e.(type) {
+		case JobFinished:
+			finished = append(finished, e)
+		case StartRun:
+			starts++
+		}
+	}
+	return finished, starts
+}
+
+// TestJobsWaitForWorkersBeingTaken guards against refusing jobs that arrive between the take of a cell and
+// the first answers of its workers, and against a host that shows such a cell as one without room.
+func TestJobsWaitForWorkersBeingTaken(t *testing.T) {
+	for _, policy := range []Policy{{}, {LookAhead: true}} {
+		now := time.Minute
+		s, holds := takenPool(policy, now)
+		if l := s.Loads("z")["s"]; l.CapacityCPU != 128000 || l.FreeCPU != 128000 {
+			t.Errorf("%+v: the load of the cell is %+v, want the room of both workers", policy, l)
+		}
+		s.Step(now, shortJob(1, 8, 20*time.Millisecond))
+		if finished, starts := outcomesAndStarts(s, now); len(finished) != 0 || starts != 0 {
+			t.Fatalf("%+v: %d starts and %+v before a worker has answered", policy, starts, finished)
+		}
+		now += 10 * time.Millisecond
+		for _, h := range holds {
+			s.Step(now, HoldReply{Worker: h.Worker.ID, Seq: h.Seq, Sent: time.Minute, Fence: 1, Reply: fleet.HoldReply{
+				Reply: fleet.Reply{Verdict: fleet.Accepted, ClockMillis: 1000, ProcessStart: 1},
+			}})
+		}
+		if finished, starts := outcomesAndStarts(s, now); len(finished) != 0 || starts != 8 {
+			t.Errorf("%+v: %d starts and %+v, want 8 starts", policy, starts, finished)
+		}
+	}
+}
+
+// TestSilentWorkersDoNotCount guards against jobs that wait for workers that do not answer the take.
+func TestSilentWorkersDoNotCount(t *testing.T) {
+	now := time.Minute
+	s, holds := takenPool(Policy{LookAhead: true}, now)
+	now += 100 * time.Millisecond
+	for _, h := range holds {
+		s.Step(now, HoldReply{Worker: h.Worker.ID, Seq: h.Seq, Sent: time.Minute, Fence: 1})
+	}
+	s.Step(now, shortJob(1, 1, 0))
+	if finished, _ := outcomesAndStarts(s, now); len(finished) != 1 || finished[0].Outcome != Refused {
+		t.Errorf("the job came to %+v, want refused", finished)
+	}
+}
+
+// TestLateJobWithFreeWorkers guards against refusing jobs as overload while workers are idle. Jobs that
+// waited for the cell of their zone come late, all at once.
+func TestLateJobWithFreeWorkers(t *testing.T) {
+	now := time.Minute
+	s, holds := takenPool(Policy{LookAhead: true}, now)
+	for _, h := range holds {
+		s.Step(now, HoldReply{Worker: h.Worker.ID, Seq: h.Seq, Sent: now, Fence: 1, Reply: fleet.HoldReply{
+			Reply: fleet.Reply{Verdict: fleet.Accepted, ClockMillis: 1000, ProcessStart: 1},
+		}})
+	}
+	s.Step(now, shortJob(1, 4, 150*time.Millisecond))
+	s.Step(now, shortJob(2, 4, 0))
+	s.Step(now, shortJob(3, 40, 160*time.Millisecond)) // above what is free
+	finished, starts := outcomesAndStarts(s, now)
+	if len(finished) != 1 || finished[0].Key.Seq != 3 || starts != 8 {
+		t.Errorf("%d starts and %+v, want the tasks of the first two jobs started and the third refused", starts, finished)
+	}
+}
