Wait for the cells of the own zone after a loss, and take cells sooner

Jobs went to the first cell announced, which refused 84 of them as overload.

Change: jobs wait for the cells of their zone that have listed workers and no commander, and are spread over them by the CPU of the workers. Other zones get what they have room for, divided by the hosts that come back. A host takes cells after 50 ms if all hosts that could command them have been heard, and after 100 ms if half of the zone's hosts are there and have all just started. It ticks every 25 ms while it starts. Each start is logged with its phases.

--- a/entry/store.go
+++ b/entry/store.go
@@ -142,8 +142,8 @@
 
 // handleHostRecords sends the addresses of entry hosts and their highest fencing token to the
 // event loop. It ignores records that cannot be decoded.
-func (h *Host) handleHostRecords(records []platform.Record, _ bool) {
-	var ev host.HostsDiscovered
+func (h *Host) handleHostRecords(records []platform.Record, snapshot bool) {
+	ev := host.HostsDiscovered{FromStore: snapshot, Commanders: make(map[string]bool)}
 	for _, r := range records {
 		known, err := platform.DecodeHost(r.Value)
 		if err != nil {
@@ -153,6 +153,7 @@
 		ev.Hosts = append(ev.Hosts, &meshpb.Host{Name: known.Name, Zone: known.Zone, Addr: known.Addr, Id: known.ID, Weight: known.Weight})
 		if host.PlausibleFence(known.Fence) {
 			ev.MaxFence = max(ev.MaxFence, known.Fence)
+			ev.Commanders[known.Addr] = known.Fence > 0
 		}
 	}
 	h.loop.send(ev)
--- a/host/cells.go
+++ b/host/cells.go
@@ -20,6 +20,9 @@
 func (s *State) decideCells(now time.Duration) {
 	others := s.liveHosts(now)
 	s.updateZoneParts(now, others)
+	if now-s.opts.Started < maxStartTime {
+		s.owner.RecordZoneHeard(s.hasHeardZone(), s.zoneRestarts())
+	}
 	for _, c := range s.owner.Claims() {
 		if s.outdated(c.Cell) && !c.Releasing {
 			s.applyDecision(now, c.Cell, owner.Decision{Kind: owner.HandOver, Reason: "the zone is divided anew"})
@@ -35,6 +38,7 @@
 		}
 	}
 	s.readsWorkers = s.needsWorkerReads(others)
+	s.updateRecovery(now, others)
 }
 
 // applyDecision carries out a decision of package owner about a cell.
@@ -213,7 +217,7 @@
 
 // ownStatus returns the status that the host sends to its peers.
 func (s *State) ownStatus() *meshpb.Status {
-	st := &meshpb.Status{Draining: s.draining, MaxFence: s.maxFence, StoreReachable: s.storeReachable}
+	st := &meshpb.Status{Draining: s.draining, MaxFence: s.maxFence, StoreReachable: s.storeReachable, Starting: s.recovery.starting}
 	if s.config != nil {
 		st.ConfigVersion = s.config.Version
 	}
--- a/host/event.go
+++ b/host/event.go
@@ -30,6 +30,10 @@
 type HostsDiscovered struct {
 	Hosts    []*meshpb.Host
 	MaxFence int64
+	// FromStore reports that the list holds all hosts that are in the store; Commanders then holds the
+	// addresses of those that have commanded cells.
+	FromStore  bool
+	Commanders map[string]bool
 }
 
 // ConfigRead reports a configuration that was read from the store, still encoded.
--- a/host/host.go
+++ b/host/host.go
@@ -86,6 +86,10 @@
 	effects     []Effect
 	stats       Stats
 	applying    int // see Applying
+	recovery    recovery
+	start       startRecord
+	// hostsRead reports whether the list of hosts was read from the store since the start.
+	hostsRead bool
 	// jobsRecordedAt is when recordJobsInProgress last ran.
 	jobsRecordedAt time.Duration
 }
@@ -114,6 +118,7 @@
 		applying:     -1,
 		rng:          rand.New(rand.NewPCG(opts.Seed, opts.Self.ID)),
 	}
+	s.recovery.starting = true
 	s.sched.SetPolicy(opts.Placement)
 	for _, addr := range opts.Seeds {
 		s.addPeer(&meshpb.Host{Addr: addr})
@@ -145,8 +150,11 @@
 // CellCount returns the number of cells that the host commands or is handing over.
 func (s *State) CellCount() int { return len(s.owner.Claims()) }
 
-// NeedsFrequentTicks reports whether the host has cells or callers' jobs, whose deadlines need frequent ticks.
-func (s *State) NeedsFrequentTicks() bool { return len(s.jobs) > 0 || s.CellCount() > 0 }
+// NeedsFrequentTicks reports whether the host has cells or callers' jobs, whose deadlines need frequent ticks,
+// or is still starting, when it decides on cells.
+func (s *State) NeedsFrequentTicks() bool {
+	return len(s.jobs) > 0 || s.CellCount() > 0 || !s.start.logged
+}
 
 func (s *State) emit(e Effect) { s.effects = append(s.effects, e) }
 
@@ -186,6 +194,7 @@
 		for _, h := range e.Hosts {
 			s.addPeer(h)
 		}
+		s.recordListedHosts(e)
 	case ConfigRead:
 		s.applyConfig(now, e.Record, "store")
 	case WorkersRead:
@@ -207,6 +216,7 @@
 	s.sched.Step(now, sched.Tick{})
 	s.retryJobs(now)
 	s.forwardToPeers(now)
+	s.trackStart(now)
 }
 
 // applySchedulerEffects handles the effects of the scheduler that concern this host and returns
--- a/host/jobs.go
+++ b/host/jobs.go
@@ -34,6 +34,7 @@
 	cell          fleet.Cell
 	refusedBy     map[fleet.Cell]bool // cells that have refused the job
 	refusalReason string              // of the latest refusal
+	drawnCell     fleet.Cell          // cell of the own zone for which it waits while cells come back; see drawCell
 }
 
 func (s *State) handleJobArrived(now time.Duration, e JobArrived) {
@@ -43,11 +44,15 @@
 	s.assignJob(now, j)
 }
 
-// assignJob sends a job to the commander of the cell that chooseCell returns. If there is none, the job
+// assignJob sends a job to the commander of the cell that chooseCell returns, unless it waits for one that
+// comes back (see waitsForOwnZone). If there is none, the job
 // waits up to cellWaitLimit for a cell; if a cell has already refused it, the caller gets a refusal at
 // once.
 func (s *State) assignJob(now time.Duration, j *job) {
 	c, ok := s.chooseCell(now, j)
+	if s.waitsForOwnZone(now, j, c) {
+		return
+	}
 	if !ok {
 		if len(j.refusedBy) > 0 || now-j.arrived >= cellWaitLimit {
 			s.answerJob(now, j, sched.Refused, cmp.Or(j.refusalReason, "no host commands workers of the service"))
@@ -55,6 +60,7 @@
 		return
 	}
 	j.hostID, j.cell = c.host, c.name
+	s.recordStart(now, StartFirstJob)
 	c.recordAssignment(j)
 	if c.peer == nil {
 		s.submitLocal(now, j)
--- a/host/peers.go
+++ b/host/peers.go
@@ -15,6 +15,9 @@
 // peer is another entry host.
 type peer struct {
 	info             *meshpb.Host  // name, zone and process ID are empty until its first frame
+	listed           bool          // the store lists it; listedWeight and commanded are then known
+	listedWeight     int64         // processors, in thousandths of a core
+	commanded        bool          // its process in the store has commanded cells
 	discoveredZone   string        // zone in the record or list that named the host; empty if unknown
 	contacted        bool          // this host keeps in contact with it
 	contactNeededAt  time.Duration // when the contact was last needed
@@ -100,6 +103,7 @@
 	for _, m := range messages {
 		s.handleMessage(now, p, f, m)
 	}
+	s.recheckRecovery(now, p)
 	s.submitConfirmed(now, p, time.Duration(f.GetEcho()))
 	if p.confirmSubmission && p.session.Unacknowledged() == 0 {
 		p.confirmSubmission = false
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -26,6 +26,11 @@
 const (
 	// listenTime is how long a new process listens to other hosts before it takes a cell.
 	listenTime = 350 * time.Millisecond
+	// minListenTime is that time if all hosts that could command the cell have been heard.
+	minListenTime = 50 * time.Millisecond
+	// restartListenTime is that time if the hosts of the zone have all just started. A live commander answers
+	// within milliseconds.
+	restartListenTime = 100 * time.Millisecond
 	// largerHostListenTime is how long it listens if a much larger host of the zone is known, or likely
 	// because it is small itself, to give that one time to be heard.
 	largerHostListenTime = 1500 * time.Millisecond
@@ -102,6 +107,8 @@
 	quickLosses   map[fleet.Cell]uint // losses in a row before establishedClaimAge
 	largestWeight map[string]int64    // of the known hosts, by zone
 	lastHeardAt   time.Duration       // when any other host was last heard; 0: never
+	zoneHeard     bool                // see RecordZoneHeard
+	zoneRestarts  bool
 }
 
 // New returns the state of a process that starts now.
@@ -123,11 +130,23 @@
 	s.largestWeight[zone] = max(s.largestWeight[zone], weight)
 }
 
+// RecordZoneHeard records what a new process has heard of its zone. all reports whether all hosts that may
+// command its cells, or are as fit for it, have been heard, as far as they are known: listening for longer
+// then brings no other claim to light. restarts reports whether those heard have all just started, so that
+// most likely no commander is left.
+func (s *State) RecordZoneHeard(all, restarts bool) { s.zoneHeard, s.zoneRestarts = all, restarts }
+
 // hasListened reports whether the process has listened long enough to take a cell of a zone.
 func (s *State) hasListened(now time.Duration, zone string) bool {
+	if s.zoneHeard && now >= s.startedAt+minListenTime {
+		return true
+	}
 	if s.self.Weight < smallHostWeight || muchLarger(s.largestWeight[zone], s.self.Weight) {
 		return now >= s.startedAt+largerHostListenTime
 	}
+	if s.zoneRestarts {
+		return now >= s.startedAt+restartListenTime
+	}
 	return now >= s.startedAt+listenTime
 }
 
@@ -145,6 +164,10 @@
 // change of command is worth its cost.
 func muchLarger(a, b int64) bool { return a > 0 && 2*a >= 3*b }
 
+// Comparable reports whether a host of weight a is not so much smaller than one of weight b that it never
+// commands a cell while the other one lives.
+func Comparable(a, b int64) bool { return !muchLarger(b, a) }
+
 // Claim returns the claim of this host on a cell, or nil. The caller keeps its HeldWorkers and CommandedCount
 // up to date.
 func (s *State) Claim(cell fleet.Cell) *Claim { return s.claims[cell] }
