Let late jobs wait for room after a cell has come back

Cause: after a total loss the jobs that came while a cell had no commander arrive there at once and late, and were refused as overload with a Retry-After of one to three seconds, although room appeared within some 100 ms.

Change: for 2 s after the take of a cell, late jobs without room stay in the queue, behind those in time, and start when there is room for all their tasks, until their answer is of no use.

--- a/sched/admission.go
+++ b/sched/admission.go
@@ -22,6 +22,7 @@
 		if j.finished || j.cell != p.cell || j.route.Service != p.service {
 			continue
 		}
+		j.waitsForRoom = false
 		neededCPU += j.waitingCPU()
 		neededBytes += j.waitingBytes()
 		latest := j.latestAdmission()
@@ -36,7 +37,9 @@
 				refusable = refusable[:len(refusable)-1]
 				neededCPU -= j.waitingCPU()
 				neededBytes -= j.waitingBytes()
-				s.refuseForOverload(now, p, j)
+				if j.waitsForRoom = s.comesBack(now, p.cell); !j.waitsForRoom {
+					s.refuseForOverload(now, p, j)
+				}
 			}
 			continue // it is late, whatever else is refused, and starts only where no other job needs the room
 		}
--- a/sched/job.go
+++ b/sched/job.go
@@ -30,6 +30,7 @@
 	unrejectedStarts int           // starts sent, less those rejected; above 0: tasks of the job may have run
 	share            *queueShare   // of its route
 	sizeFactor       float64       // share of its slack after which its tasks should start; below 1 if they are large
+	waitsForRoom     bool          // it is late and starts only when there is room for all its tasks; see comesBack
 	finished         bool          // its outcome has been reported
 }
 
--- a/sched/place.go
+++ b/sched/place.go
@@ -37,7 +37,7 @@
 		}
 	}
 	for _, j := range s.queue {
-		if j.finished {
+		if j.finished || j.waitsForRoom {
 			continue
 		}
 		s.placeJob(now, j, usable[pool{j.cell, j.route.Service}])
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -63,6 +63,7 @@
 	sortedWorkers   []*worker // by ID
 	stats           Stats
 	closedCells     map[fleet.Cell]bool // refuse jobs while their workers are handed over
+	cellTakes       map[fleet.Cell]cellTake
 }
 
 // Stats counts what the state machine has done since New.
@@ -85,6 +86,7 @@
 		workers:     make(map[string]*worker),
 		jobs:        make(map[JobKey]*job),
 		closedCells: make(map[fleet.Cell]bool),
+		cellTakes:   make(map[fleet.Cell]cellTake),
 		durations:   newDurationModel(),
 		importance:  newImportance(),
 		shares:      new(shares),
@@ -199,6 +201,7 @@
 	if w == nil || w.phase != phaseNone && w.fence >= e.Fence {
 		return
 	}
+	s.recordCellTake(now, e)
 	w.phase = phaseTaking
 	w.fence = e.Fence
 	w.cell = e.Cell
--- a/sched/taking.go
+++ b/sched/taking.go
@@ -1,6 +1,10 @@
 package sched
 
-import "time"
+import (
+	"time"
+
+	"sesameledge.dev/sesameledge/fleet"
+)
 
 const (
 	// takeTime is how long a worker that is being taken needs until it accepts tasks: a call on a new
@@ -8,6 +12,9 @@
 	takeTime = 30 * time.Millisecond
 	// takeTimeWithRuns is that time if runs of the former commander have to be stopped first.
 	takeTimeWithRuns = 120 * time.Millisecond
+	// returnTime is how long after the take of a cell without workers its late jobs wait for room. The jobs
+	// that came while it was away arrive at once, and callers whose connections broke come back within 1.3 s.
+	returnTime = 2 * time.Second
 )
 
 // isBeingTaken reports whether the worker will accept tasks soon: it has been asked for its runs, and no
@@ -33,3 +40,30 @@
 func (f *forecast) hasRoom(cpu int64) bool {
 	return cpu <= int64(packingEfficiency*float64(f.free))+f.coming
 }
+
+// cellTake is the newest take of a cell of which no worker was commanded.
+type cellTake struct {
+	fence int64
+	at    time.Duration
+}
+
+// recordCellTake records the take of a cell with that of its first worker.
+func (s *State) recordCellTake(now time.Duration, e TakeWorker) {
+	if s.cellTakes[e.Cell].fence == e.Fence {
+		return
+	}
+	for _, w := range s.workers {
+		if w.cell == e.Cell && w.phase == phaseHeld {
+			return
+		}
+	}
+	s.cellTakes[e.Cell] = cellTake{fence: e.Fence, at: now}
+}
+
+// comesBack reports whether a cell was taken so recently that jobs that are late wait for room as long as
+// their answer is of use. They are late because nobody commanded the cell, and a caller that is refused
+// then only adds to the crowd.
+func (s *State) comesBack(now time.Duration, cell fleet.Cell) bool {
+	take, ok := s.cellTakes[cell]
+	return ok && now-take.at < returnTime
+}
