Hand over one cell at a time, and log a start with its phases

Cause: after a total loss the first of two equal hosts takes all cells of its zone.

Change: cells that are being handed over no longer count for the share of processors of the others. Two hosts that have just started, and none that kept running, are enough to take cells after 100 ms. The log line of a start comes after 3 s at the earliest, when the bound of the log leaves fewer lines out; sesameledge_start_seconds has the same figures.

--- a/entry/exposition.go
+++ b/entry/exposition.go
@@ -28,12 +28,13 @@
 	sched           sched.Stats
 	openJobs        int
 	cells           int
-	callTimeout     time.Duration // of calls to workers
-	version         int64         // of the configuration in force
-	droppedLogLines int64         // log lines dropped since the start
-	panics          int64         // panics in the event loop
-	framesNotSent   int64         // frames that could not be encoded
-	framesNotRead   int64         // frames that could not be decoded
+	callTimeout     time.Duration            // of calls to workers
+	version         int64                    // of the configuration in force
+	startTimes      map[string]time.Duration // by phase of the start
+	droppedLogLines int64                    // log lines dropped since the start
+	panics          int64                    // panics in the event loop
+	framesNotSent   int64                    // frames that could not be encoded
+	framesNotRead   int64                    // frames that could not be decoded
 }
 
 // snapshot reads the current values. It reports false if the event loop has ended.
@@ -44,6 +45,7 @@
 	ok = h.loop.readState(func(_ time.Duration, state *host.State) {
 		s.host, s.sched = state.Stats(), state.Scheduler().Stats()
 		s.openJobs, s.cells = state.OpenJobs(), state.CellCount()
+		s.startTimes = state.StartTimes()
 		s.callTimeout = state.Scheduler().CallTimeout()
 		if c := state.Config(); c != nil {
 			s.version = c.Version
@@ -104,6 +106,7 @@
 		gauge("open_jobs", "Jobs of this host's callers without an answer.", int64(s.openJobs)),
 		gauge("cells", "Cells that this host commands or hands over.", int64(s.cells)),
 		gauge("worker_call_timeout_ms", "Time in ms after which calls to workers count as unanswered. It rises when answers are slow.", s.callTimeout.Milliseconds()),
+		startGauge(s.startTimes),
 		gauge("config_version", "Version of the configuration in force, 0 if there is none.", s.version),
 	}
 }
@@ -136,6 +139,20 @@
 	}
 }
 
+// startGauge returns the time that the process has taken to each phase of its start.
+func startGauge(times map[string]time.Duration) *dto.MetricFamily {
+	f := &dto.MetricFamily{
+		Name: ptr(namePrefix + "start_seconds"), Help: ptr("Time from the start of the process to each phase of it, 0 if it was not reached."),
+		Type: dto.MetricType_GAUGE.Enum(),
+	}
+	for _, phase := range host.StartPhases() {
+		f.Metric = append(f.Metric, &dto.Metric{
+			Label: []*dto.LabelPair{{Name: ptr("phase"), Value: ptr(phase)}}, Gauge: &dto.Gauge{Value: ptr(times[phase].Seconds())},
+		})
+	}
+	return f
+}
+
 // latencyFamily returns the histograms of all latencies.
 func (m *metrics) latencyFamily() *dto.MetricFamily {
 	m.mu.Lock()
--- a/host/simulation_jobs_test.go
+++ b/host/simulation_jobs_test.go
@@ -20,6 +20,7 @@
 	unresolved int           // submissions after which tasks may have run
 	outcomes   []sched.Outcome
 	reason     string // of the newest answer
+	answeredAt time.Duration
 	started    bool
 	done       map[int]bool // tasks that have ended as done, by index
 	gone       bool         // the caller has given up
@@ -68,7 +69,7 @@
 	h.deliver(h.processCount, JobArrived{
 		Seq: h.seq, Remaining: 3 * time.Second,
 		Spec:  fleet.JobSpec{ID: j.id, Tasks: j.tasks, Need: j.need, Estimate: 200 * time.Millisecond, Ephemeral: true},
-		Route: fleet.Route{Name: "r", Service: "s", MaxAttempts: 2, SlackFactor: 1.6, ObjectiveOffset: time.Second},
+		Route: fleet.Route{Name: "r", Service: "s", MaxAttempts: 2, SlackFactor: 1.6, ObjectiveOffset: w.objective},
 	})
 }
 
@@ -109,7 +110,7 @@
 	}
 	delete(h.open, a.Seq)
 	j.outcomes = append(j.outcomes, a.Outcome)
-	j.reason = a.Reason
+	j.reason, j.answeredAt = a.Reason, h.w.now
 	switch a.Outcome {
 	case sched.Completed:
 		j.open--
--- a/host/simulation_test.go
+++ b/host/simulation_test.go
@@ -21,6 +21,8 @@
 	storeReadInterval = 600 * time.Millisecond
 	// callerResendDelay is the delay before callers resend a job whose outcome is unknown.
 	callerResendDelay = 1300 * time.Millisecond
+	// simWeight is the weight of every host.
+	simWeight = 400
 	// bootTime is how long a process takes to start.
 	bootTime = 200 * time.Millisecond
 )
@@ -46,6 +48,8 @@
 	failure     error         // first violation that was found
 	tracing     bool
 	cellWorkers int
+	objective   time.Duration // offset of the objective of new jobs
+	placement   sched.Policy
 	trace       []string // orders and answers, if tracing
 }
 
@@ -101,7 +105,7 @@
 		rng: rand.New(rand.NewPCG(seed, 0)), now: time.Hour,
 		links: make(map[[2]int]*simLink), jobs: make(map[string]*simJob), entries: make(map[string]fleet.Worker),
 	}
-	w.version, w.cellWorkers = 1, cellWorkers
+	w.version, w.cellWorkers, w.objective = 1, cellWorkers, time.Second
 	for i := range 2 * workersPerZone {
 		w.addWorker(fmt.Sprintf("w%d", i), simZones[i%2], []float64{1, 0.98, 1}[i%3])
 	}
@@ -223,6 +227,7 @@
 	open         map[uint64]*simJob // jobs whose callers wait
 	version      int64              // of the configuration in force
 	storeCut     bool
+	announced    bool // its entry in the store shows that it has commanded cells
 	draining     bool
 }
 
@@ -237,7 +242,7 @@
 	h.inbox, h.outbox, h.version = nil, nil, 0
 	h.open = make(map[uint64]*simJob)
 	h.state = New(Options{
-		Self:  Self{Name: h.name, Zone: h.zone, Addr: h.addr, ID: w.nextID, Weight: 400},
+		Self:  Self{Name: h.name, Zone: h.zone, Addr: h.addr, ID: w.nextID, Weight: simWeight},
 		Zones: simZones, Seeds: []string{w.hosts[0].addr, w.hosts[len(w.hosts)-1].addr},
 		Decode: Decoders{
 			Config: func(record []byte) (*fleet.Config, error) {
@@ -245,8 +250,8 @@
 			},
 			Worker: func(_ string, record []byte) (fleet.Worker, error) { return w.entries[string(record)], nil },
 		},
-		CellWorkers: w.cellWorkers,
-		Seed:        w.nextID, Started: h.clock(), UnixMillis: 1767225600000 + w.now.Milliseconds() + w.rng.Int64N(3000),
+		CellWorkers: w.cellWorkers, Placement: w.placement,
+		Seed: w.nextID, Started: h.clock(), UnixMillis: 1767225600000 + w.now.Milliseconds() + w.rng.Int64N(3000),
 	})
 	process := h.processCount
 	w.after(simLatency, func() { h.tick(process) })
@@ -292,9 +297,10 @@
 				read.Records = append(read.Records, ww.record())
 			}
 		}
-		hosts := HostsDiscovered{MaxFence: h.w.fence}
+		hosts := HostsDiscovered{MaxFence: h.w.fence, FromStore: true, Commanders: make(map[string]bool)}
 		for _, o := range h.w.hosts {
-			hosts.Hosts = append(hosts.Hosts, &meshpb.Host{Addr: o.addr})
+			hosts.Hosts = append(hosts.Hosts, &meshpb.Host{Addr: o.addr, Zone: o.zone, Weight: simWeight})
+			hosts.Commanders[o.addr] = o.announced
 		}
 		events := []Event{ConfigRead{Record: make([]byte, h.w.version)}, hosts, StoreReachability{Reachable: true}}
 		if h.state.ReadsWorkers() {
@@ -359,6 +365,7 @@
 		case AnnounceFence:
 			if !h.storeCut {
 				h.w.fence = max(h.w.fence, e.Fence)
+				h.announced = true
 			}
 		case ActivateConfig:
 			if e.Config.Version < h.version {
--- a/host/start.go
+++ b/host/start.go
@@ -28,6 +28,9 @@
 	"config", "hosts", "workers", "contact", "cell_taken", "first_worker", "workers_held", "cells_covered", "first_job",
 }
 
+// StartPhases returns the names of the phases.
+func StartPhases() []string { return startPhaseNames[:] }
+
 // String implements fmt.Stringer.
 func (p StartPhase) String() string { return startPhaseNames[p] }
 
@@ -35,9 +38,14 @@
 	// maxStartTime is the time after which a start is logged although phases are missing. Hosts without a
 	// cell or without callers never reach some of them.
 	maxStartTime = 10 * time.Second
+	// minStartLogAge is the earliest time for that line. Starts write many lines, of which the bound of the log
+	// leaves some out.
+	minStartLogAge = 3 * time.Second
 	// heldTenths is the share, in tenths, of the workers of the own cells for StartWorkersHeld. A few
 	// listed workers may be down.
 	heldTenths = 9
+	// restartWitnesses is the number of hosts for zoneRestarts in a zone of more than four.
+	restartWitnesses = 2
 )
 
 // startRecord holds when the process reached each phase, counted from its start.
@@ -88,7 +96,7 @@
 		ofCommander := StartPhase(p) >= StartCellTaken && StartPhase(p) <= StartWorkersHeld
 		complete = complete && (d > 0 || ofCommander && !s.owner.HasClaims())
 	}
-	if !complete && now-s.opts.Started < maxStartTime {
+	if now-s.opts.Started < minStartLogAge || !complete && now-s.opts.Started < maxStartTime {
 		return
 	}
 	s.start.logged = true
@@ -161,8 +169,9 @@
 	return true
 }
 
-// zoneRestarts reports whether half of the listed hosts of the own zone are live and all of them have
-// started a moment ago and know no commander. The zone then comes back from a loss of all its hosts.
+// zoneRestarts reports whether some hosts of the own zone are live and all of them have started a moment ago
+// and know no commander. The zone then most likely comes back from a loss of all its hosts, since a host that
+// kept running would have answered as well.
 func (s *State) zoneRestarts() bool {
 	listed, starting := 0, 0
 	for _, p := range s.sortedPeers {
@@ -179,7 +188,7 @@
 			listed++
 		}
 	}
-	return s.hostsRead && s.knowsOwnWorkers() && starting > 0 && 2*starting >= listed
+	return s.hostsRead && s.knowsOwnWorkers() && starting > 0 && starting >= min(restartWitnesses, (listed+1)/2)
 }
 
 // recordListedHosts records what the store tells of other hosts.
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -324,7 +324,13 @@
 // cost.
 func (s *State) muchStrongerHostExists(cell fleet.Cell, others []Host) bool {
 	zone := cell.Zone()
-	share := s.self.Weight / int64(max(1, len(s.claims)))
+	kept := 0 // cells that are being handed over will not need this host's processors
+	for _, c := range s.claims {
+		if !c.Releasing {
+			kept++
+		}
+	}
+	share := s.self.Weight / int64(max(1, kept))
 	for _, h := range others {
 		if h.Zone == zone && !h.Draining && h.Age >= minHandOverAge && muchLarger(h.shareWithOneMoreCell(), share) {
 			return true
