Offer refused jobs again once while the crowd of a return drains

Cause: the jobs that wait while a zone comes back fill all cells at once when it is there. TestHalfOfHostsBack: a job that came shortly before was refused by all of them 68 ms after its arrival, with room 60 ms later.

Change: within 2 s of the return, a job that all cells have refused is offered to them once more after 60 ms. A job whose message cannot be sent is not.

--- a/host/jobs.go
+++ b/host/jobs.go
@@ -34,6 +34,7 @@
 	cell          fleet.Cell
 	refusedBy     map[fleet.Cell]bool // cells that have refused the job
 	refusalReason string              // of the latest refusal
+	offerAgainAt  time.Duration       // when it is offered again to the cells that have refused it; 0: it was not; see offersAgain
 	drawnCell     fleet.Cell          // cell of the own zone for which it waits while cells come back; see drawCell
 }
 
@@ -49,11 +50,17 @@
 // waits up to cellWaitLimit for a cell; if a cell has already refused it, the caller gets a refusal at
 // once.
 func (s *State) assignJob(now time.Duration, j *job) {
+	if now < j.offerAgainAt {
+		return
+	}
 	c, ok := s.chooseCell(now, j)
 	if s.waitsForOwnZone(now, j, c) {
 		return
 	}
 	if !ok {
+		if len(j.refusedBy) > 0 && s.offersAgain(now, j) {
+			return
+		}
 		if len(j.refusedBy) > 0 || now-j.arrived >= cellWaitLimit {
 			s.answerJob(now, j, sched.Refused, cmp.Or(j.refusalReason, "no host commands workers of the service"))
 		}
@@ -73,6 +80,7 @@
 func (s *State) forwardJob(now time.Duration, j *job, c *cellCandidate) {
 	submit := &meshpb.Message{Kind: &meshpb.Message_Submit{Submit: s.submitMessage(now, j)}}
 	if !c.peer.session.Send(submit) {
+		j.offerAgainAt = now // a message that was not taken is not taken later either
 		s.handleRefusal(now, j, "the host that commands the cell takes no messages")
 		return
 	}
--- a/host/recovery.go
+++ b/host/recovery.go
@@ -18,6 +18,11 @@
 	// drawnCellSlack is the share of a job's slack for which it waits for the one cell that was drawn for
 	// it while another cell of the zone is there. The rest is for the wait in that one.
 	drawnCellSlack = 0.5
+	// crowdTime is how long after the own zone has come back refused jobs are offered again once, and
+	// offerAgainDelay the time until that. The crowd of jobs that have waited fills all cells at once, and room
+	// appears again as soon as the first of them have ended.
+	crowdTime       = 2 * time.Second
+	offerAgainDelay = 60 * time.Millisecond
 	// unknownTaskDuration is assumed for tasks whose caller gives no estimate.
 	unknownTaskDuration = 200 * time.Millisecond
 )
@@ -30,6 +35,7 @@
 	checked        bool          // cells have been looked at
 	since          time.Duration // when a cell of the own zone was first without a commander; 0: none is
 	missing        []fleet.Cell  // cells of the own zone without a commander
+	lastMissing    time.Duration // when a cell of the own zone was last without a commander; 0: never
 	starting       bool          // this process is new and knows no commander in its zone
 	returningHosts int64         // hosts of the zones that have such cells, at least 1
 }
@@ -48,6 +54,7 @@
 	if r.since == 0 {
 		r.since = now
 	}
+	r.lastMissing = now
 	returning := make(map[string]bool)
 	for _, zone := range s.opts.Zones {
 		returning[zone] = len(s.cellsWithoutCommander(zone, all)) > 0
@@ -121,6 +128,18 @@
 	return s.comesBack(now, j.drawnCell) && now < j.arrived+time.Duration(drawnCellSlack*float64(j.slack()))
 }
 
+// offersAgain reports whether a job that all cells have refused just after the own zone has come back is
+// offered to them again a moment later.
+func (s *State) offersAgain(now time.Duration, j *job) bool {
+	r := &s.recovery
+	if r.lastMissing == 0 || now-r.lastMissing > crowdTime || j.offerAgainAt != 0 || now+offerAgainDelay >= j.usefulStart() || s.draining {
+		return false
+	}
+	j.offerAgainAt = now + offerAgainDelay
+	clear(j.refusedBy)
+	return true
+}
+
 // hasRoomForReturning reports whether a cell of another zone has free room for a job now, if all hosts of
 // zones that come back send jobs there. They all know the same of its load.
 func (s *State) hasRoomForReturning(c *cellCandidate, j *job) bool {
