Forward workers to a zone that comes back while the store is away

Cause: entries of workers were forwarded within their zone only, so the hosts of a zone that was lost and came back during an outage of the store never learned of their workers. TestZoneBackWithoutStore: 0 of 24 workers were taken.

Change: commanders of other zones forward the entries of a zone without a commander to its hosts that the store does not answer, 500 ms after these start.

--- a/host/knowledge.go
+++ b/host/knowledge.go
@@ -185,7 +185,7 @@
 			continue
 		}
 		s.forwardConfig(now, p)
-		if (!p.status.GetStoreReachable() || len(p.status.GetCells()) == 0) && now-p.firstContactAt >= workerForwardDelay {
+		if (!p.status.GetStoreReachable() || len(p.status.GetCells()) == 0) && now-p.firstContactAt >= workerForwardDelayFor(p) {
 			s.forwardWorkers(p)
 		}
 	}
@@ -239,7 +239,7 @@
 			return true
 		}
 	}
-	return false
+	return s.owner.HasClaims() && s.lacksAllSources(p)
 }
 
 // changedWorkersFor returns the entries of a peer's zone that have changed since they were last
@@ -247,10 +247,7 @@
 // because a host commands only workers of its own
 // zone, and because the traffic would grow with the number of hosts times that of all workers.
 func (s *State) changedWorkersFor(p *peer) []*meshpb.Worker {
-	if !s.forwardsWorkersTo(p) {
-		return nil
-	}
-	if p.forwardedChange == s.workerChanges {
+	if p.forwardedChange == s.workerChanges || !s.forwardsWorkersTo(p) {
 		return nil
 	}
 	var list []*meshpb.Worker
--- a/host/recovery.go
+++ b/host/recovery.go
@@ -111,6 +111,27 @@
 	return e.info.Zone == zone && e.info.Service == service && e.removedAt == 0 && !e.info.Draining && e.info.Capacity.CPU > 0
 }
 
+// workerForwardDelayWithoutStore is the delay before entries of workers are forwarded to a new process that
+// the store does not answer. Hosts that the store answers have read them by then.
+const workerForwardDelayWithoutStore = 500 * time.Millisecond
+
+// workerForwardDelayFor returns how long a new process has to read the workers itself.
+func workerForwardDelayFor(p *peer) time.Duration {
+	if p.status.GetStarting() && !p.status.GetStoreReachable() {
+		return workerForwardDelayWithoutStore
+	}
+	return workerForwardDelay
+}
+
+// lacksAllSources reports whether a peer can learn of the workers of its zone neither from the store nor from
+// a commander there. Commanders of other zones then forward what they have read of its zone.
+func (s *State) lacksAllSources(p *peer) bool {
+	if p.status.GetStoreReachable() {
+		return false
+	}
+	return len(s.cellsWithoutCommander(p.info.GetZone(), append(s.liveHosts(0), s.ownHost()))) > 0
+}
+
 // waitsForOwnZone reports whether a job waits for a cell of its own zone that comes back, instead of going
 // to the given cell, which may be nil.
 func (s *State) waitsForOwnZone(now time.Duration, j *job, c *cellCandidate) bool {
--- a/host/recovery_test.go
+++ b/host/recovery_test.go
@@ -227,3 +227,25 @@
 		}
 	}
 }
+
+// TestZoneBackWithoutStore guards against a zone whose hosts come back while the store is away and never
+// learn of their workers, although commanders of other zones know them.
+func TestZoneBackWithoutStore(t *testing.T) {
+	w := newRecoverySimulation(1)
+	for _, h := range w.hosts {
+		h.storeCut = true
+	}
+	w.loseHosts(time.Second, 30*time.Millisecond, w.zoneHosts("north")...)
+	w.advance(time.Second + 1500*time.Millisecond)
+	held := 0
+	for _, h := range w.zoneHosts("north") {
+		for _, ww := range w.workers {
+			if ww.info.Zone == "north" && h.state.sched.AcceptedBy(ww.ID) {
+				held++
+			}
+		}
+	}
+	if held != 24 {
+		t.Errorf("%d of 24 workers of the zone obey its hosts 1.5 s after these are back", held)
+	}
+}
