--- a/host/recovery.go
+++ b/host/recovery.go
@@ -18,6 +18,8 @@
 	// drawnCellSlack is the share of a job's slack for which it waits for the one cell that was drawn for
 	// it while another cell of the zone is there. The rest is for the wait in that one.
 	drawnCellSlack = 0.5
+	// maxDrawnAbsence is how long after a cell was first missed jobs wait for the one that was drawn.
+	maxDrawnAbsence = time.Second
 	// crowdTime is how long after the own zone has come back refused jobs are offered again once, and
 	// offerAgainDelay the time until that. The crowd of jobs that have waited fills all cells at once, and room
 	// appears again as soon as the first of them have ended.
@@ -146,7 +148,7 @@
 	if j.drawnCell == "" {
 		j.drawnCell = s.drawCell(j.route.Service)
 	}
-	return s.comesBack(now, j.drawnCell) && now < j.arrived+time.Duration(drawnCellSlack*float64(j.slack()))
+	return s.comesBack(now, j.drawnCell) && now-s.recovery.since < maxDrawnAbsence && now < j.arrived+time.Duration(drawnCellSlack*float64(j.slack()))
 }
 
 // offersAgain reports whether a job that all cells have refused just after the own zone has come back is
--- a/host/recovery_test.go
+++ b/host/recovery_test.go
@@ -249,3 +249,37 @@
 		t.Errorf("%d of 24 workers of the zone obey its hosts 1.5 s after these are back", held)
 	}
 }
+
+// TestRollingRestart guards against refusals and late answers while the hosts of a zone are drained and
+// started again one after the other.
+func TestRollingRestart(t *testing.T) {
+	w := newRecoverySimulation(1)
+	hosts := w.zoneHosts("north")
+	var ready []*simHost
+	for i, h := range hosts {
+		w.after(time.Duration(i)*1300*time.Millisecond, func() {
+			h.draining = true
+			h.step(Drain{})
+		})
+		w.after(time.Duration(i)*1300*time.Millisecond+600*time.Millisecond, h.kill)
+		w.after(time.Duration(i)*1300*time.Millisecond+600*time.Millisecond+bootTime, h.boot)
+	}
+	a := &arrivals{w: w}
+	from := w.now
+	for range 120 {
+		ready = ready[:0]
+		for _, h := range hosts {
+			if h.state != nil && !h.draining && h.state.Serving(h.clock()) {
+				ready = append(ready, h)
+			}
+		}
+		a.sendFor(time.Millisecond, time.Millisecond, ready)
+		w.advance(50 * time.Millisecond)
+	}
+	if w.failure != nil {
+		t.Error(w.failure)
+	}
+	if share, refused := a.served(from, w.now-500*time.Millisecond); share < 0.98 || refused > 0 {
+		t.Errorf("%.3f of the jobs were served in time, want 0.98; %d were refused, want none", share, refused)
+	}
+}
