--- a/host/recovery.go
+++ b/host/recovery.go
@@ -168,7 +168,7 @@
 func (s *State) hasRoomForReturning(c *cellCandidate, j *job) bool {
 	assigned := c.peer.assignedWork[c.name]
 	need := int64(j.spec.Tasks) * j.spec.Need.CPU
-	return c.wait == 0 && (assigned+need)*s.recovery.returningHosts <= c.load.FreeCPU+assigned
+	return c.wait == 0 && assigned+need <= (c.load.FreeCPU+assigned)/max(1, s.recovery.returningHosts)
 }
 
 // drawCell draws a cell of the own zone by the CPU of its listed workers of a service, so that jobs are
