--- a/host/recovery.go
+++ b/host/recovery.go
@@ -166,6 +166,9 @@
 // hasRoomForReturning reports whether a cell of another zone has free room for a job now, if all hosts of
 // zones that come back send jobs there. They all know the same of its load.
 func (s *State) hasRoomForReturning(c *cellCandidate, j *job) bool {
+	if c.peer == nil {
+		return true
+	}
 	assigned := c.peer.assignedWork[c.name]
 	need := int64(j.spec.Tasks) * j.spec.Need.CPU
 	return c.wait == 0 && assigned+need <= (c.load.FreeCPU+assigned)/max(1, s.recovery.returningHosts)
--- a/host/recovery_decision_test.go
+++ b/host/recovery_decision_test.go
@@ -110,6 +110,10 @@
 	check("one of them kept running", false, false)
 	s.hear(now, "n1", 7, &meshpb.Status{Starting: true})
 	check("all heard", true, false)
+	for _, p := range s.sortedPeers {
+		p.listed = false
+	}
+	check("the list names nobody of the zone", false, false)
 	s.hostsRead = false
 	check("the list of hosts is not known", false, false)
 }
--- a/host/start.go
+++ b/host/start.go
@@ -155,18 +155,23 @@
 // hasHeardZone reports whether all hosts of the own zone have been heard that may command its cells, or
 // are as fit for it as this one. No other host can then have a claim that this one does not know, so that
 // it need not listen for longer before it takes a cell. Records of hosts that are gone for good make it
-// false; it then listens for the full time.
+// false, as does a list without hosts of the zone, which may only not be written yet; it then listens for the
+// full time.
 func (s *State) hasHeardZone() bool {
 	if !s.hostsRead || !s.knowsOwnWorkers() {
 		return false
 	}
+	heard := false
 	for _, p := range s.sortedPeers {
-		if p.listed && p.discoveredZone == s.opts.Self.Zone && !p.live &&
-			(p.commanded || owner.Comparable(p.listedWeight, s.opts.Self.Weight)) {
+		if !p.listed || p.discoveredZone != s.opts.Self.Zone {
+			continue
+		}
+		if !p.live && (p.commanded || owner.Comparable(p.listedWeight, s.opts.Self.Weight)) {
 			return false
 		}
+		heard = heard || p.live
 	}
-	return true
+	return heard
 }
 
 // zoneRestarts reports whether some hosts of the own zone are live and all of them have started a moment ago
