--- a/host/host.go
+++ b/host/host.go
@@ -95,6 +95,10 @@
 	effects     []Effect
 	stats       Stats
 	applying    int // see Applying
+	recovery    recovery
+	start       startRecord
+	// hostsRead reports whether the list of hosts was read from the store since the start.
+	hostsRead bool
 	// jobsRecordedAt is when recordJobsInProgress last ran.
 	jobsRecordedAt time.Duration
 	cancels        *cancellations
@@ -132,6 +136,7 @@
 		cancels:      newCancellations(),
 		rng:          rand.New(rand.NewPCG(opts.Seed, opts.Self.ID)),
 	}
+	s.recovery.starting = true
 	s.sched.SetPolicy(opts.Placement)
 	s.sched.SetTiming(opts.Timing)
 	s.restrictStarts(opts.Started)
@@ -166,9 +171,9 @@
 func (s *State) CellCount() int { return len(s.owner.Claims()) }
 
 // NeedsFrequentTicks reports whether the host has cells, callers' jobs or cancellations, whose deadlines
-// need frequent ticks.
+// need frequent ticks, or is still starting, when it decides on cells.
 func (s *State) NeedsFrequentTicks() bool {
-	return len(s.jobs) > 0 || s.CellCount() > 0 || len(s.cancels.pending) > 0
+	return len(s.jobs) > 0 || s.CellCount() > 0 || len(s.cancels.pending) > 0 || !s.start.logged
 }
 
 func (s *State) emit(e Effect) { s.effects = append(s.effects, e) }
@@ -212,6 +217,7 @@
 		for _, h := range e.Hosts {
 			s.addPeer(h)
 		}
+		s.recordListedHosts(e)
 	case ConfigRead:
 		s.applyConfig(now, e.Record, "store")
 	case EvacuationsRead:
@@ -239,6 +245,7 @@
 	s.recordClosedCells(now)
 	s.retryJobs(now)
 	s.forwardToPeers(now)
+	s.trackStart(now)
 }
 
 // applySchedulerEffects handles the effects of the scheduler that concern this host and returns
--- a/sched/admission.go
+++ b/sched/admission.go
@@ -5,6 +5,16 @@
 	"time"
 )
 
+// admission goes through the waiting jobs of a pool in the order in which they start.
+type admission struct {
+	now       time.Duration
+	pool      pool
+	forecast  *forecast
+	cpu       int64  // that the jobs so far still need
+	bytes     int    // of the orders that start them
+	refusable []*job // jobs so far without a started task
+}
+
 // admitJobs refuses jobs of a pool that cannot be answered in time. It answers load above the capacity:
 // without it every job waits until it is late. It goes through the jobs in the order of their starts, with
 // the room that running tasks are predicted to free, and refuses jobs that have not begun until those
@@ -16,42 +26,81 @@
 		return
 	}
 	s.shares.divide(now, p.service)
-	neededCPU, neededBytes := int64(0), 0
-	var refusable []*job
+	a := &admission{now: now, pool: p, forecast: f}
 	for _, j := range s.queue {
 		if j.finished || j.cell != p.cell || j.route.Service != p.service {
 			continue
 		}
-		neededCPU += j.waitingCPU()
-		neededBytes += j.waitingBytes()
-		latest := j.latestAdmission()
-		switch {
-		case j.unrejectedStarts == 0:
-			refusable = append(refusable, j)
-		case now > latest:
-			continue // it has begun and is late, whatever is refused
+		j.waitsForRoom = false
+		a.cpu += j.waitingCPU()
+		a.bytes += j.waitingBytes()
+		begun := j.unrejectedStarts > 0
+		if !begun {
+			a.refusable = append(a.refusable, j)
 		}
-		for len(refusable) > 0 && now+max(f.wait(neededCPU), s.link.Wait(now, neededBytes)) > latest {
-			i := leastEntitled(refusable)
-			victim := refusable[i]
-			if j.unrejectedStarts > 0 && j.share.refusedBefore(victim.share) {
-				break // the job has begun, and is less entitled to the room than those before it
-			}
-			refusable = slices.Delete(refusable, i, i+1)
-			neededCPU -= victim.waitingCPU()
-			neededBytes -= victim.waitingBytes()
-			s.logEvent(victim.spec.RequestID, "job refused for overload", "job", victim.spec.ID, "queue", victim.route.Name, "priority", victim.route.Priority,
-				"use", victim.share.use, "to_serve", j.spec.ID, "wait", f.wait(neededCPU+victim.waitingCPU()), "left", latest-now, "free", f.free)
-			s.shares.recordRefusal(now, victim)
-			s.finish(now, victim, Refused, reasonOverload)
-			s.shares.divide(now, p.service)
-			if victim == j {
-				break
-			}
+		switch late := now > j.latestAdmission(); {
+		case late && begun:
+			// It is late, whatever is refused.
+		case late:
+			s.admitLate(a, j)
+		default:
+			s.makeRoom(a, j)
 		}
 	}
 }
 
+// admitLate keeps a late job, which has not begun, only if there is room for it beside the jobs before it.
+// In a cell that has just come back it waits for such room.
+func (s *State) admitLate(a *admission, j *job) {
+	if a.forecast.hasRoom(a.cpu) {
+		return
+	}
+	if j.waitsForRoom = s.comesBack(a.now, a.pool.cell); j.waitsForRoom {
+		a.withdraw(len(a.refusable) - 1)
+		return
+	}
+	s.refuseForOverload(a, len(a.refusable)-1, j)
+}
+
+// makeRoom refuses jobs until a job, the last one so far, is predicted to start in time.
+func (s *State) makeRoom(a *admission, j *job) {
+	for len(a.refusable) > 0 && a.now+s.startWait(a) > j.latestAdmission() {
+		i := leastEntitled(a.refusable)
+		victim := a.refusable[i]
+		if j.unrejectedStarts > 0 && j.share.refusedBefore(victim.share) {
+			return // the job has begun, and is less entitled to the room than those before it
+		}
+		s.refuseForOverload(a, i, j)
+		if victim == j {
+			return
+		}
+	}
+}
+
+// startWait predicts how long it takes until all jobs so far have started.
+func (s *State) startWait(a *admission) time.Duration {
+	return max(a.forecast.wait(a.cpu), s.link.Wait(a.now, a.bytes))
+}
+
+// withdraw takes a job that may be refused, given by its index, out of the sums.
+func (a *admission) withdraw(i int) {
+	j := a.refusable[i]
+	a.refusable = slices.Delete(a.refusable, i, i+1)
+	a.cpu -= j.waitingCPU()
+	a.bytes -= j.waitingBytes()
+}
+
+// refuseForOverload refuses a job, given by its index, so that another one, or itself, is not late.
+func (s *State) refuseForOverload(a *admission, i int, toServe *job) {
+	j := a.refusable[i]
+	s.logEvent(j.spec.RequestID, "job refused for overload", "job", j.spec.ID, "queue", j.route.Name, "priority", j.route.Priority,
+		"use", j.share.use, "to_serve", toServe.spec.ID, "wait", s.startWait(a), "left", toServe.latestAdmission()-a.now, "free", a.forecast.free)
+	a.withdraw(i)
+	s.shares.recordRefusal(a.now, j)
+	s.finish(a.now, j, Refused, reasonOverload)
+	s.shares.divide(a.now, a.pool.service)
+}
+
 // refusalReason returns why a new job cannot be served, or an empty string if it can.
 func (s *State) refusalReason(j *job) string {
 	if s.closedCells[j.cell] {
@@ -99,6 +148,7 @@
 // forecast predicts when room becomes free in a pool.
 type forecast struct {
 	free     int64 // CPU that is free now, in thousandths of a core
+	coming   int64 // CPU that tasks can use on workers that are being taken
 	releases []cpuRelease
 	rate     float64       // CPU that becomes free per second after the last release
 	last     time.Duration // time of the last release from now on
@@ -121,7 +171,11 @@
 		}
 		workers++
 		cold := s.currentColdSpeed(now, w)
-		f.free += int64(float64(max(0, w.freeCapacity().CPU)) * cold)
+		if w.isBeingTaken() {
+			f.addComing(w)
+		} else {
+			f.free += int64(float64(max(0, w.freeCapacity().CPU)) * cold)
+		}
 		effective += float64(w.info.Capacity.CPU) * packingEfficiency * cold
 		for _, r := range w.runList {
 			f.releases = append(f.releases, cpuRelease{after: r.predictedEnd(now) - now, cpu: r.need.CPU})
@@ -135,6 +189,8 @@
 	slices.SortFunc(f.releases, func(a, b cpuRelease) int { return int(a.after - b.after) })
 	if n := len(f.releases); n > 0 {
 		f.last = f.releases[n-1].after
+	}
+	if f.released > 0 {
 		f.rate = effective / max(busyWork/float64(f.released), minMeanDuration.Seconds())
 	}
 	return f
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -65,6 +65,7 @@
 	foreignTasks    taskCounts      // foreign runs
 	restrictions    startRestrictions
 	cold            *coldModel
+	cellTakes       map[fleet.Cell]cellTake
 }
 
 // Stats counts what the state machine has done since New.
@@ -97,6 +98,7 @@
 		taskRuns:       make(taskCounts),
 		foreignTasks:   make(taskCounts),
 		cold:           newColdModel(),
+		cellTakes:      make(map[fleet.Cell]cellTake),
 	}
 }
 
@@ -213,6 +215,7 @@
 	if w == nil || w.phase != phaseNone && w.fence >= e.Fence {
 		return
 	}
+	s.recordCellTake(now, e)
 	w.phase = phaseTaking
 	w.fence = e.Fence
 	w.cell = e.Cell
@@ -255,24 +258,6 @@
 	s.emit(WorkerLost{Worker: w.info.ID})
 }
 
-// Policy sets how waiting tasks are placed.
-type Policy struct {
-	// LookAhead decides by the predicted ends of running tasks which jobs are admitted and where large
-	// tasks will start, and divides the room of an overloaded service by the priorities of its routes.
-	LookAhead bool
-	// RemotePenalty is the factor by which a task takes longer on another rack than that of its data; 0
-	// means defaultRemotePenalty.
-	RemotePenalty float64
-}
-
-// SetPolicy sets how waiting tasks are placed. It is called before the first event.
-func (s *State) SetPolicy(p Policy) {
-	s.policy = p
-	if s.policy.RemotePenalty == 0 {
-		s.policy.RemotePenalty = defaultRemotePenalty
-	}
-}
-
 // handleTick ends what has expired and sends the calls that are due.
 func (s *State) handleTick(now time.Duration) {
 	s.shares.decay(now - s.sharesDecayedAt)
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -160,7 +160,7 @@
 
 // countsAsCapacity reports whether the worker adds to the capacity of its service, now or soon.
 func (w *worker) countsAsCapacity() bool {
-	return w.phase == phaseHeld && !w.info.Draining && !w.removed && w.missedHolds == 0 && !w.entryOutdated()
+	return (w.phase == phaseHeld || w.isBeingTaken()) && !w.info.Draining && !w.removed && w.missedHolds == 0 && !w.entryOutdated()
 }
 
 // isOverdue reports whether the stop has taken too long to go on extending the lease.
