Do not wait for the cells of an evacuated zone

After a loss of all hosts, jobs of callers in an evacuated zone waited for its cells before they went to others.

Measured: go test ./host passes; a test follows.

--- a/host/recovery.go
+++ b/host/recovery.go
@@ -97,7 +97,7 @@
 // serviceComesBack reports whether a cell of the own zone with workers of a service is expected to get a
 // commander soon. While no worker is known at all, every cell may have some.
 func (s *State) serviceComesBack(now time.Duration, service string) bool {
-	if s.recovery.since == 0 || now-s.recovery.since >= maxCellAbsence || s.draining {
+	if s.recovery.since == 0 || now-s.recovery.since >= maxCellAbsence || s.draining || s.evacuations.evacuated(s.opts.Self.Zone) {
 		return false
 	}
 	for _, e := range s.sortedEntries() {
