--- a/entry/bodies_test.go
+++ b/entry/bodies_test.go
@@ -111,4 +111,32 @@
 	if s := g.stats(); s.Bytes != 0 || s.HighestBytes == 0 || s.HighestBytes > room || s.Refused[admission.NoMemory] != 1 || s.Refused[admission.BodyRefused] != 1 {
 		t.Errorf("%+v", s)
 	}
+	var out strings.Builder
+	if err := writeFamilies(&out, (&Host{gates: []*gate{g}}).gateFamilies()); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{`clients_refused_total{port="test",reason="no_memory"} 1`, `request_bytes{port="test"} 0`} {
+		if !strings.Contains(out.String(), namePrefix+want) {
+			t.Errorf("no metric %s in:\n%s", want, out.String())
+		}
+	}
+}
+
+// TestRequestLinesLeaveRoom guards against a crowd of bad requests that displaces the other lines of the
+// log, and against lines that are left out without being counted.
+func TestRequestLinesLeaveRoom(t *testing.T) {
+	h := &Host{settings: &Settings{Log: Log{LinesPerSecond: 40}}, logOutput: newLogWriter(40)}
+	h.logger = newLogger(h.logOutput, "h")
+	r, _ := submission("")
+	for range 1000 {
+		h.logRequest(r, "bad request")
+	}
+	if written := 1000 - h.logOutput.droppedLines(); written > 20 { // the second may have turned once
+		t.Errorf("%d lines were written, want 10 a second", written)
+	}
+	_ = h.logger.Log("msg", "other")
+	var out bytes.Buffer
+	if h.logOutput.flush(&out); !strings.Contains(out.String(), "msg=other") {
+		t.Errorf("another line was left out: %s", out.String())
+	}
 }
