--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -55,7 +55,7 @@
 	options = append([]grpc.ServerOption{
 		grpc.InitialWindowSize(streamWindowBytes), grpc.NumStreamWorkers(0),
 		grpc.MaxRecvMsgSize(MaxFrameBytes), grpc.MaxConcurrentStreams(maxStreams), grpc.MaxHeaderListSize(maxHeaderBytes),
-		grpc.ConnectionTimeout(handshakeTimeout), grpc.ReadBufferSize(readBufferBytes), grpc.SharedWriteBuffer(true),
+		grpc.ConnectionTimeout(handshakeTimeout), grpc.ReadBufferSize(readBufferBytes),
 	}, options...)
 	s := &Server{handleFrame: handleFrame, grpc: grpc.NewServer(options...)}
 	meshpb.RegisterMeshServer(s.grpc, s)
