Measure a host's descriptors only after the kernel has closed those of the test

Cause: a process that is being started has its parent's descriptors until the kernel has closed them, one by one, after the new program is in place. The first sample was taken at that moment, while the test held the connections of two crowds.

The check begins when the new process shares no socket with the test. Crowd, bounds and all later samples are as before.

--- a/standin/crowdtest/usage_test.go
+++ b/standin/crowdtest/usage_test.go
@@ -29,8 +29,38 @@
 	descriptors int
 }
 
+// awaitOwnDescriptors waits until a new process has none of this process's sockets. The kernel closes
+// them one by one while it starts the program; until then they show up as those of the new process.
+func awaitOwnDescriptors(pid int) {
+	for sharesSockets(pid) {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// sharesSockets reports whether a process has a socket that this process has, too.
+func sharesSockets(pid int) bool {
+	of := func(dir string) map[string]bool {
+		sockets := make(map[string]bool)
+		open, _ := os.ReadDir(dir) // a process that has ended has none
+		for _, fd := range open {
+			if target, err := os.Readlink(dir + "/" + fd.Name()); err == nil && strings.HasPrefix(target, "socket:") {
+				sockets[target] = true
+			}
+		}
+		return sockets
+	}
+	own := of("/proc/self/fd")
+	for socket := range of(fmt.Sprintf("/proc/%d/fd", pid)) {
+		if own[socket] {
+			return true
+		}
+	}
+	return false
+}
+
 // watch measures the process of a host until stop is called.
 func watch(h *hostNode) *usage {
+	awaitOwnDescriptors(h.process.PID())
 	u := &usage{pid: h.process.PID(), listeners: make(map[string]bool), done: make(chan struct{}), ended: make(chan struct{})}
 	listen := h.settings.Listen
 	for _, addr := range []string{listen.Callers, listen.Ready, listen.Peers, listen.Metrics} {
