--- a/host/recovery_decision_test.go
+++ b/host/recovery_decision_test.go
@@ -117,3 +117,16 @@
 	s.hostsRead = false
 	check("the list of hosts is not known", false, false)
 }
+
+// TestNoWaitForEvacuatedZone guards against jobs of an evacuated zone that wait, after a loss of all hosts,
+// for cells that will not run them.
+func TestNoWaitForEvacuatedZone(t *testing.T) {
+	now := time.Minute
+	s := newReturningHost(now)
+	s.handleEvacuationsRead(now, EvacuationsRead{Snapshot: true, End: 2, Evacuations: []fleet.Evacuation{{Zone: "north", Requested: true, Offset: 1}}})
+	s.hear(now, "s0", 9, announces("south", 1000))
+	s.decideCells(now)
+	if zone := s.jobSent(now, 1); zone != "south" {
+		t.Errorf("a job goes to %q, want south", zone)
+	}
+}
