--- a/standin/soak/main.go
+++ b/standin/soak/main.go
@@ -32,6 +32,8 @@
 	Callers  int           `default:"24" help:"callers"`
 	Parallel int           `default:"1" help:"seeds at a time"`
 	Logs     string        `help:"directory that keeps the logs of runs with findings"`
+
+	NoEvacuations bool `arg:"--no-evacuations" help:"evacuate no zones, for builds that do not know evacuations"`
 }
 
 func main() {
