--- a/entry/bodies_test.go
+++ b/entry/bodies_test.go
@@ -28,7 +28,7 @@
 // TestBodiesDecodeAsBefore guards against a job that is decoded in another way because its body arrives
 // in pieces or is larger than a segment.
 func TestBodiesDecodeAsBefore(t *testing.T) {
-	start, end := `{"bestEffort":true,"phases":[{"count":2,"cpu":500}],"spec":"`, `"}`
+	start, end := `{"phases":[{"count":2,"cpu":500}],"spec":"`, `"}`
 	for _, body := range []string{
 		start + end, start + strings.Repeat("é", 2000) + end,
 		start + strings.Repeat(`\u0041`, 4000) + end, start + end + strings.Repeat(" ", 262144-len(start)-len(end)),
