Reserve room only for tasks that may start and that fit on no worker

Cause: found by reading. A task that waits for an earlier run of the same task, or for a faster worker, could keep room from others that it would not use itself.

Change: both are left out of reservations.

--- a/sched/place.go
+++ b/sched/place.go
@@ -145,10 +145,11 @@
 			stillWaiting = append(stillWaiting, j.waiting[i:]...)
 			break
 		}
-		var c *candidate
-		if s.mayStart(j, index) {
-			c = s.chooseWorker(now, j, workers, mayWait)
+		if !s.mayStart(j, index) {
+			stillWaiting = append(stillWaiting, index)
+			continue
 		}
+		c := s.chooseWorker(now, j, workers, mayWait)
 		if c == nil {
 			stillWaiting = append(stillWaiting, index)
 			if s.policy.LookAhead && s.reservations < maxReservations && s.reserve(now, j, workers) {
--- a/sched/reserve.go
+++ b/sched/reserve.go
@@ -38,12 +38,13 @@
 const maxReservations = 24
 
 // reserve keeps room for a task of the job on the worker that will have it first and on which the task is
-// expected to end in time. It reports false if there is none.
+// expected to end in time. A worker that has room now was not chosen because it is too slow, so it is left
+// to others. It reports false if there is none.
 func (s *State) reserve(now time.Duration, j *job, workers []*candidate) bool {
 	var best *candidate
 	var bestAt time.Duration
 	for _, c := range workers {
-		if c.reserved != nil || !c.w.info.Capacity.Fits(j.spec.Need) || !j.allowsWorker(c.w) {
+		if c.reserved != nil || c.free.Fits(j.spec.Need) || !c.w.info.Capacity.Fits(j.spec.Need) || !j.allowsWorker(c.w) {
 			continue
 		}
 		at, ok := c.roomAt(now, j.spec.Need)
@@ -63,13 +64,10 @@
 	return time.Duration(float64(j.taskDuration) / s.speedOf(now, w, j))
 }
 
-// roomAt returns when the worker is predicted to have room for a task, if its running tasks are the only
-// ones. It reports false if it never has.
+// roomAt returns when the worker, which has no room for a task yet, is predicted to have it if its running
+// tasks are the only ones. It reports false if it never has.
 func (c *candidate) roomAt(now time.Duration, need fleet.Resources) (time.Duration, bool) {
 	free := c.free
-	if free.Fits(need) {
-		return now, true
-	}
 	for _, r := range c.ends(now) {
 		free = free.Add(r.need)
 		if free.Fits(need) {
