--- a/sched/sched.go
+++ b/sched/sched.go
@@ -50,8 +50,8 @@
 	importance *importance
 	shares     *shares
 	// sharesDecayedAt is when the past work in shares was last given less weight.
-	reservations    int // made by the newest Place
 	sharesDecayedAt time.Duration
+	reservations    int // made by the newest Place
 	policy          Policy
 	effects         []Effect
 	needsPlacement  bool      // a task may have become placeable since the last Place
