Admit jobs that wait for the link by their latest start

Jobs wait there for the link, whose pace is known; the margin for wrong durations only refused jobs. Late jobs were kept if workers had room, and filled the link.

Change: the wait for the link is judged by the latest start, as without look_ahead, and a late job is kept only if the link is free too.

--- a/sched/admission.go
+++ b/sched/admission.go
@@ -49,10 +49,11 @@
 	}
 }
 
-// admitLate keeps a late job, which has not begun, only if there is room for it beside the jobs before it.
+// admitLate keeps a late job, which has not begun, only if there is room for it beside the jobs before it,
+// on the workers and on the link.
 // In a cell that has just come back it waits for such room.
 func (s *State) admitLate(a *admission, j *job) {
-	if a.forecast.hasRoom(a.cpu) {
+	if a.forecast.hasRoom(a.cpu) && s.link.Wait(a.now, a.bytes) == 0 {
 		return
 	}
 	if j.waitsForRoom = s.comesBack(a.now, a.pool.cell); j.waitsForRoom {
@@ -64,7 +65,7 @@
 
 // makeRoom refuses jobs until a job, the last one so far, is predicted to start in time.
 func (s *State) makeRoom(a *admission, j *job) {
-	for len(a.refusable) > 0 && a.now+s.startWait(a) > j.latestAdmission() {
+	for len(a.refusable) > 0 && s.startsLate(a, j) {
 		i := leastEntitled(a.refusable)
 		victim := a.refusable[i]
 		if j.unrejectedStarts > 0 && j.share.refusedBefore(victim.share) {
@@ -77,6 +78,12 @@
 	}
 }
 
+// startsLate reports whether a job, the last one so far, is predicted to start too late. What waits for the
+// link leaves at its pace, so that this wait needs no margin.
+func (s *State) startsLate(a *admission, j *job) bool {
+	return a.now+a.forecast.wait(a.cpu) > j.latestAdmission() || a.now+s.link.Wait(a.now, a.bytes) > j.latestStart()+startTolerance
+}
+
 // startWait predicts how long it takes until all jobs so far have started.
 func (s *State) startWait(a *admission) time.Duration {
 	return max(a.forecast.wait(a.cpu), s.link.Wait(a.now, a.bytes))
