--- a/host/cancellation.go
+++ b/host/cancellation.go
@@ -190,12 +190,6 @@
 	})
 }
 
-// zone returns the zone of a peer, or an empty string if it is not known.
-func (p *peer) zone() string { return cmp.Or(p.info.GetZone(), p.discoveredZone) }
-
-// commands reports whether a peer has announced cells.
-func (p *peer) commands() bool { return len(p.status.GetCells()) > 0 }
-
 // tellCommanders sends the jobs that were cancelled through this host to the commanders that have not been
 // sent them.
 func (s *State) tellCommanders() {
--- a/host/contact.go
+++ b/host/contact.go
@@ -1,7 +1,6 @@
 package host
 
 import (
-	"cmp"
 	"time"
 )
 
@@ -49,7 +48,7 @@
 // the number of hosts in other zones. A host that knows no commander asks a few hosts of other zones at a
 // time; their answers name the commanders. asked tells whether the peer is one of them.
 func (s *State) updateContact(now time.Duration, p *peer, asked bool) {
-	zone := cmp.Or(p.info.GetZone(), p.discoveredZone)
+	zone := p.zone()
 	if zone == "" || zone == s.opts.Self.Zone || asked || s.mayExchangeJobs(p) {
 		p.contactNeededAt = now
 		p.contacted = true
@@ -75,7 +74,7 @@
 		return false
 	}
 	for _, p := range s.sortedPeers {
-		if p.live && len(p.status.GetCells()) > 0 {
+		if p.live && p.commands() {
 			return false
 		}
 	}
@@ -91,7 +90,7 @@
 // one of them commands a cell. Other pairs exchange heartbeats less often, so that the traffic of a
 // deployment grows with the number of its hosts and not with the square of that number.
 func (s *State) mayExchangeJobs(p *peer) bool {
-	return len(p.status.GetCells()) > 0 || s.owner.HasClaims()
+	return p.commands() || s.owner.HasClaims()
 }
 
 // exchangesJobs reports whether this host and the peer need frequent heartbeats for the jobs that they
--- a/host/knowledge.go
+++ b/host/knowledge.go
@@ -202,7 +202,7 @@
 		}
 		s.forwardConfig(now, p)
 		s.forwardEvacuations(now, p)
-		if (!p.status.GetStoreReachable() || len(p.status.GetCells()) == 0) && now-p.firstContactAt >= workerForwardDelayFor(p) {
+		if (!p.status.GetStoreReachable() || !p.commands()) && now-p.firstContactAt >= workerForwardDelayFor(p) {
 			s.forwardWorkers(p)
 		}
 	}
@@ -252,7 +252,7 @@
 // them to the hosts of their zones, and to other commanders, which may have no other source.
 func (s *State) forwardsWorkersTo(p *peer) bool {
 	for _, c := range s.owner.Claims() {
-		if len(p.status.GetCells()) > 0 || c.Cell.Zone() == p.info.GetZone() {
+		if p.commands() || c.Cell.Zone() == p.info.GetZone() {
 			return true
 		}
 	}
--- a/host/peers.go
+++ b/host/peers.go
@@ -44,6 +44,12 @@
 	forwardedChange      uint64 // changes of worker entries up to this number were forwarded to it
 }
 
+// zone returns the zone of a peer, or an empty string if it is not known.
+func (p *peer) zone() string { return cmp.Or(p.info.GetZone(), p.discoveredZone) }
+
+// commands reports whether a peer has announced cells.
+func (p *peer) commands() bool { return len(p.status.GetCells()) > 0 }
+
 // addPeer adds a host unless it is known; updateContact decides whether it is sent frames. A host whose
 // zone is known is also reported to package owner.
 func (s *State) addPeer(h *meshpb.Host) {
@@ -140,7 +146,7 @@
 func (s *State) knownHosts(zone string) []*meshpb.Host {
 	var hosts []*meshpb.Host
 	for _, p := range s.sortedPeers {
-		if p.info.GetId() != 0 && (p.info.GetZone() == zone || len(p.status.GetCells()) > 0) {
+		if p.info.GetId() != 0 && (p.info.GetZone() == zone || p.commands()) {
 			hosts = append(hosts, p.info)
 		}
 	}
--- a/host/recovery.go
+++ b/host/recovery.go
@@ -63,7 +63,7 @@
 	}
 	r.returningHosts = 1
 	for _, p := range s.sortedPeers {
-		if returning[cmp.Or(p.info.GetZone(), p.discoveredZone)] {
+		if returning[p.zone()] {
 			r.returningHosts++
 		}
 	}
@@ -83,7 +83,7 @@
 // recheckRecovery lets the jobs that wait for a cell go there as soon as a host of the own zone announces
 // one.
 func (s *State) recheckRecovery(now time.Duration, p *peer) {
-	if s.recovery.since != 0 && p.info.GetZone() == s.opts.Self.Zone && len(p.status.GetCells()) > 0 {
+	if s.recovery.since != 0 && p.info.GetZone() == s.opts.Self.Zone && p.commands() {
 		s.updateRecovery(now, s.liveHosts(now))
 		s.retryJobs(now)
 	}
--- a/host/restart.go
+++ b/host/restart.go
@@ -1,7 +1,6 @@
 package host
 
 import (
-	"cmp"
 	"time"
 
 	"sesameledge.dev/sesameledge/mesh/meshpb"
@@ -44,7 +43,7 @@
 	n.evacuations = s.evacuations // known positions; what the failed event held comes from other hosts
 	n.restrictStarts(now)
 	for _, p := range s.sortedPeers {
-		n.addPeer(&meshpb.Host{Addr: p.info.GetAddr(), Zone: cmp.Or(p.info.GetZone(), p.discoveredZone), Weight: p.info.GetWeight()})
+		n.addPeer(&meshpb.Host{Addr: p.info.GetAddr(), Zone: p.zone(), Weight: p.info.GetWeight()})
 	}
 	if withEntries {
 		for _, e := range s.sortedEntries() {
--- a/host/start.go
+++ b/host/start.go
@@ -1,7 +1,6 @@
 package host
 
 import (
-	"cmp"
 	"time"
 
 	"sesameledge.dev/sesameledge/owner"
@@ -180,7 +179,7 @@
 func (s *State) zoneRestarts() bool {
 	listed, starting := 0, 0
 	for _, p := range s.sortedPeers {
-		if cmp.Or(p.info.GetZone(), p.discoveredZone) != s.opts.Self.Zone {
+		if p.zone() != s.opts.Self.Zone {
 			continue
 		}
 		if p.live && !p.status.GetStarting() {
