--- a/host/fence.go
+++ b/host/fence.go
@@ -38,9 +38,7 @@
 func (s *State) newFence(now time.Duration) int64 {
 	ms := s.opts.UnixMillis + (now - s.opts.Started).Milliseconds()
 	order := max(fenceOrder(ms), s.maxFence>>fenceRandomBits+1)
-	if now-s.cellLostAt > lossMemory {
-		s.cellLosses = 0
-	}
+	s.forgetCellLosses(now)
 	if s.cellLosses > 0 {
 		jump := fenceJumpMillis << (min(s.cellLosses, maxCountedLosses) - 1)
 		if order > fenceSlowMillis {
@@ -69,9 +67,14 @@
 
 // recordCellLoss counts a lost cell for the next tokens.
 func (s *State) recordCellLoss(now time.Duration) {
+	s.forgetCellLosses(now)
+	s.cellLosses++
+	s.cellLostAt = now
+}
+
+// forgetCellLosses ends the count of lost cells once lossMemory has passed.
+func (s *State) forgetCellLosses(now time.Duration) {
 	if now-s.cellLostAt > lossMemory {
 		s.cellLosses = 0
 	}
-	s.cellLosses++
-	s.cellLostAt = now
 }
