Share the forwarding delays and the search for missing commanders

The evacuations had copied the delays of forwardConfig, and the recovery the loop of needsWorkerReads over cells without a commander. Each stands once now: mayForward and cellsWithoutCommander.

--- a/host/evacuation.go
+++ b/host/evacuation.go
@@ -239,10 +239,7 @@
 	if need := e.changed + 1; !e.known || p.forwardedEvacuations >= need || p.status.GetEvacuationOffset() >= need {
 		return
 	}
-	switch age := now - e.changedAt; {
-	case s.CellCount() > 0 && age < commanderForwardDelay:
-		return
-	case s.CellCount() == 0 && (age < fallbackForwardDelay || p.info.GetZone() != s.opts.Self.Zone):
+	if !s.mayForward(p, now-e.changedAt) {
 		return
 	}
 	if s.sendMessage(p, &meshpb.Message{Kind: &meshpb.Message_Evacuations{Evacuations: e.message()}}) {
--- a/host/knowledge.go
+++ b/host/knowledge.go
@@ -212,10 +212,7 @@
 	if s.config == nil || p.forwardedConfig >= s.config.Version || p.status.GetConfigVersion() >= s.config.Version {
 		return
 	}
-	switch age := now - s.configAdoptedAt; {
-	case s.CellCount() > 0 && age < commanderForwardDelay:
-		return
-	case s.CellCount() == 0 && (age < fallbackForwardDelay || p.info.GetZone() != s.opts.Self.Zone):
+	if !s.mayForward(p, now-s.configAdoptedAt) {
 		return
 	}
 	if s.sendMessage(p, &meshpb.Message{Kind: &meshpb.Message_Config{Config: &meshpb.Config{Version: s.config.Version, Record: s.configRecord}}}) {
@@ -223,6 +220,15 @@
 	}
 }
 
+// mayForward reports whether this host forwards what it has known for a time to a peer: commanders do so to
+// all hosts, and after a longer delay, in case there is no commander, the others to those of their zone.
+func (s *State) mayForward(p *peer, age time.Duration) bool {
+	if s.CellCount() > 0 {
+		return age >= commanderForwardDelay
+	}
+	return age >= fallbackForwardDelay && p.info.GetZone() == s.opts.Self.Zone
+}
+
 func (s *State) forwardWorkers(p *peer) {
 	if s.sendWorkers(p, s.changedWorkersFor(p)) {
 		p.forwardedChange = s.workerChanges
@@ -234,15 +240,7 @@
 // worker writes its entry every second or so, so reads by all hosts would cost the number of hosts
 // times that of workers.
 func (s *State) needsWorkerReads(others []owner.Host) bool {
-	if s.CellCount() > 0 {
-		return true
-	}
-	for _, cell := range s.zoneCells(s.opts.Self.Zone) {
-		if _, _, found := owner.CommanderOf(cell, others); !found {
-			return true
-		}
-	}
-	return false
+	return s.CellCount() > 0 || len(s.cellsWithoutCommander(s.opts.Self.Zone, others)) > 0
 }
 
 // ReadsWorkers reports whether the process has to read the workers' entries from the store.
