Look only for phases of the start that are still missing

Each step in the first 10 s of a process walked the entries of all workers for phases that had been recorded, also where every worker was held. The phases are also recorded in a fixed order now; a map held them before.

--- a/host/start.go
+++ b/host/start.go
@@ -77,18 +77,17 @@
 	if s.start.logged {
 		return
 	}
-	for p, reached := range map[StartPhase]bool{
-		StartConfig:       s.config != nil,
-		StartHosts:        s.hostsRead,
-		StartWorkers:      s.knowsOwnWorkers(),
-		StartContact:      s.hasContact(),
-		StartCellTaken:    s.stats.CellsTaken > 0,
-		StartCellsCovered: s.config != nil && s.recovery.checked && len(s.recovery.missing) == 0,
-	} {
-		if reached {
+	record := func(p StartPhase, reached func() bool) {
+		if s.start.after[p] == 0 && reached() {
 			s.recordStart(now, p)
 		}
 	}
+	record(StartConfig, func() bool { return s.config != nil })
+	record(StartHosts, func() bool { return s.hostsRead })
+	record(StartWorkers, s.knowsOwnWorkers)
+	record(StartContact, s.hasContact)
+	record(StartCellTaken, func() bool { return s.stats.CellsTaken > 0 })
+	record(StartCellsCovered, func() bool { return s.config != nil && s.recovery.checked && len(s.recovery.missing) == 0 })
 	s.trackHeldWorkers(now)
 	complete := true
 	for p, d := range s.start.after {
@@ -110,7 +109,7 @@
 
 // trackHeldWorkers records the phases that concern the workers of own cells.
 func (s *State) trackHeldWorkers(now time.Duration) {
-	if !s.owner.HasClaims() {
+	if !s.owner.HasClaims() || s.start.after[StartFirstWorker] > 0 && s.start.after[StartWorkersHeld] > 0 {
 		return
 	}
 	held, listed := 0, 0
