--- a/host/evacuation.go
+++ b/host/evacuation.go
@@ -188,7 +188,7 @@
 	for zone := range s.evacuations.zones {
 		evacuated[zone] = true
 	}
-	s.sched.RestrictStarts(now, evacuated, s.awaitsEvacuations())
+	s.sched.RestrictStarts(evacuated, s.awaitsEvacuations())
 }
 
 // awaitsEvacuations reports whether this host does not know yet which zones are evacuated.
--- a/sched/evacuation.go
+++ b/sched/evacuation.go
@@ -28,7 +28,7 @@
 
 // RestrictStarts sets the zones in which no task may start; unknown means that these are not known yet and
 // no task may start at all. Runs that have begun go on. The next Place ends the jobs that wait there.
-func (s *State) RestrictStarts(_ time.Duration, evacuated map[string]bool, unknown bool) {
+func (s *State) RestrictStarts(evacuated map[string]bool, unknown bool) {
 	s.restrictions = startRestrictions{evacuated: evacuated, unknown: unknown}
 	s.needsPlacement = true
 }
--- a/sched/evacuation_test.go
+++ b/sched/evacuation_test.go
@@ -8,7 +8,7 @@
 )
 
 func (p *testPool) evacuate(zone string) {
-	p.s.RestrictStarts(p.now, map[string]bool{zone: zone != ""}, false)
+	p.s.RestrictStarts(map[string]bool{zone: zone != ""}, false)
 	p.place()
 }
 
@@ -78,11 +78,11 @@
 		if err := p.s.startError(p.now, r.job, 0, p.s.workers["w0"]); err != nil {
 			t.Fatalf("before: %v", err)
 		}
-		p.s.RestrictStarts(p.now, map[string]bool{"z": true}, false)
+		p.s.RestrictStarts(map[string]bool{"z": true}, false)
 		if p.s.startError(p.now, r.job, 0, p.s.workers["w0"]) == nil {
 			t.Error("a start in an evacuated zone is allowed")
 		}
-		p.s.RestrictStarts(p.now, nil, true)
+		p.s.RestrictStarts(nil, true)
 		if p.s.startError(p.now, r.job, 0, p.s.workers["w0"]) == nil {
 			t.Error("a start is allowed before the evacuated zones are known")
 		}
