--- a/standin/fleettest/cancel_test.go
+++ b/standin/fleettest/cancel_test.go
@@ -1,7 +1,6 @@
 package fleettest
 
 import (
-	"encoding/json"
 	"net/http"
 	"strings"
 	"testing"
@@ -21,17 +20,7 @@
 	if err != nil {
 		return result{err: err}
 	}
-	req.Host = fleetsim.CallerHost
-	resp, err := d.client.Do(req)
-	if err != nil {
-		return result{err: err}
-	}
-	defer resp.Body.Close()
-	var answer struct {
-		State string `json:"state"`
-	}
-	err = json.NewDecoder(resp.Body).Decode(&answer)
-	return result{status: resp.StatusCode, state: answer.State, err: err}
+	return d.send(req)
 }
 
 // runningTasks returns the number of runs of a job's tasks.
--- a/standin/fleettest/deployment_test.go
+++ b/standin/fleettest/deployment_test.go
@@ -208,8 +208,13 @@
 	if err != nil {
 		return result{err: err}
 	}
-	req.Host = fleetsim.CallerHost
 	req.Header.Set("X-Deadline-Ms", "5000")
+	return d.send(req)
+}
+
+// send sends a caller's request and returns its answer.
+func (d *deployment) send(req *http.Request) result {
+	req.Host = fleetsim.CallerHost
 	resp, err := d.client.Do(req)
 	if err != nil {
 		return result{err: err}
