Share the memory share and factor of bodies with configcheck

Package entry had the same figures under other names, so a change of one would have made the check of a configuration judge unlike the hosts. No behavior changes; tests of entry, fleet and command pass.

--- a/entry/limits.go
+++ b/entry/limits.go
@@ -7,6 +7,7 @@
 	"sesameledge.dev/sesameledge/admission"
 	"sesameledge.dev/sesameledge/finding"
 	"sesameledge.dev/sesameledge/fleet"
+	"sesameledge.dev/sesameledge/fleet/configcheck"
 	"sesameledge.dev/sesameledge/mesh"
 	"sesameledge.dev/sesameledge/strictyaml"
 )
@@ -27,7 +28,6 @@
 }
 
 const (
-	defaultMemoryShare   = 0.2
 	defaultMinBodyRate   = 256 // bytes a second; links between callers and hosts carry 1,000 times as much
 	defaultRateWindow    = 10 * time.Second
 	defaultAnswerTimeout = 15 * time.Second
@@ -87,7 +87,7 @@
 
 // requestBytes returns the memory for the callers' requests.
 func (s *Settings) requestBytes() int64 {
-	return s.share(cmp.Or(s.Clients.MemoryShare, defaultMemoryShare))
+	return s.share(cmp.Or(s.Clients.MemoryShare, configcheck.DefaultMemoryShare))
 }
 
 // connectionDescriptors returns the number of descriptors for connections.
--- a/entry/servers.go
+++ b/entry/servers.go
@@ -13,6 +13,7 @@
 
 	"sesameledge.dev/sesameledge/admission"
 	"sesameledge.dev/sesameledge/fleet"
+	"sesameledge.dev/sesameledge/fleet/configcheck"
 	"sesameledge.dev/sesameledge/platform"
 )
 
@@ -70,7 +71,7 @@
 func (h *Host) useLimits(c fleet.RequestLimits) {
 	h.callers.setLimits(h.settings.callerLimits(c))
 	h.callers.setHeaderLimit(cmp.Or(max(0, c.HeaderBytes), defaultHeaderBytes))
-	if room := h.settings.requestBytes(); 2*c.BodyBytes > room {
+	if room := h.settings.requestBytes(); configcheck.BodyMemoryFactor*c.BodyBytes > room {
 		_ = h.logger.Log("part", "ingress", "msg", "the configuration allows bodies that do not fit into the memory for requests",
 			"body_bytes", c.BodyBytes, "memory_for_requests", room)
 	}
--- a/fleet/configcheck/check.go
+++ b/fleet/configcheck/check.go
@@ -41,12 +41,12 @@
 }
 
 const (
-	// bodyMemoryFactor is the memory that a request takes in multiples of its body: the text and the job
+	// BodyMemoryFactor is the memory that a request takes in multiples of its body: the text and the job
 	// decoded from it.
-	bodyMemoryFactor = 2
-	// usableMemoryFraction is the fraction of a host's memory that requests of callers may use, unless its
+	BodyMemoryFactor = 2
+	// DefaultMemoryShare is the share of a host's memory that requests of callers may use, unless its
 	// settings say otherwise.
-	usableMemoryFraction = 0.2
+	DefaultMemoryShare = 0.2
 	// minBodiesAtOnce is the number of requests that a host has to be able to read at the same time.
 	minBodiesAtOnce = 16
 	// minBodyBytes has room for the longest payload of a job, 4,000 bytes, and its other fields.
@@ -229,7 +229,7 @@
 // checkLimits reports limits on requests that contradict each other, the routes or the memory of hosts.
 func (k *checker) checkLimits() {
 	l := k.config.Limits
-	usable := int64(usableMemoryFraction * float64(k.context.MemoryMB<<20))
+	usable := int64(DefaultMemoryShare * float64(k.context.MemoryMB<<20))
 	k.checkSize("limits.body_bytes", l.BodyBytes, usable)
 	k.checkSize("limits.header_bytes", l.HeaderBytes, usable)
 	if l.BodyBytes > 0 && l.BodyBytes < minBodyBytes {
@@ -251,7 +251,7 @@
 
 // checkSize reports a limit on a part of requests that is negative or too large for the usable memory.
 func (k *checker) checkSize(field string, limit, usable int64) {
-	switch atOnce := usable / bodyMemoryFactor / max(1, limit); {
+	switch atOnce := usable / BodyMemoryFactor / max(1, limit); {
 	case limit < 0:
 		k.warn(field, "%d is negative and counts as none", limit)
 	case limit == 0 || usable == 0:
