--- a/standin/fleettest/cancel_test.go
+++ b/standin/fleettest/cancel_test.go
@@ -5,8 +5,6 @@
 	"strings"
 	"testing"
 	"time"
-
-	"sesameledge.dev/sesameledge/standin/fleetsim"
 )
 
 const (
