--- a/entry/exposition.go
+++ b/entry/exposition.go
@@ -139,14 +139,11 @@
 
 // zoneGauge returns a gauge family with one metric for each availability zone.
 func (s snapshot) zoneGauge(name, help string, value func(host.EvacuationDump) int64) *dto.MetricFamily {
-	f := &dto.MetricFamily{Name: ptr(namePrefix + name), Help: ptr(help), Type: dto.MetricType_GAUGE.Enum()}
+	values := labelValues{}
 	for _, e := range s.evacuations {
-		f.Metric = append(f.Metric, &dto.Metric{
-			Label: []*dto.LabelPair{{Name: ptr("zone"), Value: ptr(e.Zone)}},
-			Gauge: &dto.Gauge{Value: ptr(float64(value(e)))},
-		})
+		values[e.Zone] = value(e)
 	}
-	return f
+	return gaugeBy(name, help, "zone", values)
 }
 
 // labelValues maps each value of a metric's label to the metric's value.
