Log what shows that the former run of a restarted task is over

Change: a line `tasks started again` for each job and basis (end listed, not listed, start rejected, process replaced, lease ended by this host's clock) with the former workers, how long ago the end was found out and what was left of the lease; `run may have outlasted its caller` when a run goes on after its job for longer than the time limits allow; run_restarts_total and unwanted_run_ms_max.

--- a/entry/exposition.go
+++ b/entry/exposition.go
@@ -101,6 +101,8 @@
 		counter("run_ends_total", "Runs that have ended, by how.", "how", labelValues{
 			"done": d.Done, "failed": d.FailedRuns, "lapsed": d.Lapsed, "lost": d.Lost, "hung": d.Hangs,
 		}),
+		counter("run_restarts_total", "Starts of tasks of which a run has ended before, by what shows that it is over.", "former_run_over_by", restartCounts(d)),
+		gauge("unwanted_run_ms_max", "Longest time in ms for which a run may have gone on after its job was wanted.", d.LongestUnwanted.Milliseconds()),
 		counter("run_starts_unanswered_total", "Starts that a worker did not answer.", "", labelValues{"": d.Doubts}),
 		counter("foreign_runs_total", "Runs of other hosts found on own workers and stopped.", "", labelValues{"": d.Foreign}),
 		counter("invariant_violations_total", "Starts that an internal check has stopped.", "", labelValues{"": d.Violations}),
@@ -120,6 +122,15 @@
 	}, append(s.zoneGauges(), queueFamilies(s.queues)...)...)
 }
 
+// restartCounts returns the starts of tasks of which a run has ended before, by what shows that it is over.
+func restartCounts(d sched.Stats) labelValues {
+	values := make(labelValues, len(d.Restarts))
+	for basis, n := range d.Restarts {
+		values[sched.EndBasis(basis).String()] = n
+	}
+	return values
+}
+
 // zoneGauges returns the gauges with one metric for each availability zone.
 func (s snapshot) zoneGauges() []*dto.MetricFamily {
 	if len(s.evacuations) == 0 {
--- a/sched/hold.go
+++ b/sched/hold.go
@@ -142,7 +142,7 @@
 		s.clearForeignRuns(w)
 		for _, r := range sortedRuns(w) {
 			if r.listedIncarnation == w.incarnation {
-				s.endRun(now, w, r, fleet.EndUnknown)
+				s.endRun(now, w, r, fleet.EndUnknown, EndReplaced)
 				continue
 			}
 			r.leaseUntil = 0
@@ -162,7 +162,7 @@
 	if r == nil {
 		return
 	}
-	s.endRun(now, w, r, f.End)
+	s.endRun(now, w, r, f.End, EndListed)
 }
 
 // updateRunning processes a worker's list of running runs and returns their keys. It stops foreign
@@ -220,7 +220,7 @@
 		}
 		s.stats.Lost++
 		s.logEvent(r.job.spec.RequestID, "run is not listed", "worker", w.info.ID, "task", r.key.Task, "attempt", r.key.Attempt, "confirmed", confirmed, "stopped", stopped)
-		s.endRun(now, w, r, fleet.EndUnknown)
+		s.endRun(now, w, r, fleet.EndUnknown, EndUnlisted)
 	}
 }
 
@@ -283,7 +283,7 @@
 		r.job.failures[r.index] = r.job.route.MaxAttempts
 	}
 	r.job.unrejectedStarts-- // the worker has not started the task
-	s.endRun(now, w, r, fleet.EndUnknown)
+	s.endRun(now, w, r, fleet.EndUnknown, EndRejected)
 }
 
 // handleStopped processes the answer to a stop.
--- a/sched/job.go
+++ b/sched/job.go
@@ -32,6 +32,7 @@
 	sizeFactor       float64       // share of its slack after which its tasks should start; below 1 if they are large
 	waitsForRoom     bool          // it is late and starts only when there is room for all its tasks; see comesBack
 	finished         bool          // its outcome has been reported
+	unwantedSince    time.Duration // when it finished, or when its host was last known to want it; 0: it is wanted
 }
 
 // handleSubmit queues a job or refuses it at once.
@@ -82,6 +83,7 @@
 		return
 	}
 	j.finished = true
+	j.unwantedSince = now
 	if o == Refused && j.unrejectedStarts > 0 {
 		o = Aborted
 	}
@@ -123,9 +125,9 @@
 	}
 }
 
-// endRun ends a run. It finishes the job if this completes it or was the last attempt that the
-// route allows; otherwise it makes the task wait again.
-func (s *State) endRun(now time.Duration, w *worker, r *run, how fleet.RunEnd) {
+// endRun ends a run that is over as basis shows. It finishes the job if this completes it or was the
+// last attempt that the route allows; otherwise it makes the task wait again.
+func (s *State) endRun(now time.Duration, w *worker, r *run, how fleet.RunEnd, basis EndBasis) {
 	w.removeRun(r)
 	s.taskRuns.remove(r.key.Task)
 	s.needsPlacement = true
@@ -135,8 +137,11 @@
 	if how == fleet.EndDone {
 		s.stats.Done++
 		s.recordDuration(now, w, r)
+	} else {
+		s.rememberEnd(now, w, r, basis)
 	}
 	if j.finished {
+		s.recordUnwantedRun(now, w, r)
 		return
 	}
 	switch how {
--- a/sched/place.go
+++ b/sched/place.go
@@ -139,6 +139,7 @@
 func (s *State) placeJob(now time.Duration, j *job, workers []*candidate) {
 	var stillWaiting []int
 	var workerIDs, speeds []string
+	var restarts restartLog
 	mayWait := j.canWait(now) && s.hasInTimeWorker(now, j)
 	for i, index := range j.waiting {
 		if !s.link.Ready(now) {
@@ -163,6 +164,7 @@
 			return
 		}
 		c.free = c.free.Sub(j.spec.Need)
+		restarts.add(s, now, j, fleet.Task{Job: j.spec.ID, Index: index})
 		s.startTask(now, j, index, c.w)
 		workerIDs = append(workerIDs, c.w.info.ID)
 		speeds = append(speeds, strconv.FormatFloat(c.w.speed, 'f', 1, 64))
@@ -171,6 +173,7 @@
 	if len(workerIDs) > 0 {
 		s.logEvent(j.spec.RequestID, "tasks started", "job", j.spec.ID, "tasks", len(workerIDs), "waiting", len(stillWaiting),
 			"age", now-j.arrived, "objective", j.objective, "predicted", j.taskDuration, "workers", strings.Join(workerIDs, ","), "speeds", strings.Join(speeds, ","))
+		restarts.write(s, j)
 	}
 }
 
--- a/sched/place_test.go
+++ b/sched/place_test.go
@@ -18,6 +18,7 @@
 	running  map[string]map[fleet.RunKey]bool // by worker
 	starts   []StartRun
 	outcomes map[JobKey]Outcome
+	logs     []LogEntry
 }
 
 // newTestPool returns a pool of workers with the given capacities in cores.
@@ -49,6 +50,8 @@
 			p.starts = append(p.starts, e)
 			p.running[e.Worker.ID][e.Order.Run] = true
 			p.step(StartReply{Worker: e.Worker.ID, Run: e.Order.Run, Sent: p.now, Fence: e.Order.Fence, Reply: fleet.Reply{Verdict: fleet.Accepted, ClockMillis: p.now.Milliseconds()}})
+		case LogEntry:
+			p.logs = append(p.logs, e)
 		case HoldWorker:
 			if e.Order.WaitMillis == 0 {
 				p.answerHold(e.Worker.ID, e.Seq)
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -63,6 +63,7 @@
 	suspectedHosts  map[uint64]bool // see SuspectHost
 	taskRuns        taskCounts      // runs that may be running, of all submissions of a job
 	foreignTasks    taskCounts      // foreign runs
+	endedRuns       map[fleet.Task]endedRun
 	restrictions    startRestrictions
 	cold            *coldModel
 	cellTakes       map[fleet.Cell]cellTake
@@ -74,6 +75,10 @@
 	// ended as Done, as FailedRuns, as Lapsed with their lease, or as Lost when a list did not name
 	// them. Hangs counts runs stopped because they made no progress.
 	Starts, Done, FailedRuns, Lapsed, Lost, Hangs, Doubts, Stops, Foreign int64
+	// Restarts counts starts of tasks of which a run has ended before, by what shows that it is over.
+	Restarts [endBasisCount]int64
+	// LongestUnwanted is the longest time for which a run may have gone on after its job was wanted.
+	LongestUnwanted time.Duration
 	// Jobs by outcome.
 	Completed, Failed, Refused, Aborted, Cancelled int64
 	// Violations counts starts that were prevented because they would have broken an invariant.
@@ -97,6 +102,7 @@
 		suspectedHosts: make(map[uint64]bool),
 		taskRuns:       make(taskCounts),
 		foreignTasks:   make(taskCounts),
+		endedRuns:      make(map[fleet.Task]endedRun),
 		cold:           newColdModel(),
 		cellTakes:      make(map[fleet.Cell]cellTake),
 	}
@@ -271,6 +277,7 @@
 		s.sendHold(now, w)
 	}
 	s.expireJobs(now)
+	s.forgetEnds(now)
 	s.needsPlacement = true
 }
 
@@ -279,7 +286,7 @@
 	for _, r := range sortedRuns(w) {
 		s.logEvent(r.job.spec.RequestID, "run lapsed", "worker", w.info.ID, "task", r.key.Task, "attempt", r.key.Attempt)
 		s.stats.Lapsed++
-		s.endRun(now, w, r, fleet.EndLeaseExpired)
+		s.endRun(now, w, r, fleet.EndLeaseExpired, EndLeaseOver)
 	}
 }
 
--- a/sched/wanted.go
+++ b/sched/wanted.go
@@ -45,6 +45,17 @@
 	return s.suspectedHosts[r.job.key.Host]
 }
 
+// recordUnwantedRun measures how long a run that has ended may have gone on after its job was wanted. It is
+// over by the end of its lease, however late the host finds out. Callers count on timing.Budget.LongestRun.
+func (s *State) recordUnwantedRun(now time.Duration, w *worker, r *run) {
+	outlasted := min(now, w.leaseEndBound) - r.job.unwantedSince
+	s.stats.LongestUnwanted = max(s.stats.LongestUnwanted, outlasted)
+	if outlasted > s.timing.LongestRun() {
+		s.logEvent(r.job.spec.RequestID, "run may have outlasted its caller", "job", r.job.spec.ID, "task", r.key.Task, "attempt", r.key.Attempt,
+			"worker", w.info.ID, "after", outlasted, "limit", s.timing.LongestRun())
+	}
+}
+
 // mayStart reports whether a run of a task may be started now: the job is wanted, and no worker of this
 // host may be running the task for another submission of the job. Such a submission can be older than
 // this host's command over the worker, or come from a host that is lost. The task waits until the earlier
