Let no lease outlast the last contact with a caller's host by over a second

Cause: leases of 700 ms were granted until the contact with the caller's host was 450 ms old, so that 1,264 of 1,300 ms were spent by a host that notices a broken connection at once. One that notices it later, as a slow host does, leaves a run in one cell while another cell starts the task.

Change: a lease ends 1,000 ms after the last complete contact with the host of each run on the worker, and of the one that a start adds; at the contact timeout 539 ms are left. 200 ms remain for slow hosts. The scheduler has the contacts (RecordContact) in place of a flag set by package host (SuspectHost), so that its test TestNoLeaseForSuspectedHost became TestNoLeaseForSilentHost, with the same bounds.

--- a/host/contact.go
+++ b/host/contact.go
@@ -123,18 +123,6 @@
 	}
 }
 
-// suspectOwner tells the scheduler whether the jobs of a peer are in doubt: the last contact by which all
-// that the peer had withdrawn was known here is older than the contact timeout, although the peer does
-// not count as lost yet, since its heartbeats are rare or a message of it is missing. Its jobs keep what
-// they have and get nothing more.
-func (s *State) suspectOwner(now time.Duration, p *peer) {
-	suspected := p.live && now-p.session.LastCompleteContact() > s.opts.Timing.ContactTimeout
-	if suspected != p.suspected {
-		p.suspected = suspected
-		s.sched.SuspectHost(p.info.GetId(), suspected)
-	}
-}
-
 // contactTimeoutFor returns the age of the last contact above which the peer counts as lost.
 func (s *State) contactTimeoutFor(p *peer) time.Duration {
 	switch {
--- a/host/lease_budget_test.go
+++ b/host/lease_budget_test.go
@@ -96,6 +96,39 @@
 	})
 }
 
+// leaveUnnoticed breaks the connections of all callers of a host, who send their jobs again. The host finds
+// that out after a delay.
+func (h *simHost) leaveUnnoticed(delay time.Duration) {
+	process := h.processCount
+	for seq := range h.seq + 1 {
+		j := h.open[seq]
+		if j == nil {
+			continue
+		}
+		delete(h.open, seq)
+		j.unresolved++
+		h.w.resendLater(j)
+		h.w.after(delay, func() { h.deliver(process, CallerGone{Seq: seq}) })
+	}
+}
+
+// TestLateStopsOfCallersNoticedLate guards against the same where the host is so short of processor time
+// that it finds out late that its callers have left, and the frames with the cancellations are delayed, too.
+func TestLateStopsOfCallersNoticedLate(t *testing.T) {
+	lateStops(t, func(m *hostMachine, h *simHost) {
+		const noticed = 200 * time.Millisecond
+		h.leaveUnnoticed(noticed)
+		for range 19 { // each job sends a frame, so that the contact is fresh
+			m.w.submit(h, 1, 15*time.Millisecond, false)
+			m.w.advance(10 * time.Millisecond)
+		}
+		for _, link := range m.linksOf(h) {
+			link.cut = true
+			m.w.after(445*time.Millisecond, func() { link.heal(m.w) })
+		}
+	})
+}
+
 // TestLateStopsOfLostCancellation guards against the same where the frames with the cancellations are
 // lost twice, other frames still arrive meanwhile, and then the host is cut off.
 func TestLateStopsOfLostCancellation(t *testing.T) {
--- a/host/peers.go
+++ b/host/peers.go
@@ -24,7 +24,6 @@
 	session          *session.Session
 	status           *meshpb.Status
 	live             bool
-	suspected        bool // its jobs get no more leases; see suspectOwner
 	firstContactAt   time.Duration
 	lastSentAt       time.Duration // when the last frame was sent to it
 	redialedAt       time.Duration
@@ -103,7 +102,7 @@
 	}
 	messages := p.session.Receive(now, f)
 	s.markLive(now, p)
-	s.suspectOwner(now, p)
+	s.sched.RecordContact(p.info.GetId(), p.session.LastCompleteContact())
 	if f.GetStatus() != nil {
 		p.status = f.GetStatus()
 		p.statusReceivedAt = now
@@ -165,7 +164,6 @@
 			s.log("mesh", "", "host lost", "peer", p.info.GetName(), "addr", p.info.GetAddr(), "silent", now-p.session.LastContact())
 			s.handlePeerLost(now, p)
 		}
-		s.suspectOwner(now, p)
 	}
 }
 
@@ -174,7 +172,6 @@
 func (s *State) handlePeerLost(now time.Duration, p *peer) {
 	p.live = false
 	p.unconfirmed = nil
-	s.suspectOwner(now, p)
 	if n := s.sched.CancelJobsOfHost(now, p.info.GetId()); n > 0 {
 		s.log("mesh", "", "jobs of a lost host cancelled", "peer", p.info.GetName(), "jobs", n)
 	}
--- a/host/submission.go
+++ b/host/submission.go
@@ -39,7 +39,7 @@
 	case s.wasCancelled(now, job.Spec.ID, job.Route):
 		s.handleJobFinished(now, sched.JobFinished{Key: job.Key, Outcome: sched.Cancelled, Reason: reasonCancelled})
 	case waited+silent <= s.opts.Timing.ContactTimeout:
-		s.sched.Step(now, sched.Submit{Job: job})
+		s.submitRemote(now, p, job)
 	case p.frequentHeartbeats || waited > s.opts.Timing.ContactTimeout:
 		s.refuseStale(now, job, "waited", waited, "silent", silent)
 	default:
@@ -48,6 +48,13 @@
 	}
 }
 
+// submitRemote passes a job of a peer's caller to the scheduler. The job is wanted as long as the peer is
+// known to want it. Messages of the peer that are missing here may have withdrawn it.
+func (s *State) submitRemote(now time.Duration, p *peer, job sched.Job) {
+	job.Remote, job.Contact = true, p.session.LastCompleteContact()
+	s.sched.Step(now, sched.Submit{Job: job})
+}
+
 // refuseStale refuses a job whose submission was delayed.
 func (s *State) refuseStale(now time.Duration, job sched.Job, fields ...any) {
 	s.log("jobs", job.Spec.RequestID, "stale job refused", append([]any{"job", job.Spec.ID}, fields...)...)
@@ -89,7 +96,7 @@
 		}
 		u.job.Age += now - u.receivedAt
 		u.job.Left -= now - u.receivedAt
-		s.sched.Step(now, sched.Submit{Job: u.job})
+		s.submitRemote(now, p, u.job)
 		return true
 	})
 }
--- a/sched/hold.go
+++ b/sched/hold.go
@@ -23,8 +23,9 @@
 			order.WaitMillis = int(holdWait.Milliseconds())
 		}
 		if !withheld && !w.clockStale(now) {
-			order.LeaseEnd = w.leaseEndOnWorkerClock(now, s.timing.Lease)
-			w.raiseLeaseEndBound(now, s.timing.Lease)
+			lease := s.leaseFor(now, w, nil)
+			order.LeaseEnd = w.leaseEndOnWorkerClock(now, lease)
+			w.raiseLeaseEndBound(now, lease)
 		}
 	case w.processedEnd == w.acknowledgedEnd && !w.holdUrgent:
 		return
--- a/sched/invariant.go
+++ b/sched/invariant.go
@@ -34,7 +34,7 @@
 		return errors.New("the job has ended")
 	case j.hasRun[index]:
 		return errors.New("another run of the task may be running")
-	case !s.mayStart(j, index):
+	case !s.mayStart(now, j, index):
 		return errors.New("the job may not be wanted, or an earlier submission of it may run the task")
 	}
 	return nil
--- a/sched/job.go
+++ b/sched/job.go
@@ -14,6 +14,7 @@
 // job is a job in progress.
 type job struct {
 	key              JobKey
+	origin           *origin // nil: this process
 	cell             fleet.Cell
 	spec             fleet.JobSpec
 	route            fleet.Route
@@ -41,7 +42,7 @@
 		return // the entry host has sent it twice
 	}
 	j := &job{
-		key: in.Key, cell: in.Cell, spec: in.Spec, route: in.Route,
+		key: in.Key, origin: s.originOf(in), cell: in.Cell, spec: in.Spec, route: in.Route,
 		arrived: now - in.Age, deadline: now + in.Left,
 		waiting:  make([]int, in.Spec.Tasks),
 		attempts: make([]int64, in.Spec.Tasks),
@@ -276,10 +277,13 @@
 	n := 0
 	for _, j := range s.sortedJobs() {
 		if j.key.Host == host {
+			wanted := now - j.contactAge(now)
 			s.finish(now, j, Aborted, "the entry host is gone")
+			j.unwantedSince = wanted
 			n++
 		}
 	}
+	delete(s.origins, host)
 	return n
 }
 
--- a/sched/place.go
+++ b/sched/place.go
@@ -146,7 +146,7 @@
 			stillWaiting = append(stillWaiting, j.waiting[i:]...)
 			break
 		}
-		if !s.mayStart(j, index) {
+		if !s.mayStart(now, j, index) {
 			stillWaiting = append(stillWaiting, index)
 			continue
 		}
@@ -285,8 +285,9 @@
 // startTask starts a run of a task on a worker.
 func (s *State) startTask(now time.Duration, j *job, index int, w *worker) {
 	key := j.nextRunKey(index)
-	until := w.leaseEndOnWorkerClock(now, s.timing.Lease)
-	w.raiseLeaseEndBound(now, s.timing.Lease)
+	lease := s.leaseFor(now, w, j)
+	until := w.leaseEndOnWorkerClock(now, lease)
+	w.raiseLeaseEndBound(now, lease)
 	r := &run{
 		key: key, job: j, index: index, need: j.spec.Need, startSentAt: now, leaseUntil: until,
 		predicted: s.durationOf(now, w, j),
--- a/sched/place_test.go
+++ b/sched/place_test.go
@@ -19,6 +19,7 @@
 	starts   []StartRun
 	outcomes map[JobKey]Outcome
 	logs     []LogEntry
+	contact  time.Duration // with the process that submits jobs; 0: this process submits them
 }
 
 // newTestPool returns a pool of workers with the given capacities in cores.
@@ -85,7 +86,7 @@
 func (p *testPool) submit(seq uint64, route string, tasks int, estimate time.Duration) JobKey {
 	key := JobKey{Host: 1, Seq: seq}
 	p.step(Submit{Job: Job{
-		Key: key, Cell: "z", Left: 10 * time.Second,
+		Key: key, Cell: "z", Left: 10 * time.Second, Remote: p.contact != 0, Contact: p.contact,
 		Spec:  fleet.JobSpec{ID: fmt.Sprintf("%s%d", route, seq), Tasks: tasks, Need: fleet.Resources{CPU: 27000, Memory: 64}, Estimate: estimate},
 		Route: fleet.Route{Name: route, Service: "s", MaxAttempts: 3, SlackFactor: 1.6, ObjectiveOffset: 60 * time.Millisecond},
 	}})
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -60,9 +60,9 @@
 	queueCounters   map[queueKey]queueCounters
 	closedCells     map[fleet.Cell]bool // refuse jobs while their workers are handed over
 	timing          timing.Budget
-	suspectedHosts  map[uint64]bool // see SuspectHost
-	taskRuns        taskCounts      // runs that may be running, of all submissions of a job
-	foreignTasks    taskCounts      // foreign runs
+	origins         map[uint64]*origin // other processes that have jobs here
+	taskRuns        taskCounts         // runs that may be running, of all submissions of a job
+	foreignTasks    taskCounts         // foreign runs
 	endedRuns       map[fleet.Task]endedRun
 	restrictions    startRestrictions
 	cold            *coldModel
@@ -89,22 +89,22 @@
 // means that the capacity is not known.
 func New(linkBytesPerSecond float64) *State {
 	return &State{
-		link:           pace.NewLink(linkBytesPerSecond),
-		workers:        make(map[string]*worker),
-		jobs:           make(map[JobKey]*job),
-		closedCells:    make(map[fleet.Cell]bool),
-		queueCounters:  make(map[queueKey]queueCounters),
-		durations:      newDurationModel(),
-		importance:     newImportance(),
-		shares:         new(shares),
-		policy:         Policy{RemotePenalty: defaultRemotePenalty},
-		timing:         timing.Default(),
-		suspectedHosts: make(map[uint64]bool),
-		taskRuns:       make(taskCounts),
-		foreignTasks:   make(taskCounts),
-		endedRuns:      make(map[fleet.Task]endedRun),
-		cold:           newColdModel(),
-		cellTakes:      make(map[fleet.Cell]cellTake),
+		link:          pace.NewLink(linkBytesPerSecond),
+		workers:       make(map[string]*worker),
+		jobs:          make(map[JobKey]*job),
+		closedCells:   make(map[fleet.Cell]bool),
+		queueCounters: make(map[queueKey]queueCounters),
+		durations:     newDurationModel(),
+		importance:    newImportance(),
+		shares:        new(shares),
+		policy:        Policy{RemotePenalty: defaultRemotePenalty},
+		timing:        timing.Default(),
+		origins:       make(map[uint64]*origin),
+		taskRuns:      make(taskCounts),
+		foreignTasks:  make(taskCounts),
+		endedRuns:     make(map[fleet.Task]endedRun),
+		cold:          newColdModel(),
+		cellTakes:     make(map[fleet.Cell]cellTake),
 	}
 }
 
--- a/sched/wanted.go
+++ b/sched/wanted.go
@@ -11,15 +11,64 @@
 // the first event.
 func (s *State) SetTiming(b timing.Budget) { s.timing = b }
 
-// SuspectHost sets whether it is in doubt that a process still wants its jobs. While it is, they get no
-// starts, and the leases of the workers that run their tasks are not extended.
-func (s *State) SuspectHost(host uint64, suspected bool) {
-	if suspected {
-		s.suspectedHosts[host] = true
+// origin is another process that has jobs here. It wanted them at the time contact.
+type origin struct{ contact time.Duration }
+
+// originOf returns the origin of a job, or nil if it is a job of this process.
+func (s *State) originOf(in Job) *origin {
+	if !in.Remote {
+		return nil
+	}
+	o := s.origins[in.Key.Host]
+	if o == nil {
+		o = new(origin)
+		s.origins[in.Key.Host] = o
+	}
+	o.contact = max(o.contact, in.Contact)
+	return o
+}
+
+// RecordContact records that another process still wanted, at the time contact, all its jobs that are in
+// progress here. A job whose last contact is older than the contact timeout gets no starts, and the
+// leases of the workers that run its tasks are not extended. A later contact ends that.
+func (s *State) RecordContact(host uint64, contact time.Duration) {
+	o := s.origins[host]
+	if o == nil || contact <= o.contact {
 		return
 	}
-	delete(s.suspectedHosts, host)
-	s.needsPlacement = true
+	if contact-o.contact > s.timing.ContactTimeout {
+		s.needsPlacement = true
+	}
+	o.contact = contact
+}
+
+// contactAge returns how long ago it was last known that a job is wanted.
+func (j *job) contactAge(now time.Duration) time.Duration {
+	if j.origin == nil {
+		return 0
+	}
+	return now - j.origin.contact
+}
+
+// isDoubted reports whether a job may not be wanted any more, because its host has been silent for too long.
+func (s *State) isDoubted(now time.Duration, j *job) bool {
+	return j.contactAge(now) > s.timing.ContactTimeout
+}
+
+// leaseFor returns the length of a lease that is granted to a worker now, on the worker's clock, for its
+// runs and a run of the job j, which may be nil. All that runs on a worker has the same lease, so the
+// oldest contact with the host of any of its jobs limits it.
+func (s *State) leaseFor(now time.Duration, w *worker, j *job) time.Duration {
+	age := time.Duration(0)
+	if j != nil {
+		age = j.contactAge(now)
+	}
+	for _, r := range w.runList {
+		if !r.job.finished {
+			age = max(age, r.job.contactAge(now))
+		}
+	}
+	return s.timing.LeaseAfter(age)
 }
 
 // withholdsLease reports whether the lease of a worker is not extended, so that runs end with it. That
@@ -29,7 +78,7 @@
 // first three get no grace: see package timing.
 func (s *State) withholdsLease(now time.Duration, w *worker) bool {
 	for _, r := range w.runList {
-		if s.isUnwanted(r) || r.stop.isOverdue(now) {
+		if s.isUnwanted(now, r) || r.stop.isOverdue(now) {
 			return true
 		}
 	}
@@ -38,11 +87,11 @@
 
 // isUnwanted reports whether nobody waits for a run any more, or may not, and no answer shows that the
 // worker ends it.
-func (s *State) isUnwanted(r *run) bool {
+func (s *State) isUnwanted(now time.Duration, r *run) bool {
 	if r.job.finished {
 		return r.stop.acceptedAt == 0
 	}
-	return s.suspectedHosts[r.job.key.Host]
+	return s.isDoubted(now, r.job)
 }
 
 // recordUnwantedRun measures how long a run that has ended may have gone on after its job was wanted. It is
@@ -60,9 +109,9 @@
 // host may be running the task for another submission of the job. Such a submission can be older than
 // this host's command over the worker, or come from a host that is lost. The task waits until the earlier
 // run is certainly over.
-func (s *State) mayStart(j *job, index int) bool {
+func (s *State) mayStart(now time.Duration, j *job, index int) bool {
 	task := fleet.Task{Job: j.spec.ID, Index: index}
-	return !s.suspectedHosts[j.key.Host] && s.taskRuns[task] == 0 && s.foreignTasks[task] == 0
+	return !s.isDoubted(now, j) && s.taskRuns[task] == 0 && s.foreignTasks[task] == 0
 }
 
 // taskCounts counts the runs of tasks that may be running.
--- a/sched/wanted_test.go
+++ b/sched/wanted_test.go
@@ -48,25 +48,55 @@
 	}
 }
 
-// TestNoLeaseForSuspectedHost guards against leases and starts for jobs whose host has been silent for
-// longer than the contact timeout and does not count as lost yet.
-func TestNoLeaseForSuspectedHost(t *testing.T) {
-	p, w := newLongRun(64)
+// newRemoteRun returns a pool with one worker that runs a task of a job of another process, which is in
+// contact, for another 10 s. The worker may take leases of former commanders no more.
+func newRemoteRun(workers ...int64) (*testPool, *worker) {
+	p := newTestPool(workers...)
 	p.pass(timing.DefaultMaxLease)
-	p.s.SuspectHost(1, true)
+	p.contact = p.now
+	p.submit(1, "long", 1, 10*time.Second)
+	return p, p.s.workers[p.starts[0].Worker.ID]
+}
+
+// TestNoLeaseForSilentHost guards against leases and starts for jobs whose host has been silent for
+// longer than the contact timeout and does not count as lost yet.
+func TestNoLeaseForSilentHost(t *testing.T) {
+	p, w := newRemoteRun(64)
+	p.pass(timing.Default().ContactTimeout + 25*time.Millisecond)
 	before := w.leaseEndBound
 	p.submit(2, "late", 1, 2*time.Second)
 	p.pass(300 * time.Millisecond)
 	if w.leaseEndBound > before || len(p.starts) != 1 {
 		t.Errorf("lease extended by %v and %d starts, want 0 and 1", w.leaseEndBound-before, len(p.starts))
 	}
-	p.s.SuspectHost(1, false)
+	p.s.RecordContact(1, p.now)
 	p.pass(50 * time.Millisecond)
 	if w.leaseEndBound <= before || len(p.starts) != 2 {
 		t.Errorf("lease extended by %v and %d starts after the suspicion, want more and 2", w.leaseEndBound-before, len(p.starts))
 	}
 }
 
+// TestLeaseEndsSoonAfterLastContact guards against a run that outlasts the last contact with its caller's
+// host by the contact timeout and a whole lease: a lease that is granted late is shorter, also one that
+// comes with the start of another job's task.
+func TestLeaseEndsSoonAfterLastContact(t *testing.T) {
+	p, w := newRemoteRun(64)
+	limit := p.contact + timing.Default().Horizon
+	p.pass(350 * time.Millisecond)
+	p.contact = 0
+	p.submit(2, "short", 1, 100*time.Millisecond)
+	p.pass(150 * time.Millisecond)
+	if len(p.starts) != 2 {
+		t.Fatalf("%d starts, want 2", len(p.starts))
+	}
+	if w.leaseEndBound > limit {
+		t.Errorf("the lease outlasts the last contact by %v, want %v at most", w.leaseEndBound-limit+timing.Default().Horizon, timing.Default().Horizon)
+	}
+	if shortest := p.now + timing.MinLease - 150*time.Millisecond; w.leaseEndBound < shortest {
+		t.Errorf("the lease ends %v before a hold is sure to be answered", shortest-w.leaseEndBound)
+	}
+}
+
 // TestResubmissionWaitsForEarlierRun guards against a second run of a task whose job another host submits
 // again while the run of the earlier submission goes on: until the host of the earlier one is known to be
 // lost, and then until the lease of its worker has certainly ended.
--- a/timing/timing.go
+++ b/timing/timing.go
@@ -25,6 +25,10 @@
 	contactTimeout = 450 * time.Millisecond
 	// lease is the length of a granted lease where the deployment allows it.
 	lease = 700 * time.Millisecond
+	// horizon is the time after the last contact with the host of a caller at which all leases granted for
+	// its jobs have ended. At the age of contactTimeout it still leaves a lease with which a hold is answered
+	// in time on a slow link.
+	horizon = 1000 * time.Millisecond
 	// runEndTime is the longest time that a worker takes to end a run once its lease has lapsed or it
 	// has taken a stop.
 	runEndTime = 50 * time.Millisecond
@@ -38,7 +42,8 @@
 	ResendAfter    time.Duration // after which callers send a job again
 	MaxLease       time.Duration // longest lease that a worker allows
 	ContactTimeout time.Duration // age of a contact above which the other host's jobs get no more leases
-	Lease          time.Duration // granted by a start or a hold, on the clock of the worker
+	Lease          time.Duration // longest that is granted by a start or a hold, on the clock of the worker
+	Horizon        time.Duration // age of a contact at which all leases granted for the other host's jobs have ended
 }
 
 // New returns the time limits for a deployment. 0 stands for the default. Limits of a larger
@@ -54,11 +59,12 @@
 	b := Budget{ResendAfter: resendAfter, MaxLease: maxLease, ContactTimeout: contactTimeout}
 	left := time.Duration(float64(resendAfter-contactTimeout-runEndTime-schedulingMargin) * MinClockRate)
 	b.Lease = min(lease, maxLease, left.Truncate(time.Millisecond))
+	b.Horizon = min(horizon, resendAfter-runEndTime-schedulingMargin)
 	if maxLease < MinLease {
 		return b, errors.Newf("a lease of at most %v is too short to hold workers; they need %v", maxLease, MinLease)
 	}
 	if b.Lease < MinLease {
-		b.Lease = MinLease
+		b.Lease, b.Horizon = MinLease, contactTimeout+OnHostClock(MinLease)
 		return b, errors.Newf("callers send a job again after %v, but its earlier runs may go on for %v: %v to notice a lost host, %v for the shortest lease on a clock 2%% slow, %v to end them and %v to spare",
 			resendAfter, b.LongestRun(), b.ContactTimeout, OnHostClock(b.Lease).Round(time.Millisecond), runEndTime, schedulingMargin)
 	}
@@ -74,11 +80,20 @@
 	return b
 }
 
+// LeaseAfter returns the length of a lease, on the clock of the worker, that is granted when the last
+// contact with the host of the caller has an age. It gets shorter with the age, so that it ends at Horizon
+// on the slowest clock.
+func (b Budget) LeaseAfter(age time.Duration) time.Duration {
+	left := time.Duration(float64(b.Horizon-age) * MinClockRate)
+	return max(0, min(b.Lease, left.Truncate(time.Millisecond)))
+}
+
 // LongestRun returns the time for which a run can go on after its caller's connection has broken. It is
-// the sum that has to stay below ResendAfter: leases are granted until the contact with the caller's host
-// is ContactTimeout old, and a stop that stays without answer does not lengthen this.
+// the sum that has to stay below ResendAfter: no lease outlasts the last contact with the caller's host by
+// more than Horizon, and a stop that stays without answer does not lengthen this.
 func (b Budget) LongestRun() time.Duration {
-	return b.ContactTimeout + OnHostClock(b.Lease).Round(time.Millisecond) + runEndTime + schedulingMargin
+	longest := min(b.Horizon, b.ContactTimeout+OnHostClock(b.Lease).Round(time.Millisecond))
+	return longest + runEndTime + schedulingMargin
 }
 
 // OnHostClock returns how long a time on the clock of a worker takes at most on that of a host.
--- a/timing/timing_test.go
+++ b/timing/timing_test.go
@@ -6,6 +6,29 @@
 	"time"
 )
 
+// TestLeaseAfterContact guards against a lease that ends later than the horizon after the last contact with
+// the caller's host, and against one that is too short for its worker to be held.
+func TestLeaseAfterContact(t *testing.T) {
+	for _, resend := range []time.Duration{0, 1200 * time.Millisecond, 1010 * time.Millisecond} {
+		b, err := New(resend, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for age := time.Duration(0); age <= b.ContactTimeout; age += 5 * time.Millisecond {
+			lease := b.LeaseAfter(age)
+			if end := age + OnHostClock(lease); end > b.Horizon || lease < MinLease {
+				t.Errorf("%v: after %v a lease of %v, which ends %v after the contact; the horizon is %v", resend, age, lease, end, b.Horizon)
+			}
+		}
+		if b.LeaseAfter(2*b.Horizon) != 0 {
+			t.Errorf("%v: a lease after the horizon", resend)
+		}
+	}
+	if b := Default(); b.ResendAfter-b.LongestRun() < 150*time.Millisecond {
+		t.Errorf("%v are left before callers send again, want 150ms", b.ResendAfter-b.LongestRun())
+	}
+}
+
 // TestBudget guards against time limits whose sum exceeds the time after which callers send a job
 // again, against other limits for the deployments that run today, and against a sum that nobody is told
 // of.
