Tell a host that was paused the outcome of its cancelled jobs

Seen by callers: after their host was paused for 0.25 to 0.45 s, jobs that the commander had cancelled stayed without an answer until their deadlines.

Cause: commander and host date their contact each by its own stamps, so the commander may give the host up while the host never gives up the commander. Outcomes were sent to live hosts only, so that of a job that was cancelled with the loss was dropped, and the host waited for it.

--- a/host/jobs.go
+++ b/host/jobs.go
@@ -124,7 +124,8 @@
 }
 
 // handleJobFinished delivers the outcome of a job from this host's scheduler to the host whose
-// caller submitted the job.
+// caller submitted the job. A host that counts as lost here gets it, too: after a pause it may be back
+// before it has given up this host, and would then wait for the outcome in vain.
 func (s *State) handleJobFinished(now time.Duration, e sched.JobFinished) {
 	o := &meshpb.Outcome{Seq: e.Key.Seq, Outcome: int32(e.Outcome), Reason: fleet.Printable(e.Reason, maxReasonBytes)}
 	if e.Outcome == sched.Cancelled {
@@ -134,7 +135,7 @@
 		s.handleOutcome(now, e.Key.Host, o)
 		return
 	}
-	if p := s.peersByID[e.Key.Host]; p != nil && p.live {
+	if p := s.peersByID[e.Key.Host]; p != nil {
 		p.session.Send(&meshpb.Message{Kind: &meshpb.Message_Outcome{Outcome: o}})
 	}
 }
