--- a/host/lease_budget_test.go
+++ b/host/lease_budget_test.go
@@ -99,16 +99,8 @@
 // leaveUnnoticed breaks the connections of all callers of a host, who send their jobs again. The host finds
 // that out after a delay.
 func (h *simHost) leaveUnnoticed(delay time.Duration) {
-	process := h.processCount
 	for seq := range h.seq + 1 {
-		j := h.open[seq]
-		if j == nil {
-			continue
-		}
-		delete(h.open, seq)
-		j.unresolved++
-		h.w.resendLater(j)
-		h.w.after(delay, func() { h.deliver(process, CallerGone{Seq: seq}) })
+		h.breakConnection(seq, true, func(notice func()) { h.w.after(delay, notice) })
 	}
 }
 
--- a/host/simulation_jobs_test.go
+++ b/host/simulation_jobs_test.go
@@ -99,15 +99,22 @@
 	})
 }
 
-// closeConnection closes a caller's connection. If returns is set, the caller resends the job.
+// closeConnection closes a caller's connection, which the host notices at once. If returns is set, the
+// caller resends the job.
 func (h *simHost) closeConnection(seq uint64, returns bool) {
+	h.breakConnection(seq, returns, func(notice func()) { notice() })
+}
+
+// breakConnection does the same for a host that notices it when schedule calls its argument.
+func (h *simHost) breakConnection(seq uint64, returns bool, schedule func(notice func())) {
 	j := h.open[seq]
 	if j == nil {
 		return
 	}
 	delete(h.open, seq)
 	j.unresolved++
-	h.deliver(h.processCount, CallerGone{Seq: seq})
+	process := h.processCount
+	schedule(func() { h.deliver(process, CallerGone{Seq: seq}) })
 	j.gone = j.gone || !returns
 	h.w.resendLater(j)
 }
