Report the workers that are lost with runs, and which tasks were on them

Change: package crash keeps a report for each worker that is lost with runs: its process, the tasks, and the evidence (silent, connection refused, process replaced, withdrawn), which later answers and entries raise. Log lines, worker_losses_total and task_crashes by task and workers. Nothing decides by them yet.

--- /dev/null
+++ b/crash/ledger.go
@@ -0,0 +1,143 @@
+package crash
+
+import (
+	"slices"
+	"time"
+)
+
+// Ledger holds the reports of all hosts. Create it with New.
+type Ledger struct {
+	host    uint64 // process that makes the own reports
+	lastSeq uint64
+	entries []*entry // in the order in which they were added
+	byID    map[ReportID]*entry
+	byTask  map[Task][]*entry
+	risks   map[Kind]Risk // nil: must be computed again
+	changes uint64        // number of changes so far
+}
+
+// entry is a report that is kept.
+type entry struct {
+	Report
+	at     time.Duration // of the loss
+	change uint64        // number of its newest change
+	own    bool          // this host has made or changed it
+}
+
+// New returns an empty ledger for a process of a host.
+func New(host uint64) *Ledger {
+	return &Ledger{host: host, byID: make(map[ReportID]*entry), byTask: make(map[Task][]*entry)}
+}
+
+// Record makes a report about a process that was lost with runs of the given tasks, in the order of their
+// starts. It returns the report.
+func (l *Ledger) Record(now time.Duration, p Process, e Evidence, tasks []Task) Report {
+	l.lastSeq++
+	if len(tasks) > MaxTasks {
+		tasks = tasks[len(tasks)-MaxTasks:]
+	}
+	r := Report{ID: ReportID{Host: l.host, Seq: l.lastSeq}, Process: p, Evidence: e, Tasks: slices.Clone(tasks)}
+	l.add(now, r).own = true
+	return r
+}
+
+// Merge adds a report of another host, or its newer evidence. It reports false if it holds nothing new.
+func (l *Ledger) Merge(now time.Duration, r Report) bool {
+	if r.Age > memory || r.Evidence < Silent || r.Evidence > Withdrawn || len(r.Tasks) == 0 || len(r.Tasks) > MaxTasks {
+		return false
+	}
+	if known := l.byID[r.ID]; known != nil {
+		return l.raise(known, r.Evidence)
+	}
+	l.add(now, r)
+	return true
+}
+
+func (l *Ledger) add(now time.Duration, r Report) *entry {
+	l.changes++
+	e := &entry{Report: r, at: now - max(0, r.Age), change: l.changes}
+	l.entries = append(l.entries, e)
+	l.byID[r.ID] = e
+	for _, t := range r.Tasks {
+		l.byTask[t] = append(l.byTask[t], e)
+	}
+	l.risks = nil
+	if len(l.entries) > maxReports {
+		l.drop(1)
+	}
+	return e
+}
+
+// raise replaces the evidence of a report by a stronger one.
+func (l *Ledger) raise(e *entry, evidence Evidence) bool {
+	if evidence <= e.Evidence {
+		return false
+	}
+	l.changes++
+	e.Evidence, e.change = evidence, l.changes
+	l.risks = nil
+	return true
+}
+
+// Settle records what has become of lost processes: match selects them. It returns the reports that have
+// changed.
+func (l *Ledger) Settle(evidence Evidence, match func(Process) bool) []Report {
+	var changed []Report
+	for _, e := range l.entries {
+		if e.Evidence < Replaced && match(e.Process) && l.raise(e, evidence) {
+			e.own = true
+			changed = append(changed, e.Report)
+		}
+	}
+	return changed
+}
+
+// Open reports whether the fate of a lost process is not known yet.
+func (l *Ledger) Open() bool {
+	return slices.ContainsFunc(l.entries, func(e *entry) bool { return e.Evidence < Replaced })
+}
+
+// Expire forgets reports that are too old to count.
+func (l *Ledger) Expire(now time.Duration) {
+	old := 0
+	for old < len(l.entries) && now-l.entries[old].at > memory {
+		old++
+	}
+	l.drop(old)
+	l.risks = nil // the weight of reports falls with time
+}
+
+// drop forgets the n oldest reports.
+func (l *Ledger) drop(n int) {
+	for _, e := range l.entries[:n] {
+		delete(l.byID, e.ID)
+		for _, t := range e.Tasks {
+			rest := slices.DeleteFunc(l.byTask[t], func(o *entry) bool { return o == e })
+			if l.byTask[t] = rest; len(rest) == 0 {
+				delete(l.byTask, t)
+			}
+		}
+	}
+	l.entries = slices.Delete(l.entries, 0, n)
+}
+
+// Changes returns the number of changes so far.
+func (l *Ledger) Changes() uint64 { return l.changes }
+
+// Since returns the reports that have changed after the change with the given number, and for which this
+// host speaks: its own, and those of hosts for which lost returns true.
+func (l *Ledger) Since(now time.Duration, change uint64, lost func(host uint64) bool) []Report {
+	if change == l.changes {
+		return nil
+	}
+	var list []Report
+	for _, e := range l.entries {
+		if e.change <= change || !e.own && !lost(e.ID.Host) {
+			continue
+		}
+		r := e.Report
+		r.Age = now - e.at
+		list = append(list, r)
+	}
+	return list
+}
--- /dev/null
+++ b/crash/verdict.go
@@ -0,0 +1,176 @@
+package crash
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Standing is what the crashes under a task mean for its next start.
+type Standing int
+
+// The standings.
+const (
+	Clear     Standing = iota // no loss is known
+	Suspect                   // starts only where no task of another job runs
+	Held                      // does not start until it is known whether the lost workers have crashed
+	Convicted                 // is given up
+)
+
+var standingNames = [...]string{"clear", "suspect", "held", "convicted"}
+
+// String implements fmt.Stringer.
+func (s Standing) String() string { return standingNames[s] }
+
+// losses counts the losses of workers under a task.
+type losses struct {
+	all, crashes, proven            int
+	singledOut, singledOutWithProof bool // no other job was on one of the workers
+}
+
+func (l *Ledger) lossesOf(t Task) losses {
+	var n losses
+	for _, e := range l.byTask[t] {
+		if e.Evidence == Withdrawn {
+			continue
+		}
+		n.all++
+		alone := e.singleJob()
+		if e.Evidence.IsCrash() {
+			n.crashes++
+			n.singledOut = n.singledOut || alone
+		}
+		if e.Evidence == Replaced {
+			n.proven++
+			n.singledOutWithProof = n.singledOutWithProof || alone
+		}
+	}
+	return n
+}
+
+// StandingOf returns the standing of a task.
+func (l *Ledger) StandingOf(t Task) Standing {
+	if len(l.byTask) == 0 {
+		return Clear
+	}
+	n := l.lossesOf(t)
+	switch {
+	case n.proven >= convictions && n.singledOutWithProof || n.proven >= ambiguousConvictions:
+		return Convicted
+	case n.crashes >= convictions && n.singledOut || n.all >= maxLosses:
+		return Held
+	case n.all > 0:
+		return Suspect
+	default:
+		return Clear
+	}
+}
+
+// Crashes returns the number of workers that have crashed under a task as far as is known.
+func (l *Ledger) Crashes(t Task) int { return l.lossesOf(t).crashes }
+
+// Risk is what the crashes under the tasks of a kind of request mean for its other tasks.
+type Risk int
+
+// The risks.
+const (
+	NoRisk    Risk = iota
+	Suspected      // was on most workers that crashed; shares workers with others only where it must
+	Risky          // crashes workers; shares workers with no other kind
+)
+
+var riskNames = [...]string{"none", "suspected", "risky"}
+
+// String implements fmt.Stringer.
+func (r Risk) String() string { return riskNames[r] }
+
+// RiskOf returns the risk of a kind of request.
+func (l *Ledger) RiskOf(now time.Duration, k Kind) Risk {
+	if len(l.entries) == 0 {
+		return NoRisk
+	}
+	if l.risks == nil {
+		l.risks = l.computeRisks(now)
+	}
+	return l.risks[k]
+}
+
+// computeRisks returns the kinds with a risk. A kind is risky as soon as a task of it is held or convicted
+// for its crashes, since that has singled it out, or if it was alone on several workers that crashed.
+func (l *Ledger) computeRisks(now time.Duration) map[Kind]Risk {
+	var recent []*entry
+	for _, e := range l.entries {
+		if e.Evidence.IsCrash() && now-e.at <= kindMemory {
+			recent = append(recent, e)
+		}
+	}
+	risks := make(map[Kind]Risk)
+	for _, k := range kindsIn(recent) {
+		present, alone, singledOut := 0, 0, false
+		for _, e := range recent {
+			if !e.names(k) {
+				continue
+			}
+			present++
+			if e.singleKind() {
+				alone++
+			}
+			singledOut = singledOut || e.singleJob() && l.crashedTwice(e.Tasks)
+		}
+		mostly := float64(present) >= kindShare*float64(len(recent))
+		switch {
+		case singledOut || alone >= riskyKindCrashes && mostly:
+			risks[k] = Risky
+		case present >= suspectKindCrashes && mostly:
+			risks[k] = Suspected
+		}
+	}
+	return risks
+}
+
+// crashedTwice reports whether any of the tasks is held or convicted for its crashes.
+func (l *Ledger) crashedTwice(tasks []Task) bool {
+	return slices.ContainsFunc(tasks, func(t Task) bool { return l.lossesOf(t).crashes >= convictions })
+}
+
+// kindsIn returns the kinds of request that reports name.
+func kindsIn(entries []*entry) []Kind {
+	var kinds []Kind
+	for _, e := range entries {
+		for _, t := range e.Tasks {
+			if !slices.Contains(kinds, t.Job.Kind) {
+				kinds = append(kinds, t.Job.Kind)
+			}
+		}
+	}
+	return kinds
+}
+
+// Offender is a task under which workers have crashed, for metrics and state dumps.
+type Offender struct {
+	Task     Task
+	Crashes  int
+	Standing Standing
+	Workers  []string // that have crashed, in the order of the reports
+}
+
+// Offenders returns at most n tasks under which workers have crashed, those with the most crashes first.
+func (l *Ledger) Offenders(n int) []Offender {
+	var list []Offender
+	for t, entries := range l.byTask {
+		o := Offender{Task: t, Standing: l.StandingOf(t)}
+		for _, e := range entries {
+			if e.Evidence.IsCrash() {
+				o.Crashes++
+				o.Workers = append(o.Workers, e.Process.Worker)
+			}
+		}
+		if o.Crashes > 0 {
+			list = append(list, o)
+		}
+	}
+	slices.SortFunc(list, func(a, b Offender) int {
+		return cmp.Or(cmp.Compare(b.Crashes, a.Crashes), cmp.Compare(a.Task.Job.ID, b.Task.Job.ID), cmp.Compare(a.Task.Index, b.Task.Index))
+	})
+	return list[:min(n, len(list))]
+}
--- a/entry/exposition.go
+++ b/entry/exposition.go
@@ -12,6 +12,7 @@
 	dto "github.com/prometheus/client_model/go"
 	"github.com/prometheus/common/expfmt"
 
+	"sesameledge.dev/sesameledge/crash"
 	"sesameledge.dev/sesameledge/host"
 	"sesameledge.dev/sesameledge/sched"
 )
@@ -37,6 +38,7 @@
 	framesNotRead   int64 // frames that could not be decoded
 	evacuations     []host.EvacuationDump
 	startTimes      map[string]time.Duration // by phase of the start
+	offenders       []crash.Offender
 }
 
 // snapshot reads the current values. It reports false if the event loop has ended.
@@ -51,6 +53,7 @@
 		s.startTimes = state.StartTimes()
 		s.callTimeout = state.Scheduler().CallTimeout()
 		s.queues = state.Scheduler().Queues()
+		s.offenders = state.Scheduler().Crashes().Offenders(maxOffenders)
 		if c := state.Config(); c != nil {
 			s.version = c.Version
 		}
@@ -102,6 +105,7 @@
 			"done": d.Done, "failed": d.FailedRuns, "lapsed": d.Lapsed, "lost": d.Lost, "hung": d.Hangs,
 		}),
 		counter("run_restarts_total", "Starts of tasks of which a run has ended before, by what shows that it is over.", "former_run_over_by", restartCounts(d)),
+		counter("worker_losses_total", "Workers lost with runs on them, by the evidence known then.", "evidence", lossCounts(d)),
 		gauge("unwanted_run_ms_max", "Longest time in ms for which a run may have gone on after its job was wanted.", d.LongestUnwanted.Milliseconds()),
 		counter("run_starts_unanswered_total", "Starts that a worker did not answer.", "", labelValues{"": d.Doubts}),
 		counter("foreign_runs_total", "Runs of other hosts found on own workers and stopped.", "", labelValues{"": d.Foreign}),
@@ -119,7 +123,7 @@
 		gauge("worker_call_timeout_ms", "Time in ms after which calls to workers count as unanswered. It rises when answers are slow.", s.callTimeout.Milliseconds()),
 		startGauge(s.startTimes),
 		gauge("config_version", "Version of the configuration in force, 0 if there is none.", s.version),
-	}, append(s.zoneGauges(), queueFamilies(s.queues)...)...)
+	}, slices.Concat(s.zoneGauges(), s.crashFamilies(), queueFamilies(s.queues))...)
 }
 
 // restartCounts returns the starts of tasks of which a run has ended before, by what shows that it is over.
--- a/fleet/worker_call.go
+++ b/fleet/worker_call.go
@@ -50,6 +50,9 @@
 	ClockMillis  int64 // the worker's clock in ms; 0 if the answer does not contain it
 	ProcessStart int64 // start of the worker's process in Unix ms; 0 if the answer does not contain it
 	Err          error // reason for NoAnswer
+	// Refused says that the worker's address has refused the connection, so the call was not sent. Its verdict
+	// is NoAnswer.
+	Refused bool
 }
 
 // HoldReply is the answer of a worker to a HoldOrder.
--- a/host/host.go
+++ b/host/host.go
@@ -137,6 +137,7 @@
 		rng:          rand.New(rand.NewPCG(opts.Seed, opts.Self.ID)),
 	}
 	s.recovery.starting = true
+	s.sched.SetHost(opts.Self.ID)
 	s.sched.SetPolicy(opts.Placement)
 	s.sched.SetTiming(opts.Timing)
 	s.restrictStarts(opts.Started)
--- a/sched/hold.go
+++ b/sched/hold.go
@@ -84,6 +84,8 @@
 		s.logEvent("", "worker does not answer", "worker", w.info.ID, "verdict", r.Verdict, "runs", len(w.runs), "err", r.Err)
 	}
 	w.missedHolds++
+	w.refused = r.Refused
+	s.settleByFailure(w, r)
 	w.nextHold = now
 	if w.missedHolds > 1 {
 		w.nextHold = now + probeInterval
@@ -96,6 +98,8 @@
 		s.logEvent("", "worker answers again", "worker", w.info.ID, "misses", w.missedHolds)
 		w.missedHolds = 0
 	}
+	w.refused = false
+	s.settleByAnswer(w, e.Reply.ProcessStart)
 	s.detectRestart(now, w, e.Reply.ProcessStart)
 	s.hearProcess(w, e.Reply.ProcessStart)
 	s.recordClockOf(now, w, e.Sent, e.Wait, e.Reply.ClockMillis)
@@ -138,6 +142,7 @@
 	}
 	if w.incarnation != 0 {
 		s.logEvent("", "worker restarted", "worker", w.info.ID, "born", born, "runs", len(w.runs))
+		s.recordRestart(now, w)
 		w.processedEnd, w.acknowledgedEnd = 0, 0
 		w.lastClock, w.lastClockAt, w.aliveAt = 0, 0, 0
 		s.clearForeignRuns(w)
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"sesameledge.dev/sesameledge/crash"
 	"sesameledge.dev/sesameledge/fleet"
 	"sesameledge.dev/sesameledge/pace"
 	"sesameledge.dev/sesameledge/rtt"
@@ -67,6 +68,7 @@
 	restrictions    startRestrictions
 	cold            *coldModel
 	cellTakes       map[fleet.Cell]cellTake
+	crashes         *crash.Ledger
 }
 
 // Stats counts what the state machine has done since New.
@@ -77,6 +79,8 @@
 	Starts, Done, FailedRuns, Lapsed, Lost, Hangs, Doubts, Stops, Foreign int64
 	// Restarts counts starts of tasks of which a run has ended before, by what shows that it is over.
 	Restarts [endBasisCount]int64
+	// Losses counts the workers that were lost with runs on them, by the evidence known then.
+	Losses [crash.Withdrawn]int64
 	// LongestUnwanted is the longest time for which a run may have gone on after its job was wanted.
 	LongestUnwanted time.Duration
 	// Jobs by outcome.
@@ -105,6 +109,7 @@
 		endedRuns:     make(map[fleet.Task]endedRun),
 		cold:          newColdModel(),
 		cellTakes:     make(map[fleet.Cell]cellTake),
+		crashes:       crash.New(0),
 	}
 }
 
@@ -189,6 +194,7 @@
 		former := w.info.ProcessStart
 		w.info = info
 		w.removed = false
+		s.settleByEntry(info)
 		s.compareEntry(now, w, former)
 	}
 	for id, w := range s.workers {
@@ -278,11 +284,13 @@
 	}
 	s.expireJobs(now)
 	s.forgetEnds(now)
+	s.crashes.Expire(now)
 	s.needsPlacement = true
 }
 
 // endLapsedRuns ends all runs of a worker whose lease has certainly ended.
 func (s *State) endLapsedRuns(now time.Duration, w *worker) {
+	s.recordLapse(now, w)
 	for _, r := range sortedRuns(w) {
 		s.logEvent(r.job.spec.RequestID, "run lapsed", "worker", w.info.ID, "task", r.key.Task, "attempt", r.key.Attempt)
 		s.stats.Lapsed++
