Show that a task crashes worker after worker, with workers that crash and count

Cause: still to be named; these tests fail on the code as it stands. Change: the workers of the host simulation and those of fleetsim can be crashed by a task: connections end, new ones are refused, and another process takes the place. They count the starts of each task.

--- a/host/simulation_test.go
+++ b/host/simulation_test.go
@@ -147,6 +147,8 @@
 	lateShare      float64 // share of the orders that are carried out late and not answered
 	lostReplyShare float64 // share of the orders that are carried out at once and not answered
 	lateStopShare  float64 // share of the stops that are carried out late and not answered
+	refuses        bool    // its machine refuses connections while no process runs
+	openCalls      []*workerCall
 }
 
 func (w *simulation) addWorker(id, zone string, rate float64) {
--- a/standin/fleetsim/order.go
+++ b/standin/fleetsim/order.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"time"
 )
 
@@ -122,7 +123,8 @@
 			"task %s started as run %d while run %d is active", o.Task, o.Attempt, run.number,
 		))
 	}
-	duration, err := time.ParseDuration(o.Spec)
+	text, crashes := strings.CutSuffix(o.Spec, CrashSuffix)
+	duration, err := time.ParseDuration(text)
 	if err != nil {
 		return http.StatusBadRequest, w.replyBody()
 	}
@@ -137,6 +139,9 @@
 		number: o.Attempt, start: now, end: now.Add(duration), fails: rand.Float64() < w.faults.FailedShare,
 	}
 	w.startCounts[o.Task]++
+	if crashes && strings.HasSuffix(o.Task, ".0") {
+		time.AfterFunc(crashDelay, w.crash)
+	}
 	w.checkCapacity()
 	return http.StatusOK, w.replyBody()
 }
--- a/standin/fleetsim/publish.go
+++ b/standin/fleetsim/publish.go
@@ -16,11 +16,15 @@
 
 // PutWorkerEntry writes the record of a worker into the store, as the worker itself does.
 func (s *Store) PutWorkerEntry(w *Worker, zone, addr, state string) {
-	s.PutJSON("keyed.servers", w.ID, map[string]any{
+	entry := map[string]any{
 		"service": Service, "addr": addr, "zone": zone, "version": "v1", "slots": 8, "state": state,
 		"capacity": map[string]int64{"cpu": w.Capacity, "memMb": 65536, "gpu": 0},
 		"labels":   []string{"a", "r1"}, "seq": 1, "coldLeftMs": w.coldLeft().Milliseconds(),
-	})
+	}
+	if _, start := w.faultsAndStart(); w.NamesProcess {
+		entry["born"] = start.UnixMilli()
+	}
+	s.PutJSON("keyed.servers", w.ID, entry)
 }
 
 // PutEvacuation requests the evacuation of an availability zone or withdraws it, as the operator does.
--- a/standin/fleetsim/worker.go
+++ b/standin/fleetsim/worker.go
@@ -7,10 +7,16 @@
 
 // Worker is a worker of the platform without safeguards: it starts every task that it is told to start,
 // even beyond its capacity, and reports the violation. The payload of a task is its duration, such as
-// "50ms". A Worker is an http.Handler and safe for concurrent use.
+// "50ms", followed by CrashSuffix if the first task of the job crashes the worker. A Worker is an
+// http.Handler and safe for concurrent use.
 type Worker struct {
 	ID       string
 	Capacity int64 // thousandths of a core
+	// OnCrash is called by a task that crashes the worker, which has no runs any more then. It closes the
+	// listener and the connections. It is set before the first order.
+	OnCrash func()
+	// NamesProcess makes the worker's entry in the store name the start of its process.
+	NamesProcess bool
 
 	mu               sync.Mutex
 	clockRate        float64 // speed of its clock; 1 is real time
@@ -96,6 +102,18 @@
 	w.clockRate = rate
 }
 
+// CrashSuffix ends the payload of a job whose first task crashes the workers that start it.
+const CrashSuffix = ",crash"
+
+// crashDelay is the time from the start of such a task to the crash.
+const crashDelay = 10 * time.Millisecond
+
+// crash ends the process of the worker.
+func (w *Worker) crash() {
+	w.OnCrash()
+	w.Restart()
+}
+
 // Restart ends the worker's process with its runs and starts a new process. The faults and the history
 // remain.
 func (w *Worker) Restart() {
