Grant no lease by a call that was not sent

Seen by callers: tasks that were on a crashed worker start again 1.36 s after the crash, most of them too late. A start that was refused in this way waited for the end of a lease, too. Change: a refused call takes back the lease that it would have granted, if no other was granted since, and a refused start is no run. It rests on a dial that failed, not on the worker being dead: a cut that refuses connections is treated right as well. The property test refuses calls to workers that are down. Tests: TestRefusedCallsGrantNoLease (610 ms late before) and TestRefusedStartIsNotARun fail on the code before.

--- a/sched/hold.go
+++ b/sched/hold.go
@@ -14,6 +14,7 @@
 		return
 	}
 	withheld := s.withholdsLease(now, w)
+	w.holdGrant = leaseGrant{}
 	order := fleet.HoldOrder{Fence: w.fence, AckedNumber: w.processedEnd}
 	switch {
 	case w.phase == phaseTaking || w.missedHolds > 0 && len(w.runs) == 0:
@@ -25,7 +26,7 @@
 		if !withheld && !w.clockStale(now) {
 			lease := s.leaseFor(now, w, nil)
 			order.LeaseEnd = w.leaseEndOnWorkerClock(now, lease)
-			w.raiseLeaseEndBound(now, lease)
+			w.holdGrant = w.raiseLeaseEndBound(now, lease)
 		}
 	case w.processedEnd == w.acknowledgedEnd && !w.holdUrgent:
 		return
@@ -85,6 +86,9 @@
 	}
 	w.missedHolds++
 	w.refused = r.Refused
+	if r.Refused {
+		w.revoke(w.holdGrant)
+	}
 	s.settleByFailure(w, r)
 	w.nextHold = now
 	if w.missedHolds > 1 {
@@ -261,7 +265,7 @@
 		s.sendHold(now, w)
 		return
 	}
-	if e.Reply.Verdict == fleet.NoAnswer {
+	if e.Reply.Verdict == fleet.NoAnswer && !e.Reply.Refused {
 		if r.confirmedAt != 0 {
 			return // a list or the answer itself has come in the meantime
 		}
@@ -274,16 +278,20 @@
 	s.handleRejectedStart(now, w, r, e)
 }
 
-// handleRejectedStart ends a run that a worker has refused to start.
+// handleRejectedStart ends a run that a worker has refused to start, or whose start was not sent.
 func (s *State) handleRejectedStart(now time.Duration, w *worker, r *run, e StartReply) {
 	v := e.Reply.Verdict
-	s.logEvent(r.job.spec.RequestID, "start rejected", "worker", w.info.ID, "task", r.key.Task, "attempt", r.key.Attempt, "verdict", v)
+	if e.Reply.Refused {
+		w.revoke(r.grant)
+		defer s.sendUrgentHold(now, w)
+	}
+	s.logEvent(r.job.spec.RequestID, "start rejected", "worker", w.info.ID, "task", r.key.Task, "attempt", r.key.Attempt, "verdict", v, "refused", e.Reply.Refused)
 	switch v {
 	case fleet.Fenced:
 		defer s.handleFenced(w, e.Fence)
 	case fleet.Superseded:
 		r.job.attempts[r.index] += supersededAttemptStep
-	case fleet.InsufficientCapacity, fleet.Unhealthy, fleet.OtherIncarnation, fleet.NoTicket:
+	case fleet.NoAnswer, fleet.InsufficientCapacity, fleet.Unhealthy, fleet.OtherIncarnation, fleet.NoTicket:
 		w.block(now)
 	case fleet.Invalid:
 		r.job.failures[r.index] = r.job.route.MaxAttempts
--- a/sched/machine_test.go
+++ b/sched/machine_test.go
@@ -155,14 +155,26 @@
 }
 
 // reportUnanswered reports that a call has no answer so far.
-func (m *schedMachine) reportUnanswered(c call) {
+func (m *schedMachine) reportUnanswered(c call) { m.reportFailed(c, fleet.Reply{}) }
+
+// refuse reports that a call was not sent. It reports false if the worker has a process or the call was
+// reported already.
+func (m *schedMachine) refuse(c call) bool {
+	if c.reported || m.workerOf(c).DownUntil <= m.now {
+		return false
+	}
+	m.reportFailed(c, refusedReply)
+	return true
+}
+
+func (m *schedMachine) reportFailed(c call, reply fleet.Reply) {
 	switch e := c.effect.(type) {
 	case StartRun:
-		m.answerStart(c, e, fleet.Reply{}, false)
+		m.answerStart(c, e, reply, true)
 	case StopRun:
-		m.step(StopReply{Worker: e.Worker.ID, Run: e.Order.Run, Sent: c.sent, Fence: e.Order.Fence})
+		m.step(StopReply{Worker: e.Worker.ID, Run: e.Order.Run, Sent: c.sent, Fence: e.Order.Fence, Reply: reply})
 	case HoldWorker:
-		m.step(HoldReply{Worker: e.Worker.ID, Seq: e.Seq, Sent: c.sent, Wait: waitOf(e), Fence: e.Order.Fence})
+		m.step(HoldReply{Worker: e.Worker.ID, Seq: e.Seq, Sent: c.sent, Wait: waitOf(e), Fence: e.Order.Fence, Reply: fleet.HoldReply{Reply: reply}})
 	}
 }
 
@@ -305,6 +317,11 @@
 					m.loseCall(c)
 				}
 			},
+			"refuseOrder": func(t *rapid.T) {
+				if c, ok := takeCall(t); ok && !m.refuse(c) {
+					m.pendingCalls = append(m.pendingCalls, c)
+				}
+			},
 			"carryOutLate": func(t *rapid.T) {
 				if len(m.givenUpCalls) > 0 {
 					i := rapid.IntRange(0, len(m.givenUpCalls)-1).Draw(t, "late")
--- a/sched/place.go
+++ b/sched/place.go
@@ -284,11 +284,12 @@
 	key := j.nextRunKey(index)
 	lease := s.leaseFor(now, w, j)
 	until := w.leaseEndOnWorkerClock(now, lease)
-	w.raiseLeaseEndBound(now, lease)
+	grant := w.raiseLeaseEndBound(now, lease)
 	r := &run{
 		key: key, job: j, index: index, need: j.spec.Need, startSentAt: now, leaseUntil: until,
 		predicted: s.durationOf(now, w, j),
 		coldUntil: w.info.ColdUntil,
+		grant:     grant,
 	}
 	w.addRun(r)
 	s.taskRuns.add(key.Task)
--- a/sched/place_test.go
+++ b/sched/place_test.go
@@ -19,12 +19,13 @@
 	starts   []StartRun
 	outcomes map[JobKey]Outcome
 	logs     []LogEntry
-	contact  time.Duration // with the process that submits jobs; 0: this process submits them
+	contact  time.Duration   // with the process that submits jobs; 0: this process submits them
+	crashed  map[string]bool // workers whose addresses refuse connections
 }
 
 // newTestPool returns a pool of workers with the given capacities in cores.
 func newTestPool(cores ...int64) *testPool {
-	p := &testPool{s: New(0), now: time.Minute, running: make(map[string]map[fleet.RunKey]bool), outcomes: make(map[JobKey]Outcome)}
+	p := &testPool{s: New(0), now: time.Minute, running: make(map[string]map[fleet.RunKey]bool), outcomes: make(map[JobKey]Outcome), crashed: make(map[string]bool)}
 	var list []fleet.Worker
 	for i, c := range cores {
 		id := fmt.Sprintf("w%d", i)
@@ -49,12 +50,18 @@
 		switch e := e.(type) {
 		case StartRun:
 			p.starts = append(p.starts, e)
+			if p.crashed[e.Worker.ID] {
+				p.step(StartReply{Worker: e.Worker.ID, Run: e.Order.Run, Sent: p.now, Fence: e.Order.Fence, Reply: refusedReply})
+				continue
+			}
 			p.running[e.Worker.ID][e.Order.Run] = true
 			p.step(StartReply{Worker: e.Worker.ID, Run: e.Order.Run, Sent: p.now, Fence: e.Order.Fence, Reply: fleet.Reply{Verdict: fleet.Accepted, ClockMillis: p.now.Milliseconds()}})
 		case LogEntry:
 			p.logs = append(p.logs, e)
 		case HoldWorker:
-			if e.Order.WaitMillis == 0 {
+			if p.crashed[e.Worker.ID] {
+				p.step(HoldReply{Worker: e.Worker.ID, Seq: e.Seq, Sent: p.now, Reply: fleet.HoldReply{Reply: refusedReply}})
+			} else if e.Order.WaitMillis == 0 {
 				p.answerHold(e.Worker.ID, e.Seq)
 			}
 		case JobFinished:
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -33,6 +33,8 @@
 	lastClockAt   time.Duration // the clock showed lastClock at this time or earlier
 	aliveAt       time.Duration // the process with this clock lived at this time or later
 	leaseEndBound time.Duration // all leases granted have ended by then
+	grants        uint64        // number of leases granted so far
+	holdGrant     leaseGrant    // by the newest hold
 
 	runs        map[fleet.RunKey]*run
 	runList     []*run                       // the same, in the order of their starts
@@ -76,6 +78,7 @@
 	percentRoseAt     time.Duration // when percent last rose, or was first listed; 0: not yet
 	unansweredAt      time.Duration // when the start was found unanswered; 0: it was not
 	stop              stopState
+	grant             leaseGrant // by its start
 }
 
 // stopState is the state of stopping a run.
@@ -96,9 +99,25 @@
 	return w.lastClock + int64((time.Duration(elapsed) + d).Milliseconds())
 }
 
+// leaseGrant is a lease that a call grants.
+type leaseGrant struct {
+	number uint64        // of the grant on its worker; 0: the call grants none
+	before time.Duration // leaseEndBound without it
+}
+
 // raiseLeaseEndBound records that a lease of length d may begin now.
-func (w *worker) raiseLeaseEndBound(now, d time.Duration) {
+func (w *worker) raiseLeaseEndBound(now, d time.Duration) leaseGrant {
+	w.grants++
+	grant := leaseGrant{number: w.grants, before: w.leaseEndBound}
 	w.leaseEndBound = max(w.leaseEndBound, leaseBound(now, d))
+	return grant
+}
+
+// revoke takes back a lease whose call was not sent. It has no effect if another lease was granted since.
+func (w *worker) revoke(g leaseGrant) {
+	if g.number != 0 && g.number == w.grants {
+		w.leaseEndBound = g.before
+	}
 }
 
 // leaseBound returns when a lease of length d that begins now has ended on the slowest clock.
@@ -120,6 +139,7 @@
 		// The call was sent after the last reading had come, so this one is newer: the estimate is ahead
 		// of the clock, which may run as slowly as the estimate and then never catches up. The leases
 		// granted by it end later than was reckoned, but not later than the longest one that begins now.
+		w.grants++ // the bound holds whatever becomes of the newest grant
 		later := w.leaseEndBound + time.Duration(float64(ahead)/timing.MinClockRate*float64(time.Millisecond))
 		w.leaseEndBound = max(w.leaseEndBound, min(later, leaseBound(now, maxLease)))
 	}
