Give up a task under which workers have crashed, whoever commanded them

Seen by callers: a task that crashes its worker was started again and again, on up to nine workers (39 in virtual time), until its caller left; the jobs beside it lost their work each time. Cause: a crash was no event. Change: the reports of lost workers are exchanged between hosts, as soon as a worker's address refuses connections. After one loss a task is a suspect and runs beside no task of another job; after two crashes, one of them without other jobs, its job waits until it is known whether the workers have crashed, and then ends as failed; so it is with three losses of any kind. A task that ends as done clears the others' view of it. A job that waits so takes no room. Why it works: a task has one run at a time, so each start is followed by its report before the next one, on any host that hears the others. A commander that is lost between a crash and its report hides one start.

--- a/crash/ledger.go
+++ b/crash/ledger.go
@@ -12,6 +12,7 @@
 	entries []*entry // in the order in which they were added
 	byID    map[ReportID]*entry
 	byTask  map[Task][]*entry
+	byJob   map[Job]int   // number of tasks in byTask
 	risks   map[Kind]Risk // nil: must be computed again
 	changes uint64        // number of changes so far
 }
@@ -26,7 +27,7 @@
 
 // New returns an empty ledger for a process of a host.
 func New(host uint64) *Ledger {
-	return &Ledger{host: host, byID: make(map[ReportID]*entry), byTask: make(map[Task][]*entry)}
+	return &Ledger{host: host, byID: make(map[ReportID]*entry), byTask: make(map[Task][]*entry), byJob: make(map[Job]int)}
 }
 
 // Record makes a report about a process that was lost with runs of the given tasks, in the order of their
@@ -36,7 +37,7 @@
 	if len(tasks) > MaxTasks {
 		tasks = tasks[len(tasks)-MaxTasks:]
 	}
-	r := Report{ID: ReportID{Host: l.host, Seq: l.lastSeq}, Process: p, Evidence: e, Tasks: slices.Clone(tasks)}
+	r := Report{ID: ReportID{Host: l.host, Seq: l.lastSeq}, Process: p, Evidence: e, Tasks: unique(tasks)}
 	l.add(now, r).own = true
 	return r
 }
@@ -49,16 +50,31 @@
 	if known := l.byID[r.ID]; known != nil {
 		return l.raise(known, r.Evidence)
 	}
+	r.Tasks = unique(r.Tasks)
 	l.add(now, r)
 	return true
 }
 
+// unique returns the tasks, each once.
+func unique(tasks []Task) []Task {
+	var list []Task
+	for _, t := range tasks {
+		if !slices.Contains(list, t) {
+			list = append(list, t)
+		}
+	}
+	return list
+}
+
 func (l *Ledger) add(now time.Duration, r Report) *entry {
 	l.changes++
 	e := &entry{Report: r, at: now - max(0, r.Age), change: l.changes}
 	l.entries = append(l.entries, e)
 	l.byID[r.ID] = e
 	for _, t := range r.Tasks {
+		if len(l.byTask[t]) == 0 {
+			l.byJob[t.Job]++
+		}
 		l.byTask[t] = append(l.byTask[t], e)
 	}
 	l.risks = nil
@@ -112,15 +128,41 @@
 	for _, e := range l.entries[:n] {
 		delete(l.byID, e.ID)
 		for _, t := range e.Tasks {
-			rest := slices.DeleteFunc(l.byTask[t], func(o *entry) bool { return o == e })
-			if l.byTask[t] = rest; len(rest) == 0 {
-				delete(l.byTask, t)
-			}
+			l.forget(t, slices.DeleteFunc(l.byTask[t], func(o *entry) bool { return o == e }))
 		}
 	}
 	l.entries = slices.Delete(l.entries, 0, n)
 }
 
+// forget replaces the reports that name a task by the rest of them.
+func (l *Ledger) forget(t Task, rest []*entry) {
+	if l.byTask[t] = rest; len(rest) > 0 {
+		return
+	}
+	delete(l.byTask, t)
+	if l.byJob[t.Job]--; l.byJob[t.Job] == 0 {
+		delete(l.byJob, t.Job)
+	}
+}
+
+// Acquit takes a task that has run to its end out of the reports, which then tell more about the other tasks
+// that they name.
+func (l *Ledger) Acquit(t Task) {
+	entries := l.byTask[t]
+	if len(entries) == 0 {
+		return
+	}
+	for _, e := range entries {
+		e.Tasks = slices.DeleteFunc(slices.Clone(e.Tasks), func(o Task) bool { return o == t })
+	}
+	l.forget(t, nil)
+	l.changes++
+	l.risks = nil
+}
+
+// Names reports whether a report names a task of the job.
+func (l *Ledger) Names(j Job) bool { return l.byJob[j] > 0 }
+
 // Changes returns the number of changes so far.
 func (l *Ledger) Changes() uint64 { return l.changes }
 
--- a/host/deadly_test.go
+++ b/host/deadly_test.go
@@ -87,6 +87,7 @@
 		for _, j := range sound {
 			if len(j.done) < j.tasks {
 				incomplete++
+				t.Logf("seed %d: %s has %v of %d tasks after the outcomes %v, %s, %d resends", seed, j.id, j.done, j.tasks, j.outcomes, j.reason, j.resends)
 			}
 		}
 		if incomplete > 0 {
--- a/host/knowledge.go
+++ b/host/knowledge.go
@@ -202,6 +202,7 @@
 		}
 		s.forwardConfig(now, p)
 		s.forwardEvacuations(now, p)
+		s.forwardLosses(now, p)
 		if (!p.status.GetStoreReachable() || !p.commands()) && now-p.firstContactAt >= workerForwardDelayFor(p) {
 			s.forwardWorkers(p)
 		}
--- a/host/peers.go
+++ b/host/peers.go
@@ -41,6 +41,7 @@
 	// forwardedEvacuations is the position up to which evacuations were forwarded to it, plus one.
 	forwardedEvacuations int64
 	forwardedChange      uint64 // changes of worker entries up to this number were forwarded to it
+	forwardedLosses      uint64 // changes of the reports of lost workers up to this number were forwarded to it
 }
 
 // zone returns the zone of a peer, or an empty string if it is not known.
@@ -133,7 +134,7 @@
 	p.live = false
 	p.firstContactAt = now
 	p.contacted, p.contactNeededAt = true, now // it may need the answer to find other hosts
-	p.forwardedConfig, p.forwardedChange, p.forwardedEvacuations = 0, 0, 0
+	p.forwardedConfig, p.forwardedChange, p.forwardedEvacuations, p.forwardedLosses = 0, 0, 0, 0
 	s.peersByID[from.GetId()] = p
 	p.redialedAt = now
 	s.emit(Redial{Addr: from.GetAddr()}) // the connection may be in backoff after failed attempts
@@ -197,6 +198,8 @@
 		s.handleForwardedEvacuations(now, p, kind.Evacuations)
 	case *meshpb.Message_Workers:
 		s.handleForwardedWorkers(now, kind.Workers)
+	case *meshpb.Message_LostWorkers:
+		s.handleLostWorkers(now, p, kind.LostWorkers)
 	case *meshpb.Message_Hosts:
 		for _, h := range kind.Hosts.GetHosts() {
 			s.addPeer(h)
--- a/sched/hold.go
+++ b/sched/hold.go
@@ -85,9 +85,9 @@
 		s.logEvent("", "worker does not answer", "worker", w.info.ID, "verdict", r.Verdict, "runs", len(w.runs), "err", r.Err)
 	}
 	w.missedHolds++
-	w.refused = r.Refused
 	if r.Refused {
 		w.revoke(w.holdGrant)
+		s.recordRefusal(now, w)
 	}
 	s.settleByFailure(w, r)
 	w.nextHold = now
@@ -102,9 +102,9 @@
 		s.logEvent("", "worker answers again", "worker", w.info.ID, "misses", w.missedHolds)
 		w.missedHolds = 0
 	}
-	w.refused = false
 	s.settleByAnswer(w, e.Reply.ProcessStart)
 	s.detectRestart(now, w, e.Reply.ProcessStart)
+	w.lossReported = false
 	s.hearProcess(w, e.Reply.ProcessStart)
 	s.recordClockOf(now, w, e.Sent, e.Wait, e.Reply.ClockMillis)
 	w.nextHold = now
--- a/sched/job.go
+++ b/sched/job.go
@@ -32,6 +32,7 @@
 	share            *queueShare   // of its route
 	sizeFactor       float64       // share of its slack after which its tasks should start; below 1 if they are large
 	waitsForRoom     bool          // it is late and starts only when there is room for all its tasks; see comesBack
+	held             bool          // it starts no task until reports of lost workers are settled; see judge
 	finished         bool          // its outcome has been reported
 	unwantedSince    time.Duration // when it finished, or when its host was last known to want it; 0: it is wanted
 }
@@ -63,6 +64,9 @@
 		s.finish(now, j, Refused, reason)
 		return
 	}
+	if s.judge(now, j); j.finished {
+		return
+	}
 	if s.policy.LookAhead {
 		j.sizeFactor = s.sizeFactor(j)
 	}
@@ -138,6 +142,7 @@
 	if how == fleet.EndDone {
 		s.stats.Done++
 		s.recordDuration(now, w, r)
+		s.crashes.Acquit(crashTask(j, r.index))
 	} else {
 		s.rememberEnd(now, w, r, basis)
 	}
--- a/sched/load.go
+++ b/sched/load.go
@@ -69,6 +69,9 @@
 	}
 	waitingBytes := 0
 	for _, j := range s.queue {
+		if j.held {
+			continue
+		}
 		waitingBytes += j.waitingBytes()
 		l, ok := loads[j.route.Service]
 		if !ok || j.cell != cell {
--- a/sched/loss.go
+++ b/sched/loss.go
@@ -15,9 +15,16 @@
 // Crashes returns the reports of lost workers that this host knows.
 func (s *State) Crashes() *crash.Ledger { return s.crashes }
 
+// MergeLoss adds a report of another host. The next Place judges the jobs by it.
+func (s *State) MergeLoss(now time.Duration, r crash.Report) {
+	if s.crashes.Merge(now, r) {
+		s.needsPlacement = true
+	}
+}
+
 // crashTask returns the name of a task across submissions, commanders and cells.
 func crashTask(j *job, index int) crash.Task {
-	return crash.Task{Job: crash.Job{Kind: crash.KindOf(j.route), ID: j.spec.ID}, Index: index}
+	return crash.Task{Job: crashJob(j), Index: index}
 }
 
 // process returns the process of the worker that this host has heard last.
@@ -25,17 +32,22 @@
 	return crash.Process{Worker: w.info.ID, Addr: w.info.Addr, Start: w.incarnation}
 }
 
+// recordRefusal reports a worker whose address refuses connections, before its lease has ended: this host
+// may be lost itself by then.
+func (s *State) recordRefusal(now time.Duration, w *worker) {
+	if w.lossReported || w.phase == phaseNone {
+		return
+	}
+	s.recordLoss(now, w, crash.Refused, w.runList)
+}
+
 // recordLapse reports a worker whose lease has ended while it did not answer. A lease that this host has
 // withheld ends on a worker that answers.
 func (s *State) recordLapse(now time.Duration, w *worker) {
-	if w.missedHolds == 0 || w.phase == phaseNone {
+	if w.lossReported || w.missedHolds == 0 || w.phase == phaseNone {
 		return
 	}
-	evidence := crash.Silent
-	if w.refused {
-		evidence = crash.Refused
-	}
-	s.recordLoss(now, w, evidence, w.runList)
+	s.recordLoss(now, w, crash.Silent, w.runList)
 }
 
 // recordRestart reports a worker of which another process has answered, with the runs that the earlier one
@@ -47,7 +59,9 @@
 			runs = append(runs, r)
 		}
 	}
-	s.recordLoss(now, w, crash.Replaced, runs)
+	if !w.lossReported {
+		s.recordLoss(now, w, crash.Replaced, runs)
+	}
 }
 
 // recordLoss reports a worker that was lost with runs. A worker that drains leaves as planned.
@@ -61,6 +75,7 @@
 		tasks[i] = crashTask(r.job, r.index)
 		names[i] = r.key.Task.String()
 	}
+	w.lossReported = true
 	s.crashes.Record(now, w.process(), evidence, tasks)
 	s.stats.Losses[evidence-1]++
 	s.logEvent("", "worker lost with runs", "worker", w.info.ID, "addr", w.info.Addr, "born", w.incarnation, "evidence", evidence,
--- a/sched/place.go
+++ b/sched/place.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"sesameledge.dev/sesameledge/crash"
 	"sesameledge.dev/sesameledge/fleet"
 )
 
@@ -23,7 +24,8 @@
 	}
 	s.needsPlacement = false
 	s.endRestrictedJobs(now)
-	s.reservations = 0
+	s.judgeJobs(now)
+	s.reservations, s.aloneReservations = 0, 0
 	s.compactQueue()
 	if len(s.queue) == 0 {
 		return
@@ -38,7 +40,7 @@
 		}
 	}
 	for _, j := range s.queue {
-		if j.finished || j.waitsForRoom {
+		if j.finished || j.waitsForRoom || j.held {
 			continue
 		}
 		s.placeJob(now, j, usable[pool{j.cell, j.route.Service}])
@@ -150,10 +152,12 @@
 			stillWaiting = append(stillWaiting, index)
 			continue
 		}
-		c := s.chooseWorker(now, j, workers, mayWait)
+		c := s.chooseWorker(now, j, index, workers, mayWait)
 		if c == nil {
 			stillWaiting = append(stillWaiting, index)
-			if s.policy.LookAhead && s.reservations < maxReservations && s.reserve(now, j, workers) {
+			if s.standing(j, index) == crash.Suspect {
+				s.reserveAlone(now, j, workers)
+			} else if s.policy.LookAhead && s.reservations < maxReservations && s.reserve(now, j, workers) {
 				s.reservations++
 				s.countQueue(j, QueueReserved)
 			}
@@ -181,11 +185,11 @@
 // which the task ends in time. If there is none, the task waits for one if it may, and otherwise takes
 // the fastest worker that has enough free capacity. Without this wait, long tasks on slow workers would
 // always be late.
-func (s *State) chooseWorker(now time.Duration, j *job, workers []*candidate, mayWait bool) *candidate {
+func (s *State) chooseWorker(now time.Duration, j *job, index int, workers []*candidate, mayWait bool) *candidate {
 	var best *candidate
 	var bestScore float64
 	for _, c := range workers {
-		if !c.free.Fits(j.spec.Need) || !j.allowsWorker(c.w) || !s.leavesReserved(now, c, j) {
+		if !c.free.Fits(j.spec.Need) || !j.allowsWorker(c.w) || !s.leavesReserved(now, c, j) || !s.maySitWith(j, index, c.w) {
 			continue
 		}
 		score := j.score(now, c, s.speedOf(now, c.w, j), mayWait)
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -53,22 +53,25 @@
 	// sharesDecayedAt is when the past work in shares was last given less weight.
 	sharesDecayedAt time.Duration
 	reservations    int // made by the newest Place
-	policy          Policy
-	effects         []Effect
-	needsPlacement  bool      // a task may have become placeable since the last Place
-	sortedWorkers   []*worker // by ID
-	stats           Stats
-	queueCounters   map[queueKey]queueCounters
-	closedCells     map[fleet.Cell]bool // refuse jobs while their workers are handed over
-	timing          timing.Budget
-	origins         map[uint64]*origin // other processes that have jobs here
-	taskRuns        taskCounts         // runs that may be running, of all submissions of a job
-	foreignTasks    taskCounts         // foreign runs
-	endedRuns       map[fleet.Task]endedRun
-	restrictions    startRestrictions
-	cold            *coldModel
-	cellTakes       map[fleet.Cell]cellTake
-	crashes         *crash.Ledger
+	// aloneReservations counts the workers that the newest Place keeps free for suspects.
+	aloneReservations int
+	policy            Policy
+	effects           []Effect
+	needsPlacement    bool      // a task may have become placeable since the last Place
+	sortedWorkers     []*worker // by ID
+	stats             Stats
+	queueCounters     map[queueKey]queueCounters
+	closedCells       map[fleet.Cell]bool // refuse jobs while their workers are handed over
+	timing            timing.Budget
+	origins           map[uint64]*origin // other processes that have jobs here
+	taskRuns          taskCounts         // runs that may be running, of all submissions of a job
+	foreignTasks      taskCounts         // foreign runs
+	endedRuns         map[fleet.Task]endedRun
+	restrictions      startRestrictions
+	cold              *coldModel
+	cellTakes         map[fleet.Cell]cellTake
+	crashes           *crash.Ledger
+	judgedChanges     uint64 // of crashes, up to which jobs were judged
 }
 
 // Stats counts what the state machine has done since New.
@@ -81,6 +84,8 @@
 	Restarts [endBasisCount]int64
 	// Losses counts the workers that were lost with runs on them, by the evidence known then.
 	Losses [crash.Withdrawn]int64
+	// Convicted counts jobs that ended as failed for the crashes under a task.
+	Convicted int64
 	// LongestUnwanted is the longest time for which a run may have gone on after its job was wanted.
 	LongestUnwanted time.Duration
 	// Jobs by outcome.
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -53,7 +53,7 @@
 
 	calls         rtt.Estimator // over the calls to this worker
 	missedHolds   int           // holds in a row without a usable answer
-	refused       bool          // the newest of them was not sent: the worker's address refused the connection
+	lossReported  bool          // it was reported as lost since it last answered
 	blockedUntil  time.Duration // gets no new tasks until then
 	lastBlockTime time.Duration // length of the newest block; 0 after an accepted start
 
