Keep kinds of request that crash workers apart, and leave the others their room

Cause: any task may share a worker with any other, and nothing bounds how many workers one kind takes away. Change: the reports of lost workers also judge kinds of request. A kind is risky as soon as a task of it has crashed two workers, or it was alone on four that crashed; its tasks then share no worker with other kinds, prefer one without other jobs, and use only the workers that the other kinds do not need, with half of the kind's share at least. Its jobs without room are refused at once. A job that has most likely crashed a worker is tried again one at a time, every 2 s, behind all others. A kind that was on most workers that crashed is suspected: it shares where it must. After 10 s without crashes a kind is like any other. Tests: TestRiskyKindKeepsToItself and TestRiskyKindLeavesRoom fail without the mechanism, as does TestSuspectStartsAlone without the one before.

--- a/crash/ledger.go
+++ b/crash/ledger.go
@@ -160,6 +160,9 @@
 	l.risks = nil
 }
 
+// Empty reports whether there are no reports.
+func (l *Ledger) Empty() bool { return len(l.entries) == 0 }
+
 // Names reports whether a report names a task of the job.
 func (l *Ledger) Names(j Job) bool { return l.byJob[j] > 0 }
 
--- a/crash/verdict.go
+++ b/crash/verdict.go
@@ -66,6 +66,10 @@
 	}
 }
 
+// SingledOut reports whether a worker has crashed under the task, as far as is known, while it ran no task of
+// another job.
+func (l *Ledger) SingledOut(t Task) bool { return l.lossesOf(t).singledOut }
+
 // Crashes returns the number of workers that have crashed under a task as far as is known.
 func (l *Ledger) Crashes(t Task) int { return l.lossesOf(t).crashes }
 
@@ -85,14 +89,17 @@
 func (r Risk) String() string { return riskNames[r] }
 
 // RiskOf returns the risk of a kind of request.
-func (l *Ledger) RiskOf(now time.Duration, k Kind) Risk {
+func (l *Ledger) RiskOf(now time.Duration, k Kind) Risk { return l.Risks(now)[k] }
+
+// Risks returns the kinds of request with a risk. The result must not be changed.
+func (l *Ledger) Risks(now time.Duration) map[Kind]Risk {
 	if len(l.entries) == 0 {
-		return NoRisk
+		return nil
 	}
 	if l.risks == nil {
 		l.risks = l.computeRisks(now)
 	}
-	return l.risks[k]
+	return l.risks
 }
 
 // computeRisks returns the kinds with a risk. A kind is risky as soon as a task of it is held or convicted
--- a/sched/admission.go
+++ b/sched/admission.go
@@ -28,7 +28,7 @@
 	s.shares.divide(now, p.service)
 	a := &admission{now: now, pool: p, forecast: f}
 	for _, j := range s.queue {
-		if j.finished || j.held || j.cell != p.cell || j.route.Service != p.service {
+		if j.finished || j.suspicion.parked() || j.cell != p.cell || j.route.Service != p.service {
 			continue
 		}
 		j.waitsForRoom = false
--- a/sched/invariant.go
+++ b/sched/invariant.go
@@ -34,7 +34,7 @@
 		return errors.New("the job has ended")
 	case j.hasRun[index]:
 		return errors.New("another run of the task may be running")
-	case j.held:
+	case j.suspicion.held:
 		return errors.New("workers may have crashed under the task")
 	case !s.maySitWith(j, index, w):
 		return errors.New("tasks that may crash workers share none with those of other jobs")
--- a/sched/job.go
+++ b/sched/job.go
@@ -32,7 +32,7 @@
 	share            *queueShare   // of its route
 	sizeFactor       float64       // share of its slack after which its tasks should start; below 1 if they are large
 	waitsForRoom     bool          // it is late and starts only when there is room for all its tasks; see comesBack
-	held             bool          // it starts no task until reports of lost workers are settled; see judge
+	suspicion        suspicion
 	finished         bool          // its outcome has been reported
 	unwantedSince    time.Duration // when it finished, or when its host was last known to want it; 0: it is wanted
 }
--- a/sched/load.go
+++ b/sched/load.go
@@ -69,7 +69,7 @@
 	}
 	waitingBytes := 0
 	for _, j := range s.queue {
-		if j.held {
+		if j.suspicion.parked() {
 			continue
 		}
 		waitingBytes += j.waitingBytes()
--- a/sched/place.go
+++ b/sched/place.go
@@ -33,6 +33,7 @@
 	usable := s.usableWorkers(now)
 	s.sortQueue(now)
 	for _, p := range s.pools() {
+		s.limitRiskyKinds(now, p)
 		if s.policy.LookAhead {
 			s.admitJobs(now, p)
 		} else {
@@ -40,7 +41,7 @@
 		}
 	}
 	for _, j := range s.queue {
-		if j.finished || j.waitsForRoom || j.held {
+		if j.finished || j.waitsForRoom || j.suspicion.held || !s.mayTryAgain(now, j) {
 			continue
 		}
 		s.placeJob(now, j, usable[pool{j.cell, j.route.Service}])
@@ -121,6 +122,9 @@
 }
 
 func (s *State) goesLast(now time.Duration, j *job) bool {
+	if j.suspicion.singledOut {
+		return true // it has most likely crashed a worker, and would crash another one first
+	}
 	return j.isLate(now) && !(s.policy.LookAhead && j.unrejectedStarts > 0)
 }
 
@@ -152,7 +156,7 @@
 			stillWaiting = append(stillWaiting, index)
 			continue
 		}
-		c := s.chooseWorker(now, j, index, workers, mayWait)
+		c := s.chooseWorker(now, j, index, s.withinRiskRoom(now, j, workers), mayWait)
 		if c == nil {
 			stillWaiting = append(stillWaiting, index)
 			if s.standing(j, index) == crash.Suspect {
@@ -193,6 +197,9 @@
 			continue
 		}
 		score := j.score(now, c, s.speedOf(now, c.w, j), mayWait)
+		if score > 0 {
+			score = max(minScore, score-s.sharingScore(j, c.w))
+		}
 		if score > bestScore {
 			best, bestScore = c, score
 		}
@@ -247,6 +254,8 @@
 	defaultRemotePenalty = 2.0
 	// freeCapacityWeight makes the emptier of two workers of similar speed score higher.
 	freeCapacityWeight = 0.1
+	// minScore is that of a worker that is taken only if there is no other.
+	minScore = 0.001
 	// inTimeBonus is higher than every speed.
 	inTimeBonus = 10
 	// overrunFactor and underrunFactor are the assumed duration of a task, in multiples of its
--- a/sched/place_test.go
+++ b/sched/place_test.go
@@ -95,7 +95,7 @@
 	p.step(Submit{Job: Job{
 		Key: key, Cell: "z", Left: 10 * time.Second, Remote: p.contact != 0, Contact: p.contact,
 		Spec:  fleet.JobSpec{ID: fmt.Sprintf("%s%d", route, seq), Tasks: tasks, Need: fleet.Resources{CPU: 27000, Memory: 64}, Estimate: estimate},
-		Route: fleet.Route{Name: route, Service: "s", MaxAttempts: 3, SlackFactor: 1.6, ObjectiveOffset: 60 * time.Millisecond},
+		Route: fleet.Route{Name: route, Prefix: "/" + route + "/", Service: "s", MaxAttempts: 3, SlackFactor: 1.6, ObjectiveOffset: 60 * time.Millisecond},
 	}})
 	return key
 }
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -71,7 +71,10 @@
 	cold              *coldModel
 	cellTakes         map[fleet.Cell]cellTake
 	crashes           *crash.Ledger
-	judgedChanges     uint64 // of crashes, up to which jobs were judged
+	judgedChanges     uint64                 // of crashes, up to which jobs were judged
+	judgedAt          time.Duration          // when they were
+	triedAgainAt      map[pool]time.Duration // see mayTryAgain
+	loggedRisks       map[crash.Kind]crash.Risk
 }
 
 // Stats counts what the state machine has done since New.
@@ -115,6 +118,7 @@
 		cold:          newColdModel(),
 		cellTakes:     make(map[fleet.Cell]cellTake),
 		crashes:       crash.New(0),
+		triedAgainAt:  make(map[pool]time.Duration),
 	}
 }
 
--- a/sched/share.go
+++ b/sched/share.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"sesameledge.dev/sesameledge/crash"
 )
 
 // shares divides the room of a service among its queues while the load is above it. Each queue is
@@ -17,6 +19,7 @@
 // queueShare is the recent work of the jobs of one route.
 type queueShare struct {
 	service, route string
+	kind           crash.Kind
 	priority       int
 	offered        float64 // work of the jobs that arrived; that of past jobs decays
 	admitted       float64 // the same without the jobs refused for overload
@@ -57,6 +60,7 @@
 func (m *shares) recordArrival(j *job) {
 	j.share = m.queue(j.route.Service, j.route.Name)
 	j.share.priority = j.route.Priority
+	j.share.kind = crash.KindOf(j.route)
 	j.share.offered += j.work()
 	j.share.admitted += j.work()
 }
--- a/sched/suspects.go
+++ b/sched/suspects.go
@@ -12,64 +12,111 @@
 	return crash.Job{Kind: crash.KindOf(j.route), ID: j.spec.ID}
 }
 
+// suspicion is what the reports of lost workers mean for a job, as of the newest judge.
+type suspicion struct {
+	named      bool // a report names a task of the job
+	held       bool // the job starts no task until reports are settled
+	singledOut bool // a worker has crashed under the job, with no other job on it
+	risk       crash.Risk
+}
+
+// parked reports whether the job waits for something else than room: for the proof that workers have crashed
+// under it, or, where it has most likely crashed one, for its turn to be tried again.
+func (s suspicion) parked() bool { return s.held || s.singledOut && s.risk == crash.Risky }
+
 // standing returns what the crashes under a task of a job mean for its next start.
 func (s *State) standing(j *job, index int) crash.Standing {
+	if !j.suspicion.named {
+		return crash.Clear
+	}
 	return s.crashes.StandingOf(crashTask(j, index))
 }
 
-// worstStanding returns the worst standing of the tasks of a job, with the task that has it.
-func (s *State) worstStanding(j *job) (worst crash.Standing, task int) {
-	if !s.crashes.Names(crashJob(j)) {
-		return crash.Clear, 0
-	}
-	for i := range j.spec.Tasks {
-		if standing := s.standing(j, i); standing > worst {
-			worst, task = standing, i
-		}
-	}
-	return worst, task
-}
+// judgeInterval is the time after which jobs are judged again although no report has changed: reports lose
+// weight with time.
+const judgeInterval = 500 * time.Millisecond
 
-// judgeJobs judges all jobs, if a report has changed since it last did.
+// judgeJobs judges all jobs, if a report has changed since it last did or judgeInterval is over.
 func (s *State) judgeJobs(now time.Duration) {
-	if s.judgedChanges == s.crashes.Changes() {
+	if s.judgedChanges == s.crashes.Changes() && (s.crashes.Empty() || now-s.judgedAt < judgeInterval) {
 		return
 	}
-	s.judgedChanges = s.crashes.Changes()
+	s.judgedChanges, s.judgedAt = s.crashes.Changes(), now
 	for _, j := range s.sortedJobs() {
 		s.judge(now, j)
 	}
+	s.logRisks(now)
 }
 
 // judge ends a job with a task that is given up. A job with a task that is held starts none until it is known
 // whether workers have crashed under the task, and takes no room from other jobs meanwhile.
 func (s *State) judge(now time.Duration, j *job) {
-	standing, task := s.worstStanding(j)
-	j.held = standing >= crash.Held
-	if standing != crash.Convicted {
+	name := crashJob(j)
+	j.suspicion = suspicion{named: s.crashes.Names(name), risk: s.crashes.RiskOf(now, name.Kind)}
+	if !j.suspicion.named {
 		return
 	}
+	for i := range j.spec.Tasks {
+		standing := s.standing(j, i)
+		j.suspicion.held = j.suspicion.held || standing == crash.Held
+		j.suspicion.singledOut = j.suspicion.singledOut || s.crashes.SingledOut(crashTask(j, i))
+		if standing == crash.Convicted {
+			s.convict(now, j, i)
+			return
+		}
+	}
+}
+
+// convict ends a job because of the crashes under a task.
+func (s *State) convict(now time.Duration, j *job, task int) {
 	n := s.crashes.Crashes(crashTask(j, task))
 	s.logEvent(j.spec.RequestID, "task given up for crashes", "job", j.spec.ID, "task", task, "crashes", n)
 	s.stats.Convicted++
 	s.finish(now, j, Failed, fmt.Sprintf("task %d has crashed %d workers", task, n))
 }
 
+// isSameJob reports whether two jobs are submissions of one job.
+func isSameJob(a, b *job) bool { return a == b || a.spec.ID == b.spec.ID && crashJob(a) == crashJob(b) }
+
 // maySitWith reports whether a task of the job may start beside the runs of a worker. A suspect runs beside no
-// task of another job: if the worker crashes, the others are not suspected and lose nothing.
+// task of another job, and a task of a risky kind beside none of another kind: if the worker crashes, the
+// others are not suspected and lose nothing.
 func (s *State) maySitWith(j *job, index int, w *worker) bool {
+	if s.crashes.Empty() {
+		return true
+	}
 	suspect := s.standing(j, index) != crash.Clear
 	for _, r := range w.runList {
-		if r.job.spec.ID == j.spec.ID && crashJob(r.job) == crashJob(j) {
-			continue
-		}
-		if suspect || s.standing(r.job, r.index) != crash.Clear {
+		switch {
+		case isSameJob(r.job, j):
+		case suspect || s.standing(r.job, r.index) != crash.Clear:
+			return false
+		case isRisky(j) != isRisky(r.job) || isRisky(j) && crash.KindOf(j.route) != crash.KindOf(r.job.route):
 			return false
 		}
 	}
 	return true
 }
 
+func isRisky(j *job) bool { return j.suspicion.risk == crash.Risky }
+
+// sharingPenalty is taken off the score of a worker that a task of a suspected or risky kind would share with
+// another job. It is above the differences between workers on which the task ends in time.
+const sharingPenalty = 5
+
+// sharingScore returns what sharing a worker takes off its score for a task of the job.
+func (s *State) sharingScore(j *job, w *worker) float64 {
+	if s.crashes.Empty() {
+		return 0
+	}
+	for _, r := range w.runList {
+		if !isSameJob(r.job, j) && (j.suspicion.risk != crash.NoRisk || r.job.suspicion.risk != crash.NoRisk) {
+			return sharingPenalty
+		}
+	}
+	return 0
+}
+
 // aloneShare is the share of a pool's workers that one Place keeps free for suspects.
 const aloneShare = 0.25
 
