Show what a shrinking capacity does

Change: tests of a capacity that falls below what runs, to nothing and rises again, of a new process with less, and of a deployment in virtual time whose workers announce random capacities while commanders are killed. No product change: entries are passed on as they change, a worker whose runs exceed its capacity gets no starts and goes on with them, and jobs that fit nowhere are refused at once. The bound is contactMs and one beat (4.5 s).

--- a/host/simulation_test.go
+++ b/host/simulation_test.go
@@ -149,6 +149,7 @@
 	lateStopShare  float64 // share of the stops that are carried out late and not answered
 	refuses        bool    // its machine refuses connections while no process runs
 	openCalls      []*workerCall
+	announced      *fleet.Resources // capacity in its entry; nil: that of the model
 }
 
 func (w *simulation) addWorker(id, zone string, rate float64) {
@@ -166,6 +167,9 @@
 	w.offset++
 	ww.offset = w.offset
 	ww.info.ProcessStart, ww.info.Capacity = ww.Born, ww.Capacity
+	if ww.announced != nil {
+		ww.info.Capacity = *ww.announced
+	}
 	w.entries[fmt.Sprintf("%s %d", ww.ID, ww.offset)] = ww.info
 }
 
