Give up a job on which the states of two hosts have failed

Cause: the same class of fault as deadly tasks, found by reading: a job on which the state machine of its commander panics ends all jobs of that commander; its caller gets an unknown outcome, sends it again, and the next commander fails on it. Change: the state after a panic reports the jobs that the failed event brought, as a lost worker is reported, and the other hosts judge the job by it: after two such failures with no other job it is answered as failed. A convicted job is answered by the first host that gets it. No such job is known; the test ends the state machine from outside.

--- a/crash/crash.go
+++ b/crash/crash.go
@@ -85,9 +85,9 @@
 // IsCrash reports whether the evidence speaks for a crash and not for a cut or a pause.
 func (e Evidence) IsCrash() bool { return e == Refused || e == Replaced }
 
-// Process is one process of a worker.
+// Process is one process of a worker, or the state of a host that has failed on a job.
 type Process struct {
-	Worker string // ID of the worker
+	Worker string // ID of the worker; empty: it is a host
 	Addr   string // IP:port
 	Start  int64  // in Unix ms; 0: unknown
 }
--- a/crash/verdict.go
+++ b/crash/verdict.go
@@ -70,6 +70,19 @@
 // another job.
 func (l *Ledger) SingledOut(t Task) bool { return l.lossesOf(t).singledOut }
 
+// Condemned returns a task of the job that is convicted, if there is one.
+func (l *Ledger) Condemned(j Job) (Task, bool) {
+	if !l.Names(j) {
+		return Task{}, false
+	}
+	for t := range l.byTask {
+		if t.Job == j && l.StandingOf(t) == Convicted {
+			return t, true
+		}
+	}
+	return Task{}, false
+}
+
 // Crashes returns the number of workers that have crashed under a task as far as is known.
 func (l *Ledger) Crashes(t Task) int { return l.lossesOf(t).crashes }
 
@@ -107,7 +120,7 @@
 func (l *Ledger) computeRisks(now time.Duration) map[Kind]Risk {
 	var recent []*entry
 	for _, e := range l.entries {
-		if e.Evidence.IsCrash() && now-e.at <= kindMemory {
+		if e.Evidence.IsCrash() && e.Process.Worker != "" && now-e.at <= kindMemory {
 			recent = append(recent, e)
 		}
 	}
@@ -169,7 +182,7 @@
 		for _, e := range entries {
 			if e.Evidence.IsCrash() {
 				o.Crashes++
-				o.Workers = append(o.Workers, e.Process.Worker)
+				o.Workers = append(o.Workers, cmp.Or(e.Process.Worker, e.Process.Addr))
 			}
 		}
 		if o.Crashes > 0 {
--- a/entry/contain.go
+++ b/entry/contain.go
@@ -131,6 +131,9 @@
 		l.distrusted[source] = now + distrustTime
 	}
 	l.state = l.state.Successor(randomID(), now)
+	if failed >= 0 {
+		l.state.RecordFailure(now, events[failed])
+	}
 	l.generation++
 	if l.replaced != nil {
 		l.replaced()
--- a/host/jobs.go
+++ b/host/jobs.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"sesameledge.dev/sesameledge/crash"
 	"sesameledge.dev/sesameledge/fleet"
 	"sesameledge.dev/sesameledge/mesh/meshpb"
 	"sesameledge.dev/sesameledge/sched"
@@ -49,6 +50,10 @@
 		s.answerJob(now, j, sched.Cancelled, reasonCancelled)
 		return
 	}
+	if task, found := s.sched.Crashes().Condemned(crash.Job{Kind: crash.KindOf(e.Route), ID: e.Spec.ID}); found {
+		s.answerJob(now, j, sched.Failed, sched.ConvictionReason(s.sched.Crashes(), task))
+		return
+	}
 	s.assignJob(now, j)
 }
 
--- a/host/restart.go
+++ b/host/restart.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"sesameledge.dev/sesameledge/crash"
+	"sesameledge.dev/sesameledge/fleet"
 	"sesameledge.dev/sesameledge/mesh/meshpb"
 )
 
@@ -22,6 +24,38 @@
 	return s.successor(id, now, false)
 }
 
+// RecordFailure reports that the former state of this process has failed on an event. The job that the event
+// brought, if any, is given up as soon as it has failed two hosts: its caller sends it again after the first one,
+// and it would end the state of one commander after the other.
+func (s *State) RecordFailure(now time.Duration, ev Event) {
+	var tasks []crash.Task
+	for _, j := range jobsIn(ev) {
+		tasks = append(tasks, crash.Task{Job: j})
+	}
+	if len(tasks) == 0 {
+		return
+	}
+	s.sched.Crashes().Record(now, crash.Process{Addr: s.opts.Self.Addr}, crash.Replaced, tasks)
+	s.log("jobs", "", "host failed on jobs", "jobs", len(tasks), "first", fleet.Printable(tasks[0].Job.ID, maxLogBytes))
+}
+
+// jobsIn returns the jobs that an event brings.
+func jobsIn(ev Event) []crash.Job {
+	var jobs []crash.Job
+	switch e := ev.(type) {
+	case JobArrived:
+		jobs = append(jobs, crash.Job{Kind: crash.KindOf(e.Route), ID: e.Spec.ID})
+	case FrameReceived:
+		for _, m := range e.Frame.GetMessages() {
+			if submit := m.GetSubmit(); submit != nil {
+				r := submit.GetRoute()
+				jobs = append(jobs, crash.Job{Kind: crash.Kind{Host: r.GetHost(), Prefix: r.GetPrefix()}, ID: submit.GetJobId()})
+			}
+		}
+	}
+	return jobs
+}
+
 // successor returns a new state, with the entries of workers if asked for. It returns nil if they cannot
 // be applied.
 func (s *State) successor(id uint64, now time.Duration, withEntries bool) (next *State) {
--- a/host/simulation_test.go
+++ b/host/simulation_test.go
@@ -53,6 +53,8 @@
 	tracing     bool
 	cellWorkers int
 	kills       int           // processes that were killed
+	fatalJob    string        // on which the states of commanders fail; empty: none
+	failures    int           // of states
 	objective   time.Duration // offset of the objective of new jobs
 	placement   sched.Policy
 	trace       []string // orders and answers, if tracing
@@ -355,6 +357,10 @@
 }
 
 func (h *simHost) step(events ...Event) {
+	if ev := h.fatalEvent(events); ev != nil {
+		h.failOn(ev)
+		return
+	}
 	effects := h.state.Step(h.clock(), events...)
 	if h.stalled {
 		h.stalled, h.frozen = false, true
--- a/sched/job.go
+++ b/sched/job.go
@@ -60,11 +60,11 @@
 	s.jobs[j.key] = j
 	s.importance.recordArrival(now, j)
 	s.shares.recordArrival(j)
-	if reason := s.refusalReason(j); reason != "" {
-		s.finish(now, j, Refused, reason)
+	if s.judge(now, j); j.finished {
 		return
 	}
-	if s.judge(now, j); j.finished {
+	if reason := s.refusalReason(j); reason != "" {
+		s.finish(now, j, Refused, reason)
 		return
 	}
 	if s.policy.LookAhead {
--- a/sched/suspects.go
+++ b/sched/suspects.go
@@ -69,10 +69,15 @@
 
 // convict ends a job because of the crashes under a task.
 func (s *State) convict(now time.Duration, j *job, task int) {
-	n := s.crashes.Crashes(crashTask(j, task))
-	s.logEvent(j.spec.RequestID, "task given up for crashes", "job", j.spec.ID, "task", task, "crashes", n)
+	reason := ConvictionReason(s.crashes, crashTask(j, task))
+	s.logEvent(j.spec.RequestID, "task given up for crashes", "job", j.spec.ID, "task", task, "reason", reason)
 	s.stats.Convicted++
-	s.finish(now, j, Failed, fmt.Sprintf("task %d has crashed %d workers", task, n))
+	s.finish(now, j, Failed, reason)
+}
+
+// ConvictionReason returns the reason for giving up a task for the crashes under it.
+func ConvictionReason(l *crash.Ledger, t crash.Task) string {
+	return fmt.Sprintf("task %d has crashed %d processes that had it", t.Index, l.Crashes(t))
 }
 
 // isSameJob reports whether two jobs are submissions of one job.
