Log risks and name convicted tasks in a fixed order

Cause: two loops over maps made the order of log lines, and the task that a reason names, differ between equal runs. Change: kinds are sorted, and of several convicted tasks the first one is named; the log line tells the former risk. Measured (x86_64): the tests of sched, host, crash and entry pass.

--- a/crash/verdict.go
+++ b/crash/verdict.go
@@ -70,17 +70,21 @@
 // another job.
 func (l *Ledger) SingledOut(t Task) bool { return l.lossesOf(t).singledOut }
 
-// Condemned returns a task of the job that is convicted, if there is one.
+// Condemned returns the first task of the job that is convicted, if there is one.
 func (l *Ledger) Condemned(j Job) (Task, bool) {
 	if !l.Names(j) {
 		return Task{}, false
 	}
+	var found *Task
 	for t := range l.byTask {
-		if t.Job == j && l.StandingOf(t) == Convicted {
-			return t, true
+		if t.Job == j && l.StandingOf(t) == Convicted && (found == nil || t.Index < found.Index) {
+			found = &t
 		}
 	}
-	return Task{}, false
+	if found == nil {
+		return Task{}, false
+	}
+	return *found, true
 }
 
 // Crashes returns the number of workers that have crashed under a task as far as is known.
--- a/sched/risk.go
+++ b/sched/risk.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -161,17 +162,22 @@
 	return true
 }
 
-// logRisks logs the kinds of request whose risk has changed.
+// logRisks logs the kinds of request whose risk has changed, in a fixed order.
 func (s *State) logRisks(now time.Duration) {
 	risks := s.crashes.Risks(now)
+	var kinds []crash.Kind
 	for kind := range s.loggedRisks {
-		if risks[kind] == crash.NoRisk {
-			s.logEvent("", "requests of a kind crash no more workers", "host", kind.Host, "prefix", kind.Prefix)
+		kinds = append(kinds, kind)
+	}
+	for kind := range risks {
+		if !slices.Contains(kinds, kind) {
+			kinds = append(kinds, kind)
 		}
 	}
-	for kind, risk := range risks {
-		if s.loggedRisks[kind] != risk {
-			s.logEvent("", "requests of a kind crash workers", "host", kind.Host, "prefix", kind.Prefix, "risk", risk)
+	slices.SortFunc(kinds, func(a, b crash.Kind) int { return cmp.Or(cmp.Compare(a.Host, b.Host), cmp.Compare(a.Prefix, b.Prefix)) })
+	for _, kind := range kinds {
+		if risks[kind] != s.loggedRisks[kind] {
+			s.logEvent("", "requests of a kind crash workers", "host", kind.Host, "prefix", kind.Prefix, "risk", risks[kind], "before", s.loggedRisks[kind])
 		}
 	}
 	s.loggedRisks = risks
