--- a/crash/crash.go
+++ b/crash/crash.go
@@ -1,9 +1,9 @@
-// Package crash remembers the workers that were lost with runs on them, and judges from that which tasks
+// Package crash remembers the workers that were lost with runs on them, and assesses from that which tasks
 // and which kinds of request crash workers. It is a state machine without I/O or clock; times are
 // readings of one steady clock that never goes back.
 //
 // A Report names a lost worker and the tasks of which it may have been running a run. Hosts exchange their
-// reports, so that a task is judged by the crashes under all commanders, cells and submissions of its job.
+// reports, so that a task is assessed by the crashes under all commanders, cells and submissions of its job.
 // Reports about one loss only ever grow in evidence, so the order in which they arrive does not matter.
 //
 // One crash proves little: all tasks on the worker are suspects, and the caller of this package starts a
@@ -30,10 +30,10 @@
 )
 
 const (
-	// convictions is the number of crashes under a task after which it is given up, if it was with no other
-	// job in one of them; ambiguousConvictions is that number otherwise.
-	convictions          = 2
-	ambiguousConvictions = 3
+	// maxCrashes is the number of crashes under a task after which it is given up, if it was with no other
+	// job in one of them; maxSharedCrashes is that number otherwise.
+	maxCrashes       = 2
+	maxSharedCrashes = 3
 	// maxLosses is the number of losses, whatever their evidence, after which a task waits for proof.
 	maxLosses = 3
 	// suspectKindCrashes and riskyKindCrashes are the numbers of crashes from which on a kind of request
--- a/crash/ledger.go
+++ b/crash/ledger.go
@@ -145,9 +145,9 @@
 	}
 }
 
-// Acquit takes a task that has run to its end out of the reports, which then tell more about the other tasks
+// Done takes a task that has run to its end out of the reports, which then tell more about the other tasks
 // that they name.
-func (l *Ledger) Acquit(t Task) {
+func (l *Ledger) Done(t Task) {
 	entries := l.byTask[t]
 	if len(entries) == 0 {
 		return
--- a/crash/ledger_test.go
+++ b/crash/ledger_test.go
@@ -17,25 +17,25 @@
 	l.Settle(Replaced, func(p Process) bool { return p.Worker == worker })
 }
 
-// TestNeighboursOfTheCulpritAreNotConvicted guards against sound tasks that are given up because they were
+// TestNeighboursOfCrashingTaskAreNotGivenUp guards against sound tasks that are given up because they were
 // beside one that crashes workers, twice or more.
-func TestNeighboursOfTheCulpritAreNotConvicted(t *testing.T) {
+func TestNeighboursOfCrashingTaskAreNotGivenUp(t *testing.T) {
 	l := New(1)
-	culprit, neighbour := task("a", "culprit"), task("a", "neighbour")
-	crashOf(l, 0, "w0", culprit, neighbour)
-	crashOf(l, time.Second, "w1", culprit, neighbour)
+	crashing, neighbour := task("a", "crashing"), task("a", "neighbour")
+	crashOf(l, 0, "w0", crashing, neighbour)
+	crashOf(l, time.Second, "w1", crashing, neighbour)
 	if got := l.StandingOf(neighbour); got != Suspect {
-		t.Errorf("after two crashes beside the culprit the neighbour is %v, want suspect", got)
+		t.Errorf("after two crashes beside the crashing task the neighbour is %v, want suspect", got)
 	}
-	l.Acquit(neighbour)
-	if got := l.StandingOf(culprit); got != Convicted {
-		t.Errorf("after the neighbour has ended the culprit is %v, want convicted", got)
+	l.Done(neighbour)
+	if got := l.StandingOf(crashing); got != GivenUp {
+		t.Errorf("after the neighbour has ended the crashing task is %v, want given up", got)
 	}
 }
 
-// TestCutsConvictNobody guards against tasks that are given up because their workers were silent, or refused
+// TestCutsGiveUpNoTask guards against tasks that are given up because their workers were silent, or refused
 // connections, and then went on.
-func TestCutsConvictNobody(t *testing.T) {
+func TestCutsGiveUpNoTask(t *testing.T) {
 	l := New(1)
 	cut := task("a", "cut")
 	for i := range maxLosses {
--- a/crash/verdict.go
+++ b/crash/standing.go
@@ -11,21 +11,21 @@
 
 // The standings.
 const (
-	Clear     Standing = iota // no loss is known
-	Suspect                   // starts only where no task of another job runs
-	Held                      // does not start until it is known whether the lost workers have crashed
-	Convicted                 // is given up
+	Clear   Standing = iota // no loss is known
+	Suspect                 // starts only where no task of another job runs
+	Held                    // does not start until it is known whether the lost workers have crashed
+	GivenUp                 // is given up
 )
 
-var standingNames = [...]string{"clear", "suspect", "held", "convicted"}
+var standingNames = [...]string{"clear", "suspect", "held", "given up"}
 
 // String implements fmt.Stringer.
 func (s Standing) String() string { return standingNames[s] }
 
 // losses counts the losses of workers under a task.
 type losses struct {
-	all, crashes, proven            int
-	singledOut, singledOutWithProof bool // no other job was on one of the workers
+	all, crashes, proven      int
+	crashedAlone, provenAlone bool // no other job was on one of the workers
 }
 
 func (l *Ledger) lossesOf(t Task) losses {
@@ -38,11 +38,11 @@
 		alone := e.singleJob()
 		if e.Evidence.IsCrash() {
 			n.crashes++
-			n.singledOut = n.singledOut || alone
+			n.crashedAlone = n.crashedAlone || alone
 		}
 		if e.Evidence == Replaced {
 			n.proven++
-			n.singledOutWithProof = n.singledOutWithProof || alone
+			n.provenAlone = n.provenAlone || alone
 		}
 	}
 	return n
@@ -55,9 +55,9 @@
 	}
 	n := l.lossesOf(t)
 	switch {
-	case n.proven >= convictions && n.singledOutWithProof || n.proven >= ambiguousConvictions:
-		return Convicted
-	case n.crashes >= convictions && n.singledOut || n.all >= maxLosses:
+	case n.proven >= maxCrashes && n.provenAlone || n.proven >= maxSharedCrashes:
+		return GivenUp
+	case n.crashes >= maxCrashes && n.crashedAlone || n.all >= maxLosses:
 		return Held
 	case n.all > 0:
 		return Suspect
@@ -66,18 +66,18 @@
 	}
 }
 
-// SingledOut reports whether a worker has crashed under the task, as far as is known, while it ran no task of
+// CrashedAlone reports whether a worker has crashed under the task, as far as is known, while it ran no task of
 // another job.
-func (l *Ledger) SingledOut(t Task) bool { return l.lossesOf(t).singledOut }
+func (l *Ledger) CrashedAlone(t Task) bool { return l.lossesOf(t).crashedAlone }
 
-// Condemned returns the first task of the job that is convicted, if there is one.
-func (l *Ledger) Condemned(j Job) (Task, bool) {
+// GivenUpTask returns the first task of the job that is given up, if there is one.
+func (l *Ledger) GivenUpTask(j Job) (Task, bool) {
 	if !l.Names(j) {
 		return Task{}, false
 	}
 	var found *Task
 	for t := range l.byTask {
-		if t.Job == j && l.StandingOf(t) == Convicted && (found == nil || t.Index < found.Index) {
+		if t.Job == j && l.StandingOf(t) == GivenUp && (found == nil || t.Index < found.Index) {
 			found = &t
 		}
 	}
@@ -119,7 +119,7 @@
 	return l.risks
 }
 
-// computeRisks returns the kinds with a risk. A kind is risky as soon as a task of it is held or convicted
+// computeRisks returns the kinds with a risk. A kind is risky as soon as a task of it is held or given up
 // for its crashes, since that has singled it out, or if it was alone on several workers that crashed.
 func (l *Ledger) computeRisks(now time.Duration) map[Kind]Risk {
 	var recent []*entry
@@ -130,7 +130,7 @@
 	}
 	risks := make(map[Kind]Risk)
 	for _, k := range kindsIn(recent) {
-		present, alone, singledOut := 0, 0, false
+		present, alone, crashedAlone := 0, 0, false
 		for _, e := range recent {
 			if !e.names(k) {
 				continue
@@ -139,11 +139,11 @@
 			if e.singleKind() {
 				alone++
 			}
-			singledOut = singledOut || e.singleJob() && l.crashedTwice(e.Tasks)
+			crashedAlone = crashedAlone || e.singleJob() && l.crashedTwice(e.Tasks)
 		}
 		mostly := float64(present) >= kindShare*float64(len(recent))
 		switch {
-		case singledOut || alone >= riskyKindCrashes && mostly:
+		case crashedAlone || alone >= riskyKindCrashes && mostly:
 			risks[k] = Risky
 		case present >= suspectKindCrashes && mostly:
 			risks[k] = Suspected
@@ -152,9 +152,9 @@
 	return risks
 }
 
-// crashedTwice reports whether any of the tasks is held or convicted for its crashes.
+// crashedTwice reports whether any of the tasks is held or given up for its crashes.
 func (l *Ledger) crashedTwice(tasks []Task) bool {
-	return slices.ContainsFunc(tasks, func(t Task) bool { return l.lossesOf(t).crashes >= convictions })
+	return slices.ContainsFunc(tasks, func(t Task) bool { return l.lossesOf(t).crashes >= maxCrashes })
 }
 
 // kindsIn returns the kinds of request that reports name.
@@ -170,19 +170,19 @@
 	return kinds
 }
 
-// Offender is a task under which workers have crashed, for metrics and state dumps.
-type Offender struct {
+// CrashingTask is a task under which workers have crashed, for metrics and state dumps.
+type CrashingTask struct {
 	Task     Task
 	Crashes  int
 	Standing Standing
 	Workers  []string // that have crashed, in the order of the reports
 }
 
-// Offenders returns at most n tasks under which workers have crashed, those with the most crashes first.
-func (l *Ledger) Offenders(n int) []Offender {
-	var list []Offender
+// CrashingTasks returns at most n tasks under which workers have crashed, those with the most crashes first.
+func (l *Ledger) CrashingTasks(n int) []CrashingTask {
+	var list []CrashingTask
 	for t, entries := range l.byTask {
-		o := Offender{Task: t, Standing: l.StandingOf(t)}
+		o := CrashingTask{Task: t, Standing: l.StandingOf(t)}
 		for _, e := range entries {
 			if e.Evidence.IsCrash() {
 				o.Crashes++
@@ -193,7 +193,7 @@
 			list = append(list, o)
 		}
 	}
-	slices.SortFunc(list, func(a, b Offender) int {
+	slices.SortFunc(list, func(a, b CrashingTask) int {
 		return cmp.Or(cmp.Compare(b.Crashes, a.Crashes), cmp.Compare(a.Task.Job.ID, b.Task.Job.ID), cmp.Compare(a.Task.Index, b.Task.Index))
 	})
 	return list[:min(n, len(list))]
--- a/entry/crashes.go
+++ b/entry/crashes.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// maxOffenders bounds the tasks that the metric of crashes names.
-	maxOffenders = 20
+	// maxCrashingTasks bounds the tasks that the metric of crashes names.
+	maxCrashingTasks = 20
 	// maxLabelBytes bounds what a label quotes of a caller's request.
 	maxLabelBytes = 64
 )
@@ -30,21 +30,21 @@
 // crashFamilies returns the gauge of the tasks under which workers have crashed. It is left out while there
 // are none.
 func (s snapshot) crashFamilies() []*dto.MetricFamily {
-	if len(s.offenders) == 0 {
+	if len(s.crashingTasks) == 0 {
 		return nil
 	}
 	f := &dto.MetricFamily{
 		Name: ptr(namePrefix + "task_crashes"), Type: dto.MetricType_GAUGE.Enum(),
 		Help: ptr("Workers that have crashed under a task within the last minute, for the tasks with the most."),
 	}
-	for _, o := range s.offenders {
-		f.Metric = append(f.Metric, &dto.Metric{Label: offenderLabels(o), Gauge: &dto.Gauge{Value: ptr(float64(o.Crashes))}})
+	for _, o := range s.crashingTasks {
+		f.Metric = append(f.Metric, &dto.Metric{Label: crashLabels(o), Gauge: &dto.Gauge{Value: ptr(float64(o.Crashes))}})
 	}
 	return []*dto.MetricFamily{f}
 }
 
-// offenderLabels returns the labels in the order of their names.
-func offenderLabels(o crash.Offender) []*dto.LabelPair {
+// crashLabels returns the labels in the order of their names.
+func crashLabels(o crash.CrashingTask) []*dto.LabelPair {
 	return []*dto.LabelPair{
 		label("job", fleet.Printable(o.Task.Job.ID, maxLabelBytes)),
 		label("prefix", fleet.Printable(o.Task.Job.Kind.Prefix, maxLabelBytes)),
--- a/entry/exposition.go
+++ b/entry/exposition.go
@@ -38,7 +38,7 @@
 	framesNotRead   int64 // frames that could not be decoded
 	evacuations     []host.EvacuationDump
 	startTimes      map[string]time.Duration // by phase of the start
-	offenders       []crash.Offender
+	crashingTasks   []crash.CrashingTask
 }
 
 // snapshot reads the current values. It reports false if the event loop has ended.
@@ -53,7 +53,7 @@
 		s.startTimes = state.StartTimes()
 		s.callTimeout = state.Scheduler().CallTimeout()
 		s.queues = state.Scheduler().Queues()
-		s.offenders = state.Scheduler().Crashes().Offenders(maxOffenders)
+		s.crashingTasks = state.Scheduler().Crashes().CrashingTasks(maxCrashingTasks)
 		if c := state.Config(); c != nil {
 			s.version = c.Version
 		}
@@ -106,6 +106,7 @@
 		}),
 		counter("run_restarts_total", "Starts of tasks of which a run has ended before, by what shows that it is over.", "former_run_over_by", restartCounts(d)),
 		counter("worker_losses_total", "Workers lost with runs on them, by the evidence known then.", "evidence", lossCounts(d)),
+		counter("jobs_given_up_total", "Jobs that ended as failed for the crashes under a task.", "", labelValues{"": d.GivenUp}),
 		gauge("unwanted_run_ms_max", "Longest time in ms for which a run may have gone on after its job was wanted.", d.LongestUnwanted.Milliseconds()),
 		counter("run_starts_unanswered_total", "Starts that a worker did not answer.", "", labelValues{"": d.Doubts}),
 		counter("foreign_runs_total", "Runs of other hosts found on own workers and stopped.", "", labelValues{"": d.Foreign}),
--- a/host/failing_job_test.go
+++ b/host/failing_job_test.go
@@ -15,7 +15,7 @@
 	}
 	for _, ev := range events {
 		for _, name := range jobsIn(ev) {
-			if _, givenUp := h.state.sched.Crashes().Condemned(name); name.ID == h.w.fatalJob && !givenUp {
+			if _, givenUp := h.state.sched.Crashes().GivenUpTask(name); name.ID == h.w.fatalJob && !givenUp {
 				return ev
 			}
 		}
@@ -49,8 +49,8 @@
 		}
 		task := crash.Task{Job: crash.Job{Kind: crash.Kind{Host: simRouteHost, Prefix: simRoutePrefix}, ID: j.id}}
 		for _, h := range w.hosts {
-			if got := h.state.sched.Crashes().StandingOf(task); w.failures == 2 && got != crash.Convicted {
-				t.Errorf("seed %d: for host %s the job is %v, want convicted", seed, h.name, got)
+			if got := h.state.sched.Crashes().StandingOf(task); w.failures == 2 && got != crash.GivenUp {
+				t.Errorf("seed %d: for host %s the job is %v, want given up", seed, h.name, got)
 			}
 		}
 	}
--- a/host/losses.go
+++ b/host/losses.go
@@ -15,7 +15,7 @@
 // maxLossesPerMessage bounds the reports of lost workers in one message.
 const maxLossesPerMessage = 16
 
-// forwardLosses passes the reports of lost workers on to a peer, so that a task is judged by the crashes under
+// forwardLosses passes the reports of lost workers on to a peer, so that a task is assessed by the crashes under
 // all commanders. Each host passes on its own reports; those of lost hosts come from the commanders.
 func (s *State) forwardLosses(now time.Duration, p *peer) {
 	ledger := s.sched.Crashes()
--- a/sched/invariant.go
+++ b/sched/invariant.go
@@ -36,7 +36,7 @@
 		return errors.New("another run of the task may be running")
 	case j.suspicion.held:
 		return errors.New("workers may have crashed under the task")
-	case !s.maySitWith(j, index, w):
+	case !s.mayShareWorker(j, index, w):
 		return errors.New("tasks that may crash workers share none with those of other jobs")
 	case !s.mayStart(now, j, index):
 		return errors.New("the job may not be wanted, or an earlier submission of it may run the task")
--- a/sched/job.go
+++ b/sched/job.go
@@ -60,7 +60,7 @@
 	s.jobs[j.key] = j
 	s.importance.recordArrival(now, j)
 	s.shares.recordArrival(j)
-	if s.judge(now, j); j.finished {
+	if s.assess(now, j); j.finished {
 		return
 	}
 	if reason := s.refusalReason(j); reason != "" {
@@ -142,7 +142,7 @@
 	if how == fleet.EndDone {
 		s.stats.Done++
 		s.recordDuration(now, w, r)
-		s.crashes.Acquit(crashTask(j, r.index))
+		s.crashes.Done(crashTask(j, r.index))
 	} else {
 		s.rememberEnd(now, w, r, basis)
 	}
--- a/sched/loss.go
+++ b/sched/loss.go
@@ -15,7 +15,7 @@
 // Crashes returns the reports of lost workers that this host knows.
 func (s *State) Crashes() *crash.Ledger { return s.crashes }
 
-// MergeLoss adds a report of another host. The next Place judges the jobs by it.
+// MergeLoss adds a report of another host. The next Place assesses the jobs by it.
 func (s *State) MergeLoss(now time.Duration, r crash.Report) {
 	if s.crashes.Merge(now, r) {
 		s.needsPlacement = true
--- a/sched/place.go
+++ b/sched/place.go
@@ -24,7 +24,7 @@
 	}
 	s.needsPlacement = false
 	s.endRestrictedJobs(now)
-	s.judgeJobs(now)
+	s.assessJobs(now)
 	s.reservations, s.aloneReservations = 0, 0
 	s.compactQueue()
 	if len(s.queue) == 0 {
@@ -122,7 +122,7 @@
 }
 
 func (s *State) goesLast(now time.Duration, j *job) bool {
-	if j.suspicion.singledOut {
+	if j.suspicion.crashedAlone {
 		return true // it has most likely crashed a worker, and would crash another one first
 	}
 	return j.isLate(now) && !(s.policy.LookAhead && j.unrejectedStarts > 0)
@@ -193,7 +193,7 @@
 	var best *candidate
 	var bestScore float64
 	for _, c := range workers {
-		if !c.free.Fits(j.spec.Need) || !j.allowsWorker(c.w) || !s.leavesReserved(now, c, j) || !s.maySitWith(j, index, c.w) {
+		if !c.free.Fits(j.spec.Need) || !j.allowsWorker(c.w) || !s.leavesReserved(now, c, j) || !s.mayShareWorker(j, index, c.w) {
 			continue
 		}
 		score := j.score(now, c, s.speedOf(now, c.w, j), mayWait)
--- a/sched/risk.go
+++ b/sched/risk.go
@@ -151,7 +151,7 @@
 // mayTryAgain reports whether a job may start its tasks although a worker has most likely crashed under it. Of a
 // risky kind, one such job is tried at a time.
 func (s *State) mayTryAgain(now time.Duration, j *job) bool {
-	if !isRisky(j) || !j.suspicion.singledOut {
+	if !isRisky(j) || !j.suspicion.crashedAlone {
 		return true
 	}
 	p := pool{j.cell, j.route.Service}
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -71,8 +71,8 @@
 	cold              *coldModel
 	cellTakes         map[fleet.Cell]cellTake
 	crashes           *crash.Ledger
-	judgedChanges     uint64                 // of crashes, up to which jobs were judged
-	judgedAt          time.Duration          // when they were
+	assessedChanges   uint64                 // of crashes, up to which jobs were assessed
+	assessedAt        time.Duration          // when they were
 	triedAgainAt      map[pool]time.Duration // see mayTryAgain
 	loggedRisks       map[crash.Kind]crash.Risk
 }
@@ -87,8 +87,8 @@
 	Restarts [endBasisCount]int64
 	// Losses counts the workers that were lost with runs on them, by the evidence known then.
 	Losses [crash.Withdrawn]int64
-	// Convicted counts jobs that ended as failed for the crashes under a task.
-	Convicted int64
+	// GivenUp counts jobs that ended as failed for the crashes under a task.
+	GivenUp int64
 	// LongestUnwanted is the longest time for which a run may have gone on after its job was wanted.
 	LongestUnwanted time.Duration
 	// Jobs by outcome.
--- a/sched/suspects.go
+++ b/sched/suspects.go
@@ -12,17 +12,17 @@
 	return crash.Job{Kind: crash.KindOf(j.route), ID: j.spec.ID}
 }
 
-// suspicion is what the reports of lost workers mean for a job, as of the newest judge.
+// suspicion is what the reports of lost workers mean for a job, as of the newest assess.
 type suspicion struct {
-	named      bool // a report names a task of the job
-	held       bool // the job starts no task until reports are settled
-	singledOut bool // a worker has crashed under the job, with no other job on it
-	risk       crash.Risk
+	named        bool // a report names a task of the job
+	held         bool // the job starts no task until reports are settled
+	crashedAlone bool // a worker has crashed under the job, with no other job on it
+	risk         crash.Risk
 }
 
 // parked reports whether the job waits for something else than room: for the proof that workers have crashed
 // under it, or, where it has most likely crashed one, for its turn to be tried again.
-func (s suspicion) parked() bool { return s.held || s.singledOut && s.risk == crash.Risky }
+func (s suspicion) parked() bool { return s.held || s.crashedAlone && s.risk == crash.Risky }
 
 // standing returns what the crashes under a task of a job mean for its next start.
 func (s *State) standing(j *job, index int) crash.Standing {
@@ -32,25 +32,25 @@
 	return s.crashes.StandingOf(crashTask(j, index))
 }
 
-// judgeInterval is the time after which jobs are judged again although no report has changed: reports lose
+// assessInterval is the time after which jobs are assessed again although no report has changed: reports lose
 // weight with time.
-const judgeInterval = 500 * time.Millisecond
+const assessInterval = 500 * time.Millisecond
 
-// judgeJobs judges all jobs, if a report has changed since it last did or judgeInterval is over.
-func (s *State) judgeJobs(now time.Duration) {
-	if s.judgedChanges == s.crashes.Changes() && (s.crashes.Empty() || now-s.judgedAt < judgeInterval) {
+// assessJobs assesses all jobs, if a report has changed since it last did or assessInterval is over.
+func (s *State) assessJobs(now time.Duration) {
+	if s.assessedChanges == s.crashes.Changes() && (s.crashes.Empty() || now-s.assessedAt < assessInterval) {
 		return
 	}
-	s.judgedChanges, s.judgedAt = s.crashes.Changes(), now
+	s.assessedChanges, s.assessedAt = s.crashes.Changes(), now
 	for _, j := range s.sortedJobs() {
-		s.judge(now, j)
+		s.assess(now, j)
 	}
 	s.logRisks(now)
 }
 
-// judge ends a job with a task that is given up. A job with a task that is held starts none until it is known
+// assess ends a job with a task that is given up. A job with a task that is held starts none until it is known
 // whether workers have crashed under the task, and takes no room from other jobs meanwhile.
-func (s *State) judge(now time.Duration, j *job) {
+func (s *State) assess(now time.Duration, j *job) {
 	name := crashJob(j)
 	j.suspicion = suspicion{named: s.crashes.Names(name), risk: s.crashes.RiskOf(now, name.Kind)}
 	if !j.suspicion.named {
@@ -59,34 +59,34 @@
 	for i := range j.spec.Tasks {
 		standing := s.standing(j, i)
 		j.suspicion.held = j.suspicion.held || standing == crash.Held
-		j.suspicion.singledOut = j.suspicion.singledOut || s.crashes.SingledOut(crashTask(j, i))
-		if standing == crash.Convicted {
-			s.convict(now, j, i)
+		j.suspicion.crashedAlone = j.suspicion.crashedAlone || s.crashes.CrashedAlone(crashTask(j, i))
+		if standing == crash.GivenUp {
+			s.giveUp(now, j, i)
 			return
 		}
 	}
 }
 
-// convict ends a job because of the crashes under a task.
-func (s *State) convict(now time.Duration, j *job, task int) {
-	reason := ConvictionReason(s.crashes, crashTask(j, task))
+// giveUp ends a job because of the crashes under a task.
+func (s *State) giveUp(now time.Duration, j *job, task int) {
+	reason := GivenUpReason(s.crashes, crashTask(j, task))
 	s.logEvent(j.spec.RequestID, "task given up for crashes", "job", j.spec.ID, "task", task, "reason", reason)
-	s.stats.Convicted++
+	s.stats.GivenUp++
 	s.finish(now, j, Failed, reason)
 }
 
-// ConvictionReason returns the reason for giving up a task for the crashes under it.
-func ConvictionReason(l *crash.Ledger, t crash.Task) string {
+// GivenUpReason returns the reason for giving up a task for the crashes under it.
+func GivenUpReason(l *crash.Ledger, t crash.Task) string {
 	return fmt.Sprintf("task %d has crashed %d processes that had it", t.Index, l.Crashes(t))
 }
 
 // isSameJob reports whether two jobs are submissions of one job.
 func isSameJob(a, b *job) bool { return a == b || a.spec.ID == b.spec.ID && crashJob(a) == crashJob(b) }
 
-// maySitWith reports whether a task of the job may start beside the runs of a worker. A suspect runs beside no
+// mayShareWorker reports whether a task of the job may start beside the runs of a worker. A suspect runs beside no
 // task of another job, and a task of a risky kind beside none of another kind: if the worker crashes, the
 // others are not suspected and lose nothing.
-func (s *State) maySitWith(j *job, index int, w *worker) bool {
+func (s *State) mayShareWorker(j *job, index int, w *worker) bool {
 	if s.crashes.Empty() {
 		return true
 	}
