Give up no task for starts that its workers never answered

Cause: a report named all runs that may have been there, also those that the worker had never shown. Change: unanswered starts go into a report of their own that is uncertain: it can hold a task and gives none up. A start whose connection broke counts in full, since a task that crashes its worker at once does that.

--- a/crash/crash.go
+++ b/crash/crash.go
@@ -105,6 +105,9 @@
 	Evidence Evidence
 	Age      time.Duration // since the loss
 	Tasks    []Task        // of which the process may have been running a run
+	// Uncertain says that the process had not shown that it runs the tasks: their starts stayed unanswered.
+	// Such a report can hold a task, but gives none up.
+	Uncertain bool
 }
 
 // singleJob reports whether all tasks belong to one job.
--- a/crash/ledger.go
+++ b/crash/ledger.go
@@ -31,15 +31,21 @@
 }
 
 // Record makes a report about a process that was lost with runs of the given tasks, in the order of their
-// starts. It returns the report.
-func (l *Ledger) Record(now time.Duration, p Process, e Evidence, tasks []Task) Report {
+// starts.
+func (l *Ledger) Record(now time.Duration, p Process, e Evidence, tasks []Task) {
+	l.record(now, Report{Process: p, Evidence: e, Tasks: tasks})
+}
+
+// RecordUncertain does the same for tasks whose starts the process had not answered.
+func (l *Ledger) RecordUncertain(now time.Duration, p Process, e Evidence, tasks []Task) {
+	l.record(now, Report{Process: p, Evidence: e, Tasks: tasks, Uncertain: true})
+}
+
+func (l *Ledger) record(now time.Duration, r Report) {
 	l.lastSeq++
-	if len(tasks) > MaxTasks {
-		tasks = tasks[len(tasks)-MaxTasks:]
-	}
-	r := Report{ID: ReportID{Host: l.host, Seq: l.lastSeq}, Process: p, Evidence: e, Tasks: unique(tasks)}
+	r.ID = ReportID{Host: l.host, Seq: l.lastSeq}
+	r.Tasks = unique(r.Tasks[max(0, len(r.Tasks)-MaxTasks):])
 	l.add(now, r).own = true
-	return r
 }
 
 // Merge adds a report of another host, or its newer evidence. It reports false if it holds nothing new.
--- a/crash/ledger_test.go
+++ b/crash/ledger_test.go
@@ -97,3 +97,18 @@
 		t.Errorf("some time later the kind has the risk %v, want none", got)
 	}
 }
+
+// TestUnansweredStartsGiveUpNoTask guards against tasks that are given up for the loss of workers that may never
+// have had them, and against starts without a bound on workers that do not answer.
+func TestUnansweredStartsGiveUpNoTask(t *testing.T) {
+	l := New(1)
+	unlucky := task("a", "unlucky")
+	for i := range maxLosses {
+		worker := fmt.Sprint("w", i)
+		l.RecordUncertain(0, Process{Worker: worker, Start: 1}, Silent, []Task{unlucky})
+		l.Settle(Replaced, func(p Process) bool { return p.Worker == worker })
+	}
+	if got := l.StandingOf(unlucky); got != Held {
+		t.Errorf("after %d unanswered starts on workers that have restarted the task is %v, want held", maxLosses, got)
+	}
+}
--- a/fleet/worker_call.go
+++ b/fleet/worker_call.go
@@ -53,6 +53,8 @@
 	// Refused says that the worker's address has refused the connection, so the call was not sent. Its verdict
 	// is NoAnswer.
 	Refused bool
+	// Broken says that the connection ended while the call was under way. Its verdict is NoAnswer.
+	Broken bool
 }
 
 // HoldReply is the answer of a worker to a HoldOrder.
--- a/host/entries_test.go
+++ b/host/entries_test.go
@@ -11,8 +11,7 @@
 // restartWorker replaces the process of a worker by one that answers after the time down, has another
 // capacity and writes its entry after another delay.
 func (w *simulation) restartWorker(ww *simWorker, down, entryDelay time.Duration) {
-	ww.Restart(w.now + down)
-	ww.waiters = nil
+	w.endProcess(ww, down)
 	ww.Capacity.CPU = fullCapacity + smallCapacity - ww.Capacity.CPU
 	born := ww.Born
 	w.after(down+entryDelay, func() {
--- a/host/losses.go
+++ b/host/losses.go
@@ -55,7 +55,7 @@
 func encodeLoss(r crash.Report) *meshpb.LostWorker {
 	m := &meshpb.LostWorker{
 		Host: r.ID.Host, Seq: r.ID.Seq, Worker: r.Process.Worker, Addr: r.Process.Addr, Start: r.Process.Start,
-		Evidence: int32(r.Evidence), AgeNs: int64(r.Age),
+		Evidence: int32(r.Evidence), AgeNs: int64(r.Age), Uncertain: r.Uncertain,
 	}
 	jobs := make(map[crash.Job]*meshpb.LostJob)
 	for _, t := range r.Tasks {
@@ -77,7 +77,7 @@
 	r := crash.Report{
 		ID:      crash.ReportID{Host: m.GetHost(), Seq: m.GetSeq()},
 		Process: crash.Process{Worker: m.GetWorker(), Addr: m.GetAddr(), Start: m.GetStart()}, Evidence: crash.Evidence(m.GetEvidence()),
-		Age: time.Duration(m.GetAgeNs()),
+		Age: time.Duration(m.GetAgeNs()), Uncertain: m.GetUncertain(),
 	}
 	if r.Age < 0 || r.Evidence < crash.Silent || r.Evidence > crash.Withdrawn {
 		return r, errors.Newf("it has the age %v and the evidence %d", r.Age, m.GetEvidence())
--- a/host/simulation_test.go
+++ b/host/simulation_test.go
@@ -53,6 +53,7 @@
 	tracing     bool
 	cellWorkers int
 	kills       int           // processes that were killed
+	faults      int           // of hosts and networks, injected by hostMachine
 	fatalJob    string        // on which the states of commanders fail; empty: none
 	failures    int           // of states
 	objective   time.Duration // offset of the objective of new jobs
--- a/sched/hold.go
+++ b/sched/hold.go
@@ -272,6 +272,7 @@
 		s.stats.Doubts++
 		s.logEvent(r.job.spec.RequestID, "start unanswered", "worker", w.info.ID, "task", r.key.Task, "attempt", r.key.Attempt, "err", e.Reply.Err)
 		r.unansweredAt = now
+		r.startBroken = e.Reply.Broken
 		s.sendUrgentHold(now, w)
 		return
 	}
--- a/sched/loss.go
+++ b/sched/loss.go
@@ -69,19 +69,32 @@
 	if len(runs) == 0 || w.info.Draining {
 		return
 	}
-	tasks := make([]crash.Task, len(runs))
+	var certain, uncertain []crash.Task
 	names := make([]string, len(runs))
 	for i, r := range runs {
-		tasks[i] = crashTask(r.job, r.index)
 		names[i] = r.key.Task.String()
+		if r.hasBegun() {
+			certain = append(certain, crashTask(r.job, r.index))
+		} else {
+			uncertain = append(uncertain, crashTask(r.job, r.index))
+		}
 	}
 	w.lossReported = true
-	s.crashes.Record(now, w.process(), evidence, tasks)
+	if len(certain) > 0 {
+		s.crashes.Record(now, w.process(), evidence, certain)
+	}
+	if len(uncertain) > 0 {
+		s.crashes.RecordUncertain(now, w.process(), evidence, uncertain)
+	}
 	s.stats.Losses[evidence-1]++
 	s.logEvent("", "worker lost with runs", "worker", w.info.ID, "addr", w.info.Addr, "born", w.incarnation, "evidence", evidence,
-		"silent", now-w.aliveAt, "tasks", strings.Join(names, ","))
+		"silent", now-w.aliveAt, "tasks", strings.Join(names, ","), "unanswered", len(uncertain))
 }
 
+// hasBegun reports whether the worker has shown that it runs the run, or ended the connection over its start, as a
+// worker does that the task crashes.
+func (r *run) hasBegun() bool { return r.confirmedAt != 0 || r.startBroken }
+
 // settleByAnswer settles the losses of a worker of which a process has answered.
 func (s *State) settleByAnswer(w *worker, start int64) {
 	if !s.crashes.Open() {
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -78,6 +78,7 @@
 	percentRoseAt     time.Duration // when percent last rose, or was first listed; 0: not yet
 	unansweredAt      time.Duration // when the start was found unanswered; 0: it was not
 	stop              stopState
+	startBroken       bool       // the connection ended while its start was unanswered
 	grant             leaseGrant // by its start
 }
 
