Test a deadly task under a lost commander over the wire

Change: TestDeadlyTaskUnderLostCommander closes the commander as soon as a worker has crashed, and counts the starts of the task over all workers, with one more allowed for the lost commander.

--- a/standin/fleettest/deadly_test.go
+++ b/standin/fleettest/deadly_test.go
@@ -98,3 +98,24 @@
 	}
 	d.checkCompleted(<-results)
 }
+
+// TestDeadlyTaskUnderLostCommander guards against crashes that are forgotten when the commander that saw them is
+// lost, while the caller sends the job again to the hosts that are left.
+func TestDeadlyTaskUnderLostCommander(t *testing.T) {
+	d, _ := startCrashing(t)
+	lost := d.commanderOf("north")
+	left := map[string][]string{"n1": {"n2", "s1"}, "n2": {"n1", "s1"}}[lost]
+	go func() {
+		for deadline := time.Now().Add(5 * time.Second); d.crashesOf(jobID(1)) == 0 && time.Now().Before(deadline); {
+			time.Sleep(time.Millisecond)
+		}
+		d.hosts[lost].host.Close()
+	}()
+	r := d.submitDeadly(left, jobID(1))
+	if r.status != http.StatusOK || r.state != "failed" {
+		t.Errorf("the job with the deadly task got status %d, state %q, error %v; want it failed", r.status, r.state, r.err)
+	}
+	if n := d.crashesOf(jobID(1)); n > 3 {
+		t.Errorf("the deadly task was started on %d workers, want at most 2 and one for the lost commander", n)
+	}
+}
