--- a/host/simulation_jobs_test.go
+++ b/host/simulation_jobs_test.go
@@ -35,7 +35,7 @@
 	deadly     bool          // its first task crashes the workers that start it
 	starts     map[int]int   // accepted starts, by task
 	crashes    int           // of workers, by its first task
-	lostRuns   map[int]int   // runs that ended with their worker's process, or just before, by task
+	lostRuns   map[int]int   // runs that ended with their worker's process, by task
 	faultsAt   int           // faults of hosts and networks before it was submitted
 }
 
@@ -53,7 +53,7 @@
 // endProcess ends the process of a worker; another one answers after the time down.
 func (w *simulation) endProcess(ww *simWorker, down time.Duration) {
 	w.expire()
-	for _, key := range append(ww.Running(), ww.Unacknowledged()...) {
+	for _, key := range ww.Running() {
 		w.jobs[key.Task.Job].lostRuns[key.Task.Index]++
 	}
 	ww.Restart(w.now + down)
--- a/internal/workermodel/worker.go
+++ b/internal/workermodel/worker.go
@@ -91,16 +91,6 @@
 	return keys
 }
 
-// Unacknowledged returns the runs that have ended and whose ends no hold has acknowledged. Whoever started them may
-// not know of their ends.
-func (w *Worker) Unacknowledged() []fleet.RunKey {
-	var keys []fleet.RunKey
-	for _, f := range w.finished {
-		keys = append(keys, f.Run)
-	}
-	return keys
-}
-
 // IsRunning reports whether a run is running.
 func (w *Worker) IsRunning(key fleet.RunKey) bool {
 	_, there := w.running[key]
