Remember crashes for ten minutes, in bounded memory

Cause: reading the diff: a report counted for a minute, so a caller that sends a job for longer begins anew; and reports were bounded in number but not in the tasks that they name. Change: ten minutes, 8,192 tasks at most; the number of open reports is kept, since each hold asks for it. Test: TestLedgerIsBounded compares the counters with what is kept.

--- a/crash/crash.go
+++ b/crash/crash.go
@@ -19,11 +19,12 @@
 
 const (
 	// memory is how long a report counts. Callers have stopped sending a job again by then.
-	memory = time.Minute
+	memory = 10 * time.Minute
 	// kindMemory is how long a report counts against a kind of request.
 	kindMemory = 10 * time.Second
-	// maxReports bounds the reports that are kept; the oldest go first.
-	maxReports = 2048
+	// maxReports and maxReportedTasks bound the reports that are kept and the tasks in them; the oldest go first.
+	maxReports       = 2048
+	maxReportedTasks = 8192
 	// MaxTasks bounds the tasks of a report. The newest runs are kept: most tasks that crash a worker do so
 	// at their start.
 	MaxTasks = 128
--- a/crash/ledger.go
+++ b/crash/ledger.go
@@ -14,6 +14,8 @@
 	byTask  map[Task][]*entry
 	byJob   map[Job]int   // number of tasks in byTask
 	risks   map[Kind]Risk // nil: must be computed again
+	tasks   int           // in all entries
+	open    int           // entries whose evidence may still grow; see Open
 	changes uint64        // number of changes so far
 }
 
@@ -84,7 +86,9 @@
 		l.byTask[t] = append(l.byTask[t], e)
 	}
 	l.risks = nil
-	if len(l.entries) > maxReports {
+	l.tasks += len(r.Tasks)
+	l.open += openCount(r.Evidence)
+	for len(l.entries) > maxReports || l.tasks > maxReportedTasks {
 		l.drop(1)
 	}
 	return e
@@ -96,6 +100,7 @@
 		return false
 	}
 	l.changes++
+	l.open += openCount(evidence) - openCount(e.Evidence)
 	e.Evidence, e.change = evidence, l.changes
 	l.risks = nil
 	return true
@@ -115,8 +120,14 @@
 }
 
 // Open reports whether the fate of a lost process is not known yet.
-func (l *Ledger) Open() bool {
-	return slices.ContainsFunc(l.entries, func(e *entry) bool { return e.Evidence < Replaced })
+func (l *Ledger) Open() bool { return l.open > 0 }
+
+// openCount is 1 for evidence that does not tell the fate of a process.
+func openCount(e Evidence) int {
+	if e < Replaced {
+		return 1
+	}
+	return 0
 }
 
 // Expire forgets reports that are too old to count.
@@ -131,7 +142,13 @@
 
 // drop forgets the n oldest reports.
 func (l *Ledger) drop(n int) {
+	if n == 0 {
+		return
+	}
+	l.changes++
 	for _, e := range l.entries[:n] {
+		l.tasks -= len(e.Tasks)
+		l.open -= openCount(e.Evidence)
 		delete(l.byID, e.ID)
 		for _, t := range e.Tasks {
 			l.forget(t, slices.DeleteFunc(l.byTask[t], func(o *entry) bool { return o == e }))
@@ -158,6 +175,7 @@
 	if len(entries) == 0 {
 		return
 	}
+	l.tasks -= len(entries)
 	for _, e := range entries {
 		e.Tasks = slices.DeleteFunc(slices.Clone(e.Tasks), func(o Task) bool { return o == t })
 	}
--- a/crash/ledger_test.go
+++ b/crash/ledger_test.go
@@ -112,3 +112,28 @@
 		t.Errorf("after %d unanswered starts on workers that have restarted the task is %v, want held", maxLosses, got)
 	}
 }
+
+// TestLedgerIsBounded guards against reports that take the memory of a host, and against a count of tasks that
+// drifts.
+func TestLedgerIsBounded(t *testing.T) {
+	l := New(1)
+	for i := range 4 * maxReports {
+		var tasks []Task
+		for k := range 1 + i%MaxTasks {
+			tasks = append(tasks, task("a", fmt.Sprint(i, " ", k)))
+		}
+		l.Record(time.Duration(i), Process{Worker: fmt.Sprint(i), Start: 1}, Refused, tasks)
+		l.Done(tasks[0])
+	}
+	counted := 0
+	for _, e := range l.entries {
+		counted += len(e.Tasks)
+	}
+	if len(l.entries) > maxReports || l.tasks > maxReportedTasks || counted != l.tasks || len(l.byTask) != counted {
+		t.Errorf("%d reports with %d tasks, counted as %d and known as %d", len(l.entries), counted, l.tasks, len(l.byTask))
+	}
+	l.Expire(memory + time.Hour)
+	if l.Open() || !l.Empty() || l.tasks != 0 || len(l.byTask) != 0 || len(l.byJob) != 0 || len(l.byID) != 0 {
+		t.Errorf("after all is forgotten %d tasks and %d jobs are left", l.tasks, len(l.byJob))
+	}
+}
--- a/entry/crashes.go
+++ b/entry/crashes.go
@@ -35,7 +35,7 @@
 	}
 	f := &dto.MetricFamily{
 		Name: ptr(namePrefix + "task_crashes"), Type: dto.MetricType_GAUGE.Enum(),
-		Help: ptr("Workers that have crashed under a task within the last minute, for the tasks with the most."),
+		Help: ptr("Workers that have crashed under a task within the last ten minutes, for the tasks with the most."),
 	}
 	for _, o := range s.crashingTasks {
 		f.Metric = append(f.Metric, &dto.Metric{Label: crashLabels(o), Gauge: &dto.Gauge{Value: ptr(float64(o.Crashes))}})
