Let the clock of a simulated worker keep its speed within a process

Cause: the stand-in, not the product. The comment on SetClockRate asked for a restart at once, and the fault did not do so. Change: the speed holds from the next process on. The faults and the check of the soak stay as they are.

--- a/standin/fleetsim/worker.go
+++ b/standin/fleetsim/worker.go
@@ -20,6 +20,7 @@
 
 	mu               sync.Mutex
 	clockRate        float64 // speed of its clock; 1 is real time
+	nextClockRate    float64 // of the clock of the next process
 	faults           Faults
 	coldUntil        time.Time // until then tasks that start take ColdSlowdown times as long
 	history          []EndedRun
@@ -87,19 +88,19 @@
 	id string, capacity int64, cpuOf func(task string) int64, reportViolation func(string),
 ) *Worker {
 	w := &Worker{
-		ID: id, Capacity: capacity, clockRate: 1,
+		ID: id, Capacity: capacity, nextClockRate: 1,
 		cpuOf: cpuOf, reportViolation: reportViolation, startCounts: make(map[string]int),
 	}
 	w.Restart()
 	return w
 }
 
-// SetClockRate sets the speed of the worker's clock; 1 is real time. Call Restart afterwards: a change
-// within a process makes its clock jump.
+// SetClockRate sets the speed of the clock of the next process; 1 is real time. The clock of a running process is
+// steady: another speed would make it jump, and its leases would last longer than any host can know.
 func (w *Worker) SetClockRate(rate float64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.clockRate = rate
+	w.nextClockRate = rate
 }
 
 // CrashSuffix ends the payload of a job whose first task crashes the workers that start it.
@@ -119,11 +120,14 @@
 func (w *Worker) Restart() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.endDueRuns()
+	if w.clockRate > 0 { // not the first process
+		w.endDueRuns()
+	}
 	for task := range w.running {
 		w.endRun(task, "crashed", time.Now())
 	}
 	w.processStart = time.Now()
+	w.clockRate = w.nextClockRate
 	w.fence, w.leaseEndMillis, w.lastEndNumber = 0, 0, 0
 	w.running = make(map[string]*activeRun)
 	w.highestClosedRun = make(map[string]int64)
