--- a/sched/place.go
+++ b/sched/place.go
@@ -198,7 +198,7 @@
 		}
 		score := j.score(now, c, s.speedOf(now, c.w, j), mayWait)
 		if score > 0 {
-			score = max(minScore, score-s.sharingScore(j, c.w))
+			score = max(minScore, score-s.sharingCost(j, c.w))
 		}
 		if score > bestScore {
 			best, bestScore = c, score
--- a/sched/suspects.go
+++ b/sched/suspects.go
@@ -109,8 +109,8 @@
 // another job. It is above the differences between workers on which the task ends in time.
 const sharingPenalty = 5
 
-// sharingScore returns what sharing a worker takes off its score for a task of the job.
-func (s *State) sharingScore(j *job, w *worker) float64 {
+// sharingCost returns what sharing a worker takes off its score for a task of the job.
+func (s *State) sharingCost(j *job, w *worker) float64 {
 	if s.crashes.Empty() {
 		return 0
 	}
