Share the filters of a pool and the guard of loss reports

Cause: reading the change once more: three callers of recordLoss repeated parts of one guard, the filters of a pool's workers and waiting jobs stood in shed.go, admission.go and risk.go, and the name of a job was put together in three places. riskRoom had a field and parameters that nothing used, and simJob a map that nothing read. Change: recordLoss holds the guard, pool.counts and pool.waits the filters, crash.JobOf the name; the dead parts are gone.

--- a/crash/crash.go
+++ b/crash/crash.go
@@ -57,6 +57,9 @@
 	ID   string
 }
 
+// JobOf returns the name of a job of a route.
+func JobOf(r fleet.Route, id string) Job { return Job{Kind: KindOf(r), ID: id} }
+
 // Task is a task of a job.
 type Task struct {
 	Job   Job
--- a/host/jobs.go
+++ b/host/jobs.go
@@ -50,7 +50,7 @@
 		s.answerJob(now, j, sched.Cancelled, reasonCancelled)
 		return
 	}
-	if task, found := s.sched.Crashes().GivenUpTask(crash.Job{Kind: crash.KindOf(e.Route), ID: e.Spec.ID}); found {
+	if task, found := s.sched.Crashes().GivenUpTask(crash.JobOf(e.Route, e.Spec.ID)); found {
 		s.answerJob(now, j, sched.Failed, sched.GivenUpReason(s.sched.Crashes(), task))
 		return
 	}
--- a/host/restart.go
+++ b/host/restart.go
@@ -44,7 +44,7 @@
 	var jobs []crash.Job
 	switch e := ev.(type) {
 	case JobArrived:
-		jobs = append(jobs, crash.Job{Kind: crash.KindOf(e.Route), ID: e.Spec.ID})
+		jobs = append(jobs, crash.JobOf(e.Route, e.Spec.ID))
 	case FrameReceived:
 		for _, m := range e.Frame.GetMessages() {
 			if submit := m.GetSubmit(); submit != nil {
--- a/host/simulation_jobs_test.go
+++ b/host/simulation_jobs_test.go
@@ -33,7 +33,6 @@
 	sentAfter  bool          // it was submitted again after its cancellation was sent
 	killsAtAck int           // processes that had been killed by ackedAt
 	deadly     bool          // its first task crashes the workers that start it
-	starts     map[int]int   // accepted starts, by task
 	crashes    int           // of workers, by its first task
 	lostRuns   map[int]int   // runs that ended with their worker's process, by task
 	faultsAt   int           // faults of hosts and networks before it was submitted
@@ -71,7 +70,7 @@
 	w.nextJob++
 	j := &simJob{
 		id: fmt.Sprintf("job%d", w.nextJob), tasks: tasks, takes: takes, failing: failing,
-		need: fleet.Resources{CPU: 27000, Memory: 64}, done: make(map[int]bool), starts: make(map[int]int),
+		need: fleet.Resources{CPU: 27000, Memory: 64}, done: make(map[int]bool),
 		lostRuns: make(map[int]int), faultsAt: w.faults,
 	}
 	w.jobs[j.id] = j
@@ -330,7 +329,6 @@
 		return reply
 	}
 	j.started = true
-	j.starts[o.Run.Task.Index]++
 	c.recordStart(j, o.Run)
 	if j.deadly && o.Run.Task.Index == 0 {
 		j.crashes++
--- a/sched/admission.go
+++ b/sched/admission.go
@@ -28,7 +28,7 @@
 	s.shares.divide(now, p.service)
 	a := &admission{now: now, pool: p, forecast: f}
 	for _, j := range s.queue {
-		if j.finished || j.suspicion.parked() || j.cell != p.cell || j.route.Service != p.service {
+		if !p.waits(j) {
 			continue
 		}
 		j.waitsForRoom = false
@@ -169,7 +169,7 @@
 	f := new(forecast)
 	effective, busyWork, workers := 0.0, 0.0, 0
 	for _, w := range s.sortedWorkers {
-		if !w.countsAsCapacity() || w.cell != p.cell || w.info.Service != p.service {
+		if !p.counts(w) {
 			continue
 		}
 		workers++
--- a/sched/loss.go
+++ b/sched/loss.go
@@ -35,19 +35,15 @@
 // recordRefusal reports a worker whose address refuses connections, before its lease has ended: this host
 // may be lost itself by then.
 func (s *State) recordRefusal(now time.Duration, w *worker) {
-	if w.lossReported || w.phase == phaseNone {
-		return
-	}
 	s.recordLoss(now, w, crash.Refused, w.runList)
 }
 
 // recordLapse reports a worker whose lease has ended while it did not answer. A lease that this host has
 // withheld ends on a worker that answers.
 func (s *State) recordLapse(now time.Duration, w *worker) {
-	if w.lossReported || w.missedHolds == 0 || w.phase == phaseNone {
-		return
+	if w.missedHolds > 0 {
+		s.recordLoss(now, w, crash.Silent, w.runList)
 	}
-	s.recordLoss(now, w, crash.Silent, w.runList)
 }
 
 // recordRestart reports a worker of which another process has answered, with the runs that the earlier one
@@ -59,14 +55,13 @@
 			runs = append(runs, r)
 		}
 	}
-	if !w.lossReported {
-		s.recordLoss(now, w, crash.Replaced, runs)
-	}
+	s.recordLoss(now, w, crash.Replaced, runs)
 }
 
-// recordLoss reports a worker that was lost with runs. A worker that drains leaves as planned.
+// recordLoss reports a worker that was lost with runs, once for each loss, while this host commands it. A worker
+// that drains leaves as planned.
 func (s *State) recordLoss(now time.Duration, w *worker, evidence crash.Evidence, runs []*run) {
-	if len(runs) == 0 || w.info.Draining {
+	if len(runs) == 0 || w.lossReported || w.phase == phaseNone || w.info.Draining {
 		return
 	}
 	var certain, uncertain []crash.Task
--- a/sched/place.go
+++ b/sched/place.go
@@ -80,6 +80,16 @@
 	service string
 }
 
+// counts reports whether the worker adds to the capacity of the pool.
+func (p pool) counts(w *worker) bool {
+	return w.countsAsCapacity() && w.cell == p.cell && w.info.Service == p.service
+}
+
+// waits reports whether a queued job waits for room in the pool.
+func (p pool) waits(j *job) bool {
+	return !j.finished && !j.suspicion.parked() && j.cell == p.cell && j.route.Service == p.service
+}
+
 // eligible reports whether the worker belongs to the job's service and cell.
 func (j *job) eligible(w *worker) bool {
 	return w.cell == j.cell && w.info.Service == j.route.Service
@@ -156,7 +166,7 @@
 			stillWaiting = append(stillWaiting, index)
 			continue
 		}
-		c := s.chooseWorker(now, j, index, s.withinRiskRoom(now, j, workers), mayWait)
+		c := s.chooseWorker(now, j, index, s.withinRiskRoom(j, workers), mayWait)
 		if c == nil {
 			stillWaiting = append(stillWaiting, index)
 			if s.standing(j, index) == crash.Suspect {
--- a/sched/risk.go
+++ b/sched/risk.go
@@ -19,7 +19,6 @@
 // share of the workers that are left. Each crash takes a worker away for seconds, so without a bound the kind
 // would use up the whole pool.
 type riskRoom struct {
-	kind    crash.Kind
 	workers int   // that may run tasks of the kind
 	cpu     int64 // that its tasks can use on them, in thousandths of a core
 	used    int64 // CPU of its running tasks
@@ -27,11 +26,11 @@
 }
 
 // riskRoom returns the room of a risky kind in a pool.
-func (s *State) riskRoom(now time.Duration, p pool, kind crash.Kind) riskRoom {
-	room := riskRoom{kind: kind}
+func (s *State) riskRoom(p pool, kind crash.Kind) riskRoom {
+	var room riskRoom
 	alive, capacity := 0, int64(0)
 	for _, w := range s.sortedWorkers {
-		if !w.countsAsCapacity() || w.cell != p.cell || w.info.Service != p.service {
+		if !p.counts(w) {
 			continue
 		}
 		alive++
@@ -86,10 +85,10 @@
 		return
 	}
 	for _, kind := range s.riskyKinds(p) {
-		room := s.riskRoom(now, p, kind)
+		room := s.riskRoom(p, kind)
 		waiting := int64(0)
 		for _, j := range s.queue {
-			if j.finished || j.suspicion.parked() || j.cell != p.cell || j.route.Service != p.service || crash.KindOf(j.route) != kind {
+			if !p.waits(j) || crash.KindOf(j.route) != kind {
 				continue
 			}
 			waiting += j.waitingCPU()
@@ -127,12 +126,12 @@
 
 // withinRiskRoom returns the workers on which a task of the job may start: all of them unless its kind is risky,
 // and then only those that run tasks of the kind while it runs on as many workers as it may.
-func (s *State) withinRiskRoom(now time.Duration, j *job, workers []*candidate) []*candidate {
+func (s *State) withinRiskRoom(j *job, workers []*candidate) []*candidate {
 	if !isRisky(j) {
 		return workers
 	}
 	kind := crash.KindOf(j.route)
-	if room := s.riskRoom(now, pool{j.cell, j.route.Service}, kind); room.running < room.workers {
+	if room := s.riskRoom(pool{j.cell, j.route.Service}, kind); room.running < room.workers {
 		return workers
 	}
 	var list []*candidate
--- a/sched/shed.go
+++ b/sched/shed.go
@@ -76,7 +76,7 @@
 	var refusable []*job // without a started task, in the order of their starts
 	neededCPU, neededBytes := int64(0), 0
 	for _, j := range s.queue {
-		if j.finished || j.suspicion.parked() || j.cell != p.cell || j.route.Service != p.service {
+		if !p.waits(j) {
 			continue
 		}
 		neededCPU += j.waitingCPU()
--- a/sched/suspects.go
+++ b/sched/suspects.go
@@ -9,7 +9,7 @@
 
 // crashJob returns the name of a job across submissions, commanders and cells.
 func crashJob(j *job) crash.Job {
-	return crash.Job{Kind: crash.KindOf(j.route), ID: j.spec.ID}
+	return crash.JobOf(j.route, j.spec.ID)
 }
 
 // suspicion is what the reports of lost workers mean for a job, as of the newest assess.
