Take the time that a worker needs to end a run from the settings

The platform names the time, and a worker measures it on its own clock.

Nothing uses RunOver for runs yet.

--- a/entry/host.go
+++ b/entry/host.go
@@ -93,7 +93,7 @@
 	h.loop.replaced = func() { h.workers = h.workers.withSender(h.loop.callSender()) }
 	_ = h.logger.Log("part", "entry", "msg", "started", "zone", s.Zone, "id", h.id)
 	b := s.timing()
-	_ = h.logger.Log("part", "entry", "msg", "time limits", "resend_after", b.ResendAfter, "contact", b.ContactTimeout, "lease", b.Lease, "longest_run", b.LongestRun())
+	_ = h.logger.Log("part", "entry", "msg", "time limits", "resend_after", b.ResendAfter, "contact", b.ContactTimeout, "lease", b.Lease, "run_end", b.RunEnd, "longest_run", b.LongestRun())
 	go h.loop.serve()
 	ctx, cancel := context.WithCancel(context.Background())
 	h.stopStoreAccess = cancel
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -35,6 +35,9 @@
 	ResendAfter time.Duration `yaml:"resend_after,omitempty"`
 	// MaxLease is the longest lease that a worker allows.
 	MaxLease time.Duration `yaml:"max_lease,omitempty"`
+	// RunEndTime is the longest time that a worker takes to end a run once its lease has lapsed or it has taken
+	// a stop.
+	RunEndTime time.Duration `yaml:"run_end_time,omitempty"`
 	// RemotePenalty is the factor by which a task takes longer on another rack than that of its data.
 	RemotePenalty float64 `yaml:"remote_penalty,omitempty"`
 	// LookAhead decides by the predicted ends of running tasks which jobs are admitted and where large
@@ -71,8 +74,6 @@
 const (
 	defaultDrainTime      = 6 * time.Second
 	defaultLinesPerSecond = 400
-	defaultResendAfter    = 1300 * time.Millisecond
-	defaultMaxLease       = time.Second
 	defaultRemotePenalty  = 2.0
 )
 
@@ -90,7 +91,8 @@
 // all problems; path is only named there.
 func ParseSettings(path string, text []byte) (*Settings, error) {
 	s := &Settings{
-		Cores: 1, CoreShare: 1, DrainTime: defaultDrainTime, ResendAfter: defaultResendAfter, MaxLease: defaultMaxLease,
+		Cores: 1, CoreShare: 1, DrainTime: defaultDrainTime,
+		ResendAfter: timing.DefaultResendAfter, MaxLease: timing.DefaultMaxLease, RunEndTime: timing.DefaultRunEnd,
 		RemotePenalty: defaultRemotePenalty, Log: Log{LinesPerSecond: defaultLinesPerSecond},
 	}
 	list := new(finding.List)
@@ -119,13 +121,10 @@
 	require(s.MaxDescriptors >= 0, "max_descriptors", "must not be negative")
 	require(s.ResendAfter > 0, "resend_after", "must be positive")
 	require(s.MaxLease > 0, "max_lease", "must be positive")
-	if s.ResendAfter > 0 && s.MaxLease > 0 {
-		field := "resend_after"
-		if s.MaxLease < timing.MinLease {
-			field = "max_lease"
-		}
-		_, err := timing.New(s.ResendAfter, s.MaxLease)
-		require(err == nil, field, fmt.Sprint(err))
+	require(s.RunEndTime > 0, "run_end_time", "must be positive")
+	if s.ResendAfter > 0 && s.MaxLease > 0 && s.RunEndTime > 0 {
+		_, err := timing.New(s.timeLimits())
+		require(err == nil, s.tightestTime(), fmt.Sprint(err))
 	}
 	require(s.RemotePenalty >= 1, "remote_penalty", "must be at least 1")
 	require(s.CellWorkers >= 0, "cell_workers", "must not be negative")
@@ -149,9 +148,26 @@
 	}
 }
 
+// timeLimits returns the times on which the time limits of the deployment rest.
+func (s *Settings) timeLimits() timing.Limits {
+	return timing.Limits{ResendAfter: s.ResendAfter, MaxLease: s.MaxLease, RunEnd: s.RunEndTime}
+}
+
+// tightestTime returns the field to which a finding on time limits that do not add up belongs.
+func (s *Settings) tightestTime() string {
+	switch {
+	case s.MaxLease < timing.MinLease:
+		return "max_lease"
+	case s.RunEndTime > timing.DefaultRunEnd:
+		return "run_end_time"
+	default:
+		return "resend_after"
+	}
+}
+
 // timing returns the time limits of the deployment. ParseSettings has checked that they add up.
 func (s *Settings) timing() timing.Budget {
-	b, _ := timing.New(s.ResendAfter, s.MaxLease)
+	b, _ := timing.New(s.timeLimits())
 	return b
 }
 
--- a/timing/timing.go
+++ b/timing/timing.go
@@ -4,15 +4,17 @@
 package timing
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/cockroachdb/errors"
 )
 
 const (
-	// DefaultResendAfter and DefaultMaxLease are assumed where the settings name no value.
+	// DefaultResendAfter, DefaultMaxLease and DefaultRunEnd are assumed where the settings name no value.
 	DefaultResendAfter = 1300 * time.Millisecond
 	DefaultMaxLease    = time.Second
+	DefaultRunEnd      = 50 * time.Millisecond
 	// MinClockRate is the lowest rate at which the steady clock of a worker may run, relative to that of
 	// the host. A lease is reckoned on the clock of the worker, so a slow one makes it longer.
 	MinClockRate = 0.98
@@ -29,51 +31,53 @@
 	// its jobs have ended. At the age of contactTimeout it still leaves a lease with which a hold is answered
 	// in time on a slow link.
 	horizon = 1000 * time.Millisecond
-	// runEndTime is the longest time that a worker takes to end a run once its lease has lapsed or it
-	// has taken a stop.
-	runEndTime = 50 * time.Millisecond
 	// schedulingMargin covers timers that fire late on the workers, and the time between the break of a
 	// caller's connection and its notice on a host that runs.
 	schedulingMargin = 50 * time.Millisecond
 )
 
+// Limits are the times of a deployment that its settings name. 0 stands for the default.
+type Limits struct {
+	ResendAfter time.Duration // after a broken connection, from which on callers send a job again
+	MaxLease    time.Duration // longest lease that a worker allows
+	// RunEnd is the longest time that a worker takes, on its own clock, to end a run once its lease has lapsed
+	// or it has taken a stop.
+	RunEnd time.Duration
+}
+
 // Budget holds the time limits of a deployment. Create it with New.
 type Budget struct {
-	ResendAfter    time.Duration // after which callers send a job again
-	MaxLease       time.Duration // longest lease that a worker allows
+	Limits
 	ContactTimeout time.Duration // age of a contact above which the other host's jobs get no more leases
 	Lease          time.Duration // longest that is granted by a start or a hold, on the clock of the worker
 	Horizon        time.Duration // age of a contact at which all leases granted for the other host's jobs have ended
 }
 
-// New returns the time limits for a deployment. 0 stands for the default. Limits of a larger
-// resendAfter are those of the default; for a smaller one the lease is shortened. It returns an error if
-// no lease is left with which workers can be held.
-func New(resendAfter, maxLease time.Duration) (Budget, error) {
-	if resendAfter == 0 {
-		resendAfter = DefaultResendAfter
-	}
-	if maxLease == 0 {
-		maxLease = DefaultMaxLease
-	}
-	b := Budget{ResendAfter: resendAfter, MaxLease: maxLease, ContactTimeout: contactTimeout}
-	left := time.Duration(float64(resendAfter-contactTimeout-runEndTime-schedulingMargin) * MinClockRate)
-	b.Lease = min(lease, maxLease, left.Truncate(time.Millisecond))
-	b.Horizon = min(horizon, resendAfter-runEndTime-schedulingMargin)
-	if maxLease < MinLease {
-		return b, errors.Newf("a lease of at most %v is too short to hold workers; they need %v", maxLease, MinLease)
+// New returns the time limits of a deployment. Those of a larger ResendAfter than the default are those of the
+// default; for a smaller one, or a longer RunEnd, the lease is shortened. It returns an error if no lease is left
+// with which workers can be held.
+func New(l Limits) (Budget, error) {
+	l.ResendAfter = cmp.Or(l.ResendAfter, DefaultResendAfter)
+	l.MaxLease = cmp.Or(l.MaxLease, DefaultMaxLease)
+	l.RunEnd = cmp.Or(l.RunEnd, DefaultRunEnd)
+	b := Budget{Limits: l, ContactTimeout: contactTimeout}
+	b.Horizon = min(horizon, l.ResendAfter-b.RunOver(schedulingMargin))
+	left := time.Duration(float64(l.ResendAfter-b.RunOver(contactTimeout+schedulingMargin)) * MinClockRate)
+	b.Lease = min(lease, l.MaxLease, left.Truncate(time.Millisecond))
+	if l.MaxLease < MinLease {
+		return b, errors.Newf("a lease of at most %v is too short to hold workers; they need %v", l.MaxLease, MinLease)
 	}
 	if b.Lease < MinLease {
 		b.Lease, b.Horizon = MinLease, contactTimeout+OnHostClock(MinLease)
-		return b, errors.Newf("callers send a job again after %v, but its earlier runs may go on for %v: %v to notice a lost host, %v for the shortest lease on a clock 2%% slow, %v to end them and %v to spare",
-			resendAfter, b.LongestRun(), b.ContactTimeout, OnHostClock(b.Lease).Round(time.Millisecond), runEndTime, schedulingMargin)
+		return b, errors.Newf("callers send a job again after %v, but its earlier runs may go on for %v: %v to notice a lost host, %v for the shortest lease and %v to end them on a clock 2%% slow, and %v to spare",
+			l.ResendAfter, b.LongestRun().Round(time.Millisecond), b.ContactTimeout, OnHostClock(b.Lease).Round(time.Millisecond), b.RunOver(0).Round(time.Millisecond), schedulingMargin)
 	}
 	return b, nil
 }
 
 // Default returns the time limits of a deployment that names none.
 func Default() Budget {
-	b, err := New(0, 0)
+	b, err := New(Limits{})
 	if err != nil {
 		panic(err) // the default values add up; a test shows it
 	}
@@ -88,12 +92,17 @@
 	return max(0, min(b.Lease, left.Truncate(time.Millisecond)))
 }
 
+// RunOver returns when a run is over that a worker begins to end at a time, whether its lease has lapsed or the
+// worker has taken a stop. Nothing that rests on the end of a run may happen earlier, unless the worker itself has
+// listed the end.
+func (b Budget) RunOver(begun time.Duration) time.Duration { return begun + OnHostClock(b.RunEnd) }
+
 // LongestRun returns the time for which a run can go on after its caller's connection has broken. It is
 // the sum that has to stay below ResendAfter: no lease outlasts the last contact with the caller's host by
 // more than Horizon, and a stop that stays without answer does not lengthen this.
 func (b Budget) LongestRun() time.Duration {
-	longest := min(b.Horizon, b.ContactTimeout+OnHostClock(b.Lease).Round(time.Millisecond))
-	return longest + runEndTime + schedulingMargin
+	lapse := min(b.Horizon, b.ContactTimeout+OnHostClock(b.Lease).Round(time.Millisecond))
+	return b.RunOver(lapse) + schedulingMargin
 }
 
 // OnHostClock returns how long a time on the clock of a worker takes at most on that of a host.
