Take the missing cells of a zone as soon as another commander is heard

Cause: a host that leaves a cell to a better candidate finds out with its next tick that this one has taken another cell, up to 25 ms after the frame that tells so.

Change: a frame with a claim that shortens the list of missing cells leads to a decision at once.

--- a/host/recovery.go
+++ b/host/recovery.go
@@ -81,12 +81,17 @@
 }
 
 // recheckRecovery lets the jobs that wait for a cell go there as soon as a host of the own zone announces
-// one.
+// one. The cells that are still missing may be for this host to take then.
 func (s *State) recheckRecovery(now time.Duration, p *peer) {
-	if s.recovery.since != 0 && p.info.GetZone() == s.opts.Self.Zone && p.commands() {
-		s.updateRecovery(now, s.liveHosts(now))
-		s.retryJobs(now)
+	if s.recovery.since == 0 || p.info.GetZone() != s.opts.Self.Zone || !p.commands() {
+		return
+	}
+	before := len(s.recovery.missing)
+	s.updateRecovery(now, s.liveHosts(now))
+	if left := len(s.recovery.missing); left > 0 && left < before {
+		s.decideCells(now)
 	}
+	s.retryJobs(now)
 }
 
 // comesBack reports whether a cell of the own zone is expected to get a commander soon.
