Wait for a run to be over before its task or its room is used again

Cause: package timing knew the time, sched did not use it. The model of workers ended lapsed runs in the instant of the lease's end, so that no sequence could show it.

Change: sched/runend.go takes runs without a listed end for over at Budget.RunOver only, the lease's end, the first list without the run or the answered stop being the begin. A taken worker accepts tasks that long after its first list; jobs that wait for such room are not refused as load. The ends are looked for with the first event after they are due, not with the next tick. The log tells what a restart rests on (former_run_over_by), for how long the run was certainly over (over_ago) and, for a lapse, how long ago the lease ended. The model takes up to 50 ms on its own clock for each stop and each lapse, and may leave the run out of its lists meanwhile; the sequences of host and sched draw both.

Tests: lists that only say how long ago a worker was taken now let the take end first (settleTime). TestRefusedCallsGrantNoLease and TestNoSecondRunDuringFormerLease count from the time when the run is over in place of its lease's end, which is what they guard.

--- a/host/machine_test.go
+++ b/host/machine_test.go
@@ -307,6 +307,7 @@
 	for waited := time.Duration(0); m.openJob() != "" && waited < maxAnswerTime; waited += time.Second {
 		m.w.advance(time.Second)
 	}
+	m.check(t)
 	if id := m.openJob(); id != "" {
 		t.Fatalf("%s has no answer %v after the last fault", id, 2*recoveryTime+maxAnswerTime)
 	}
--- a/host/simulation_jobs_test.go
+++ b/host/simulation_jobs_test.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"sesameledge.dev/sesameledge/fleet"
-	"sesameledge.dev/sesameledge/internal/workermodel"
 	"sesameledge.dev/sesameledge/sched"
 )
 
@@ -313,7 +312,7 @@
 		c.reply(fleet.HoldReply{Reply: c.start(e.Order)})
 	case sched.StopRun:
 		c.reply(fleet.HoldReply{Reply: c.ww.Stop(c.w.now, e.Order)})
-		c.w.after(workermodel.StopTime, func() { c.w.expire(); c.ww.wakeHolds() })
+		c.w.after(c.ww.EndTime(), func() { c.w.expire(); c.ww.wakeHolds() })
 	case sched.HoldWorker:
 		c.hold(e.Order)
 	}
--- a/host/simulation_test.go
+++ b/host/simulation_test.go
@@ -96,8 +96,10 @@
 		links: make(map[[2]int]*simLink), jobs: make(map[string]*simJob), entries: make(map[string]fleet.Worker),
 	}
 	w.version, w.cellWorkers, w.objective = 1, cellWorkers, time.Second
+	endings := rand.New(rand.NewPCG(seed, 1)) // its own source, so that the other draws of a seed stay as they are
 	for i := range 2 * workersPerZone {
 		w.addWorker(fmt.Sprintf("w%d", i), simZones[i%2], []float64{1, 0.98, 1}[i%3])
+		w.workers[i].Endings = drawEndings(endings)
 	}
 	for i := range 2 * hostsPerZone {
 		h := &simHost{
@@ -116,6 +118,15 @@
 	return w
 }
 
+// drawEndings draws how a worker ends runs. Half of the workers use up the time that they may take for it.
+func drawEndings(rng *rand.Rand) workermodel.Endings {
+	e := workermodel.Endings{Time: workermodel.MaxEndTime, Unlisted: rng.IntN(2) == 0}
+	if rng.IntN(2) == 0 {
+		e.Time = time.Duration(rng.Int64N(int64(workermodel.MaxEndTime)))
+	}
+	return e
+}
+
 var simZones = []string{"north", "south"}
 
 // simWorker is a worker of the deployment.
--- a/internal/workermodel/worker.go
+++ b/internal/workermodel/worker.go
@@ -1,7 +1,7 @@
 // Package workermodel is a reference model of a worker for property tests of the packages that
 // command workers. The model obeys the highest fencing token that it has seen and runs each task
 // that it is told to start, without a check of its capacity, until the run ends, is stopped or
-// loses its lease. Only tests import it; they leave it to Check to find out whether the commands
+// loses its lease. Each stop and each lapse takes the time that Endings gives. Only tests import it; they leave it to Check to find out whether the commands
 // were sound.
 package workermodel
 
@@ -15,12 +15,25 @@
 )
 
 const (
-	// StopTime is how long a worker takes to stop a run.
-	StopTime = 50 * time.Millisecond
+	// MaxEndTime is the longest time that a worker takes to end a run that it was told to stop or whose
+	// lease has lapsed, on its own clock.
+	MaxEndTime = 50 * time.Millisecond
 	// MaxLease is the longest lease that a worker allows, in ms.
 	MaxLease = 1000
 )
 
+// Endings says how a worker ends the runs that it was told to stop or whose lease has lapsed.
+type Endings struct {
+	Time     time.Duration // that it takes to end a run, on its own clock
+	Unlisted bool          // runs that are being ended are missing from its list of running runs
+}
+
+// ending is the end of a run that a worker has begun to end.
+type ending struct {
+	at  time.Duration // when the run is over
+	how fleet.RunEnd
+}
+
 // Worker is the model of a worker. Create it with New.
 type Worker struct {
 	ID        string
@@ -28,20 +41,22 @@
 	Capacity  fleet.Resources
 	Fence     int64         // highest fencing token seen
 	DownUntil time.Duration // no process answers before this time
+	Endings   Endings
 
 	clockRate           float64                          // speed of the clock relative to that of the test
 	leaseEnd            int64                            // on the worker's clock, in ms
 	running             map[fleet.RunKey]fleet.Resources // needs of the runs
-	stopDoneAt          map[fleet.RunKey]time.Duration   // when a stop takes effect; until then the run is running
+	ending              map[fleet.RunKey]ending          // of them, the runs that are being ended
 	highestEndedAttempt map[fleet.Task]int64             // highest attempt that was stopped or has ended
 	finished            []fleet.FinishedRun              // ends not yet acknowledged
 	lastEndNumber       int64                            // number of the newest end
 	startedAt           time.Duration                    // start of the process; its clock begins then
 }
 
-// New returns a worker without runs. rate is the speed of its clock relative to that of the test.
+// New returns a worker without runs that takes MaxEndTime to end one. rate is the speed of its clock relative to
+// that of the test.
 func New(id string, capacity fleet.Resources, rate float64) *Worker {
-	w := &Worker{ID: id, Capacity: capacity, clockRate: rate}
+	w := &Worker{ID: id, Capacity: capacity, Endings: Endings{Time: MaxEndTime}, clockRate: rate}
 	w.startProcess(0)
 	return w
 }
@@ -52,7 +67,7 @@
 	w.Fence, w.leaseEnd, w.lastEndNumber = 0, 0, 0
 	w.startedAt, w.DownUntil = at, at
 	w.running = make(map[fleet.RunKey]fleet.Resources)
-	w.stopDoneAt = make(map[fleet.RunKey]time.Duration)
+	w.ending = make(map[fleet.RunKey]ending)
 	w.highestEndedAttempt = make(map[fleet.Task]int64)
 	w.finished = nil
 }
@@ -65,20 +80,40 @@
 	return 1 + int64(float64((now-w.startedAt).Milliseconds())*w.clockRate)
 }
 
-// Expire ends the runs whose stop has taken effect, and all runs if the lease has ended.
+// onTestClock returns how long a time on the worker's clock takes on that of the test.
+func (w *Worker) onTestClock(d time.Duration) time.Duration {
+	return time.Duration(float64(d) / w.clockRate)
+}
+
+// EndTime returns how long the worker takes to end a run, on the clock of the test.
+func (w *Worker) EndTime() time.Duration { return w.onTestClock(w.Endings.Time) }
+
+// lapsesAt returns when the lease ends.
+func (w *Worker) lapsesAt() time.Duration {
+	return w.startedAt + w.onTestClock(time.Duration(w.leaseEnd-1)*time.Millisecond)
+}
+
+// Expire begins to end all runs if the lease has ended, and ends the runs for which that is due.
 func (w *Worker) Expire(now time.Duration) {
-	for _, key := range w.Running() {
-		if doneAt, ok := w.stopDoneAt[key]; ok && now >= doneAt {
-			w.EndRun(key, fleet.EndStopped)
+	if lapse := w.lapsesAt(); now >= lapse {
+		for key := range w.running {
+			w.beginEnd(lapse, key, fleet.EndLeaseExpired)
 		}
 	}
-	if w.Clock(now) >= w.leaseEnd {
-		for _, key := range w.Running() {
-			w.EndRun(key, fleet.EndLeaseExpired)
+	for _, key := range w.Running() {
+		if e, begun := w.ending[key]; begun && now >= e.at {
+			w.EndRun(key, e.how)
 		}
 	}
 }
 
+// beginEnd begins to end a run, unless that has begun before.
+func (w *Worker) beginEnd(now time.Duration, key fleet.RunKey, how fleet.RunEnd) {
+	if _, begun := w.ending[key]; !begun {
+		w.ending[key] = ending{at: now + w.EndTime(), how: how}
+	}
+}
+
 // Running returns the running runs in a fixed order.
 func (w *Worker) Running() []fleet.RunKey {
 	var keys []fleet.RunKey
@@ -100,7 +135,7 @@
 // EndRun ends a run and lists its end.
 func (w *Worker) EndRun(key fleet.RunKey, how fleet.RunEnd) {
 	delete(w.running, key)
-	delete(w.stopDoneAt, key)
+	delete(w.ending, key)
 	w.highestEndedAttempt[key.Task] = max(w.highestEndedAttempt[key.Task], key.Attempt)
 	w.lastEndNumber++
 	w.finished = append(w.finished, fleet.FinishedRun{Number: w.lastEndNumber, Run: key, End: how})
@@ -137,15 +172,15 @@
 	return fleet.Accepted
 }
 
-// Stop carries out a stop. The run ends after StopTime.
+// Stop carries out a stop. The run ends after EndTime.
 func (w *Worker) Stop(now time.Duration, o fleet.StopOrder) fleet.Reply {
 	w.Expire(now)
 	if o.Fence < w.Fence {
 		return w.reply(now, fleet.Fenced)
 	}
 	w.Fence = o.Fence
-	if w.IsRunning(o.Run) && w.stopDoneAt[o.Run] == 0 {
-		w.stopDoneAt[o.Run] = now + StopTime
+	if w.IsRunning(o.Run) {
+		w.beginEnd(now, o.Run, fleet.EndStopped)
 	}
 	w.highestEndedAttempt[o.Run.Task] = max(w.highestEndedAttempt[o.Run.Task], o.Run.Attempt)
 	return w.reply(now, fleet.Accepted)
@@ -164,6 +199,9 @@
 	w.finished = slices.DeleteFunc(w.finished, func(f fleet.FinishedRun) bool { return f.Number <= o.AckedNumber })
 	reply := fleet.HoldReply{Reply: w.reply(now, fleet.Accepted), Finished: slices.Clone(w.finished)}
 	for _, key := range w.Running() {
+		if _, begun := w.ending[key]; begun && w.Endings.Unlisted {
+			continue
+		}
 		reply.Running = append(reply.Running, fleet.ActiveRun{Run: key, Percent: 1})
 	}
 	return reply
--- a/sched/admission.go
+++ b/sched/admission.go
@@ -78,10 +78,12 @@
 	}
 }
 
-// startsLate reports whether a job, the last one so far, is predicted to start too late. What waits for the
-// link leaves at its pace, so that this wait needs no margin.
+// startsLate reports whether a job, the last one so far, is predicted to start too late for the load. To wait
+// for workers that are being taken, with room for all, is none. What waits for the link leaves at its pace, so that
+// this wait needs no margin.
 func (s *State) startsLate(a *admission, j *job) bool {
-	return a.now+a.forecast.wait(a.cpu) > j.latestAdmission() || a.now+s.link.Wait(a.now, a.bytes) > j.latestStart()+startTolerance
+	lacksRoom := !a.forecast.hasRoom(a.cpu) && a.now+a.forecast.wait(a.cpu) > j.latestAdmission()
+	return lacksRoom || a.now+s.link.Wait(a.now, a.bytes) > j.latestStart()+startTolerance
 }
 
 // startWait predicts how long it takes until all jobs so far have started.
@@ -175,7 +177,7 @@
 		workers++
 		cold := s.currentColdSpeed(now, w)
 		if w.isBeingTaken() {
-			f.addComing(w)
+			f.addComing(w, s.takeTime(w))
 		} else {
 			f.free += int64(float64(max(0, w.freeCapacity().CPU)) * cold)
 		}
--- a/sched/call_test.go
+++ b/sched/call_test.go
@@ -18,10 +18,12 @@
 }
 
 func newSlowPool() *slowPool {
-	p := &slowPool{s: New(0), now: time.Minute}
+	p := &slowPool{s: New(0), now: time.Minute - settleTime}
 	info := fleet.Worker{ID: "w0", Service: "s", Zone: "z", Capacity: fleet.Resources{CPU: 64000, Memory: 1000}}
 	p.step(UpdateWorkers{Workers: []fleet.Worker{info}})
 	p.step(TakeWorker{Worker: "w0", Cell: "z", Fence: 1})
+	p.now = time.Minute
+	p.step(Tick{})
 	return p
 }
 
--- a/sched/command.go
+++ b/sched/command.go
@@ -63,7 +63,7 @@
 	}
 	s.recordCellTake(now, e)
 	w.phase = phaseTaking
-	w.cleared = false
+	w.cleared, w.listed = false, false
 	w.fence = e.Fence
 	w.cell = e.Cell
 	w.processedEnd, w.acknowledgedEnd = 0, 0
--- a/sched/endedrun.go
+++ b/sched/endedrun.go
@@ -29,19 +29,26 @@
 // String implements fmt.Stringer.
 func (b EndBasis) String() string { return fleet.NameOf(endBasisNames[:], int(b)) }
 
+// ending is the end of a run.
+type ending struct {
+	how   fleet.RunEnd
+	basis EndBasis
+	over  time.Duration // the run is certainly over by then
+}
+
 // endedRun is a run that has ended without completing its task.
 type endedRun struct {
+	ending
 	worker    string
-	submitted JobKey // submission of the job that the run belonged to
-	basis     EndBasis
+	submitted JobKey        // submission of the job that the run belonged to
 	at        time.Duration // when the host found out
 	leaseLeft time.Duration // from then until the bound of the worker's lease; negative after it
 }
 
 // rememberEnd keeps the end of a run for the next run of its task.
-func (s *State) rememberEnd(now time.Duration, w *worker, r *run, basis EndBasis) {
+func (s *State) rememberEnd(now time.Duration, w *worker, r *run, end ending) {
 	s.endedRuns[r.key.Task] = endedRun{
-		worker: w.info.ID, submitted: r.job.key, basis: basis, at: now, leaseLeft: w.leaseEndBound - now,
+		ending: end, worker: w.info.ID, submitted: r.job.key, at: now, leaseLeft: w.leaseEndBound - now,
 	}
 }
 
@@ -60,11 +67,12 @@
 
 // restarts are tasks of a job that are started again.
 type restarts struct {
-	tasks    int
-	earlier  int // of them, tasks whose former run belonged to an earlier submission of the job
-	workers  []string
-	shortest time.Duration // since the end of a former run was found out
-	lease    time.Duration // longest that was left of a former lease then
+	tasks   int
+	earlier int // of them, tasks whose former run belonged to an earlier submission of the job
+	workers []string
+	found   time.Duration // shortest since the end of a former run was found out
+	over    time.Duration // shortest since a former run was certainly over
+	lease   time.Duration // longest that was left of a former lease when the end was found out
 }
 
 // add counts a task that is started, if a run of it has ended before.
@@ -76,9 +84,11 @@
 	delete(s.endedRuns, task)
 	s.stats.Restarts[e.basis]++
 	b := &l[e.basis]
-	if b.tasks == 0 || now-e.at < b.shortest {
-		b.shortest = now - e.at
+	if b.tasks == 0 {
+		b.found, b.over = now-e.at, now-e.over
 	}
+	b.found = min(b.found, now-e.at)
+	b.over = min(b.over, now-e.over)
 	b.lease = max(b.lease, e.leaseLeft)
 	b.tasks++
 	b.workers = append(b.workers, e.worker)
@@ -94,6 +104,6 @@
 			continue
 		}
 		s.logEvent(j.spec.RequestID, "tasks started again", "job", j.spec.ID, "tasks", b.tasks, "of_earlier_submission", b.earlier,
-			"former_run_over_by", EndBasis(basis), "found_ago", b.shortest, "lease_left_then", max(0, b.lease), "former_workers", strings.Join(b.workers, ","))
+			"former_run_over_by", EndBasis(basis), "over_ago", b.over, "found_ago", b.found, "lease_left_then", max(0, b.lease), "former_workers", strings.Join(b.workers, ","))
 	}
 }
--- a/sched/foreign_test.go
+++ b/sched/foreign_test.go
@@ -21,7 +21,6 @@
 // commander, whose size is unknown, before these have been stopped.
 func TestNoPlacementBesideForeignRuns(t *testing.T) {
 	m := newSchedMachine()
-	m.deliverPending()
 	w := m.workers[0]
 	w.Hold(m.now, fleet.HoldOrder{Fence: 1000})
 	startRivalRun(w, m.now, 1000, 1)
@@ -49,7 +48,7 @@
 	}
 	for range 4 {
 		m.deliverPending()
-		m.advance(workermodel.StopTime)
+		m.advance(workermodel.MaxEndTime)
 	}
 	if got := len(w.Running()); got != 1 {
 		t.Fatalf("%d tasks run on %s after the foreign run has ended, want 1", got, w.ID)
--- a/sched/hold.go
+++ b/sched/hold.go
@@ -118,17 +118,11 @@
 		s.endListedRun(now, w, f)
 	}
 	running := s.updateRunning(now, w, e.Reply.Running)
-	s.endUnlistedRuns(now, w, e, running)
-	if w.phase == phaseTaking {
-		// The former commander may have extended the lease just before this host took the worker, and
-		// a lease never shortens.
-		w.raiseLeaseEndBound(now, s.timing.MaxLease)
-	}
-	if w.phase == phaseTaking && len(w.foreignRuns) == 0 {
-		w.phase = phaseHeld
-		w.cleared = true
-		s.logEvent("", "worker taken", "worker", w.info.ID, "fence", w.fence)
+	s.markUnlistedRuns(now, w, e, running)
+	if !w.cleared {
+		s.recordTakenList(now, w)
 	}
+	s.endOverRuns(now, w)
 	if len(w.runs) == 0 && len(w.foreignRuns) == 0 {
 		w.nextHold = now + maxAckDelay
 		if w.entryOutdated() {
@@ -153,7 +147,7 @@
 		s.clearForeignRuns(w)
 		for _, r := range sortedRuns(w) {
 			if r.listedIncarnation == w.incarnation {
-				s.endRun(now, w, r, fleet.EndUnknown, EndReplaced)
+				s.endRun(now, w, r, ending{how: fleet.EndUnknown, basis: EndReplaced, over: now})
 				continue
 			}
 			r.leaseUntil = 0
@@ -173,7 +167,7 @@
 	if r == nil {
 		return
 	}
-	s.endRun(now, w, r, f.End, EndListed)
+	s.endRun(now, w, r, ending{how: f.End, basis: EndListed, over: now})
 }
 
 // updateRunning processes a worker's list of running runs and returns their keys. It stops foreign
@@ -183,22 +177,21 @@
 	for _, row := range list {
 		running[row.Run] = true
 		if r := w.runs[row.Run]; r != nil {
+			r.overAt = 0
 			r.recordProgress(now, row.Percent)
 			r.listedIncarnation = w.incarnation
 			continue
 		}
-		if w.foreignRuns[row.Run] == nil {
-			s.stats.Foreign++
-			s.logEvent("", "stopping a run of another host", "worker", w.info.ID, "task", row.Run.Task, "attempt", row.Run.Attempt)
-			f := &foreignRun{stop: stopState{wantedSince: now}}
-			s.addForeignRun(w, row.Run, f)
-			s.sendStop(now, w, row.Run, &f.stop)
-		}
-	}
-	for key := range w.foreignRuns {
-		if !running[key] {
-			s.removeForeignRun(w, key)
+		if f := w.foreignRuns[row.Run]; f != nil {
+			f.overAt = 0
+			continue
 		}
+		s.stats.Foreign++
+		s.logEvent("", "stopping a run of another host", "worker", w.info.ID, "task", row.Run.Task, "attempt", row.Run.Attempt)
+		f := &foreignRun{stop: stopState{wantedSince: now}}
+		s.addForeignRun(w, row.Run, f)
+		s.raiseForFormerCommander(now, w)
+		s.sendStop(now, w, row.Run, &f.stop)
 	}
 	return running
 }
@@ -214,27 +207,6 @@
 	}
 }
 
-// endUnlistedRuns ends the runs that are missing from a complete list and that the worker can no
-// longer start: it was known to run them before the hold was sent, it had accepted a stop by then,
-// or the lease in their start has ended.
-func (s *State) endUnlistedRuns(now time.Duration, w *worker, e HoldReply, running map[fleet.RunKey]bool) {
-	for _, r := range sortedRuns(w) {
-		if running[r.key] {
-			continue
-		}
-		confirmed := r.confirmedAt != 0 && r.confirmedAt < e.Sent
-		stopped := r.stop.acceptedAt != 0 && r.stop.acceptedAt < e.Sent
-		expired := r.confirmedAt == 0 && r.startSentAt < e.Sent && r.leaseUntil != 0 && e.Reply.ClockMillis > r.leaseUntil
-		if !confirmed && !stopped && !expired {
-			s.stopUnansweredStart(now, w, r, e.Sent)
-			continue
-		}
-		s.stats.Lost++
-		s.logEvent(r.job.spec.RequestID, "run is not listed", "worker", w.info.ID, "task", r.key.Task, "attempt", r.key.Attempt, "confirmed", confirmed, "stopped", stopped)
-		s.endRun(now, w, r, fleet.EndUnknown, EndUnlisted)
-	}
-}
-
 // stopUnansweredStart stops a run whose start was unanswered and which is missing from a later
 // list: the worker may still carry out the start.
 func (s *State) stopUnansweredStart(now time.Duration, w *worker, r *run, sent time.Duration) {
@@ -299,7 +271,7 @@
 		r.job.failures[r.index] = r.job.route.MaxAttempts
 	}
 	r.job.unrejectedStarts-- // the worker has not started the task
-	s.endRun(now, w, r, fleet.EndUnknown, EndRejected)
+	s.endRun(now, w, r, ending{how: fleet.EndUnknown, basis: EndRejected, over: now})
 }
 
 // handleStopped processes the answer to a stop.
--- a/sched/job.go
+++ b/sched/job.go
@@ -130,27 +130,27 @@
 	}
 }
 
-// endRun ends a run that is over as basis shows. It finishes the job if this completes it or was the
+// endRun ends a run that is over. It finishes the job if this completes it or was the
 // last attempt that the route allows; otherwise it makes the task wait again.
-func (s *State) endRun(now time.Duration, w *worker, r *run, how fleet.RunEnd, basis EndBasis) {
+func (s *State) endRun(now time.Duration, w *worker, r *run, end ending) {
 	w.removeRun(r)
 	s.taskRuns.remove(r.key.Task)
 	s.needsPlacement = true
 	j := r.job
 	j.activeRuns--
 	j.hasRun[r.index] = false
-	if how == fleet.EndDone {
+	if end.how == fleet.EndDone {
 		s.stats.Done++
 		s.recordDuration(now, w, r)
 		s.crashes.Done(crashTask(j, r.index))
 	} else {
-		s.rememberEnd(now, w, r, basis)
+		s.rememberEnd(now, w, r, end)
 	}
 	if j.finished {
 		s.recordUnwantedRun(now, w, r)
 		return
 	}
-	switch how {
+	switch end.how {
 	case fleet.EndDone:
 		j.doneTasks++
 		if j.doneTasks == j.spec.Tasks {
--- a/sched/lease_test.go
+++ b/sched/lease_test.go
@@ -14,8 +14,10 @@
 	p := newTestPool(32, 32)
 	p.s.workers["w1"].missedHolds = 1 // only w0 takes tasks at first
 	// Another host has taken w0 before and extended its lease by the longest lease.
-	formerEnd := p.now + timing.DefaultMaxLease
+	formerEnd := timing.Default().RunOver(p.now + timing.DefaultMaxLease)
 	p.step(TakeWorker{Worker: "w0", Cell: "z", Fence: 2})
+	p.now += settleTime
+	p.step(Tick{})
 	p.submit(1, "short", 1, 100*time.Millisecond)
 	if len(p.starts) != 1 || p.starts[0].Worker.ID != "w0" {
 		t.Fatalf("starts: %v", p.starts)
@@ -26,7 +28,7 @@
 		p.s.recordClockOf(p.now, p.s.workers["w1"], p.now, 0, p.now.Milliseconds())
 		p.step(Tick{}) // w0 answers no hold
 		if len(p.starts) > 1 && p.now < formerEnd {
-			t.Fatalf("started again after %v; the former lease ends after %v", p.now-time.Minute, timing.DefaultMaxLease)
+			t.Fatalf("started again %v before a run of the former lease is over", formerEnd-p.now)
 		}
 	}
 	for range 20 {
--- a/sched/loss_test.go
+++ b/sched/loss_test.go
@@ -22,8 +22,8 @@
 	for p.now < bound+3*time.Second && len(w.runs) > 0 {
 		p.pass(25 * time.Millisecond)
 	}
-	if over := p.now - bound; over > 25*time.Millisecond {
-		t.Errorf("the run counted as running until %v after its lease, want a tick at most", over)
+	if late := p.now - p.s.timing.RunOver(bound); late > 25*time.Millisecond {
+		t.Errorf("the run counted as running until %v after it was over, want a tick at most", late)
 	}
 }
 
--- a/sched/machine_test.go
+++ b/sched/machine_test.go
@@ -54,12 +54,16 @@
 	}
 	for i := range 3 {
 		capacity := fleet.Resources{CPU: int64(64000 + 32000*(i%2)), Memory: 1000}
-		m.workers = append(m.workers, workermodel.New(fmt.Sprintf("w%d", i), capacity, []float64{1, 0.98, 1}[i]))
+		w := workermodel.New(fmt.Sprintf("w%d", i), capacity, []float64{1, 0.98, 1}[i])
+		w.Endings.Unlisted = i == 2
+		m.workers = append(m.workers, w)
 	}
 	m.sendDirectory(-1)
 	for _, w := range m.workers {
 		m.step(TakeWorker{Worker: w.ID, Cell: "z", Fence: m.lastFence})
 	}
+	m.deliverPending()
+	m.advance(settleTime)
 	return m
 }
 
@@ -361,6 +365,13 @@
 				m.lastFence += 10
 				m.step(TakeWorker{Worker: m.workers[rapid.IntRange(0, len(m.workers)-1).Draw(t, "worker")].ID, Cell: "z", Fence: m.lastFence})
 			},
+			"changeEndings": func(t *rapid.T) {
+				w := m.workers[rapid.IntRange(0, len(m.workers)-1).Draw(t, "worker")]
+				w.Endings = workermodel.Endings{
+					Time:     time.Duration(rapid.IntRange(0, int(workermodel.MaxEndTime.Milliseconds())).Draw(t, "endTime")) * time.Millisecond,
+					Unlisted: rapid.Bool().Draw(t, "unlisted"),
+				}
+			},
 			"drain":      func(t *rapid.T) { m.sendDirectory(rapid.IntRange(-1, 2).Draw(t, "worker")) },
 			"pass":       func(t *rapid.T) { m.advance(time.Duration(rapid.IntRange(1, 60).Draw(t, "ms")) * time.Millisecond) },
 			"standStill": func(t *rapid.T) { m.advance(time.Duration(rapid.IntRange(200, 3000).Draw(t, "ms")) * time.Millisecond) },
--- a/sched/overload_test.go
+++ b/sched/overload_test.go
@@ -100,7 +100,7 @@
 
 func newReplay(t *testing.T, seed uint64, workers int, demands []*demand) *replay {
 	r := &replay{
-		t: t, s: New(0), rng: rand.New(rand.NewPCG(seed, 1)), now: replayStart,
+		t: t, s: New(0), rng: rand.New(rand.NewPCG(seed, 1)), now: replayStart - settleTime,
 		models: make(map[string]*workermodel.Worker), speeds: make(map[string]float64),
 		openHold: make(map[string]HoldWorker), jobs: make(map[string]*replayedJob), demands: demands,
 	}
@@ -119,10 +119,21 @@
 	for _, w := range list {
 		r.step(TakeWorker{Worker: w.ID, Cell: "z", Fence: 1})
 	}
+	r.play(replayStart)
+	r.now = replayStart
 	r.tick()
 	return r
 }
 
+// play carries out the events before a time.
+func (r *replay) play(until time.Duration) {
+	for len(r.events) > 0 && r.events[0].at < until {
+		e := heap.Pop(&r.events).(simEvent)
+		r.now = e.at
+		e.do()
+	}
+}
+
 func (r *replay) after(d time.Duration, do func()) {
 	r.seq++
 	heap.Push(&r.events, simEvent{at: r.now + d, n: r.seq, do: do})
--- a/sched/place.go
+++ b/sched/place.go
@@ -19,6 +19,9 @@
 // because their answers are worth less. Jobs for which the capacity does not suffice in time are
 // refused, so that bursts that fill all workers delay only some jobs.
 func (s *State) Place(now time.Duration) {
+	if s.nextOver != 0 && now >= s.nextOver {
+		s.endAllOverRuns(now)
+	}
 	if !s.needsPlacement {
 		return
 	}
--- a/sched/place_test.go
+++ b/sched/place_test.go
@@ -25,7 +25,7 @@
 
 // newTestPool returns a pool of workers with the given capacities in cores.
 func newTestPool(cores ...int64) *testPool {
-	p := &testPool{s: New(0), now: time.Minute, running: make(map[string]map[fleet.RunKey]bool), outcomes: make(map[JobKey]Outcome), crashed: make(map[string]bool)}
+	p := &testPool{s: New(0), now: time.Minute - settleTime, running: make(map[string]map[fleet.RunKey]bool), outcomes: make(map[JobKey]Outcome), crashed: make(map[string]bool)}
 	var list []fleet.Worker
 	for i, c := range cores {
 		id := fmt.Sprintf("w%d", i)
@@ -36,9 +36,14 @@
 	for _, w := range list {
 		p.step(TakeWorker{Worker: w.ID, Cell: "z", Fence: 1})
 	}
+	p.now = time.Minute
+	p.step(Tick{})
 	return p
 }
 
+// settleTime is how long after its take a worker accepts tasks if the former commander has left no listed run.
+const settleTime = 60 * time.Millisecond
+
 func (p *testPool) step(ev Event) {
 	p.s.Step(p.now, ev)
 	p.place()
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -57,8 +57,9 @@
 	aloneReservations int
 	policy            Policy
 	effects           []Effect
-	needsPlacement    bool      // a task may have become placeable since the last Place
-	sortedWorkers     []*worker // by ID
+	needsPlacement    bool          // a task may have become placeable since the last Place
+	nextOver          time.Duration // earliest time at which a run is over whose end is not listed; 0: none is awaited
+	sortedWorkers     []*worker     // by ID
 	stats             Stats
 	queueCounters     map[queueKey]queueCounters
 	closedCells       map[fleet.Cell]bool // refuse jobs while their workers are handed over
@@ -187,10 +188,8 @@
 func (s *State) handleTick(now time.Duration) {
 	s.shares.decay(now - s.sharesDecayedAt)
 	s.sharesDecayedAt = now
+	s.endAllOverRuns(now)
 	for _, w := range s.sortedWorkers {
-		if len(w.runs) > 0 && now > w.leaseEndBound {
-			s.endLapsedRuns(now, w)
-		}
 		s.checkRuns(now, w)
 		s.releaseIfIdle(w)
 		s.sendHold(now, w)
@@ -201,16 +200,6 @@
 	s.needsPlacement = true
 }
 
-// endLapsedRuns ends all runs of a worker whose lease has certainly ended.
-func (s *State) endLapsedRuns(now time.Duration, w *worker) {
-	s.recordLapse(now, w)
-	for _, r := range sortedRuns(w) {
-		s.logEvent(r.job.spec.RequestID, "run lapsed", "worker", w.info.ID, "task", r.key.Task, "attempt", r.key.Attempt)
-		s.stats.Lapsed++
-		s.endRun(now, w, r, fleet.EndLeaseExpired, EndLeaseOver)
-	}
-}
-
 // sortedRuns returns a worker's runs in a fixed order.
 func sortedRuns(w *worker) []*run {
 	runs := make([]*run, 0, len(w.runs))
--- a/sched/taking.go
+++ b/sched/taking.go
@@ -7,11 +7,11 @@
 )
 
 const (
-	// takeTime is how long a worker that is being taken needs until it accepts tasks: a call on a new
+	// listTime is how long a worker that is being taken needs until it has listed its runs: a call on a new
 	// connection, with the answer.
-	takeTime = 30 * time.Millisecond
-	// takeTimeWithRuns is that time if runs of the former commander have to be stopped first.
-	takeTimeWithRuns = 120 * time.Millisecond
+	listTime = 30 * time.Millisecond
+	// foreignRunsTime is how long after the take runs of the former commander have been stopped.
+	foreignRunsTime = 120 * time.Millisecond
 	// returnTime is how long after the take of a cell without workers its late jobs wait for room. The jobs
 	// that came while it was away arrive at once, and callers whose connections broke come back within 1.3 s.
 	returnTime = 2 * time.Second
@@ -22,16 +22,20 @@
 // of a cell are taken at once wait for them and are not refused as if the cell were full.
 func (w *worker) isBeingTaken() bool { return w.phase == phaseTaking && w.missedHolds == 0 }
 
-// addComing adds the room of a worker that is being taken to a forecast.
-func (f *forecast) addComing(w *worker) {
+// takeTime returns how long after its take a worker accepts tasks.
+func (s *State) takeTime(w *worker) time.Duration {
+	if len(w.foreignRuns) > 0 {
+		return max(foreignRunsTime, s.timing.RunOver(listTime))
+	}
+	return s.timing.RunOver(listTime)
+}
+
+// addComing adds the room of a worker that accepts tasks after a time to a forecast.
+func (f *forecast) addComing(w *worker, after time.Duration) {
 	cpu := int64(packingEfficiency * float64(w.freeCapacity().CPU))
 	if cpu <= 0 {
 		return
 	}
-	after := takeTime
-	if len(w.foreignRuns) > 0 {
-		after = takeTimeWithRuns
-	}
 	f.coming += cpu
 	f.releases = append(f.releases, cpuRelease{after: after, cpu: cpu})
 }
--- a/sched/taking_test.go
+++ b/sched/taking_test.go
@@ -70,12 +70,29 @@
 				Reply: fleet.Reply{Verdict: fleet.Accepted, ClockMillis: 1000, ProcessStart: 1},
 			}})
 		}
+		if finished, starts := outcomesAndStarts(s, now); len(finished) != 0 || starts != 0 {
+			t.Errorf("%+v: %d starts and %+v beside runs that the workers may still be ending", policy, starts, finished)
+		}
+		now += settleTime
+		s.Step(now, Tick{})
 		if finished, starts := outcomesAndStarts(s, now); len(finished) != 0 || starts != 8 {
 			t.Errorf("%+v: %d starts and %+v, want 8 starts", policy, starts, finished)
 		}
 	}
 }
 
+// acceptTake answers the holds to workers that are being taken, with empty lists, and returns the time when
+// they accept tasks.
+func acceptTake(s *State, now time.Duration, holds []HoldWorker) time.Duration {
+	for _, h := range holds {
+		s.Step(now, HoldReply{Worker: h.Worker.ID, Seq: h.Seq, Sent: now, Fence: 1, Reply: fleet.HoldReply{
+			Reply: fleet.Reply{Verdict: fleet.Accepted, ClockMillis: 1000, ProcessStart: 1},
+		}})
+	}
+	s.Step(now+settleTime, Tick{})
+	return now + settleTime
+}
+
 // TestSilentWorkersDoNotCount guards against jobs that wait for workers that do not answer the take.
 func TestSilentWorkersDoNotCount(t *testing.T) {
 	now := time.Minute
@@ -95,11 +112,7 @@
 func TestLateJobWithFreeWorkers(t *testing.T) {
 	now := time.Minute
 	s, holds := takenPool(Policy{LookAhead: true}, now)
-	for _, h := range holds {
-		s.Step(now, HoldReply{Worker: h.Worker.ID, Seq: h.Seq, Sent: now, Fence: 1, Reply: fleet.HoldReply{
-			Reply: fleet.Reply{Verdict: fleet.Accepted, ClockMillis: 1000, ProcessStart: 1},
-		}})
-	}
+	now = acceptTake(s, now, holds)
 	s.Step(now, shortJob(1, 4, 150*time.Millisecond))
 	s.Step(now, shortJob(2, 4, 0))
 	s.Step(now, shortJob(3, 40, 160*time.Millisecond)) // above what is free
@@ -124,11 +137,7 @@
 func TestWorkerReleasedWhileBeingTakenGetsNoTasks(t *testing.T) {
 	now := time.Minute
 	s, holds := takenPool(Policy{}, now)
-	for _, h := range holds {
-		s.Step(now, HoldReply{Worker: h.Worker.ID, Seq: h.Seq, Sent: now, Fence: 1, Reply: fleet.HoldReply{
-			Reply: fleet.Reply{Verdict: fleet.Accepted, ClockMillis: 1000, ProcessStart: 1},
-		}})
-	}
+	now = acceptTake(s, now, holds)
 	s.Step(now, TakeWorker{Worker: "w1", Cell: "z", Fence: 2}) // another host has had it meanwhile
 	s.Step(now, shortJob(1, 12, 0))
 	if _, starts := outcomesAndStarts(s, now); starts != 8 {
--- a/sched/wanted.go
+++ b/sched/wanted.go
@@ -95,9 +95,9 @@
 }
 
 // recordUnwantedRun measures how long a run that has ended may have gone on after its job was wanted. It is
-// over by the end of its lease, however late the host finds out. Callers count on timing.Budget.LongestRun.
+// over a moment after the end of its lease, however late the host finds out. Callers count on timing.Budget.LongestRun.
 func (s *State) recordUnwantedRun(now time.Duration, w *worker, r *run) {
-	outlasted := min(now, w.leaseEndBound) - r.job.unwantedSince
+	outlasted := min(now, s.runsOver(w)) - r.job.unwantedSince
 	s.stats.LongestUnwanted = max(s.stats.LongestUnwanted, outlasted)
 	if outlasted > s.timing.LongestRun() {
 		s.logEvent(r.job.spec.RequestID, "run may have outlasted its caller", "job", r.job.spec.ID, "task", r.key.Task, "attempt", r.key.Attempt,
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -26,6 +26,7 @@
 	phase       phase
 	fence       int64 // token under which the host commands the worker
 	cleared     bool  // no run of a former commander is left there since it was taken under fence
+	listed      bool  // it has listed its runs since it was taken under fence
 	incarnation int64 // start of the process that the lists came from, in Unix ms; 0: no list yet
 
 	heardProcess int64 // start of the process that has answered last, in Unix ms; 0: unknown
@@ -34,6 +35,7 @@
 	lastClockAt   time.Duration // the clock showed lastClock at this time or earlier
 	aliveAt       time.Duration // the process with this clock lived at this time or later
 	leaseEndBound time.Duration // all leases granted have ended by then
+	formerRunsEnd time.Duration // runs that a former commander has left there without a listing are over by then
 	grants        uint64        // number of leases granted so far
 	holdGrant     leaseGrant    // by the newest hold
 
@@ -79,8 +81,9 @@
 	percentRoseAt     time.Duration // when percent last rose, or was first listed; 0: not yet
 	unansweredAt      time.Duration // when the start was found unanswered; 0: it was not
 	stop              stopState
-	startBroken       bool       // the connection ended while its start was unanswered
-	grant             leaseGrant // by its start
+	startBroken       bool          // the connection ended while its start was unanswered
+	grant             leaseGrant    // by its start
+	overAt            time.Duration // the newest list lacks it, and it is over by then; 0: neither
 }
 
 // stopState is the state of stopping a run.
@@ -92,7 +95,10 @@
 
 // foreignRun is a run of a former commander, or a run of this host whose start the worker carried
 // out after the host had ended it.
-type foreignRun struct{ stop stopState }
+type foreignRun struct {
+	stop   stopState
+	overAt time.Duration // the newest list lacks it, and it is over by then; 0: neither
+}
 
 // leaseEndOnWorkerClock returns the end, on the worker's clock in ms, of a lease that lasts at most
 // d from now by that clock, as long as the clock runs no slower than timing.MinClockRate.
@@ -101,6 +107,9 @@
 	return w.lastClock + int64((time.Duration(elapsed) + d).Milliseconds())
 }
 
+// runsOver returns when all runs on the worker are over that nothing but their lease ends.
+func (s *State) runsOver(w *worker) time.Duration { return s.timing.RunOver(w.leaseEndBound) }
+
 // leaseGrant is a lease that a call grants.
 type leaseGrant struct {
 	number uint64        // of the grant on its worker; 0: the call grants none
