Keep foreign runs in mind after the command over their worker is lost

Cause: a run of a former commander that a worker had listed was forgotten when another host took the worker or its entry went, though the run went on under its lease. Its task, submitted again, could start beside it on another worker of the same host. A released worker kept it for ever instead.

Change: foreign runs end when a list shows it or, in every phase, when the lease that was possible as they were found is over (the same bound as for own runs; no commander extends a lease beside them).

--- a/sched/command.go
+++ b/sched/command.go
@@ -36,8 +36,7 @@
 			continue
 		}
 		w.removed = true
-		if len(w.runs) == 0 {
-			s.clearForeignRuns(w)
+		if len(w.runs) == 0 && len(w.foreignRuns) == 0 {
 			delete(s.workers, id)
 		}
 	}
@@ -93,7 +92,8 @@
 }
 
 // handleFenced gives up a worker that another host has taken, as its refusal of a call with the given
-// fencing token shows. The runs there end with their lease, or earlier if the other host stops them.
+// fencing token shows. The runs there, foreign ones too, end with their lease, or earlier if the other host stops
+// them.
 // If this host has taken the worker again under a higher token since, the refusal tells nothing.
 func (s *State) handleFenced(w *worker, fence int64) {
 	if w.phase == phaseNone || fence < w.fence {
@@ -101,6 +101,5 @@
 	}
 	s.logEvent("", "worker taken by another host", "worker", w.info.ID, "fence", w.fence, "runs", len(w.runs))
 	w.phase = phaseNone
-	s.clearForeignRuns(w)
 	s.emit(WorkerLost{Worker: w.info.ID})
 }
--- a/sched/runend.go
+++ b/sched/runend.go
@@ -136,11 +136,13 @@
 	}
 }
 
-// endForeignRuns forgets the foreign runs of a worker that are over.
+// endForeignRuns forgets the foreign runs of a worker that are over. No commander extends a lease beside them, so
+// they end with it also where no list comes any more.
 func (s *State) endForeignRuns(now time.Duration, w *worker) {
+	lapsed := now > s.runsOver(w)
 	for key, f := range w.foreignRuns {
 		switch {
-		case f.overAt != 0 && now >= f.overAt:
+		case lapsed || f.overAt != 0 && now >= f.overAt:
 			s.removeForeignRun(w, key)
 			s.needsPlacement = true
 		case f.overAt != 0:
--- a/sched/runend_test.go
+++ b/sched/runend_test.go
@@ -104,6 +104,34 @@
 	}
 }
 
+// TestForeignRunOutlivesCommand guards against a start of a task that still runs for a former commander on a
+// worker that another host has taken, or whose entry has gone, since the run was listed.
+func TestForeignRunOutlivesCommand(t *testing.T) {
+	for name, lose := range map[string]func(p *testPool){
+		"taken": func(p *testPool) {
+			p.step(StopReply{Worker: "w0", Fence: 2, Reply: fleet.Reply{Verdict: fleet.Fenced}})
+		},
+		"removed": func(p *testPool) {
+			p.step(UpdateWorkers{Workers: []fleet.Worker{p.s.workers["w1"].info}})
+		},
+	} {
+		p := newTestPool(32, 32)
+		p.running["w0"][fleet.RunKey{Task: fleet.Task{Job: "long1"}, Attempt: 1}] = true
+		p.step(TakeWorker{Worker: "w0", Cell: "z", Fence: 2})
+		over := p.s.runsOver(p.s.workers["w0"])
+		lose(p)
+		p.submit(1, "long", 1, 5*time.Second)
+		p.silence("w0", over-p.now-6*time.Millisecond)
+		if len(p.starts) != 0 {
+			t.Errorf("%s: started %v before the foreign run is over", name, over-p.now)
+		}
+		p.silence("w0", 20*time.Millisecond)
+		if len(p.starts) != 1 {
+			t.Errorf("%s: %d starts after the foreign run is over, want 1", name, len(p.starts))
+		}
+	}
+}
+
 // TestRestartTellsHowLongAgoRunWasOver guards against a log line about a restart that does not tell how long the
 // former run was certainly over.
 func TestRestartTellsHowLongAgoRunWasOver(t *testing.T) {
