Let the stand-ins of workers take 50 ms to end runs

Cause: lapsed runs ended in the instant of the lease's end, stopped ones after 30 ms, so that the soak and the tests of deployments were kinder than the platform.

Change: each stop and each lapse takes 50 ms on the worker's own clock, the longest that the platform allows; half of the workers list no run meanwhile.

--- a/standin/fleetsim/order.go
+++ b/standin/fleetsim/order.go
@@ -82,8 +82,8 @@
 	case "/run-start":
 		return w.startRun(o)
 	case "/run-stop":
-		if run := w.running[o.Task]; run != nil && run.number == o.Attempt && run.stopEnd.IsZero() {
-			run.stopEnd = time.Now().Add(stopDuration)
+		if run := w.running[o.Task]; run != nil && run.number == o.Attempt {
+			run.beginEnd(time.Now(), "stopped", w.endTime())
 		}
 		w.highestClosedRun[o.Task] = max(w.highestClosedRun[o.Task], o.Attempt)
 		return http.StatusOK, w.replyBody()
@@ -187,6 +187,9 @@
 	body := w.replyBody()
 	running := [][]any{}
 	for task, run := range w.running {
+		if !run.overAt.IsZero() && !w.ListsEnding {
+			continue
+		}
 		running = append(running, []any{task, run.number, "", run.percent(), 0})
 	}
 	body["running"] = running
--- a/standin/fleetsim/worker.go
+++ b/standin/fleetsim/worker.go
@@ -1,6 +1,7 @@
 package fleetsim
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 )
@@ -15,6 +16,8 @@
 	// OnCrash is called by a task that crashes the worker, which has no runs any more then. It closes the
 	// listener and the connections. It is set before the first order.
 	OnCrash func()
+	// ListsEnding makes the worker list a run as running while it ends it.
+	ListsEnding bool
 	// NamesProcess makes the worker's entry in the store name the start of its process.
 	NamesProcess bool
 
@@ -43,7 +46,15 @@
 	start   time.Time
 	end     time.Time // when its work is done
 	fails   bool
-	stopEnd time.Time // when an ordered stop takes effect; zero if no stop was ordered
+	overAt  time.Time // when it is over although its work is not done; zero if the worker does not end it
+	overHow string    // how it ends then
+}
+
+// beginEnd begins to end the run, unless that has begun before. It is over after a time.
+func (run *activeRun) beginEnd(now time.Time, how string, after time.Duration) {
+	if run.overAt.IsZero() {
+		run.overAt, run.overHow = now.Add(after), how
+	}
 }
 
 // percent returns the progress of the run.
@@ -74,8 +85,9 @@
 	maxLeaseMillis = 1000
 	// initialClockMillis is the time that the clock of a new process shows.
 	initialClockMillis = 1000
-	// stopDuration is how long a worker takes to stop a task.
-	stopDuration = 30 * time.Millisecond
+	// maxEndTime is how long a worker takes, on its own clock, to end a run that it was told to stop or whose lease
+	// has lapsed. It is the longest time that the platform allows.
+	maxEndTime = 50 * time.Millisecond
 	// minLateDelay and maxLateDelay limit the delay of an order that is executed late.
 	minLateDelay = 200 * time.Millisecond
 	maxLateDelay = 6 * time.Second
@@ -88,7 +100,7 @@
 	id string, capacity int64, cpuOf func(task string) int64, reportViolation func(string),
 ) *Worker {
 	w := &Worker{
-		ID: id, Capacity: capacity, nextClockRate: 1,
+		ID: id, Capacity: capacity, ListsEnding: rand.IntN(2) == 0, nextClockRate: 1,
 		cpuOf: cpuOf, reportViolation: reportViolation, startCounts: make(map[string]int),
 	}
 	w.Restart()
@@ -201,21 +213,26 @@
 		time.Duration(float64(w.leaseEndMillis-initialClockMillis)/w.clockRate) * time.Millisecond)
 }
 
-// endDueRuns ends the runs whose work is done, whose stop has taken effect or whose lease has lapsed. The
+// endTime returns how long the worker takes to end a run.
+func (w *Worker) endTime() time.Duration {
+	return time.Duration(float64(maxEndTime) / w.clockRate)
+}
+
+// endDueRuns begins to end all runs if the lease has lapsed, and ends those whose work is done or that are over. The
 // methods that read or change runs call it first, so that no timers are needed.
 func (w *Worker) endDueRuns() {
 	now := time.Now()
 	leaseEnd := w.leaseEndTime()
 	for task, run := range w.running {
+		if !now.Before(leaseEnd) {
+			run.beginEnd(leaseEnd, "lapsed", w.endTime())
+		}
 		end, how := run.end, "done"
 		if run.fails {
 			how = "failed"
 		}
-		if !run.stopEnd.IsZero() && run.stopEnd.Before(end) {
-			end, how = run.stopEnd, "stopped"
-		}
-		if leaseEnd.Before(end) {
-			end, how = leaseEnd, "lapsed"
+		if !run.overAt.IsZero() && run.overAt.Before(end) {
+			end, how = run.overAt, run.overHow
 		}
 		if !now.Before(end) {
 			w.endRun(task, how, end)
--- a/standin/fleetsim/worker_test.go
+++ b/standin/fleetsim/worker_test.go
@@ -21,3 +21,22 @@
 		t.Errorf("after 10 s the clock of the next process shows %d ms, want it 2%% slow", got)
 	}
 }
+
+// TestLapsedRunTakesTimeToEnd guards against a stand-in that ends a run in the instant of its lease's end, and so
+// hides hosts that count the run as over then.
+func TestLapsedRunTakesTimeToEnd(t *testing.T) {
+	w := NewWorker("w", 1000, func(string) int64 { return 1 }, func(string) {})
+	if status, _ := w.startRun(order{Task: "t.0.0.0", Attempt: 1, Spec: "10s", LeaseEnd: initialClockMillis + 500}); status != 200 {
+		t.Fatalf("the start was answered with %d", status)
+	}
+	w.processStart = w.processStart.Add(-520 * time.Millisecond) // the lease has ended 20 ms ago
+	if running := w.Running(); len(running) != 1 {
+		t.Error("the run is over 20 ms after its lease has ended")
+	}
+	w.extendLease(initialClockMillis + 900) // too late for the run
+	w.processStart = w.processStart.Add(-60 * time.Millisecond)
+	w.running["t.0.0.0"].overAt = w.running["t.0.0.0"].overAt.Add(-60 * time.Millisecond)
+	if ended := w.History(); len(ended) != 1 || ended[0].Outcome != "lapsed" {
+		t.Errorf("80 ms after the lease has ended: %v, want a lapsed run", ended)
+	}
+}
