Blame no task that its worker had begun to end for the worker's crash

Cause: a run that the newest list lacks now stays on record until it is over, and was reported as one under which the worker crashed if that was lost meanwhile.

Change: such runs are left out of the report, as before they were kept on record.

Result: TestUnlistedRunIsNotBlamed fails without it (one loss with the evidence 'connection refused') and passes (x86_64).

--- a/sched/loss.go
+++ b/sched/loss.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -59,8 +60,9 @@
 }
 
 // recordLoss reports a worker that was lost with runs, once for each loss, while this host commands it. A worker
-// that drains leaves as planned.
+// that drains leaves as planned, and a run that its newest list lacks was over or being ended.
 func (s *State) recordLoss(now time.Duration, w *worker, evidence crash.Evidence, runs []*run) {
+	runs = slices.DeleteFunc(slices.Clone(runs), func(r *run) bool { return r.overAt != 0 })
 	if len(runs) == 0 || w.lossReported || w.phase == phaseNone || w.info.Draining {
 		return
 	}
--- a/sched/runend_test.go
+++ b/sched/runend_test.go
@@ -67,6 +67,22 @@
 	}
 }
 
+// TestUnlistedRunIsNotBlamed guards against a task that counts as one under which a worker has crashed although the
+// worker did not list it any more.
+func TestUnlistedRunIsNotBlamed(t *testing.T) {
+	p := newTestPool(32)
+	p.submit(1, "long", 1, 2*time.Second)
+	w := p.s.workers["w0"]
+	p.now += 20 * time.Millisecond
+	clear(p.running["w0"])
+	p.answerHold("w0", w.holdSeq)
+	p.crash("w0")
+	p.silence("w0", 3*time.Second)
+	if n := p.s.Stats().Losses; n != [len(n)]int64{} {
+		t.Errorf("losses by evidence %v, want none", n)
+	}
+}
+
 // TestListedEndFreesRoomAtOnce guards against a task that waits although its worker has listed the end of the
 // former run.
 func TestListedEndFreesRoomAtOnce(t *testing.T) {
