Cancel jobs whose route was removed

Cause: the route was looked up in the configuration in force before the method was looked at.

Change: the path of a DELETE names the job by itself, host, prefix and ID.

--- a/entry/ingress.go
+++ b/entry/ingress.go
@@ -40,14 +40,19 @@
 	return r
 }
 
+// hostName returns the name in a Host header, without its port and in lower case.
+func hostName(header string) string {
+	name := strings.ToLower(header)
+	if withoutPort, _, err := net.SplitHostPort(name); err == nil {
+		return withoutPort
+	}
+	return name
+}
+
 // find returns the route of a Host header whose prefix is the longest that the path begins with.
 // It ignores the header's port and case. It reports false if no route matches.
 func (r *routeTable) find(hostHeader, path string) (fleet.Route, bool) {
-	name := strings.ToLower(hostHeader)
-	if withoutPort, _, err := net.SplitHostPort(name); err == nil {
-		name = withoutPort
-	}
-	for _, route := range r.byHost[name] {
+	for _, route := range r.byHost[hostName(hostHeader)] {
 		if strings.HasPrefix(path, route.Prefix) {
 			return route, true
 		}
@@ -87,6 +92,10 @@
 		in.refuse(w, r, "no configuration yet", time.Second)
 		return
 	}
+	if name, ok := cancelledName(r); ok {
+		in.cancel(w, r, current, name)
+		return
+	}
 	route, ok := current.find(r.Host, r.URL.Path)
 	if !ok {
 		writeJSON(w, http.StatusNotFound, platform.ErrorBody("no such route"))
@@ -99,8 +108,6 @@
 	case r.Method == http.MethodGet && id == "":
 		// A submission is answered when its job has ended, so no accepted job is pending.
 		writeJSON(w, http.StatusOK, platform.PendingBody(0))
-	case r.Method == http.MethodDelete && platform.ValidJobID(id):
-		in.cancel(w, r, route, id)
 	case r.Method == http.MethodGet || r.Method == http.MethodDelete:
 		writeJSON(w, http.StatusGone, platform.ErrorBody("no such job"))
 	default:
--- a/fleet/configcheck/diff.go
+++ b/fleet/configcheck/diff.go
@@ -31,9 +31,9 @@
 // What changes do to jobs. A job keeps the settings of the route with which it arrived.
 const (
 	effectRouteAdded   = "its requests are served as soon as a host applies the version"
-	effectRouteRemoved = "jobs in progress run to their end and cannot be cancelled any more; new ones get 404"
+	effectRouteRemoved = "jobs in progress run to their end, and DELETE cancels them with 410; new ones get 404"
 	effectNewJobsOnly  = "jobs in progress keep the earlier value; it applies to new ones"
-	effectPathMoved    = "requests to the earlier path get 404; jobs in progress run to their end and cannot be cancelled any more"
+	effectPathMoved    = "requests to the earlier path get 404; jobs in progress run to their end, and DELETE of it cancels them with 410"
 	effectServiceMoved = "jobs in progress stay on the workers of the earlier service; new ones go to the other"
 	effectRenamed      = "jobs in progress go on; predicted durations of tasks are learned again under the new name"
 	effectNewRequests  = "it applies to new requests"
--- a/standin/fleettest/cancel_test.go
+++ b/standin/fleettest/cancel_test.go
@@ -131,6 +131,28 @@
 	}
 }
 
+// TestDeleteAfterRouteIsRemoved guards against a job that runs on because its cancellation is answered 404 once its
+// route was removed, or has given way to one with a longer prefix (review/7).
+func TestDeleteAfterRouteIsRemoved(t *testing.T) {
+	d, names := startThreeHosts(t)
+	for i, left := range []string{"/other/", prefix + "8"} {
+		id := jobID(0x8800 + i)
+		d.publishConfig(prefix)
+		for _, name := range names {
+			d.waitUntil("the route is in force", func() bool { return d.getStatus(name, prefix) == http.StatusOK })
+		}
+		answer := d.submitLater("n1", id, 2)
+		d.publishConfig(left)
+		for _, name := range names {
+			d.waitUntil("the route is removed", func() bool { return d.getStatus(name, prefix) == http.StatusNotFound })
+		}
+		if r := d.cancel(names[i], prefix, id); r.status != http.StatusGone {
+			t.Errorf("%s in force: the cancellation got %+v", left, r)
+		}
+		d.checkCancelled(id, answer)
+	}
+}
+
 // TestDeleteWhileCommanderDrains guards against a cancellation that a host which shuts down refuses or
 // answers with "no such job", and against one that gets lost while the cell changes hands.
 func TestDeleteWhileCommanderDrains(t *testing.T) {
