Acknowledge cancellations after the loss of a zone

Cause: a zone without a commander may be cut off and go on with its workers; nothing told it from a lost one.

Change: a commander that hears no host of some other zone signs its record in the store every 2 s. A zone without a heard host and without a sign for 3.5 s is lost and needs no commander for an acknowledgement. A cancellation that waits for that reads the hosts' records at once.

--- a/entry/host.go
+++ b/entry/host.go
@@ -60,8 +60,9 @@
 	stopStoreAccess context.CancelFunc // ends reads and announcements
 	metrics         *metrics
 	highestFence    atomic.Int64  // fencing token to announce
-	fenceTaken      chan struct{} // holds a value if highestFence has risen
+	recordDue       chan struct{} // the record of this host is to be written again
 	workersWanted   chan struct{} // the workers' entries are to be read at once
+	hostsWanted     chan struct{} // the hosts' records are
 	stopLog         chan struct{} // closed to end the log writer
 	drained         chan struct{} // closed when the host has stopped
 	stopOnce        sync.Once
@@ -79,7 +80,7 @@
 		debug.SetMemoryLimit(int64(float64(s.Memory<<20) * memoryLimitFraction))
 	}
 	debug.SetGCPercent(gcPercent)
-	h := &Host{settings: s, id: randomID(), metrics: newMetrics(), fenceTaken: make(chan struct{}, 1), workersWanted: make(chan struct{}, 1), logOutput: newLogWriter(s.Log.LinesPerSecond), stopLog: make(chan struct{}), drained: make(chan struct{})}
+	h := &Host{settings: s, id: randomID(), metrics: newMetrics(), recordDue: make(chan struct{}, 1), workersWanted: make(chan struct{}, 1), hostsWanted: make(chan struct{}, 1), logOutput: newLogWriter(s.Log.LinesPerSecond), stopLog: make(chan struct{}), drained: make(chan struct{})}
 	h.logger = newLogger(h.logOutput, s.Host)
 	go h.logOutput.run(out, h.stopLog)
 	h.storeTransport = newStoreTransport(s.linkBytesPerSecond())
@@ -171,7 +172,7 @@
 	for _, f := range []*topicReader{
 		{topic: platform.TopicOperator, options: h.operatorReadOptions(), handle: h.handleOperatorRecords, reportRead: h.storeReadReporter(0)},
 		{topic: platform.TopicWorkers, interval: workersReadInterval, wake: h.workersWanted, wanted: h.loop.readsWorkers.Load, handle: h.handleWorkerRecords, reportRead: h.storeReadReporter(1)},
-		{topic: platform.TopicHosts, interval: hostsReadInterval, handle: h.handleHostRecords, reportRead: func(bool) {}},
+		{topic: platform.TopicHosts, interval: hostsReadInterval, wake: h.hostsWanted, handlesNone: true, handle: h.handleHostRecords, reportRead: func(bool) {}},
 	} {
 		f.store, f.storeTransport, f.logger = h.store, h.storeTransport, h.logger
 		go f.run(ctx)
@@ -202,20 +203,27 @@
 // takes the place of one that waits because the store is unreachable.
 func (h *Host) announceFence(e host.AnnounceFence) {
 	h.highestFence.Store(max(h.highestFence.Load(), e.Fence))
+	h.signHost()
+}
+
+// signHost makes announceHost write the host's record again.
+func (h *Host) signHost() { wish(h.recordDue) }
+
+// wish asks the reader of a channel with room for one value for something. A wish that is not read yet covers
+// the new one.
+func wish(c chan<- struct{}) {
 	select {
-	case h.fenceTaken <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
 
 // readWorkers ends the pause before the next read of the workers' entries. A read that is under way is
 // followed by another one at once.
-func (h *Host) readWorkers() {
-	select {
-	case h.workersWanted <- struct{}{}:
-	default:
-	}
-}
+func (h *Host) readWorkers() { wish(h.workersWanted) }
+
+// readHosts does the same for the hosts' records.
+func (h *Host) readHosts() { wish(h.hostsWanted) }
 
 func (h *Host) redial(e host.Redial)       { h.links.CloseLink(e.Addr) } // the next frame opens a new one
 func (h *Host) closeLink(e host.CloseLink) { h.links.CloseLink(e.Addr) }
--- a/entry/loop.go
+++ b/entry/loop.go
@@ -55,6 +55,8 @@
 	redial(host.Redial)
 	closeLink(host.CloseLink)
 	announceFence(host.AnnounceFence)
+	signHost()
+	readHosts()
 	useConfig(*fleet.Config)
 	decodeFetched(host.ConfigFetched)
 	readWorkers()
@@ -237,6 +239,10 @@
 		l.effects.useConfig(e.Config)
 	case host.ConfigFetched:
 		l.effects.decodeFetched(e)
+	case host.SignHost:
+		l.effects.signHost()
+	case host.ReadHosts:
+		l.effects.readHosts()
 	case host.ReadWorkers:
 		l.effects.readWorkers()
 	case host.LogEntry:
--- a/entry/loop_test.go
+++ b/entry/loop_test.go
@@ -23,6 +23,8 @@
 func (*recordedEffects) announceFence(host.AnnounceFence) {}
 func (*recordedEffects) useConfig(*fleet.Config)          {}
 func (*recordedEffects) readWorkers()                     {}
+func (*recordedEffects) readHosts()                       {}
+func (*recordedEffects) signHost()                        {}
 func (*recordedEffects) decodeFetched(host.ConfigFetched) {}
 
 // newTestLoop returns a loop of a host with one peer. It is not served.
--- a/entry/store.go
+++ b/entry/store.go
@@ -53,6 +53,8 @@
 	// handle processes records. A snapshot holds the newest record of every key. All records before the
 	// offset end have been read.
 	handle func(records []platform.Record, snapshot bool, end int64)
+	// handlesNone makes it process reads that find no record, too.
+	handlesNone bool
 	// reportRead is told after each read whether it succeeded.
 	reportRead func(succeeded bool)
 }
@@ -133,7 +135,7 @@
 		return next, progressError(ctx, err)
 	}
 	records, next, err := f.store.Read(ctx, f.topic, from, f.options)
-	if len(records) > 0 {
+	if len(records) > 0 || f.handlesNone && err == nil {
 		f.handle(records, false, next)
 	}
 	return next, progressError(ctx, err)
@@ -175,7 +177,7 @@
 // handleHostRecords sends the addresses of entry hosts and their highest fencing token to the
 // event loop. It ignores records that cannot be decoded.
 func (h *Host) handleHostRecords(records []platform.Record, snapshot bool, _ int64) {
-	ev := host.HostsDiscovered{FromStore: snapshot, Commanders: make(map[string]bool)}
+	ev := host.HostsDiscovered{FromStore: snapshot, Records: make(map[string]host.HostRecord)}
 	for _, r := range records {
 		known, err := platform.DecodeHost(r.Value)
 		if err != nil {
@@ -183,23 +185,25 @@
 			continue
 		}
 		ev.Hosts = append(ev.Hosts, &meshpb.Host{Name: known.Name, Zone: known.Zone, Addr: known.Addr, Id: known.ID, Weight: known.Weight})
+		listed := host.HostRecord{Offset: r.Offset, SignsWhenIsolated: known.SignsWhenIsolated}
 		if host.PlausibleFence(known.Fence) {
 			ev.MaxFence = max(ev.MaxFence, known.Fence)
-			ev.Commanders[known.Addr] = known.Fence > 0
+			listed.Commanded = known.Fence > 0
 		}
+		ev.Records[known.Addr] = listed
 	}
 	h.loop.send(ev)
 }
 
 // announceHost writes this host's record to the store when the host starts and again for each
-// fencing token, until ctx ends. Each write is retried until it succeeds; a record that is
+// fencing token and each sign of life, until ctx ends. Each write is retried until it succeeds; a record that is
 // written twice changes nothing.
 func (h *Host) announceHost(ctx context.Context) {
-	record := platform.HostRecord{Name: h.settings.Host, Zone: h.settings.Zone, Addr: h.settings.Listen.peerAddress(), ID: h.id, Weight: h.settings.weight()}
+	record := platform.HostRecord{Name: h.settings.Host, Zone: h.settings.Zone, Addr: h.settings.Listen.peerAddress(), ID: h.id, Weight: h.settings.weight(), SignsWhenIsolated: true}
 	for {
 		h.writeHostRecord(ctx, record)
 		select {
-		case <-h.fenceTaken:
+		case <-h.recordDue:
 			record.Fence = h.highestFence.Load()
 		case <-ctx.Done():
 			return
--- a/entry/store_test.go
+++ b/entry/store_test.go
@@ -29,7 +29,7 @@
 	}))
 	defer server.Close()
 	h := &Host{
-		settings: &Settings{Host: "h", Zone: "z", Cores: 1, CoreShare: 1}, logger: log.NewNopLogger(), fenceTaken: make(chan struct{}, 1),
+		settings: &Settings{Host: "h", Zone: "z", Cores: 1, CoreShare: 1}, logger: log.NewNopLogger(), recordDue: make(chan struct{}, 1),
 		store: platform.NewStoreClient(server.Listener.Addr().String(), http.DefaultTransport),
 	}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/host/cancellation.go
+++ b/host/cancellation.go
@@ -230,7 +230,7 @@
 }
 
 // cancelObstacle returns why this host does not know all hosts that may start tasks, or an empty string: a
-// zone with hosts has a cell without a commander, or a commander was lost a short time ago.
+// zone with hosts that is not lost has a cell without a commander, or a commander was lost a short time ago.
 func (s *State) cancelObstacle(now time.Duration) string {
 	zones := make(map[string]bool)
 	claimed := make(map[string]map[fleet.Cell]bool)
@@ -262,8 +262,11 @@
 	}
 	for _, zone := range s.opts.Zones {
 		// A peer whose zone is not known yet may belong to any.
-		if (zones[zone] || zones[""]) && !completeDivision(claimed[zone]) {
-			return "zone " + zone + " has no commander that is known here"
+		if !zones[zone] && !zones[""] || completeDivision(claimed[zone]) {
+			continue
+		}
+		if why := s.goesOn(now, zone); why != "" {
+			return "zone " + zone + " has no commander that is known here, and may go on: " + why
 		}
 	}
 	return ""
--- a/host/event.go
+++ b/host/event.go
@@ -30,10 +30,19 @@
 type HostsDiscovered struct {
 	Hosts    []*meshpb.Host
 	MaxFence int64
-	// FromStore reports that the list holds all hosts that are in the store; Commanders then holds the
-	// addresses of those that have commanded cells.
-	FromStore  bool
-	Commanders map[string]bool
+	// FromStore reports that the list holds all hosts that are in the store.
+	FromStore bool
+	// Records holds what the records in the store tell, by address. Empty but not nil: a read has found none new.
+	Records map[string]HostRecord
+}
+
+// HostRecord is what the record of a host in the store tells, beside the host itself.
+type HostRecord struct {
+	Offset    int64
+	Commanded bool // the process has commanded cells
+	// SignsWhenIsolated reports that the process writes the record again and again while it commands cells and hears
+	// no host of some other zone.
+	SignsWhenIsolated bool
 }
 
 // ConfigRead reports a configuration that was read from the store, or from another host after ConfigFetched.
--- a/host/host.go
+++ b/host/host.go
@@ -100,6 +100,7 @@
 	stats       Stats
 	applying    int // see Applying
 	recovery    recovery
+	signs       signs
 	start       startRecord
 	// hostsRead reports whether the list of hosts was read from the store since the start.
 	hostsRead bool
@@ -232,6 +233,7 @@
 			s.addPeer(h)
 		}
 		s.recordListedHosts(e)
+		s.recordSigns(now, e)
 	case ConfigRead:
 		s.applyConfig(now, e)
 	case ConfigOffered:
@@ -262,6 +264,7 @@
 	s.retryJobs(now)
 	s.forwardToPeers(now)
 	s.trackConfigLag(now)
+	s.signLife(now)
 	s.trackStart(now)
 }
 
--- a/host/peers.go
+++ b/host/peers.go
@@ -43,6 +43,7 @@
 	forwardedChange      uint64 // changes of worker entries up to this number were forwarded to it
 	forwardedLosses      uint64 // changes of the reports of lost workers up to this number were forwarded to it
 	lag                  configLag
+	lastSign             sign
 }
 
 // zone returns the zone of a peer, or an empty string if it is not known.
--- a/host/recovery_decision_test.go
+++ b/host/recovery_decision_test.go
@@ -18,7 +18,7 @@
 	for _, id := range []string{"a", "b", "c", "d", "e", "f", "g", "h", "i", "j"} {
 		s.workers[id] = &workerEntry{info: fleet.Worker{ID: id, Zone: "north", Service: "s", Capacity: fleet.Resources{CPU: 64000, Memory: 1000}}}
 	}
-	listed := HostsDiscovered{FromStore: true, Commanders: map[string]bool{"n1:1": true}}
+	listed := HostsDiscovered{FromStore: true, Records: map[string]HostRecord{"n1:1": {Commanded: true}}}
 	for _, name := range []string{"n1", "n2", "n3", "s0"} {
 		zone := map[byte]string{'n': "north", 's': "south"}[name[0]]
 		listed.Hosts = append(listed.Hosts, &meshpb.Host{Name: name, Zone: zone, Addr: name + ":1", Weight: 400})
--- a/host/restart.go
+++ b/host/restart.go
@@ -75,11 +75,12 @@
 	n.configServer, n.configInvalid, n.offeredConfig = s.configServer, s.configInvalid, s.offeredConfig
 	n.lag, n.messageBytes = s.lag, s.messageBytes
 	n.priorities = s.priorities
-	n.storeReachable = s.storeReachable
+	n.storeReachable, n.signs = s.storeReachable, s.signs
 	n.evacuations = s.evacuations // known positions; what the failed event held comes from other hosts
 	n.restrictStarts(now)
 	for _, p := range s.sortedPeers {
 		n.addPeer(&meshpb.Host{Addr: p.info.GetAddr(), Zone: p.zone(), Weight: p.info.GetWeight()})
+		n.peers[p.info.GetAddr()].lastSign = p.lastSign
 	}
 	if withEntries {
 		for _, e := range s.sortedEntries() {
--- a/host/simulation_hosts_test.go
+++ b/host/simulation_hosts_test.go
@@ -34,6 +34,9 @@
 	reads           int                // of the store, out of turn
 	tookCellAt      time.Duration      // when it last took a cell
 	announced       bool               // its entry in the store shows that it has commanded cells
+	recordOffset    int64              // of its record in the store
+	earlierVersion  bool               // it gives no signs of life
+	storeMissedAt   time.Duration      // when it last found itself cut off from the store
 }
 
 func (h *simHost) clock() time.Duration { return h.w.now + h.skew }
@@ -60,6 +63,7 @@
 		LinkBytesPerSecond: w.linkRate(h.index),
 		Seed:               w.nextID, Started: h.clock(), UnixMillis: 1767225600000 + w.now.Milliseconds() + w.rng.Int64N(3000),
 	})
+	h.writeRecord()
 	process := h.processCount
 	w.after(simLatency, func() { h.tick(process) })
 	w.after(5*simLatency, func() { h.readStore(process) })
@@ -102,6 +106,24 @@
 	h.w.after(storeReadInterval, func() { h.readStore(process) })
 }
 
+// readStoreSoon lets a process read the store out of turn.
+func (h *simHost) readStoreSoon() {
+	process := h.processCount
+	h.w.after(2*simLatency, func() {
+		if h.processCount == process {
+			h.readStoreOnce()
+		}
+	})
+}
+
+// writeRecord writes the host's record into the store.
+func (h *simHost) writeRecord() {
+	if !h.storeCut {
+		h.w.offset++
+		h.recordOffset = h.w.offset
+	}
+}
+
 // readStoreOnce lets a process read the whole store, as far as it needs it.
 func (h *simHost) readStoreOnce() {
 	if !h.storeCut && !h.frozen {
@@ -111,10 +133,10 @@
 				read.Records = append(read.Records, ww.record())
 			}
 		}
-		hosts := HostsDiscovered{MaxFence: h.w.fence, FromStore: true, Commanders: make(map[string]bool)}
+		hosts := HostsDiscovered{MaxFence: h.w.fence, FromStore: true, Records: make(map[string]HostRecord)}
 		for _, o := range h.w.hosts {
 			hosts.Hosts = append(hosts.Hosts, &meshpb.Host{Addr: o.addr, Zone: o.zone, Weight: simWeight})
-			hosts.Commanders[o.addr] = o.announced
+			hosts.Records[o.addr] = HostRecord{Offset: o.recordOffset, Commanded: o.announced, SignsWhenIsolated: !o.earlierVersion}
 		}
 		events := []Event{ConfigRead{Record: h.w.simConfigRecord()}, h.readEvacuations(), hosts, StoreReachability{Reachable: true}}
 		if h.state.ReadsWorkers() {
@@ -122,6 +144,9 @@
 		}
 		h.step(events...)
 	} else if !h.frozen {
+		if h.storeCut {
+			h.storeMissedAt = h.w.now
+		}
 		h.step(StoreReachability{})
 	}
 }
@@ -191,14 +216,13 @@
 				h.w.fence = max(h.w.fence, e.Fence)
 				h.announced = true
 			}
+		case SignHost:
+			h.writeRecord()
+		case ReadHosts:
+			h.readStoreSoon()
 		case ReadWorkers:
 			h.reads++
-			process := h.processCount
-			h.w.after(2*simLatency, func() {
-				if h.processCount == process {
-					h.readStoreOnce()
-				}
-			})
+			h.readStoreSoon()
 		case ConfigFetched:
 			process := h.processCount
 			h.w.after(simLatency, func() { h.deliver(process, ConfigRead{Record: e.Record, From: e.From}) })
--- a/host/start.go
+++ b/host/start.go
@@ -198,7 +198,7 @@
 func (s *State) recordListedHosts(e HostsDiscovered) {
 	for _, h := range e.Hosts {
 		if p := s.peers[h.GetAddr()]; p != nil && e.FromStore {
-			p.listed, p.listedWeight, p.commanded = true, h.GetWeight(), e.Commanders[h.GetAddr()]
+			p.listed, p.listedWeight, p.commanded = true, h.GetWeight(), e.Records[h.GetAddr()].Commanded
 		}
 	}
 	s.hostsRead = s.hostsRead || e.FromStore
