Let cancelled jobs outlive the host that acknowledged the cancellation

Cause: the commanders of the time remember the job, but only the host through which it was cancelled told later commanders.

Change: a remembered job has the process that it was heard from. Once that is lost, whoever remembers the job tells the commanders. A host that knows no other commander tells another host.

--- a/host/cancellation.go
+++ b/host/cancellation.go
@@ -83,7 +83,7 @@
 		c.deadline = now + min(e.Remaining*9/10, maxCancelWait) // the answer has to arrive in time
 	}
 	name := newJobName(e.Job, e.Route)
-	if c.job = s.cancels.remember(now, name, true); c.job == nil {
+	if c.job = s.cancels.remember(now, name, 0); c.job == nil {
 		c.job = &cancelledJob{name: name}
 		s.answerCancellation(now, c, CancelUnknown, "too many jobs are being cancelled")
 		return
@@ -139,7 +139,11 @@
 		s.log("jobs", "", "cancellation ignored: the name of the job is too long", "from", p.info.GetName())
 		return
 	}
-	c := s.cancels.remember(now, jobName{id: m.GetJobId(), host: m.GetHost(), prefix: m.GetPrefix()}, false)
+	name := jobName{id: m.GetJobId(), host: m.GetHost(), prefix: m.GetPrefix()}
+	c := s.cancels.find(now, name)
+	if c == nil || m.GetSeq() != 0 {
+		c = s.cancels.remember(now, name, p.info.GetId())
+	}
 	if c == nil {
 		s.log("jobs", "", "cancellation not confirmed: too many are remembered", "job", m.GetJobId(), "from", p.info.GetName())
 		return
@@ -190,13 +194,14 @@
 	})
 }
 
-// tellCommanders sends the jobs that were cancelled through this host to the commanders that have not been
-// sent them.
+// tellCommanders sends the cancelled jobs that nobody else tells of to the commanders that have not been sent them.
+// Where this host knows no other commander, it sends them to another host, so that they outlive this one.
 func (s *State) tellCommanders() {
+	witness := s.cancelWitness()
 	for _, p := range s.sortedPeers {
 		id := p.info.GetId()
 		switch {
-		case !p.live || !p.commands():
+		case !p.live || !p.commands() && p != witness:
 			delete(s.cancels.told, id)
 		case !s.cancels.told[id]:
 			s.cancels.told[id] = s.tellCommander(p)
@@ -204,20 +209,59 @@
 	}
 }
 
+// cancelWitness returns a live host if no live one commands cells, or nil.
+func (s *State) cancelWitness() *peer {
+	var witness *peer
+	for _, p := range s.sortedPeers {
+		switch {
+		case !p.live:
+		case p.commands():
+			return nil
+		case witness == nil:
+			witness = p
+		}
+	}
+	return witness
+}
+
 // tellCommander reports whether all messages were taken.
 func (s *State) tellCommander(p *peer) bool {
+	return s.sendCancelled(p, s.cancels.toTell(s.isLive))
+}
+
+// sendCancelled sends cancelled jobs to a peer and reports whether all messages were taken.
+func (s *State) sendCancelled(p *peer, jobs []*cancelledJob) bool {
 	pending := make(map[*cancelledJob]uint64)
 	for _, c := range s.cancels.pending {
 		pending[c.job] = c.seq
 	}
-	for _, j := range s.cancels.expiring {
-		if j.own && !s.sendMessage(p, cancelMessage(pending[j], j.name)) {
+	for _, j := range jobs {
+		if !s.sendMessage(p, cancelMessage(pending[j], j.name)) {
 			return false
 		}
 	}
 	return true
 }
 
+// relayCancellations tells the other commanders, some of which may be new, of the jobs that were cancelled through a
+// process that is lost.
+func (s *State) relayCancellations(lost uint64) {
+	var jobs []*cancelledJob
+	for _, j := range s.cancels.toTell(s.isLive) {
+		if !j.own() && j.from == lost {
+			jobs = append(jobs, j)
+		}
+	}
+	if len(jobs) == 0 {
+		return
+	}
+	for _, p := range s.sortedPeers {
+		if id := p.info.GetId(); s.cancels.told[id] && !s.sendCancelled(p, jobs) {
+			delete(s.cancels.told, id) // it is told again when it takes messages
+		}
+	}
+}
+
 // unconfirmedCommander names a live commander that has not confirmed a cancellation, or returns an empty
 // string.
 func (s *State) unconfirmedCommander(c *cancellation) string {
--- a/host/cancellation_test.go
+++ b/host/cancellation_test.go
@@ -196,21 +196,53 @@
 	}
 }
 
+// TestCancelledJobsOutliveTheirHost guards against a job that starts again because the host that acknowledged its
+// cancellation, and commanded its cell, was killed, and a request with its ID arrives again (review/6).
+func TestCancelledJobsOutliveTheirHost(t *testing.T) {
+	for _, zones := range []int{2, 1} {
+		w, commander, _ := newCancelSimulation()
+		for _, h := range w.hosts {
+			if zones == 1 && h.zone != commander.zone {
+				h.kill() // the commander of the zone is the only one
+			}
+		}
+		w.advance(lostZoneTime + time.Second)
+		j := w.submit(commander, 1, 30*time.Second, false)
+		w.advance(100 * time.Millisecond)
+		w.cancelJob(commander, j)
+		w.advance(100 * time.Millisecond)
+		if j.ackedAt == 0 || len(j.runs) != 1 {
+			t.Fatalf("%d zones: acknowledged at %v, %d runs", zones, j.ackedAt, len(j.runs))
+		}
+		commander.kill()
+		w.advance(5 * time.Second)
+		for _, h := range w.hosts {
+			if h.state != nil {
+				w.send(j, h)
+			}
+		}
+		w.advance(time.Second)
+		if len(j.runs) != 1 || j.outcomes[len(j.outcomes)-1] != sched.Cancelled {
+			t.Errorf("%d zones: %d runs, outcomes %v", zones, len(j.runs), j.outcomes)
+		}
+	}
+}
+
 // TestCancelledJobsAreForgotten guards against memory that grows with the number of cancellations, and
 // against a cancellation that is acknowledged although it cannot be remembered.
 func TestCancelledJobsAreForgotten(t *testing.T) {
 	c := newCancellations()
 	now := time.Minute
 	for i := range maxOwnCancels {
-		if c.remember(now, jobName{id: fmt.Sprint(i)}, true) == nil {
+		if c.remember(now, jobName{id: fmt.Sprint(i)}, 0) == nil {
 			t.Fatalf("job %d is not remembered", i)
 		}
 	}
-	if c.remember(now, jobName{id: "more"}, true) != nil || c.find(now, jobName{id: "more"}) != nil {
+	if c.remember(now, jobName{id: "more"}, 0) != nil || c.find(now, jobName{id: "more"}) != nil {
 		t.Error("more jobs are remembered than there is room for")
 	}
 	now += cancelMemory
-	if c.remember(now, jobName{id: "more"}, true) == nil || c.find(now, jobName{id: "0"}) != nil {
+	if c.remember(now, jobName{id: "more"}, 0) == nil || c.find(now, jobName{id: "0"}) != nil {
 		t.Error("the time of the earlier jobs is over, and they still take room")
 	}
 	if len(c.byID) != 1 || len(c.expiring) != 1 || c.own != 1 {
--- a/host/cancelled.go
+++ b/host/cancelled.go
@@ -37,9 +37,14 @@
 	name  jobName
 	until time.Duration
 	found bool // it was in progress, or has been submitted since
-	own   bool // it was cancelled through this host, which tells new commanders of it
+	// from is the process that this host has heard of the cancellation from; 0: it was cancelled through this host.
+	// That process tells new commanders of it, and this host does once that one is lost.
+	from uint64
 }
 
+// own reports whether the job was cancelled through this host.
+func (j *cancelledJob) own() bool { return j.from == 0 }
+
 // cancellations holds the cancelled jobs that the host remembers.
 type cancellations struct {
 	byID     map[string][]*cancelledJob
@@ -63,17 +68,18 @@
 	return nil
 }
 
-// remember remembers a cancelled job. It returns nil if too many are remembered.
-func (c *cancellations) remember(now time.Duration, name jobName, own bool) *cancelledJob {
+// remember remembers a cancelled job that this host has heard of from a process, 0 for this one. It returns nil if too
+// many are remembered.
+func (c *cancellations) remember(now time.Duration, name jobName, from uint64) *cancelledJob {
 	c.expire(now)
-	if len(c.expiring) >= maxRememberedCancels || own && c.own >= maxOwnCancels {
+	if len(c.expiring) >= maxRememberedCancels || from == 0 && c.own >= maxOwnCancels {
 		return nil
 	}
-	j := &cancelledJob{name: name, until: now + cancelMemory, own: own}
+	j := &cancelledJob{name: name, until: now + cancelMemory, from: from}
 	if old := c.find(now, name); old != nil {
 		j.found = old.found
 	}
-	if own {
+	if j.own() {
 		c.own++
 	}
 	c.byID[name.id] = append(c.byID[name.id], j)
@@ -86,7 +92,7 @@
 	for len(c.expiring) > 0 && now >= c.expiring[0].until {
 		j := c.expiring[0]
 		c.expiring = c.expiring[1:]
-		if j.own {
+		if j.own() {
 			c.own--
 		}
 		rest := slices.DeleteFunc(c.byID[j.name.id], func(o *cancelledJob) bool { return o == j })
@@ -96,3 +102,21 @@
 		}
 	}
 }
+
+// toTell returns the jobs of which this host tells new commanders: those that were cancelled through it, and the newest
+// of those that it has heard of from processes that are lost, at most maxOwnCancels in all.
+func (c *cancellations) toTell(live func(process uint64) bool) []*cancelledJob {
+	var jobs []*cancelledJob
+	room := maxOwnCancels - c.own
+	for _, j := range slices.Backward(c.expiring) {
+		switch {
+		case j.own():
+			jobs = append(jobs, j)
+		case room > 0 && !live(j.from):
+			room--
+			jobs = append(jobs, j)
+		}
+	}
+	slices.Reverse(jobs)
+	return jobs
+}
--- a/host/peers.go
+++ b/host/peers.go
@@ -178,6 +178,7 @@
 func (s *State) handlePeerLost(now time.Duration, p *peer) {
 	p.live = false
 	p.unconfirmed = nil
+	s.relayCancellations(p.info.GetId())
 	if n := s.sched.CancelJobsOfHost(now, p.info.GetId()); n > 0 {
 		s.log("mesh", "", "jobs of a lost host cancelled", "peer", p.info.GetName(), "jobs", n)
 	}
