Bound the unanswered starts and stops of a worker

Cause: every start and stop was sent when it was decided, thousands at a time, each with a goroutine and mostly a connection of its own.

Change: at most 8 unanswered starts and 8 unanswered stops for each worker; tasks wait in the scheduler, stops stay due, and both go on with the answers.

--- a/sched/hold.go
+++ b/sched/hold.go
@@ -229,6 +229,7 @@
 	if r == nil {
 		return
 	}
+	s.handleStartClosed(w, r)
 	if e.Reply.Verdict == fleet.Accepted {
 		s.hearOrder(now, w, e.Reply.ProcessStart)
 		w.lastBlockTime = 0
@@ -281,6 +282,9 @@
 		return
 	}
 	s.recordCall(now, w, e.Sent, 0, e.Reply.Verdict)
+	if w.closeStopOf(e.Run) {
+		defer s.sendDueStops(now, w)
+	}
 	if e.Reply.Verdict == fleet.Fenced {
 		s.handleFenced(w, e.Fence)
 		return
--- a/sched/place.go
+++ b/sched/place.go
@@ -47,7 +47,8 @@
 		if j.finished || j.waitsForRoom || j.suspicion.held || !s.mayTryAgain(now, j) {
 			continue
 		}
-		s.placeJob(now, j, usable[pool{j.cell, j.route.Service}])
+		p := pool{j.cell, j.route.Service}
+		usable[p] = s.placeJob(now, j, usable[p])
 	}
 	s.compactQueue()
 }
@@ -103,7 +104,7 @@
 func (s *State) usableWorkers(now time.Duration) map[pool][]*candidate {
 	pools := make(map[pool][]*candidate)
 	for _, w := range s.sortedWorkers {
-		if !w.acceptsTasks(now) || s.withholdsLease(now, w) {
+		if !w.open.takesStarts() || !w.acceptsTasks(now) || s.withholdsLease(now, w) {
 			continue
 		}
 		if w.clockStale(now) {
@@ -154,14 +155,15 @@
 // isLate reports whether the job's latest start has passed.
 func (j *job) isLate(now time.Duration) bool { return now > j.latestStart() }
 
-// placeJob starts as many waiting tasks of the job as the workers can take.
-func (s *State) placeJob(now time.Duration, j *job, workers []*candidate) {
+// placeJob starts as many waiting tasks of the job as the workers can take, and returns the workers that take more
+// starts.
+func (s *State) placeJob(now time.Duration, j *job, workers []*candidate) []*candidate {
 	var stillWaiting []int
 	var workerIDs, speeds []string
 	var restarts restartLog
 	mayWait := j.canWait(now) && s.hasInTimeWorker(now, j)
 	for i, index := range j.waiting {
-		if !s.link.Ready(now) {
+		if len(workers) == 0 || !s.link.Ready(now) {
 			stillWaiting = append(stillWaiting, j.waiting[i:]...)
 			break
 		}
@@ -182,11 +184,14 @@
 		}
 		if err := s.startError(now, j, index, c.w); err != nil {
 			s.abortViolatingJob(now, j, index, c.w, err)
-			return
+			return workers
 		}
 		c.free = c.free.Sub(j.spec.Need)
 		restarts.add(s, now, j, fleet.Task{Job: j.spec.ID, Index: index})
 		s.startTask(now, j, index, c.w)
+		if !c.w.open.takesStarts() {
+			workers = withoutFull(workers)
+		}
 		workerIDs = append(workerIDs, c.w.info.ID)
 		speeds = append(speeds, strconv.FormatFloat(c.w.speed, 'f', 1, 64))
 	}
@@ -196,6 +201,7 @@
 			"age", now-j.arrived, "objective", j.objective, "predicted", j.taskDuration, "workers", strings.Join(workerIDs, ","), "speeds", strings.Join(speeds, ","))
 		restarts.write(s, j)
 	}
+	return workers
 }
 
 // chooseWorker returns the best worker for a task of the job, or nil. The best is the fastest on
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -230,22 +229,17 @@
 			s.logEvent(r.job.spec.RequestID, "run makes no progress", "worker", w.info.ID, "task", r.key.Task, "percent", r.percent, "age", now-r.startSentAt)
 			r.stop.wantedSince = now
 		}
-		if r.stop.isDue(now) {
-			s.sendStop(now, w, r.key, &r.stop)
-		}
-	}
-	for _, key := range slices.SortedFunc(maps.Keys(w.foreignRuns), compareRunKeys) {
-		if f := w.foreignRuns[key]; f.stop.isDue(now) {
-			s.sendStop(now, w, key, &f.stop)
-		}
 	}
+	s.sendDueStops(now, w)
 }
 
-// sendStop sends a stop, unless the host no longer commands the worker.
+// sendStop sends a stop, unless the host no longer commands the worker. A stop that the worker cannot take now stays
+// due.
 func (s *State) sendStop(now time.Duration, w *worker, key fleet.RunKey, st *stopState) {
-	if w.phase == phaseNone {
+	if w.phase == phaseNone || !st.open && !w.open.takesStops() {
 		return
 	}
+	w.openStop(st)
 	st.lastSentAt = now
 	s.stats.Stops++
 	s.emit(StopRun{Worker: w.info, Order: fleet.StopOrder{Run: key, Fence: w.fence}, CallLimits: s.orderLimits(now, w)})
--- a/sched/wanted.go
+++ b/sched/wanted.go
@@ -133,7 +133,8 @@
 
 // removeForeignRun forgets a foreign run that is over.
 func (s *State) removeForeignRun(w *worker, key fleet.RunKey) {
-	if w.foreignRuns[key] != nil {
+	if f := w.foreignRuns[key]; f != nil {
+		w.closeStop(&f.stop)
 		delete(w.foreignRuns, key)
 		s.foreignTasks.remove(key.Task)
 	}
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -39,6 +39,7 @@
 	grants        uint64        // number of leases granted so far
 	holdGrant     leaseGrant    // by the newest hold
 
+	open        openOrders
 	runs        map[fleet.RunKey]*run
 	runList     []*run                       // the same, in the order of their starts
 	used        fleet.Resources              // sum of the needs of runs
@@ -81,6 +82,7 @@
 	percentRoseAt     time.Duration // when percent last rose, or was first listed; 0: not yet
 	unansweredAt      time.Duration // when the start was found unanswered; 0: it was not
 	stop              stopState
+	startOpen         bool          // its start is unanswered
 	startBroken       bool          // the connection ended while its start was unanswered
 	grant             leaseGrant    // by its start
 	overAt            time.Duration // the newest list lacks it, and it is over by then; 0: neither
@@ -91,6 +93,7 @@
 	wantedSince time.Duration // 0: not wanted
 	lastSentAt  time.Duration // 0: not sent
 	acceptedAt  time.Duration // when the worker accepted the stop; 0: not yet
+	open        bool          // the newest stop sent is unanswered
 }
 
 // foreignRun is a run of a former commander, or a run of this host whose start the worker carried
@@ -167,6 +170,8 @@
 // addRun records a run that the worker may be running or may still start.
 func (w *worker) addRun(r *run) {
 	w.runs[r.key] = r
+	r.startOpen = true
+	w.open.starts++
 	w.runList = append(w.runList, r)
 	w.used = w.used.Add(r.need)
 	w.runningWork += r.work()
@@ -174,6 +179,8 @@
 
 // removeRun forgets a run that is over.
 func (w *worker) removeRun(r *run) {
+	w.closeStart(r)
+	w.closeStop(&r.stop)
 	delete(w.runs, r.key)
 	w.runList = slices.DeleteFunc(w.runList, func(other *run) bool { return other == r })
 	w.used = w.used.Sub(r.need)
--- a/standin/crowdtest/deployment_test.go
+++ b/standin/crowdtest/deployment_test.go
@@ -71,6 +71,7 @@
 	address string // of the store
 	hosts   []*hostNode
 	lastJob atomic.Int64
+	taskCPU atomic.Int64 // that the workers count for a task, in thousandths of a core
 }
 
 // hostNode is a host and what was measured of it.
@@ -85,11 +86,12 @@
 // published by publish.
 func newDeployment(t *testing.T, hosts int) *deployment {
 	d := &deployment{t: t, dir: t.TempDir(), store: fleetsim.NewStore()}
+	d.taskCPU.Store(taskCPU)
 	store := httptest.NewServer(d.store)
 	t.Cleanup(func() { store.CloseClientConnections(); store.Close() })
 	d.address = store.Listener.Addr().String()
 	for i := range 4 {
-		w := fleetsim.NewWorker(fmt.Sprintf("w%d", i), workerCPU, func(string) int64 { return taskCPU }, func(violation string) { t.Error(violation) })
+		w := fleetsim.NewWorker(fmt.Sprintf("w%d", i), workerCPU, func(string) int64 { return d.taskCPU.Load() }, func(violation string) { t.Error(violation) })
 		server := httptest.NewServer(w)
 		t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
 		d.store.PutWorkerEntry(w, "north", server.Listener.Addr().String(), fleetsim.Ready)
@@ -177,8 +179,12 @@
 }
 
 // submit submits an ordinary job to a host. It returns an error unless the job is completed.
-func (d *deployment) submit(h *hostNode) error {
-	body, err := json.Marshal(fleetsim.JobBody("5ms", 1, taskCPU))
+func (d *deployment) submit(h *hostNode) error { return d.submitJob(h, "5ms", 1, taskCPU) }
+
+// submitJob submits a job of tasks with a duration and a need of CPU in thousandths of a core. It returns an error
+// unless the job is completed.
+func (d *deployment) submitJob(h *hostNode, duration string, tasks int, cpu int64) error {
+	body, err := json.Marshal(fleetsim.JobBody(duration, tasks, cpu))
 	if err != nil {
 		return err
 	}
