--- a/sched/command.go
+++ b/sched/command.go
@@ -62,7 +62,7 @@
 	}
 	s.recordCellTake(now, e)
 	w.phase = phaseTaking
-	w.cleared, w.listed = false, false
+	w.cleared, w.hasListed = false, false
 	w.fence = e.Fence
 	w.cell = e.Cell
 	w.processedEnd, w.acknowledgedEnd = 0, 0
--- a/sched/runend.go
+++ b/sched/runend.go
@@ -51,8 +51,8 @@
 // recordTakenList records that a worker that is not cleared has listed its runs.
 func (s *State) recordTakenList(now time.Duration, w *worker) {
 	s.raiseForFormerCommander(now, w)
-	if !w.listed {
-		w.listed = true // from now on the worker refuses what the former commander orders
+	if !w.hasListed {
+		w.hasListed = true // from now on the worker refuses what the former commander orders
 		w.formerRunsEnd = s.timing.RunOver(now)
 	}
 }
@@ -92,7 +92,7 @@
 // completeTake lets a worker accept tasks on which no run of a former commander is left.
 func (s *State) completeTake(now time.Duration, w *worker) {
 	switch {
-	case w.phase != phaseTaking || !w.listed || len(w.foreignRuns) > 0:
+	case w.phase != phaseTaking || !w.hasListed || len(w.foreignRuns) > 0:
 	case now < w.formerRunsEnd:
 		s.awaitOver(w.formerRunsEnd)
 	default:
--- a/sched/runend_test.go
+++ b/sched/runend_test.go
@@ -101,10 +101,7 @@
 // TestTaskWaitsForUnlistedForeignRun guards against a start of a task, and of any task on the same worker, while
 // the worker is ending a run of a former commander that it does not list any more.
 func TestTaskWaitsForUnlistedForeignRun(t *testing.T) {
-	p := newTestPool(32, 32)
-	foreign := fleet.RunKey{Task: fleet.Task{Job: "long1"}, Attempt: 1}
-	p.running["w0"][foreign] = true
-	p.step(TakeWorker{Worker: "w0", Cell: "z", Fence: 2})
+	p, foreign := newForeignRun()
 	p.submit(1, "long", 1, 5*time.Second)
 	p.submit(2, "other", 2, 5*time.Second)
 	p.silence("", 100*time.Millisecond)
@@ -131,9 +128,7 @@
 			p.step(UpdateWorkers{Workers: []fleet.Worker{p.s.workers["w1"].info}})
 		},
 	} {
-		p := newTestPool(32, 32)
-		p.running["w0"][fleet.RunKey{Task: fleet.Task{Job: "long1"}, Attempt: 1}] = true
-		p.step(TakeWorker{Worker: "w0", Cell: "z", Fence: 2})
+		p, _ := newForeignRun()
 		over := p.s.runsOver(p.s.workers["w0"])
 		lose(p)
 		p.submit(1, "long", 1, 5*time.Second)
--- a/sched/wanted_test.go
+++ b/sched/wanted_test.go
@@ -120,13 +120,20 @@
 	}
 }
 
-// TestTaskWaitsForForeignRun guards against a start of a task that a worker still runs for a former
-// commander, whose jobs this host knows nothing of.
-func TestTaskWaitsForForeignRun(t *testing.T) {
+// newForeignRun returns a pool of two workers of which w0 has been taken with a run of its former commander, of the
+// first task of the job "long1".
+func newForeignRun() (*testPool, fleet.RunKey) {
 	p := newTestPool(32, 32)
 	foreign := fleet.RunKey{Task: fleet.Task{Job: "long1"}, Attempt: 1}
 	p.running["w0"][foreign] = true
 	p.step(TakeWorker{Worker: "w0", Cell: "z", Fence: 2})
+	return p, foreign
+}
+
+// TestTaskWaitsForForeignRun guards against a start of a task that a worker still runs for a former
+// commander, whose jobs this host knows nothing of.
+func TestTaskWaitsForForeignRun(t *testing.T) {
+	p, foreign := newForeignRun()
 	p.submit(1, "long", 1, 5*time.Second)
 	p.pass(200 * time.Millisecond)
 	if len(p.starts) != 0 {
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -26,7 +26,7 @@
 	phase       phase
 	fence       int64 // token under which the host commands the worker
 	cleared     bool  // no run of a former commander is left there since it was taken under fence
-	listed      bool  // it has listed its runs since it was taken under fence
+	hasListed   bool  // it has listed its runs since it was taken under fence
 	incarnation int64 // start of the process that the lists came from, in Unix ms; 0: no list yet
 
 	heardProcess int64 // start of the process that has answered last, in Unix ms; 0: unknown
