Take a list of ends that is full for incomplete, and let models be as late as the platform

Cause: a worker lists at most 500 ends at a time. A run whose end had no room in the list was in neither list, counted as over and was started again although it may have ended done.

Change: a list with as many ends as a worker lists at a time ends no run by what it lacks; the next one has the rest. The stand-in lists 500 ends at a time, and like the simulation of hosts it carries out orders up to 12 s late, as the platform does, in place of 6 s.

--- a/fleet/worker_call.go
+++ b/fleet/worker_call.go
@@ -62,6 +62,7 @@
 	Reply
 	Running  []ActiveRun
 	Finished []FinishedRun // ended runs that no HoldOrder has acknowledged
+	MoreEnds bool          // there may be more of them than the list has room for
 }
 
 // ActiveRun is a run that has not ended.
--- a/host/simulation_jobs_test.go
+++ b/host/simulation_jobs_test.go
@@ -211,7 +211,7 @@
 		return
 	case w.rng.Float64() < ww.lateShare || ww.lateStopShare > 0 && isStop(effect) && w.rng.Float64() < ww.lateStopShare:
 		born := ww.Born
-		w.after(time.Duration(200+w.rng.Int64N(6000))*time.Millisecond, func() {
+		w.after(time.Duration(200+w.rng.Int64N(11800))*time.Millisecond, func() {
 			if ww.Born == born {
 				c.replyLost = true
 				c.arrive()
--- a/sched/runend.go
+++ b/sched/runend.go
@@ -11,8 +11,12 @@
 // that has lost its lease or that it was told to stop, and may list it neither as running nor as ended meanwhile.
 // All that rests on such an end waits until timing.Budget.RunOver.
 
-// markUnlistedRuns finds out when the runs are over that are missing from a complete list.
+// markUnlistedRuns finds out when the runs are over that are missing from a list. A list that has no room for all ends
+// shows nothing: a run that it lacks may have ended as done.
 func (s *State) markUnlistedRuns(now time.Duration, w *worker, e HoldReply, running map[fleet.RunKey]bool) {
+	if e.Reply.MoreEnds {
+		return
+	}
 	for _, r := range sortedRuns(w) {
 		if running[r.key] || r.overAt != 0 {
 			continue
--- a/sched/runend_test.go
+++ b/sched/runend_test.go
@@ -83,6 +83,27 @@
 	}
 }
 
+// TestListWithoutRoomEndsNoRun guards against a task that runs again although it is done, because its worker lists only
+// so many ends at a time.
+func TestListWithoutRoomEndsNoRun(t *testing.T) {
+	p := newTestPool(32)
+	p.submit(1, "long", 1, 2*time.Second)
+	w, run := p.s.workers["w0"], p.starts[0].Order.Run
+	p.now += 20 * time.Millisecond
+	clear(p.running["w0"])
+	reply := fleet.HoldReply{Reply: fleet.Reply{Verdict: fleet.Accepted, ClockMillis: p.now.Milliseconds(), ProcessStart: 1}, MoreEnds: true}
+	p.step(HoldReply{Worker: "w0", Seq: w.holdSeq, Sent: p.now, Reply: reply})
+	p.now += 100 * time.Millisecond
+	p.step(Tick{})
+	if len(p.starts) != 1 {
+		t.Fatal("the task was started again by a list that had no room for its end")
+	}
+	p.answerHold("w0", w.holdSeq, fleet.FinishedRun{Number: 1, Run: run, End: fleet.EndDone})
+	if p.outcomes[JobKey{Host: 1, Seq: 1}] != Completed {
+		t.Errorf("outcomes %v, want the job completed", p.outcomes)
+	}
+}
+
 // TestListedEndFreesRoomAtOnce guards against a task that waits although its worker has listed the end of the
 // former run.
 func TestListedEndFreesRoomAtOnce(t *testing.T) {
--- a/standin/fleetsim/order.go
+++ b/standin/fleetsim/order.go
@@ -193,7 +193,7 @@
 		running = append(running, []any{task, run.number, "", run.percent(), 0})
 	}
 	body["running"] = running
-	body["finished"] = append([][]any{}, w.finished...)
+	body["finished"] = append([][]any{}, w.finished[:min(len(w.finished), maxListedEnds)]...)
 	return http.StatusOK, body
 }
 
--- a/standin/fleetsim/worker.go
+++ b/standin/fleetsim/worker.go
@@ -65,7 +65,7 @@
 // Faults are the faults that a worker shows.
 type Faults struct {
 	Silent          bool    // executes orders, but answers none
-	LateShare       float64 // fraction of orders that are executed up to 6 s late and not answered
+	LateShare       float64 // fraction of orders that are executed up to 12 s late and not answered
 	UnansweredShare float64 // fraction of orders that are executed but not answered
 	FailedShare     float64 // fraction of tasks that fail
 	SlowFactor      float64 // factor on the durations of tasks that start; 0 means 1
@@ -88,9 +88,11 @@
 	// maxEndTime is how long a worker takes, on its own clock, to end a run that it was told to stop or whose lease
 	// has lapsed. It is the longest time that the platform allows.
 	maxEndTime = 50 * time.Millisecond
+	// maxListedEnds is the number of ended runs that a hold lists at a time.
+	maxListedEnds = 500
 	// minLateDelay and maxLateDelay limit the delay of an order that is executed late.
 	minLateDelay = 200 * time.Millisecond
-	maxLateDelay = 6 * time.Second
+	maxLateDelay = 12 * time.Second
 )
 
 // NewWorker returns a worker with a capacity in thousandths of a core. cpuOf returns the CPU that a task
