Count only reads of the store as looks for signs of life

Cause: the list of seeds from the settings, read again at SIGHUP, counted as a read of the hosts' records, so that a zone could count as lost whose newer signs were not read; and the first record of the store, at offset 0, was never taken note of.

Change: lists without records are no read; offsets are kept as the next one.

--- a/host/lostzone.go
+++ b/host/lostzone.go
@@ -34,18 +34,22 @@
 
 // sign is the newest record of a host in the store that was read.
 type sign struct {
-	offset int64
-	at     time.Duration // when it was read
-	again  bool          // the host signs again when it is isolated
+	next  int64         // offset after the record; 0: none was read
+	at    time.Duration // when it was read
+	again bool          // the host signs again when it is isolated
 }
 
-// recordSigns records the signs of life among the records of hosts that were read.
+// recordSigns records the signs of life among the records of hosts that were read. Hosts that the settings name come
+// without records.
 func (s *State) recordSigns(now time.Duration, e HostsDiscovered) {
+	if e.Records == nil {
+		return
+	}
 	s.signs.readAt = now
 	for addr, r := range e.Records {
 		p := s.peers[addr]
-		if p != nil && r.Offset > p.lastSign.offset {
-			p.lastSign = sign{offset: r.Offset, at: now, again: r.SignsWhenIsolated}
+		if next := r.Offset + 1; p != nil && next > p.lastSign.next {
+			p.lastSign = sign{next: next, at: now, again: r.SignsWhenIsolated}
 		}
 	}
 }
--- a/host/lostzone_test.go
+++ b/host/lostzone_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"sesameledge.dev/sesameledge/mesh/meshpb"
 )
 
 // cancelFrom submits a job at a host of "south", lets a zone be lost or cut off, and cancels the job after a time at
@@ -82,3 +84,18 @@
 	w.advance(storeReadInterval)
 	killAllOf(w, hosts)
 }
+
+// TestSignsOfLifeAreThoseOfTheStore guards against a list of hosts from the settings that counts as a read of their
+// records, so that a zone counts as lost whose signs were not read, and against the first record of the store.
+func TestSignsOfLifeAreThoseOfTheStore(t *testing.T) {
+	s, now := newFuzzState()
+	hosts := []*meshpb.Host{{Addr: "127.0.0.1:9", Zone: "south"}}
+	s.Step(now, HostsDiscovered{Hosts: hosts, FromStore: true, Records: map[string]HostRecord{"127.0.0.1:9": {Offset: 0, SignsWhenIsolated: true}}})
+	if p := s.peers["127.0.0.1:9"]; !p.lastSign.again || p.lastSign.at != now || s.signs.readAt != now {
+		t.Fatalf("the first record of the store is read as %+v at %v", p.lastSign, s.signs.readAt)
+	}
+	s.Step(now+time.Second, HostsDiscovered{Hosts: hosts})
+	if s.signs.readAt != now {
+		t.Errorf("a list without records counts as read from the store")
+	}
+}
