--- a/host/simulation_hosts_test.go
+++ b/host/simulation_hosts_test.go
@@ -36,7 +36,6 @@
 	announced       bool               // its entry in the store shows that it has commanded cells
 	recordOffset    int64              // of its record in the store
 	earlierVersion  bool               // it gives no signs of life
-	storeMissedAt   time.Duration      // when it last found itself cut off from the store
 }
 
 func (h *simHost) clock() time.Duration { return h.w.now + h.skew }
@@ -144,9 +143,6 @@
 		}
 		h.step(events...)
 	} else if !h.frozen {
-		if h.storeCut {
-			h.storeMissedAt = h.w.now
-		}
 		h.step(StoreReachability{})
 	}
 }
