--- a/entry/callerconn.go
+++ b/entry/callerconn.go
@@ -4,27 +4,59 @@
 	"net/http"
 	"syscall"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 )
 
-// callerHasLeft reports whether the caller has closed or reset the connection of a request, as far as the
-// kernel knows. The server notes that in another goroutine, which may run only after the tasks of the job
-// have been started.
-func callerHasLeft(r *http.Request) bool {
+// errNoSocket is the reason why it is not known whether a caller waits whose connection is no socket.
+var errNoSocket = errors.New("the connection of the caller is no socket")
+
+// rawConnOf returns the socket of the connection on which a request has arrived.
+func rawConnOf(r *http.Request) (syscall.RawConn, error) {
 	c, ok := r.Context().Value(connKey{}).(syscall.Conn)
 	if !ok {
-		return false
+		return nil, errNoSocket
+	}
+	return c.SyscallConn()
+}
+
+// closedEvents are the events on a socket whose other side has closed or reset it, or one direction of it.
+const closedEvents = unix.POLLRDHUP | unix.POLLHUP | unix.POLLERR | unix.POLLNVAL
+
+// findClosed returns the indices of the sockets that have been closed, by the caller as far as the kernel knows or by
+// the server itself. The server notes the former in other goroutines, which may run only after the tasks of a job have
+// been started; it notes nothing after a caller has begun to send its next request. One system call looks at all.
+func findClosed(conns []syscall.RawConn) ([]int, error) {
+	fds := make([]unix.PollFd, len(conns))
+	for i, c := range conns {
+		fds[i] = unix.PollFd{Fd: -1, Events: unix.POLLRDHUP}
+		_ = c.Control(func(fd uintptr) { fds[i].Fd = int32(fd) }) // fails below, too
+	}
+	if err := pollNow(fds); err != nil {
+		return nil, errors.Wrap(err, "looking at the connections of callers")
 	}
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return false
+	var closed []int
+	for i, c := range conns {
+		// The server may have closed the socket meanwhile, and the number may be that of another one.
+		closedHere := c.Control(func(uintptr) {}) != nil
+		if closedHere || fds[i].Revents&closedEvents != 0 {
+			closed = append(closed, i)
+		}
 	}
-	left := false
-	err = raw.Control(func(fd uintptr) {
-		var next [1]byte
-		n, _, err := unix.Recvfrom(int(fd), next[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		waiting := err == unix.EAGAIN || err == unix.EINTR // nothing has come since the request
-		left = !waiting && (err != nil || n == 0)
-	})
-	return left || err != nil // an error: the server has closed the connection itself
+	return closed, nil
+}
+
+// pollNow sets the events of descriptors without waiting for any.
+func pollNow(fds []unix.PollFd) error {
+	for {
+		if _, err := unix.Poll(fds, 0); err != unix.EINTR {
+			return err
+		}
+	}
+}
+
+// isClosed reports whether a socket has been closed, or why that is not known.
+func isClosed(c syscall.RawConn) (bool, error) {
+	closed, err := findClosed([]syscall.RawConn{c})
+	return len(closed) > 0, err
 }
--- /dev/null
+++ b/entry/callers.go
@@ -0,0 +1,97 @@
+package entry
+
+import (
+	"syscall"
+	"time"
+
+	"sesameledge.dev/sesameledge/host"
+)
+
+const (
+	// callerCheckInterval is the shortest time between two looks at the connections of all callers. Leases are
+	// granted for the full time as long as looks are some ten times as far apart.
+	callerCheckInterval = 25 * time.Millisecond
+	// maxSuspension is the longest time for which the machine may have been suspended without doubt about who still
+	// waits: a closed connection that was announced meanwhile is announced again, later the longer it lasted.
+	maxSuspension = 50 * time.Millisecond
+)
+
+// callers holds the callers that wait for the answers to their jobs. It belongs to the event loop, which looks at
+// their connections before it applies events: after a pause of the process, the events for the answers of workers may
+// come before those for callers that have left.
+type callers struct {
+	waiting   map[uint64]caller // by the sequence number of the job
+	checkedAt time.Duration     // time of the newest look at all connections
+	suspended time.Duration     // for which the machine had been suspended by then, since it started
+	clock     func() clockReading
+}
+
+// caller is a caller that waits.
+type caller struct {
+	conn   syscall.RawConn
+	answer chan<- host.Answer // closed without an answer if the caller has left
+}
+
+func newCallers(clock func() clockReading) *callers {
+	r := clock()
+	return &callers{waiting: make(map[uint64]caller), checkedAt: r.sinceBoot, suspended: r.suspended, clock: clock}
+}
+
+// answer answers a caller, if it still waits.
+func (c *callers) answer(a host.Answer) {
+	if w, found := c.waiting[a.Seq]; found {
+		delete(c.waiting, a.Seq)
+		w.answer <- a
+	}
+}
+
+// drop forgets a caller that has left.
+func (c *callers) drop(seq uint64) {
+	if w, found := c.waiting[seq]; found {
+		delete(c.waiting, seq)
+		close(w.answer)
+	}
+}
+
+// check looks at the connections of all callers if the last look is callerCheckInterval ago. It drops those that have
+// left and returns the events that tell of them, and of the time of the look. After an error nothing is known.
+func (c *callers) check() ([]host.Event, error) {
+	now := c.clock()
+	if now.sinceBoot-c.checkedAt < callerCheckInterval {
+		return nil, nil
+	}
+	suspended := now.suspended-c.suspended > maxSuspension
+	gone, err := c.findGone(suspended)
+	if err != nil {
+		return nil, err
+	}
+	c.checkedAt, c.suspended = now.sinceBoot, now.suspended
+	events := make([]host.Event, 0, len(gone)+1)
+	for _, seq := range gone {
+		c.drop(seq)
+		events = append(events, host.CallerGone{Seq: seq})
+	}
+	return append(events, host.CallersSeen{At: now.sinceBoot}), nil
+}
+
+// findGone returns the callers that have left: all that may have if the machine was suspended.
+func (c *callers) findGone(suspended bool) ([]uint64, error) {
+	if len(c.waiting) == 0 {
+		return nil, nil
+	}
+	seqs := make([]uint64, 0, len(c.waiting))
+	conns := make([]syscall.RawConn, 0, len(c.waiting))
+	for seq, w := range c.waiting {
+		seqs = append(seqs, seq)
+		conns = append(conns, w.conn)
+	}
+	if suspended {
+		return seqs, nil
+	}
+	closed, err := findClosed(conns)
+	gone := make([]uint64, len(closed))
+	for i, index := range closed {
+		gone[i] = seqs[index]
+	}
+	return gone, err
+}
--- a/entry/contain.go
+++ b/entry/contain.go
@@ -123,7 +123,7 @@
 	if failed >= 0 {
 		kind, source = fmt.Sprintf("%T", events[failed]), eventSource(events[failed])
 	}
-	l.logPanic("event failed; jobs and cells are given up", cause, "event", kind, "source", fleet.Printable(source, maxErrorBytes), "jobs", len(l.answers))
+	l.logPanic("event failed; jobs and cells are given up", cause, "event", kind, "source", fleet.Printable(source, maxErrorBytes), "jobs", len(l.callers.waiting))
 	if source != "" {
 		if l.distrusted == nil {
 			l.distrusted = make(map[string]time.Duration)
@@ -138,7 +138,7 @@
 	if l.replaced != nil {
 		l.replaced()
 	}
-	for seq := range l.answers {
+	for seq := range l.callers.waiting {
 		l.answerAborted(seq)
 	}
 	for seq, ch := range l.cancels {
@@ -149,10 +149,7 @@
 
 // answerAborted tells a caller that its job may have run.
 func (l *loop) answerAborted(seq uint64) {
-	if ch := l.answers[seq]; ch != nil {
-		delete(l.answers, seq)
-		ch <- host.Answer{Seq: seq, Outcome: sched.Aborted, Reason: "the host failed while it had the job"}
-	}
+	l.callers.answer(host.Answer{Seq: seq, Outcome: sched.Aborted, Reason: "the host failed while it had the job"})
 }
 
 // logPanic counts a panic and logs it with the part of its stack that shows the place.
--- a/entry/contain_test.go
+++ b/entry/contain_test.go
@@ -42,11 +42,12 @@
 	}
 }
 
-// arrive hands a job to a loop and returns the channel of its answer.
-func arrive(l *loop, id string) chan host.Answer {
+// arrive hands a job of a caller that waits to a loop and returns the channel of its answer.
+func arrive(t *testing.T, l *loop, id string) chan host.Answer {
 	answer := make(chan host.Answer, 1)
 	l.applyBatch(jobArrival{
 		event:  host.JobArrived{Spec: fleet.JobSpec{ID: id, Tasks: 1}, Route: fleet.Route{Service: "s"}, Remaining: time.Minute},
+		conn:   newCaller(t).conn,
 		seq:    make(chan uint64, 1),
 		answer: answer,
 	})
@@ -59,7 +60,7 @@
 func TestPanicEndsNoProcess(t *testing.T) {
 	l, _, out := newFragileLoop()
 	l.applyBatch(host.ConfigRead{Record: []byte("four")})
-	answer := arrive(l, "a")
+	answer := arrive(t, l, "a")
 	before := l.state
 	l.events <- host.ConfigRead{Record: []byte(poison)}
 	l.events <- host.StoreReachability{Reachable: true}
@@ -82,7 +83,7 @@
 	if text := out.String(); !strings.Contains(text, "a decoder has failed") || !strings.Contains(text, "applyConfig") {
 		t.Errorf("the log does not show the place: %s", text)
 	}
-	arrive(l, "b")
+	arrive(t, l, "b")
 	if l.lastSeq != 2 || l.state.OpenJobs() != 1 {
 		t.Errorf("job %d, %d open, after the panic", l.lastSeq, l.state.OpenJobs())
 	}
--- a/entry/ingress.go
+++ b/entry/ingress.go
@@ -139,16 +139,25 @@
 // awaitAnswer hands a job to the event loop, waits for its outcome and writes the response. If
 // the caller disconnects first, it reports that to the state machine.
 func (in *ingress) awaitAnswer(w http.ResponseWriter, r *http.Request, route fleet.Route, spec fleet.JobSpec) {
-	if callerHasLeft(r) {
-		in.refuse(w, r, "the caller has left before its job began", time.Second)
+	conn, err := rawConnOf(r)
+	if err != nil {
+		in.refuse(w, r, err.Error(), time.Second)
+		return
+	}
+	if closed, err := isClosed(conn); closed || err != nil {
+		in.refuse(w, r, reasonCallerLeft, time.Second)
 		return
 	}
 	answer := make(chan host.Answer, 1)
 	seq := make(chan uint64, 1)
-	in.host.loop.send(jobArrival{event: host.JobArrived{Spec: spec, Route: route, Remaining: timeLeft(r, route)}, seq: seq, answer: answer})
+	in.host.loop.send(jobArrival{event: host.JobArrived{Spec: spec, Route: route, Remaining: timeLeft(r, route)}, conn: conn, seq: seq, answer: answer})
 	started := sinceBoot()
 	select {
-	case a := <-answer:
+	case a, waits := <-answer:
+		if !waits {
+			writeCallerGone(w)
+			return
+		}
 		in.host.metrics.observeAnswer(a.Outcome, sinceBoot()-started)
 		in.writeOutcome(w, a)
 	case <-r.Context().Done():
@@ -157,13 +166,21 @@
 			in.host.loop.send(host.CallerGone{Seq: n})
 		case <-in.host.loop.ended:
 		}
-		// A caller that has closed one direction only must not read an empty 200.
-		writeJSON(w, http.StatusBadGateway, platform.ErrorBody("the caller has closed the connection"))
+		writeCallerGone(w)
 	case <-in.host.loop.ended:
 		writeJSON(w, http.StatusBadGateway, platform.ErrorBody("the host has stopped"))
 	}
 }
 
+// reasonCallerLeft is the reason for refusing a job whose caller has closed the connection before the job began.
+const reasonCallerLeft = "the caller has left before its job began"
+
+// writeCallerGone answers a caller that has left while its job was in progress. One that has closed one direction of
+// the connection only must not read an empty 200.
+func writeCallerGone(w http.ResponseWriter) {
+	writeJSON(w, http.StatusBadGateway, platform.ErrorBody("the caller has closed the connection"))
+}
+
 // timeLeft returns how long the caller waits for the answer: the request's own timeout, else the
 // route's, else defaultTimeout.
 func timeLeft(r *http.Request, route fleet.Route) time.Duration {
--- a/entry/loop.go
+++ b/entry/loop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/go-kit/log"
@@ -30,7 +31,7 @@
 	events  chan any // host.Event, jobArrival, cancelRequest, frameArrival, callAnswer or stateQuery
 	state   *host.State
 	logger  log.Logger
-	answers map[uint64]chan<- host.Answer       // by the sequence number of the job
+	callers *callers
 	lastSeq uint64                              // last sequence number given to a job or a cancellation
 	cancels map[uint64]chan<- host.CancelAnswer // by the sequence number of the cancellation
 	effects effectHandler
@@ -62,10 +63,12 @@
 	readWorkers()
 }
 
-// jobArrival is a caller's job with the channels for its sequence number and its answer. Both
-// have room for one value, so that the loop never blocks on them.
+// jobArrival is a caller's job with the caller's connection and the channels for the job's sequence number and its
+// answer. Both have room for one value, so that the loop never blocks on them. The second is closed without an answer
+// if the caller leaves.
 type jobArrival struct {
 	event  host.JobArrived
+	conn   syscall.RawConn
 	seq    chan<- uint64
 	answer chan<- host.Answer
 }
@@ -84,7 +87,7 @@
 		events:  make(chan any, eventQueueLength),
 		state:   state,
 		logger:  logger,
-		answers: make(map[uint64]chan<- host.Answer),
+		callers: newCallers(readClocks),
 		cancels: make(map[uint64]chan<- host.CancelAnswer),
 		effects: effects,
 		stop:    make(chan struct{}),
@@ -154,7 +157,7 @@
 // of the step is taken after the last event: events report what happened at that time or earlier.
 func (l *loop) applyBatch(first any) {
 	defer l.releaseFrames()
-	events := l.collect(nil, first)
+	events := l.collect(l.checkCallers(), first)
 	for n := 1; n < maxBatchEvents; n++ {
 		select {
 		case ev := <-l.events:
@@ -171,6 +174,17 @@
 	}
 }
 
+// checkCallers looks at the callers' connections when it is time, and returns the events that tell what was seen. They
+// come before all others of a batch, in which something may be started for callers that have left. A pause after the
+// look makes what was seen old, and the state machine does not act on it.
+func (l *loop) checkCallers() []host.Event {
+	events, err := l.callers.check()
+	if err != nil {
+		_ = l.logger.Log("part", "entry", "msg", "callers cannot be seen", "callers", len(l.callers.waiting), "err", err)
+	}
+	return events
+}
+
 // releaseFrames calls the functions of the frames of the step that has ended.
 func (l *loop) releaseFrames() {
 	for _, done := range l.processed {
@@ -184,11 +198,7 @@
 func (l *loop) collect(events []host.Event, ev any) []host.Event {
 	switch e := ev.(type) {
 	case jobArrival:
-		l.lastSeq++
-		e.event.Seq = l.lastSeq
-		l.answers[l.lastSeq] = e.answer
-		e.seq <- l.lastSeq
-		return l.admit(events, e.event)
+		return l.collectJob(events, e)
 	case cancelRequest:
 		l.lastSeq++
 		e.event.Seq = l.lastSeq
@@ -206,7 +216,7 @@
 		l.processed = append(l.processed, e.processed)
 		return l.admit(events, host.FrameReceived{Frame: e.frame})
 	case host.CallerGone:
-		delete(l.answers, e.Seq)
+		l.callers.drop(e.Seq)
 		return append(events, e)
 	case host.Event:
 		return l.admit(events, e)
@@ -214,14 +224,25 @@
 	return events
 }
 
+// collectJob registers the caller of a job and appends the job's arrival to the events. What was seen of all callers
+// before must hold for this one, too, so a caller that has left by now gets no job.
+func (l *loop) collectJob(events []host.Event, e jobArrival) []host.Event {
+	l.lastSeq++
+	e.event.Seq = l.lastSeq
+	e.seq <- l.lastSeq
+	if closed, err := isClosed(e.conn); closed || err != nil {
+		e.answer <- host.Answer{Seq: e.event.Seq, Outcome: sched.Refused, Reason: reasonCallerLeft, RetryAfter: time.Second}
+		return events
+	}
+	l.callers.waiting[e.event.Seq] = caller{conn: e.conn, answer: e.answer}
+	return l.admit(events, e.event)
+}
+
 // carryOut delivers answers, writes log lines and passes other effects to the handler.
 func (l *loop) carryOut(effect host.Effect) {
 	switch e := effect.(type) {
 	case host.Answer:
-		if ch := l.answers[e.Seq]; ch != nil {
-			delete(l.answers, e.Seq)
-			ch <- e
-		}
+		l.callers.answer(e)
 	case host.CancelAnswer:
 		if ch := l.cancels[e.Seq]; ch != nil {
 			delete(l.cancels, e.Seq)
--- a/host/event.go
+++ b/host/event.go
@@ -22,6 +22,10 @@
 // CallerGone reports that the caller of a job has closed its connection.
 type CallerGone struct{ Seq uint64 }
 
+// CallersSeen reports that the connections of the callers of all jobs that have arrived were open at a time, but for
+// those that earlier events name. It is one of the first events of a batch: what a batch starts rests on the newest one.
+type CallersSeen struct{ At time.Duration }
+
 // FrameReceived is a frame received from another host.
 type FrameReceived struct{ Frame *meshpb.Frame }
 
@@ -96,6 +100,7 @@
 
 func (JobArrived) hostEvent()        {}
 func (CallerGone) hostEvent()        {}
+func (CallersSeen) hostEvent()       {}
 func (FrameReceived) hostEvent()     {}
 func (HostsDiscovered) hostEvent()   {}
 func (ConfigRead) hostEvent()        {}
--- a/host/host.go
+++ b/host/host.go
@@ -88,6 +88,7 @@
 	storeReachable   bool           // the platform's store answers
 	readsWorkers     bool           // the process has to read the workers' entries from the store
 	jobs             map[uint64]*job
+	callersSeen      time.Duration // when all callers of jobs were last seen to wait
 	// fencedUntil holds the workers of own cells that obey another host, with the time from which this
 	// host may take them again.
 	fencedUntil map[string]time.Duration
@@ -141,6 +142,7 @@
 		jobs:         make(map[uint64]*job),
 		fencedUntil:  make(map[string]time.Duration),
 		readsWorkers: true,
+		callersSeen:  opts.Started,
 		applying:     -1,
 		cancels:      newCancellations(),
 		configServer: configsync.NewServer(opts.LinkBytesPerSecond),
@@ -221,6 +223,8 @@
 		s.handleJobArrived(now, e)
 	case CallerGone:
 		s.handleCallerGone(now, e.Seq)
+	case CallersSeen:
+		s.handleCallersSeen(e.At)
 	case CancelRequested:
 		s.handleCancelRequested(now, e)
 	case FrameReceived:
--- a/host/jobs.go
+++ b/host/jobs.go
@@ -110,7 +110,7 @@
 		Key:  sched.JobKey{Host: s.opts.Self.ID, Seq: j.seq},
 		Cell: j.cell,
 		Spec: j.spec, Route: j.route,
-		Age: now - j.arrived, Left: j.deadline - now,
+		Age: now - j.arrived, Left: j.deadline - now, CallersSeen: s.callersSeen,
 	}})
 }
 
@@ -211,10 +211,16 @@
 	}
 	delete(s.jobs, seq)
 	s.stats.Gone++
-	s.log("jobs", j.spec.RequestID, "caller gone", "job", j.spec.ID, "after", now-j.arrived)
+	s.log("jobs", j.spec.RequestID, "caller gone", "job", j.spec.ID, "after", now-j.arrived, "last_seen", now-s.callersSeen)
 	s.cancelJob(now, j)
 }
 
+// handleCallersSeen records that all callers of jobs were seen to wait at a time.
+func (s *State) handleCallersSeen(at time.Duration) {
+	s.callersSeen = max(s.callersSeen, at)
+	s.sched.RecordCallersSeen(s.opts.Self.ID, s.callersSeen)
+}
+
 // cancelJob cancels a job on the host to which it was assigned.
 func (s *State) cancelJob(now time.Duration, j *job) {
 	switch p := s.peersByID[j.hostID]; {
--- a/host/machine_test.go
+++ b/host/machine_test.go
@@ -97,7 +97,8 @@
 	}
 }
 
-// freeze suspends a process, possibly between its decisions and their effects.
+// freeze suspends a process, possibly between its decisions and their effects, or after a look at its callers on which
+// its next steps then rest. Some of its callers may leave meanwhile and send their jobs again.
 func (m *hostMachine) freeze(t *rapid.T) {
 	h := m.host(t)
 	if h.state == nil || h.frozen {
@@ -109,7 +110,19 @@
 		h.frozen = true
 	}
 	process := h.processCount
-	m.w.after(drawTime(t, "for", 50, 4000), func() {
+	lasts := drawTime(t, "for", 50, 4000)
+	if rapid.Bool().Draw(t, "blind") {
+		h.blindUntil = m.w.now + lasts + drawTime(t, "blindFor", 0, 100)
+	}
+	if rapid.Bool().Draw(t, "left") {
+		seq := h.seq
+		m.w.after(time.Duration(rapid.Float64Range(0, 1).Draw(t, "when")*float64(lasts)), func() {
+			for ; seq > 0 && h.processCount == process; seq-- {
+				h.closeConnection(seq, true)
+			}
+		})
+	}
+	m.w.after(lasts, func() {
 		if h.processCount == process {
 			h.wake()
 		}
--- a/host/partition_test.go
+++ b/host/partition_test.go
@@ -44,7 +44,7 @@
 // step applies events to a host, delivers its frames to the other host at once, and lets the worker
 // accept all orders.
 func (p *hostPair) step(i int, events ...Event) {
-	for _, e := range p.hosts[i].Step(p.now, events...) {
+	for _, e := range p.hosts[i].Step(p.now, append([]Event{CallersSeen{At: p.now}}, events...)...) {
 		switch e := e.(type) {
 		case SendFrame:
 			if !p.partitioned {
--- /dev/null
+++ b/host/paused_callers_test.go
@@ -0,0 +1,44 @@
+package host
+
+import (
+	"testing"
+	"time"
+)
+
+// TestWokenHostStartsNothingForCallersThatLeft guards against a host that was paused and that starts tasks for own
+// callers, or extends the leases of their runs, before it has found out that they left during the pause. Their jobs
+// run on other hosts by then.
+func TestWokenHostStartsNothingForCallersThatLeft(t *testing.T) {
+	resent := 0
+	for seed := range uint64(40) {
+		w := newSimulation(seed, 1, 8, 100)
+		w.estimate, w.patience = 900*time.Millisecond, 4*time.Second
+		w.advance(2*time.Second + time.Duration(w.rng.Int64N(int64(100*time.Millisecond))))
+		h := w.hosts[seed%2]
+		for range 6 {
+			w.submit(h, 4, 900*time.Millisecond, false)
+		}
+		w.advance(40 * time.Millisecond)
+		h.frozen = true
+		w.advance(20 * time.Millisecond)
+		for seq := range h.seq / 2 {
+			h.closeConnection(seq, true)
+		}
+		pause := 1350*time.Millisecond + time.Duration(w.rng.Int64N(int64(500*time.Millisecond)))
+		w.after(pause, h.wake)
+		h.blindUntil = w.now + pause + time.Duration(w.rng.Int64N(int64(maxNoticeDelay)))
+		for w.now < time.Hour+8*time.Second && w.failure == nil {
+			w.advance(5 * time.Millisecond)
+			w.check()
+		}
+		if w.failure != nil {
+			t.Fatalf("seed %d: %v", seed, w.failure)
+		}
+		for _, j := range w.jobs {
+			resent += j.resends
+		}
+	}
+	if resent < 40 {
+		t.Errorf("%d jobs were sent again; the test shows nothing", resent)
+	}
+}
--- a/host/peers.go
+++ b/host/peers.go
@@ -108,7 +108,7 @@
 		p.makeFrameDue() // shows the sender what was lost
 	}
 	s.markLive(now, p)
-	s.sched.RecordContact(p.info.GetId(), p.session.LastCompleteContact())
+	s.sched.RecordCallersSeen(p.info.GetId(), p.session.CallersSeen())
 	if f.GetStatus() != nil {
 		p.status = f.GetStatus()
 		p.statusReceivedAt = now
@@ -252,6 +252,8 @@
 		From:   &meshpb.Host{Name: s.opts.Self.Name, Zone: s.opts.Self.Zone, Addr: s.opts.Self.Addr, Id: s.opts.Self.ID, Weight: s.opts.Self.Weight},
 		To:     p.info.GetId(),
 		Status: status,
+
+		CallersAgeNs: int64(now - s.callersSeen),
 	}
 	sentBefore := p.session.HighestSent()
 	p.session.FillFrame(now, f)
--- a/host/simulation_hosts_test.go
+++ b/host/simulation_hosts_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"sesameledge.dev/sesameledge/fleet"
@@ -25,6 +27,9 @@
 	outbox       []Effect // effects that a stalled host carries out on waking
 	seq          uint64
 	open         map[uint64]*simJob // jobs whose callers wait
+	closed       map[uint64]bool    // by sequence number: the kernel knows that the caller's connection is closed
+	lookedAt     time.Duration      // when the process last looked at the connections, on its clock
+	blindUntil   time.Duration      // steps before then rest on the look before a pause
 	version      int64              // of the configuration in force
 	storeCut     bool
 	// evacuationsRead is the offset from which the process reads the requests next; -1: none was read.
@@ -48,6 +53,8 @@
 	h.frozen, h.stalled, h.draining = false, false, false
 	h.inbox, h.outbox, h.version = nil, nil, 0
 	h.open = make(map[uint64]*simJob)
+	h.closed = make(map[uint64]bool)
+	h.lookedAt, h.blindUntil = h.clock(), 0
 	h.cancels = make(map[uint64]*simJob)
 	h.evacuationsRead = -1
 	h.state = New(Options{
@@ -159,7 +166,27 @@
 	}
 }
 
+// look returns the events with which the event loop of a host begins a batch: it looks at the connections of callers.
+func (h *simHost) look() []Event {
+	if h.w.now < h.blindUntil || h.clock()-h.lookedAt < simTickInterval {
+		return nil
+	}
+	h.lookedAt = h.clock()
+	var events []Event
+	for _, seq := range slices.Sorted(maps.Keys(h.closed)) {
+		events = append(events, CallerGone{Seq: seq})
+	}
+	return append(events, CallersSeen{At: h.clock()})
+}
+
+// arrivesClosed reports whether an event is the job of a caller that has left, which the event loop does not take.
+func (h *simHost) arrivesClosed(ev Event) bool {
+	e, ok := ev.(JobArrived)
+	return ok && h.closed[e.Seq]
+}
+
 func (h *simHost) step(events ...Event) {
+	events = append(h.look(), slices.DeleteFunc(events, h.arrivesClosed)...)
 	if ev := h.fatalEvent(events); ev != nil {
 		h.failOn(ev)
 		return
@@ -173,7 +200,11 @@
 	h.carryOut(effects)
 }
 
-// wake resumes a frozen process.
+// maxNoticeDelay is the time after a pause within which the server notes that callers have left.
+const maxNoticeDelay = 70 * time.Millisecond
+
+// wake resumes a frozen process. The events that have waited are applied one by one, the notices of callers that have
+// left later than all others: they pass through more goroutines.
 func (h *simHost) wake() {
 	if h.state == nil || !h.frozen {
 		h.stalled = false
@@ -183,8 +214,13 @@
 	inbox, outbox := h.inbox, h.outbox
 	h.inbox, h.outbox = nil, nil
 	h.carryOut(outbox)
-	if h.state != nil {
-		h.step(inbox...)
+	process := h.processCount
+	for _, ev := range inbox {
+		if _, isNotice := ev.(CallerGone); isNotice {
+			h.w.after(time.Duration(h.w.rng.Int64N(int64(maxNoticeDelay))), func() { h.deliver(process, ev) })
+			continue
+		}
+		h.deliver(process, ev)
 	}
 }
 
--- a/host/simulation_jobs_test.go
+++ b/host/simulation_jobs_test.go
@@ -140,7 +140,12 @@
 	delete(h.open, seq)
 	j.unresolved++
 	process := h.processCount
-	schedule(func() { h.deliver(process, CallerGone{Seq: seq}) })
+	schedule(func() {
+		if h.processCount == process {
+			h.closed[seq] = true
+		}
+		h.deliver(process, CallerGone{Seq: seq})
+	})
 	j.gone = j.gone || !returns
 	h.w.resendLater(j)
 }
--- a/host/submission.go
+++ b/host/submission.go
@@ -49,9 +49,9 @@
 }
 
 // submitRemote passes a job of a peer's caller to the scheduler. The job is wanted as long as the peer is
-// known to want it. Messages of the peer that are missing here may have withdrawn it.
+// known to want it: messages that are missing here may have withdrawn it.
 func (s *State) submitRemote(now time.Duration, p *peer, job sched.Job) {
-	job.Remote, job.Contact = true, p.session.LastCompleteContact()
+	job.CallersSeen = p.session.CallersSeen()
 	s.sched.Step(now, sched.Submit{Job: job})
 }
 
--- a/host/validate.go
+++ b/host/validate.go
@@ -37,6 +37,8 @@
 		return errors.Newf("it echoes the time %v, which this host has not sent", time.Duration(f.GetEcho()))
 	case f.GetSent() < 0:
 		return errors.New("its time is negative")
+	case f.GetCallersAgeNs() < 0:
+		return errors.New("its sender has looked at its callers in the future")
 	}
 	return statusError(f.GetStatus())
 }
--- a/sched/call_test.go
+++ b/sched/call_test.go
@@ -29,7 +29,7 @@
 
 // step applies an event. Holds without a wait are answered at once, with no runs.
 func (p *slowPool) step(ev Event) {
-	p.s.Step(p.now, ev)
+	stepSeen(p.s, p.now, ev, 0)
 	p.s.Place(p.now)
 	for _, e := range p.s.Ready() {
 		switch e := e.(type) {
--- a/sched/event.go
+++ b/sched/event.go
@@ -21,10 +21,8 @@
 	Route fleet.Route
 	Age   time.Duration // since the caller's request arrived
 	Left  time.Duration // until the caller stops waiting
-	// Remote says that another process submits the job. Contact is then when it was last known to want its
-	// jobs.
-	Remote  bool
-	Contact time.Duration
+	// CallersSeen is when the process in Key was last known to have seen the callers of its jobs wait.
+	CallersSeen time.Duration
 }
 
 // Outcome is how a job ended for its caller.
--- a/sched/foreign_test.go
+++ b/sched/foreign_test.go
@@ -33,7 +33,7 @@
 	m.taskCounts[key] = 6
 	m.needs[jobName(key)] = need
 	m.step(Submit{Job: Job{
-		Key: key, Cell: "z", Left: 3 * time.Second,
+		Key: key, Cell: "z", Left: 3 * time.Second, CallersSeen: m.now,
 		Spec:  fleet.JobSpec{ID: jobName(key), Tasks: 6, Need: need, Estimate: 300 * time.Millisecond},
 		Route: fleet.Route{Name: "r", Service: "s", MaxAttempts: 3, SlackFactor: 1.6, ObjectiveOffset: 3 * time.Second},
 	}})
--- a/sched/job.go
+++ b/sched/job.go
@@ -14,7 +14,7 @@
 // job is a job in progress.
 type job struct {
 	key              JobKey
-	origin           *origin // nil: this process
+	origin           *origin
 	cell             fleet.Cell
 	spec             fleet.JobSpec
 	route            fleet.Route
@@ -34,7 +34,7 @@
 	waitsForRoom     bool          // it is late and starts only when there is room for all its tasks; see comesBack
 	suspicion        suspicion
 	finished         bool          // its outcome has been reported
-	unwantedSince    time.Duration // when it finished, or when its host was last known to want it; 0: it is wanted
+	unwantedSince    time.Duration // when it finished, or when it was last known to be wanted before; 0: it is wanted
 }
 
 // handleSubmit queues a job or refuses it at once.
@@ -77,10 +77,17 @@
 // handleCancel aborts a job that nobody waits for any more.
 func (s *State) handleCancel(now time.Duration, key JobKey) {
 	if j := s.jobs[key]; j != nil {
-		s.finish(now, j, Aborted, "the caller is gone")
+		s.abandon(now, j, "the caller is gone")
 	}
 }
 
+// abandon ends a job that is not wanted any more since some time after it was last known to be.
+func (s *State) abandon(now time.Duration, j *job, reason string) {
+	wanted := now - j.wantedAge(now)
+	s.finish(now, j, Aborted, reason)
+	j.unwantedSince = wanted
+}
+
 // finish reports the outcome of a job, if none was reported yet, and stops its runs. An outcome of
 // Refused becomes Aborted if tasks of the job may have run.
 func (s *State) finish(now time.Duration, j *job, o Outcome, reason string) {
@@ -280,9 +287,7 @@
 	n := 0
 	for _, j := range s.sortedJobs() {
 		if j.key.Host == host {
-			wanted := now - j.contactAge(now)
-			s.finish(now, j, Aborted, "the entry host is gone")
-			j.unwantedSince = wanted
+			s.abandon(now, j, "the entry host is gone")
 			n++
 		}
 	}
--- a/sched/machine_test.go
+++ b/sched/machine_test.go
@@ -10,6 +10,7 @@
 
 	"sesameledge.dev/sesameledge/fleet"
 	"sesameledge.dev/sesameledge/internal/workermodel"
+	"sesameledge.dev/sesameledge/timing"
 )
 
 // startRivalRun starts a run for another host if the worker has free capacity for it.
@@ -34,6 +35,9 @@
 	needs          map[string]fleet.Resources // of a task, by job name
 	doneTasks      map[fleet.Task]bool        // tasks of which a run has ended done
 	outcomes       map[JobKey]Outcome
+	leftAt         map[JobKey]time.Duration // when the callers left, of jobs whose callers have
+	lookedAt       time.Duration            // when the callers were last looked at
+	blindUntil     time.Duration            // they are not looked at again before
 	lastJobSeq     uint64
 	lastFence      int64 // highest fencing token handed out
 	lastCallNumber int
@@ -51,6 +55,7 @@
 	m := &schedMachine{
 		s: New(0), now: time.Minute, taskCounts: make(map[JobKey]int), needs: make(map[string]fleet.Resources),
 		doneTasks: make(map[fleet.Task]bool), outcomes: make(map[JobKey]Outcome), rivalFences: make(map[string]int64), lastFence: 10,
+		leftAt: make(map[JobKey]time.Duration),
 	}
 	for i := range 3 {
 		capacity := fleet.Resources{CPU: int64(64000 + 32000*(i%2)), Memory: 1000}
@@ -76,7 +81,48 @@
 	m.step(UpdateWorkers{Workers: list})
 }
 
+// look cancels the jobs of the callers that have left, and records that the others wait, as the event loop of a host
+// does before a batch. A pause of the process may lie between a look and the steps that rest on it.
+func (m *schedMachine) look() {
+	if m.now < m.blindUntil || m.now-m.lookedAt < lookInterval {
+		return
+	}
+	m.lookedAt = m.now
+	for seq := range m.lastJobSeq {
+		key := JobKey{Host: 1, Seq: seq + 1}
+		if _, left := m.leftAt[key]; left {
+			m.s.Step(m.now, Cancel{Key: key})
+		}
+	}
+	m.s.RecordCallersSeen(1, m.now)
+}
+
+// lookInterval is the time between two looks at the callers.
+const lookInterval = 25 * time.Millisecond
+
+// leave makes the caller of a job leave. It may send the job again to another host DefaultResendAfter later.
+func (m *schedMachine) leave(key JobKey) {
+	if _, left := m.leftAt[key]; !left {
+		m.leftAt[key] = m.now
+	}
+}
+
+// runOfLostCaller returns a run that goes on when its caller may have sent the job again, or an empty string.
+func (m *schedMachine) runOfLostCaller() string {
+	for _, w := range m.workers {
+		for _, key := range w.Running() {
+			for job, left := range m.leftAt {
+				if jobName(job) == key.Task.Job && m.now-left >= timing.DefaultResendAfter {
+					return fmt.Sprintf("%v runs on %s %v after its caller left", key, w.ID, m.now-left)
+				}
+			}
+		}
+	}
+	return ""
+}
+
 func (m *schedMachine) step(ev Event) {
+	m.look()
 	m.s.Step(m.now, ev)
 	m.s.Place(m.now)
 	for _, e := range m.s.Ready() {
@@ -253,6 +299,9 @@
 	if n := m.s.Stats().Violations; n > 0 {
 		t.Fatalf("%d starts were stopped by an internal check", n)
 	}
+	if run := m.runOfLostCaller(); run != "" {
+		t.Fatal(run)
+	}
 	for key, outcome := range m.outcomes {
 		if outcome != Completed {
 			continue
@@ -268,7 +317,8 @@
 func jobName(key JobKey) string { return fmt.Sprintf("job%d", key.Seq) }
 
 // TestMachine checks the invariants of the package under lost and late calls, lost answers,
-// restarting workers, slow clocks and a rival commander.
+// restarting workers, slow clocks, a rival commander, callers that leave and pauses of the process, after which it may
+// act before it has looked at its callers.
 func TestMachine(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := newSchedMachine()
@@ -289,7 +339,7 @@
 				need := fleet.Resources{CPU: rapid.Int64Range(20000, 41000).Draw(t, "cpu"), Memory: 64}
 				m.needs[jobName(key)] = need
 				m.step(Submit{Job: Job{
-					Key: key, Cell: "z", Left: 3 * time.Second,
+					Key: key, Cell: "z", Left: 3 * time.Second, CallersSeen: m.lookedAt,
 					Spec:  fleet.JobSpec{ID: jobName(key), Tasks: m.taskCounts[key], Need: need, Estimate: 300 * time.Millisecond},
 					Route: fleet.Route{Name: "r", Service: "s", MaxAttempts: 3, SlackFactor: 1.6, ObjectiveOffset: 500 * time.Millisecond},
 				}})
@@ -299,6 +349,21 @@
 					m.step(Cancel{Key: JobKey{Host: 1, Seq: rapid.Uint64Range(1, m.lastJobSeq).Draw(t, "job")}})
 				}
 			},
+			"leave": func(t *rapid.T) {
+				if m.lastJobSeq > 0 {
+					m.leave(JobKey{Host: 1, Seq: rapid.Uint64Range(1, m.lastJobSeq).Draw(t, "job")})
+				}
+			},
+			"pause": func(t *rapid.T) {
+				if rapid.Bool().Draw(t, "left") {
+					for seq := range m.lastJobSeq {
+						m.leave(JobKey{Host: 1, Seq: seq + 1})
+					}
+				}
+				pause := time.Duration(rapid.IntRange(100, 2500).Draw(t, "ms")) * time.Millisecond
+				m.blindUntil = m.now + pause + time.Duration(rapid.IntRange(0, 200).Draw(t, "blind"))*time.Millisecond
+				m.advance(pause)
+			},
 			"deliver": func(t *rapid.T) {
 				if c, ok := takeCall(t); ok {
 					m.deliver(c, true)
--- a/sched/opencalls_test.go
+++ b/sched/opencalls_test.go
@@ -40,7 +40,7 @@
 // once.
 func (p *widePool) step(ev Event) {
 	p.t.Helper()
-	p.s.Step(p.now, ev)
+	stepSeen(p.s, p.now, ev, 0)
 	p.s.Place(p.now)
 	for _, e := range p.s.Ready() {
 		switch e := e.(type) {
--- a/sched/overload_test.go
+++ b/sched/overload_test.go
@@ -140,7 +140,7 @@
 }
 
 func (r *replay) step(ev Event) {
-	r.s.Step(r.now, ev)
+	stepSeen(r.s, r.now, ev, 0)
 	r.s.Place(r.now)
 	for _, e := range r.s.Ready() {
 		r.carryOut(e)
--- a/sched/place.go
+++ b/sched/place.go
@@ -198,7 +198,7 @@
 	j.waiting = stillWaiting
 	if len(workerIDs) > 0 {
 		s.logEvent(j.spec.RequestID, "tasks started", "job", j.spec.ID, "tasks", len(workerIDs), "waiting", len(stillWaiting),
-			"age", now-j.arrived, "objective", j.objective, "predicted", j.taskDuration, "workers", strings.Join(workerIDs, ","), "speeds", strings.Join(speeds, ","))
+			"age", now-j.arrived, "wanted_ago", j.wantedAge(now), "objective", j.objective, "predicted", j.taskDuration, "workers", strings.Join(workerIDs, ","), "speeds", strings.Join(speeds, ","))
 		restarts.write(s, j)
 	}
 	return workers
--- a/sched/place_test.go
+++ b/sched/place_test.go
@@ -19,7 +19,7 @@
 	starts   []StartRun
 	outcomes map[JobKey]Outcome
 	logs     []LogEntry
-	contact  time.Duration   // with the process that submits jobs; 0: this process submits them
+	contact  time.Duration   // when process 1, which submits jobs, last saw its callers; 0: at each step
 	crashed  map[string]bool // workers whose addresses refuse connections
 }
 
@@ -44,8 +44,26 @@
 // settleTime is how long after its take a worker accepts tasks if the former commander has left no listed run.
 const settleTime = 60 * time.Millisecond
 
+// stepSeen applies an event while the callers of all processes but one are seen to wait.
+func stepSeen(s *State, now time.Duration, ev Event, unseen uint64) {
+	for host := range s.origins {
+		if host != unseen {
+			s.RecordCallersSeen(host, now)
+		}
+	}
+	if e, ok := ev.(Submit); ok && e.Job.Key.Host != unseen {
+		e.Job.CallersSeen = now
+		ev = e
+	}
+	s.Step(now, ev)
+}
+
 func (p *testPool) step(ev Event) {
-	p.s.Step(p.now, ev)
+	if p.contact == 0 {
+		stepSeen(p.s, p.now, ev, 0)
+	} else {
+		stepSeen(p.s, p.now, ev, 1)
+	}
 	p.place()
 }
 
@@ -96,9 +114,14 @@
 
 // submit submits a job whose tasks have the given estimated duration.
 func (p *testPool) submit(seq uint64, route string, tasks int, estimate time.Duration) JobKey {
-	key := JobKey{Host: 1, Seq: seq}
+	return p.submitFrom(1, seq, route, tasks, estimate)
+}
+
+// submitFrom does the same for a process.
+func (p *testPool) submitFrom(host, seq uint64, route string, tasks int, estimate time.Duration) JobKey {
+	key := JobKey{Host: host, Seq: seq}
 	p.step(Submit{Job: Job{
-		Key: key, Cell: "z", Left: 10 * time.Second, Remote: p.contact != 0, Contact: p.contact,
+		Key: key, Cell: "z", Left: 10 * time.Second, CallersSeen: p.contact,
 		Spec:  fleet.JobSpec{ID: fmt.Sprintf("%s%d", route, seq), Tasks: tasks, Need: fleet.Resources{CPU: 27000, Memory: 64}, Estimate: estimate},
 		Route: fleet.Route{Name: route, Prefix: "/" + route + "/", Service: "s", MaxAttempts: 3, SlackFactor: 1.6, ObjectiveOffset: 60 * time.Millisecond},
 	}})
@@ -211,7 +234,7 @@
 	m.sendDirectory(0)
 	key := JobKey{Host: 1, Seq: 1}
 	j := &job{
-		key: key, cell: "z", deadline: m.now + time.Second,
+		key: key, origin: &origin{callersSeen: m.now}, cell: "z", deadline: m.now + time.Second,
 		spec:    fleet.JobSpec{ID: "job1", Tasks: 1, Need: fleet.Resources{CPU: 1000, Memory: 1}},
 		route:   fleet.Route{Name: "r", Service: "s", MaxAttempts: 3, ObjectiveOffset: time.Second},
 		waiting: []int{0}, attempts: make([]int64, 1), failures: make([]int, 1), hasRun: make([]bool, 1),
--- a/sched/taking_test.go
+++ b/sched/taking_test.go
@@ -17,7 +17,7 @@
 		{ID: "w0", Service: "s", Zone: "z", Capacity: capacity}, {ID: "w1", Service: "s", Zone: "z", Capacity: capacity},
 	}})
 	for _, id := range []string{"w0", "w1"} {
-		s.Step(now, TakeWorker{Worker: id, Cell: "z", Fence: 1})
+		stepSeen(s, now, TakeWorker{Worker: id, Cell: "z", Fence: 1}, 0)
 	}
 	var holds []HoldWorker
 	for _, e := range s.Ready() {
@@ -60,7 +60,7 @@
 		if l := s.Loads("z")["s"]; l.CapacityCPU != 128000 || l.FreeCPU != 128000 {
 			t.Errorf("%+v: the load of the cell is %+v, want the room of both workers", policy, l)
 		}
-		s.Step(now, shortJob(1, 8, 20*time.Millisecond))
+		stepSeen(s, now, shortJob(1, 8, 20*time.Millisecond), 0)
 		if finished, starts := outcomesAndStarts(s, now); len(finished) != 0 || starts != 0 {
 			t.Fatalf("%+v: %d starts and %+v before a worker has answered", policy, starts, finished)
 		}
@@ -74,7 +74,7 @@
 			t.Errorf("%+v: %d starts and %+v beside runs that the workers may still be ending", policy, starts, finished)
 		}
 		now += settleTime
-		s.Step(now, Tick{})
+		stepSeen(s, now, Tick{}, 0)
 		if finished, starts := outcomesAndStarts(s, now); len(finished) != 0 || starts != 8 {
 			t.Errorf("%+v: %d starts and %+v, want 8 starts", policy, starts, finished)
 		}
@@ -89,7 +89,7 @@
 			Reply: fleet.Reply{Verdict: fleet.Accepted, ClockMillis: 1000, ProcessStart: 1},
 		}})
 	}
-	s.Step(now+settleTime, Tick{})
+	stepSeen(s, now+settleTime, Tick{}, 0)
 	return now + settleTime
 }
 
@@ -99,9 +99,9 @@
 	s, holds := takenPool(Policy{LookAhead: true}, now)
 	now += 100 * time.Millisecond
 	for _, h := range holds {
-		s.Step(now, HoldReply{Worker: h.Worker.ID, Seq: h.Seq, Sent: time.Minute, Fence: 1})
+		stepSeen(s, now, HoldReply{Worker: h.Worker.ID, Seq: h.Seq, Sent: time.Minute, Fence: 1}, 0)
 	}
-	s.Step(now, shortJob(1, 1, 0))
+	stepSeen(s, now, shortJob(1, 1, 0), 0)
 	if finished, _ := outcomesAndStarts(s, now); len(finished) != 1 || finished[0].Outcome != Refused {
 		t.Errorf("the job came to %+v, want refused", finished)
 	}
@@ -113,19 +113,19 @@
 	now := time.Minute
 	s, holds := takenPool(Policy{LookAhead: true}, now)
 	now = acceptTake(s, now, holds)
-	s.Step(now, shortJob(1, 4, 150*time.Millisecond))
-	s.Step(now, shortJob(2, 4, 0))
-	s.Step(now, shortJob(3, 40, 160*time.Millisecond)) // above what is free
+	stepSeen(s, now, shortJob(1, 4, 150*time.Millisecond), 0)
+	stepSeen(s, now, shortJob(2, 4, 0), 0)
+	stepSeen(s, now, shortJob(3, 40, 160*time.Millisecond), 0) // above what is free
 	finished, starts := outcomesAndStarts(s, now)
 	if len(finished) != 0 || starts != 8 {
 		t.Errorf("%d starts and %+v just after the take, want those of the jobs that fit and nothing refused", starts, finished)
 	}
 	now += returnTime
-	s.Step(now, Tick{})
+	stepSeen(s, now, Tick{}, 0)
 	if finished, _ = outcomesAndStarts(s, now); len(finished) != 1 || finished[0].Key.Seq != 3 || finished[0].Outcome != Refused {
 		t.Errorf("%+v, want the third job refused when its answer is of no use any more", finished)
 	}
-	s.Step(now, shortJob(4, 40, 160*time.Millisecond))
+	stepSeen(s, now, shortJob(4, 40, 160*time.Millisecond), 0)
 	if finished, _ = outcomesAndStarts(s, now); len(finished) != 1 || finished[0].Key.Seq != 4 {
 		t.Errorf("%+v later, want the late job without room refused", finished)
 	}
@@ -138,16 +138,16 @@
 	now := time.Minute
 	s, holds := takenPool(Policy{}, now)
 	now = acceptTake(s, now, holds)
-	s.Step(now, TakeWorker{Worker: "w1", Cell: "z", Fence: 2}) // another host has had it meanwhile
-	s.Step(now, shortJob(1, 12, 0))
+	stepSeen(s, now, TakeWorker{Worker: "w1", Cell: "z", Fence: 2}, 0) // another host has had it meanwhile
+	stepSeen(s, now, shortJob(1, 12, 0), 0)
 	if _, starts := outcomesAndStarts(s, now); starts != 8 {
 		t.Fatalf("%d tasks were started, want the 8 that the first worker has room for", starts)
 	}
 	s.CloseCell(now, "z")
 	for _, id := range []string{"w0", "w1"} {
-		s.Step(now, ReleaseWorker{Worker: id})
+		stepSeen(s, now, ReleaseWorker{Worker: id}, 0)
 	}
-	s.Step(now, UpdateWorkers{Workers: []fleet.Worker{s.workers["w0"].info, s.workers["w1"].info}}) // leads to a placement
+	stepSeen(s, now, UpdateWorkers{Workers: []fleet.Worker{s.workers["w0"].info, s.workers["w1"].info}}, 0) // leads to a placement
 	s.Place(now)
 	given := ""
 	for _, e := range s.Ready() {
--- a/sched/wanted.go
+++ b/sched/wanted.go
@@ -11,61 +11,68 @@
 // the first event.
 func (s *State) SetTiming(b timing.Budget) { s.timing = b }
 
-// origin is another process that has jobs here. It wanted them at the time contact.
-type origin struct{ contact time.Duration }
+// origin is a process that has jobs here: this one or another one. It was last known at callersSeen to have seen the
+// callers of its jobs wait.
+type origin struct{ callersSeen time.Duration }
 
-// originOf returns the origin of a job, or nil if it is a job of this process.
+// originOf returns the origin of a job.
 func (s *State) originOf(in Job) *origin {
-	if !in.Remote {
-		return nil
-	}
 	o := s.origins[in.Key.Host]
 	if o == nil {
 		o = new(origin)
 		s.origins[in.Key.Host] = o
 	}
-	o.contact = max(o.contact, in.Contact)
+	o.callersSeen = max(o.callersSeen, in.CallersSeen)
 	return o
 }
 
-// RecordContact records that another process still wanted, at the time contact, all its jobs that are in
-// progress here. A job whose last contact is older than the contact timeout gets no starts, and the
-// leases of the workers that run its tasks are not extended. A later contact ends that.
-func (s *State) RecordContact(host uint64, contact time.Duration) {
+// RecordCallersSeen records that a process, this one or another one, has seen at a time the callers wait of all its
+// jobs that are in progress here. A job for which this is longer ago than the contact timeout gets no starts, and the
+// leases of the workers that run its tasks are not extended. A later time ends that.
+func (s *State) RecordCallersSeen(host uint64, at time.Duration) {
 	o := s.origins[host]
-	if o == nil || contact <= o.contact {
+	if o == nil || at <= o.callersSeen {
 		return
 	}
-	if contact-o.contact > s.timing.ContactTimeout {
+	if unseen := at - o.callersSeen; unseen > s.timing.ContactTimeout {
 		s.needsPlacement = true
+		s.logSeenAgain(host, o, unseen)
 	}
-	o.contact = contact
+	o.callersSeen = at
 }
 
-// contactAge returns how long ago it was last known that a job is wanted.
-func (j *job) contactAge(now time.Duration) time.Duration {
-	if j.origin == nil {
-		return 0
+// logSeenAgain logs that the jobs of a process are known to be wanted after a time in which they were not.
+func (s *State) logSeenAgain(host uint64, o *origin, unseen time.Duration) {
+	jobs := 0
+	for _, j := range s.jobs {
+		if j.origin == o {
+			jobs++
+		}
+	}
+	if jobs > 0 {
+		s.logEvent("", "jobs are wanted again", "host_id", host, "jobs", jobs, "unseen", unseen)
 	}
-	return now - j.origin.contact
 }
 
-// isDoubted reports whether a job may not be wanted any more, because its host has been silent for too long.
+// wantedAge returns how long ago it was last known that a job is wanted.
+func (j *job) wantedAge(now time.Duration) time.Duration { return now - j.origin.callersSeen }
+
+// isDoubted reports whether a job may not be wanted any more: its caller may have left since it was last seen.
 func (s *State) isDoubted(now time.Duration, j *job) bool {
-	return j.contactAge(now) > s.timing.ContactTimeout
+	return j.wantedAge(now) > s.timing.ContactTimeout
 }
 
 // leaseFor returns the length of a lease that is granted to a worker now, on the worker's clock, for its
-// runs and a run of the job j, which may be nil. All that runs on a worker has the same lease, so the
-// oldest contact with the host of any of its jobs limits it.
+// runs and a run of the job j, which may be nil. All that runs on a worker has the same lease, so the job limits it
+// that was last known to be wanted the longest time ago.
 func (s *State) leaseFor(now time.Duration, w *worker, j *job) time.Duration {
 	age := time.Duration(0)
 	if j != nil {
-		age = j.contactAge(now)
+		age = j.wantedAge(now)
 	}
 	for _, r := range w.runList {
 		if !r.job.finished {
-			age = max(age, r.job.contactAge(now))
+			age = max(age, r.job.wantedAge(now))
 		}
 	}
 	return s.timing.LeaseAfter(age)
--- a/sched/wanted_test.go
+++ b/sched/wanted_test.go
@@ -69,7 +69,7 @@
 	if w.leaseEndBound > before || len(p.starts) != 1 {
 		t.Errorf("lease extended by %v and %d starts, want 0 and 1", w.leaseEndBound-before, len(p.starts))
 	}
-	p.s.RecordContact(1, p.now)
+	p.s.RecordCallersSeen(1, p.now)
 	p.pass(50 * time.Millisecond)
 	if w.leaseEndBound <= before || len(p.starts) != 2 {
 		t.Errorf("lease extended by %v and %d starts after the suspicion, want more and 2", w.leaseEndBound-before, len(p.starts))
@@ -83,8 +83,7 @@
 	p, w := newRemoteRun(64)
 	limit := p.contact + timing.Default().Horizon
 	p.pass(350 * time.Millisecond)
-	p.contact = 0
-	p.submit(2, "short", 1, 100*time.Millisecond)
+	p.submitFrom(2, 1, "short", 1, 100*time.Millisecond)
 	p.pass(150 * time.Millisecond)
 	if len(p.starts) != 2 {
 		t.Fatalf("%d starts, want 2", len(p.starts))
--- a/session/contact_test.go
+++ b/session/contact_test.go
@@ -26,11 +26,11 @@
 	a.Send(&meshpb.Message{})
 	exchange(2*time.Second, true)
 	exchange(2*time.Second+100*time.Millisecond, false)
-	if b.LastContact() <= 2*time.Second || b.LastCompleteContact() != time.Second {
-		t.Errorf("contact of %v, complete of %v with a message missing since 2s", b.LastContact(), b.LastCompleteContact())
+	if b.LastContact() <= 2*time.Second || b.CallersSeen() != time.Second {
+		t.Errorf("contact of %v, complete of %v with a message missing since 2s", b.LastContact(), b.CallersSeen())
 	}
 	exchange(3*time.Second, false)
-	if b.LastCompleteContact() != 3*time.Second {
-		t.Errorf("complete contact of %v after the message arrived", b.LastCompleteContact())
+	if b.CallersSeen() != 3*time.Second {
+		t.Errorf("complete contact of %v after the message arrived", b.CallersSeen())
 	}
 }
--- a/session/session.go
+++ b/session/session.go
@@ -6,7 +6,8 @@
 //
 // A session also measures the age of the contact. Each frame echoes the newest time stamp received
 // from the other side, so that a sender measures the age on its own clock only. Frames that were
-// buffered while a host was suspended therefore do not refresh an old contact.
+// buffered while a host was suspended therefore do not refresh an old contact. A frame also tells how long ago its
+// sender has looked at its callers: a process that was suspended is in contact again before it knows who has left.
 //
 // Package mesh carries the frames, and package host interprets the messages and decides when to send
 // a frame and when a contact is lost.
@@ -37,18 +38,18 @@
 
 // Session is the state of the exchange with one process. Create it with New.
 type Session struct {
-	unacked          []*meshpb.Message // messages without acknowledgement, sent or not
-	unackedBytes     int               // encoded size of unacked
-	firstUnacked     uint64            // number of unacked[0]; message numbers begin at 1
-	next             uint64            // number of the next message to put into a frame
-	highestSent      uint64            // highest message number that was in a frame
-	inFlight         []sentFrame       // frames with messages that are not acknowledged, in the order of their stamps
-	lastStamp        time.Duration     // of the newest frame
-	lastReceived     uint64            // number of the newest message received in order
-	peerStamp        int64             // newest time stamp of the other side, in ns on its clock
-	lastEcho         time.Duration     // newest own time stamp echoed by the other side
-	refusals         []Refusal
-	lastCompleteEcho time.Duration // the same of frames that no missing message came before
+	unacked      []*meshpb.Message // messages without acknowledgement, sent or not
+	unackedBytes int               // encoded size of unacked
+	firstUnacked uint64            // number of unacked[0]; message numbers begin at 1
+	next         uint64            // number of the next message to put into a frame
+	highestSent  uint64            // highest message number that was in a frame
+	inFlight     []sentFrame       // frames with messages that are not acknowledged, in the order of their stamps
+	lastStamp    time.Duration     // of the newest frame
+	lastReceived uint64            // number of the newest message received in order
+	peerStamp    int64             // newest time stamp of the other side, in ns on its clock
+	lastEcho     time.Duration     // newest own time stamp echoed by the other side
+	refusals     []Refusal
+	callersSeen  time.Duration // see CallersSeen
 }
 
 // sentFrame is a frame that held messages.
@@ -171,7 +172,7 @@
 		newMessages = append(newMessages, m)
 	}
 	if s.lastReceived >= f.GetLast() {
-		s.lastCompleteEcho = max(s.lastCompleteEcho, time.Duration(f.GetEcho()))
+		s.callersSeen = max(s.callersSeen, time.Duration(f.GetEcho()-f.GetCallersAgeNs()))
 	}
 	return newMessages
 }
@@ -207,9 +208,10 @@
 // its echo. 0 means that no frame has been echoed.
 func (s *Session) LastContact() time.Duration { return s.lastEcho }
 
-// LastCompleteContact returns the same as LastContact of those frames before which all messages of the
-// other process had arrived. What it has withdrawn before that time is known here.
-func (s *Session) LastCompleteContact() time.Duration { return s.lastCompleteEcho }
+// CallersSeen returns a time, on this side's clock, at or after which the other process has looked at the connections
+// of its callers and has wanted all its jobs that it has not withdrawn. Only those frames count before which all its
+// messages had arrived, so what it has withdrawn by then is known here. 0 means that there was none.
+func (s *Session) CallersSeen() time.Duration { return s.callersSeen }
 
 // Unacknowledged returns the number of messages that the process has not acknowledged.
 func (s *Session) Unacknowledged() int { return len(s.unacked) }
--- a/timing/timing.go
+++ b/timing/timing.go
@@ -22,17 +22,17 @@
 	// of a run, and two calls of 100 ms have to fit in besides.
 	MinLease = 450 * time.Millisecond
 
-	// contactTimeout is the age of the last contact with a host above which nothing is done for its jobs
-	// any more. Shorter values take hosts with a congested link for lost ones.
+	// contactTimeout is the time after the last contact with a host, or after the last look at the callers of a job,
+	// from which on nothing is done for the jobs any more. Shorter values take hosts with a congested link for lost
+	// ones.
 	contactTimeout = 450 * time.Millisecond
 	// lease is the length of a granted lease where the deployment allows it.
 	lease = 700 * time.Millisecond
-	// horizon is the time after the last contact with the host of a caller at which all leases granted for
-	// its jobs have ended. At the age of contactTimeout it still leaves a lease with which a hold is answered
+	// horizon is the time after a caller was last seen at which all leases granted for its job have ended. At the age of contactTimeout it still leaves a lease with which a hold is answered
 	// in time on a slow link.
 	horizon = 1000 * time.Millisecond
-	// schedulingMargin covers timers that fire late on the workers, and the time between the break of a
-	// caller's connection and its notice on a host that runs.
+	// schedulingMargin covers timers that fire late on the workers, and the time until the break of a caller's
+	// connection reaches the kernel of its host.
 	schedulingMargin = 50 * time.Millisecond
 )
 
@@ -48,9 +48,9 @@
 // Budget holds the time limits of a deployment. Create it with New.
 type Budget struct {
 	Limits
-	ContactTimeout time.Duration // age of a contact above which the other host's jobs get no more leases
+	ContactTimeout time.Duration // time since a caller was last seen above which its job gets no more leases
 	Lease          time.Duration // longest that is granted by a start or a hold, on the clock of the worker
-	Horizon        time.Duration // age of a contact at which all leases granted for the other host's jobs have ended
+	Horizon        time.Duration // the same at which all leases granted for the job have ended
 }
 
 // New returns the time limits of a deployment. Those of a larger ResendAfter than the default are those of the
@@ -84,9 +84,8 @@
 	return b
 }
 
-// LeaseAfter returns the length of a lease, on the clock of the worker, that is granted when the last
-// contact with the host of the caller has an age. It gets shorter with the age, so that it ends at Horizon
-// on the slowest clock.
+// LeaseAfter returns the length of a lease, on the clock of the worker, that is granted at a time after the caller was
+// last seen. It gets shorter with that time, so that it ends at Horizon on the slowest clock.
 func (b Budget) LeaseAfter(age time.Duration) time.Duration {
 	left := time.Duration(float64(b.Horizon-age) * MinClockRate)
 	return max(0, min(b.Lease, left.Truncate(time.Millisecond)))
@@ -98,8 +97,8 @@
 func (b Budget) RunOver(begun time.Duration) time.Duration { return begun + OnHostClock(b.RunEnd) }
 
 // LongestRun returns the time for which a run can go on after its caller's connection has broken. It is
-// the sum that has to stay below ResendAfter: no lease outlasts the last contact with the caller's host by
-// more than Horizon, and a stop that stays without answer does not lengthen this.
+// the sum that has to stay below ResendAfter: no lease outlasts the last time at which the caller was seen by more than
+// Horizon, and a stop that stays without answer does not lengthen this.
 func (b Budget) LongestRun() time.Duration {
 	lapse := min(b.Horizon, b.ContactTimeout+OnHostClock(b.Lease).Round(time.Millisecond))
 	return b.RunOver(lapse) + schedulingMargin
