Show that a woken host does not vouch for callers that left at other commanders

Callers would have seen two runs of a task: a host that was paused for 300 ms is in contact with the commander of a cell again before it has looked at its callers, and its frames said that it wanted all its jobs. Fixed by the age that frames carry since; this is its test, for jobs that another host commands.

It passes with the field.

--- a/host/fuzz_test.go
+++ b/host/fuzz_test.go
@@ -34,6 +34,8 @@
 		"negative need":        submit(&meshpb.Submit{Tasks: 1, Cpu: math.MinInt64, LeftNs: 1e9}),
 		"no number":            submit(&meshpb.Submit{Tasks: 1, LeftNs: 1e9, Route: &meshpb.Route{Service: "s", SlackFactor: math.NaN()}}),
 		"acks the unsent":      from(&meshpb.Frame{Sent: 1, Ack: math.MaxUint64, First: math.MaxUint64}),
+		"callers seen later":   from(&meshpb.Frame{Sent: 1, Echo: int64(now), CallersAgeNs: math.MinInt64}),
+		"callers never seen":   from(&meshpb.Frame{Sent: 1, Echo: int64(now), CallersAgeNs: math.MaxInt64}),
 		"empty message":        from(&meshpb.Frame{Sent: 1, First: 1, Messages: []*meshpb.Message{{}}}),
 	}
 }
--- a/host/paused_callers_test.go
+++ b/host/paused_callers_test.go
@@ -42,3 +42,18 @@
 		t.Errorf("%d jobs were sent again; the test shows nothing", resent)
 	}
 }
+
+// TestLateStopsOfPausedHost guards against a host that was paused for less than the contact timeout and that tells the
+// commander of a cell with its next frames that it wants all its jobs, before it has looked at its callers.
+func TestLateStopsOfPausedHost(t *testing.T) {
+	lateStops(t, func(m *hostMachine, h *simHost) {
+		const pause, blind = 300 * time.Millisecond, 300 * time.Millisecond
+		h.frozen = true
+		h.leaveAll()
+		notices := h.inbox
+		h.inbox = nil
+		h.blindUntil = m.w.now + pause + blind
+		m.w.after(pause, h.wake)
+		m.w.after(pause+blind, func() { h.step(notices...) })
+	})
+}
--- a/host/simulation_links_test.go
+++ b/host/simulation_links_test.go
@@ -56,7 +56,7 @@
 		return
 	}
 	f := e.Frame
-	sent := &meshpb.Frame{From: f.GetFrom(), To: f.GetTo(), Sent: f.GetSent(), Echo: f.GetEcho(), Ack: f.GetAck(), First: f.GetFirst(), Messages: f.GetMessages(), Status: f.GetStatus(), Last: f.GetLast()}
+	sent := &meshpb.Frame{From: f.GetFrom(), To: f.GetTo(), Sent: f.GetSent(), Echo: f.GetEcho(), Ack: f.GetAck(), First: f.GetFirst(), Messages: f.GetMessages(), Status: f.GetStatus(), Last: f.GetLast(), CallersAgeNs: f.GetCallersAgeNs()}
 	process := to.processCount
 	link := h.w.links[[2]int{h.index, to.index}]
 	deliver := func() {
