Draw pauses in zones of one host, and callers that leave paused hosts, in the models and the soak

Cause: no model let an own caller leave while its host was paused, act before the process had looked at it, or had zones of one host, in which no second host takes the workers of the paused one.

Change: TestPausesMachine (zones of one host, pauses, callers that leave and return); freezeWithCallers and zones of one host in TestMachine of host; callers of the soak leave paused hosts and return unless the way to the host is disturbed.

--- a/host/machine_test.go
+++ b/host/machine_test.go
@@ -97,31 +97,48 @@
 	}
 }
 
-// freeze suspends a process, possibly between its decisions and their effects, or after a look at its callers on which
-// its next steps then rest. Some of its callers may leave meanwhile and send their jobs again.
+// freeze suspends a process.
 func (m *hostMachine) freeze(t *rapid.T) {
+	if h := m.host(t); h.state != nil && !h.frozen {
+		m.freezeHost(t, h, drawTime(t, "for", 50, 4000))
+	}
+}
+
+// freezeWithCallers suspends a process soon after jobs have arrived there, whose callers leave during the pause and
+// send their jobs again.
+func (m *hostMachine) freezeWithCallers(t *rapid.T) {
 	h := m.host(t)
 	if h.state == nil || h.frozen {
 		return
 	}
+	for range rapid.IntRange(1, 4).Draw(t, "jobs") {
+		m.w.submit(h, rapid.IntRange(1, 4).Draw(t, "tasks"), drawTime(t, "takes", 300, 2500), false)
+	}
+	m.w.advance(drawTime(t, "before", 5, 300))
+	if h.state == nil || h.frozen {
+		return
+	}
+	process, last := h.processCount, h.seq
+	m.w.after(drawTime(t, "stay", 0, 400), func() {
+		for seq := last; seq > 0 && h.processCount == process; seq-- {
+			h.closeConnection(seq, true)
+		}
+	})
+	m.freezeHost(t, h, drawTime(t, "for", 200, 2500))
+}
+
+// freezeHost suspends a process, possibly between its decisions and their effects, or after a look at its callers on
+// which its first steps after the pause rest.
+func (m *hostMachine) freezeHost(t *rapid.T, h *simHost, lasts time.Duration) {
 	if rapid.Bool().Draw(t, "between") {
 		h.stalled = true
 	} else {
 		h.frozen = true
 	}
 	process := h.processCount
-	lasts := drawTime(t, "for", 50, 4000)
 	if rapid.Bool().Draw(t, "blind") {
 		h.blindUntil = m.w.now + lasts + drawTime(t, "blindFor", 0, 100)
 	}
-	if rapid.Bool().Draw(t, "left") {
-		seq := h.seq
-		m.w.after(time.Duration(rapid.Float64Range(0, 1).Draw(t, "when")*float64(lasts)), func() {
-			for ; seq > 0 && h.processCount == process; seq-- {
-				h.closeConnection(seq, true)
-			}
-		})
-	}
 	m.w.after(lasts, func() {
 		if h.processCount == process {
 			h.wake()
@@ -369,7 +386,7 @@
 // callers leave and return.
 func TestMachine(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		m := &hostMachine{w: newSimulation(rapid.Uint64().Draw(t, "seed"), 2, 3, rapid.IntRange(1, 3).Draw(t, "cellWorkers"))}
+		m := &hostMachine{w: newSimulation(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(1, 2).Draw(t, "hostsPerZone"), 3, rapid.IntRange(1, 3).Draw(t, "cellWorkers"))}
 		m.w.advance(2 * time.Second)
 		m.w.load = drawTime(t, "load", 20, 200)
 		t.Repeat(map[string]func(*rapid.T){
@@ -380,6 +397,7 @@
 			"kill":          m.fault(m.kill),
 			"killAll":       m.fault(m.killAll),
 			"freeze":        m.fault(m.freeze),
+			"freezeCallers": m.fault(m.freezeWithCallers),
 			"drain":         m.fault(m.drain),
 			"replaceState":  m.fault(m.replaceState),
 			"cut":           m.fault(m.cut),
--- a/host/paused_callers_test.go
+++ b/host/paused_callers_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"pgregory.net/rapid"
 )
 
 // TestWokenHostStartsNothingForCallersThatLeft guards against a host that was paused and that starts tasks for own
@@ -57,3 +59,23 @@
 		m.w.after(pause+blind, func() { h.step(notices...) })
 	})
 }
+
+// TestPausesMachine checks the guarantees of entry hosts under pauses of zones with one host each, whose callers leave
+// and send their jobs to the other zone. A zone with a second host hides what a host does as it wakes up: the other one
+// has taken its workers.
+func TestPausesMachine(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &hostMachine{w: newSimulation(rapid.Uint64().Draw(t, "seed"), 1, 4, 100)}
+		m.w.advance(2 * time.Second)
+		t.Repeat(map[string]func(*rapid.T){
+			"submit":        m.submit,
+			"leave":         m.leave,
+			"freeze":        m.fault(m.freeze),
+			"freezeCallers": m.fault(m.freezeWithCallers),
+			"pass":          func(t *rapid.T) { m.w.advance(drawTime(t, "ms", 1, 100)) },
+			"passLong":      func(t *rapid.T) { m.w.advance(drawTime(t, "ms", 100, 1500)) },
+			"":              m.check,
+		})
+		m.recover(t)
+	})
+}
--- a/standin/soak/callers.go
+++ b/standin/soak/callers.go
@@ -29,6 +29,10 @@
 	maxPauseMS = 300
 	// cancelShare is the fraction of the requests that a caller cancels before the answer.
 	cancelShare = 0.05
+	// leaveShare is the fraction of the callers of a paused host that leave during the pause, within maxLeaveDelay
+	// of its beginning, and send their jobs again.
+	leaveShare    = 0.5
+	maxLeaveDelay = time.Second
 )
 
 // attempt is one request that submits a job, and its answer.
@@ -39,6 +43,7 @@
 	status      int       // HTTP status, 0 if there was no answer
 	state       string    // of the job, from the answer
 	cancelled   bool      // by the caller, before the answer
+	returns     bool      // the caller that has cancelled sends the job again
 	err         error
 }
 
@@ -122,28 +127,41 @@
 		c.mu.Lock()
 		j.attempts = append(j.attempts, a)
 		c.mu.Unlock()
-		if a.cancelled || a.status == http.StatusOK || a.status == http.StatusServiceUnavailable || a.status == http.StatusTooManyRequests {
+		if a.cancelled && !a.returns || a.status == http.StatusOK || a.status == http.StatusServiceUnavailable || a.status == http.StatusTooManyRequests {
 			break
 		}
 	}
 	return j
 }
 
-// send sends a job once. If cancels is set, the caller cancels the request after at most 300 ms.
+// send sends a job once. If cancels is set, the caller cancels the request after at most 300 ms. Otherwise it may do so
+// while the host is paused, and returns then unless the host could not hear of it.
 func (c *callers) send(client *http.Client, h *hostNode, j *job, taskDuration string, cancels bool) attempt {
 	a := attempt{host: h, sent: time.Now(), cancelled: cancels}
-	ctx := context.Background()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
 	if cancels {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, rand.N(300*time.Millisecond))
-		defer cancel()
+		time.AfterFunc(rand.N(300*time.Millisecond), cancel)
+	} else if rand.Float64() < leaveShare {
+		go leaveInPause(ctx, h, cancel)
 	}
 	a.status, a.state, a.err = postJob(a.recordConnection(ctx), client, "http://"+h.callersAddress+"/jobs/"+j.id, fleetsim.JobBody(taskDuration, j.tasks, taskMillicores))
 	a.ended = time.Now()
-	a.cancelled = cancels && a.err != nil
+	a.cancelled = a.err != nil && ctx.Err() != nil
+	a.returns = !cancels && !h.hadFrontFault(a.sent, a.ended.Add(resendDelay)) && !h.silenced(a.connOpened)
 	return a
 }
 
+// leaveInPause cancels a request during the next pause of its host, unless the request ends before.
+func leaveInPause(ctx context.Context, h *hostNode, cancel func()) {
+	select {
+	case <-h.nextPause():
+		time.Sleep(rand.N(maxLeaveDelay))
+		cancel()
+	case <-ctx.Done():
+	}
+}
+
 // postJob posts a submission with callerDeadline and returns the HTTP status and the job's state.
 func postJob(ctx context.Context, client *http.Client, url string, body any) (int, string, error) {
 	encoded, err := json.Marshal(body)
--- a/standin/soak/fault.go
+++ b/standin/soak/fault.go
@@ -130,6 +130,7 @@
 		return noop
 	}
 	p.Signal(syscall.SIGSTOP)
+	h.announcePause()
 	return func() { p.Signal(syscall.SIGCONT) }
 })
 
--- a/standin/soak/fault_route.go
+++ b/standin/soak/fault_route.go
@@ -24,7 +24,16 @@
 		if rng.IntN(4) == 0 {
 			return begin(d, rng, d.workers[rng.IntN(len(d.workers))].route)
 		}
-		return begin(d, rng, kinds[rng.IntN(len(kinds))]+h.name)
+		route := kinds[rng.IntN(len(kinds))] + h.name
+		endFault := noop
+		if route == frontRoute+h.name {
+			endFault = h.beginFrontFault()
+		}
+		end := begin(d, rng, route)
+		return func() {
+			end()
+			endFault()
+		}
 	})
 }
 
--- a/standin/soak/host.go
+++ b/standin/soak/host.go
@@ -25,6 +25,8 @@
 	process         *testbed.Process // nil if none should run
 	endRequested    bool             // the process was told to end or killed
 	removed         bool             // does not start: replaced, or a spare that is not in use
+	frontFaults     []interval       // of the route from callers
+	pauseBegins     chan struct{}    // closed when the host is paused; nil: nobody waits for that
 	unplannedFaults []interval       // broken requests are excused at these times
 	silencedAt      []time.Time      // when the callers' connections that were open then went silent for good
 	restartMu       sync.Mutex       // held while restart starts the process
@@ -94,15 +96,20 @@
 
 // beginUnplannedFault records the start of an unplanned fault and returns a function that records its
 // end.
-func (h *hostNode) beginUnplannedFault() (end func()) {
+func (h *hostNode) beginUnplannedFault() (end func()) { return h.beginFault(&h.unplannedFaults) }
+
+// beginFrontFault does the same for a fault of the route from callers to the host.
+func (h *hostNode) beginFrontFault() (end func()) { return h.beginFault(&h.frontFaults) }
+
+func (h *hostNode) beginFault(faults *[]interval) (end func()) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.unplannedFaults = append(h.unplannedFaults, interval{from: time.Now()})
-	n := len(h.unplannedFaults) - 1
+	*faults = append(*faults, interval{from: time.Now()})
+	n := len(*faults) - 1
 	return func() {
 		h.mu.Lock()
 		defer h.mu.Unlock()
-		h.unplannedFaults[n].to = time.Now()
+		(*faults)[n].to = time.Now()
 	}
 }
 
@@ -113,6 +120,34 @@
 	return anyIntervalOverlaps(h.unplannedFaults, from, to)
 }
 
+// hadFrontFault does the same for a fault of the route from callers to the host, in which the host may not hear that
+// a caller has left.
+func (h *hostNode) hadFrontFault(from, to time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return anyIntervalOverlaps(h.frontFaults, from, to)
+}
+
+// nextPause returns a channel that is closed when the host is paused the next time.
+func (h *hostNode) nextPause() <-chan struct{} {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.pauseBegins == nil {
+		h.pauseBegins = make(chan struct{})
+	}
+	return h.pauseBegins
+}
+
+// announcePause tells callers that the host is paused.
+func (h *hostNode) announcePause() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.pauseBegins != nil {
+		close(h.pauseBegins)
+		h.pauseBegins = nil
+	}
+}
+
 // recordSilence records that the open connections of callers to the host go silent for good.
 func (h *hostNode) recordSilence() {
 	h.mu.Lock()
