Remember cancelled jobs for as long as the state of a job is owed

Cause: all hosts forgot a cancelled job after 10 s, a time that covers requests sent before the DELETE only.

Without room the oldest are forgotten first, none before 10 s, so that no cancellation is refused that was accepted before.

--- a/entry/host.go
+++ b/entry/host.go
@@ -132,6 +132,7 @@
 		Seeds:              s.Seeds,
 		Decode:             host.Decoders{Config: platform.DecodeConfig, Worker: platform.DecodeWorker},
 		AwaitEvacuations:   true,
+		CancelMemory:       s.StatusTime,
 		Seed:               h.id,
 		Started:            sinceBoot(),
 		UnixMillis:         time.Now().UnixMilli(),
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"sesameledge.dev/sesameledge/finding"
+	"sesameledge.dev/sesameledge/host"
 	"sesameledge.dev/sesameledge/strictyaml"
 	"sesameledge.dev/sesameledge/timing"
 )
@@ -38,6 +39,9 @@
 	// RunEndTime is the longest time that a worker takes to end a run once its lease has lapsed or it has taken
 	// a stop.
 	RunEndTime time.Duration `yaml:"run_end_time,omitempty"`
+	// StatusTime is the time for which the state of a job that has ended is known. A job that was cancelled is not
+	// started again within it.
+	StatusTime time.Duration `yaml:"status_time,omitempty"`
 	// RemotePenalty is the factor by which a task takes longer on another rack than that of its data.
 	RemotePenalty float64 `yaml:"remote_penalty,omitempty"`
 	// LookAhead decides by the predicted ends of running tasks which jobs are admitted and where large
@@ -93,7 +97,7 @@
 	s := &Settings{
 		Cores: 1, CoreShare: 1, DrainTime: defaultDrainTime,
 		ResendAfter: timing.DefaultResendAfter, MaxLease: timing.DefaultMaxLease, RunEndTime: timing.DefaultRunEnd,
-		RemotePenalty: defaultRemotePenalty, Log: Log{LinesPerSecond: defaultLinesPerSecond},
+		StatusTime: host.DefaultCancelMemory, RemotePenalty: defaultRemotePenalty, Log: Log{LinesPerSecond: defaultLinesPerSecond},
 	}
 	list := new(finding.List)
 	doc := strictyaml.Decode(path, text, s, list)
@@ -122,6 +126,7 @@
 	require(s.ResendAfter > 0, "resend_after", "must be positive")
 	require(s.MaxLease > 0, "max_lease", "must be positive")
 	require(s.RunEndTime > 0, "run_end_time", "must be positive")
+	require(s.StatusTime > 0, "status_time", "must be positive")
 	if s.ResendAfter > 0 && s.MaxLease > 0 && s.RunEndTime > 0 {
 		_, err := timing.New(s.timeLimits())
 		require(err == nil, s.tightestTime(), fmt.Sprint(err))
--- a/host/cancellation_test.go
+++ b/host/cancellation_test.go
@@ -70,7 +70,7 @@
 	if j.sentAfter && (c.w.kills != j.killsAtAck || c.h.tookCellAt > j.ackedAt) {
 		return
 	}
-	if j.ackedAt != 0 && decided > j.ackedAt && decided < j.ackedAt+cancelMemory {
+	if j.ackedAt != 0 && decided > j.ackedAt && decided < j.ackedAt+DefaultCancelMemory {
 		c.w.fail("host %s started %v of %s %v after its cancellation was acknowledged", c.h.name, run, j.id, decided-j.ackedAt)
 	}
 }
@@ -231,7 +231,7 @@
 // TestCancelledJobsAreForgotten guards against memory that grows with the number of cancellations, and
 // against a cancellation that is acknowledged although it cannot be remembered.
 func TestCancelledJobsAreForgotten(t *testing.T) {
-	c := newCancellations()
+	c := newCancellations(DefaultCancelMemory)
 	now := time.Minute
 	for i := range maxOwnCancels {
 		if c.remember(now, jobName{id: fmt.Sprint(i)}, 0) == nil {
@@ -241,8 +241,12 @@
 	if c.remember(now, jobName{id: "more"}, 0) != nil || c.find(now, jobName{id: "more"}) != nil {
 		t.Error("more jobs are remembered than there is room for")
 	}
-	now += cancelMemory
-	if c.remember(now, jobName{id: "more"}, 0) == nil || c.find(now, jobName{id: "0"}) != nil {
+	now += minCancelMemory
+	if c.remember(now, jobName{id: "more"}, 0) == nil || c.find(now, jobName{id: "0"}) != nil || c.find(now, jobName{id: "1"}) == nil {
+		t.Error("the oldest job of several does not make room for another one")
+	}
+	now += DefaultCancelMemory
+	if c.remember(now, jobName{id: "more"}, 0) == nil || c.find(now, jobName{id: "1"}) != nil {
 		t.Error("the time of the earlier jobs is over, and they still take room")
 	}
 	if len(c.byID) != 1 || len(c.expiring) != 1 || c.own != 1 {
@@ -279,3 +283,27 @@
 		t.Errorf("%d jobs were cancelled, want 1", n)
 	}
 }
+
+// TestCancelledJobStaysCancelled guards against a cancelled job that starts because its request arrives again seconds
+// after it was answered (review/12).
+func TestCancelledJobStaysCancelled(t *testing.T) {
+	w, commander, other := newCancelSimulation()
+	j := w.submit(commander, 2, 30*time.Second, false)
+	w.advance(100 * time.Millisecond)
+	w.cancelJob(other, j)
+	w.advance(100 * time.Millisecond)
+	if j.ackedAt == 0 || len(j.runs) == 0 {
+		t.Fatalf("acknowledged at %v, %d runs", j.ackedAt, len(j.runs))
+	}
+	runs := len(j.runs)
+	for range 10 {
+		w.advance(11 * time.Second)
+		for _, h := range w.hosts {
+			w.send(j, h)
+		}
+		w.advance(100 * time.Millisecond)
+		if len(j.runs) != runs || j.outcomes[len(j.outcomes)-1] != sched.Cancelled {
+			t.Fatalf("%d runs after %v, want %d; outcomes %v", len(j.runs), w.now-j.ackedAt, runs, j.outcomes)
+		}
+	}
+}
--- a/host/host.go
+++ b/host/host.go
@@ -10,6 +10,7 @@
 package host
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"time"
 
@@ -54,7 +55,9 @@
 	MemoryMB int64
 	// AwaitEvacuations makes the host start no tasks before it knows which zones are evacuated.
 	AwaitEvacuations bool
-	Decode           Decoders
+	// CancelMemory is how long cancelled jobs are remembered. 0 means DefaultCancelMemory.
+	CancelMemory time.Duration
+	Decode       Decoders
 	// Timing holds the time limits of the deployment. The zero value means timing.Default.
 	Timing  timing.Budget
 	Seed    uint64
@@ -144,7 +147,7 @@
 		readsWorkers: true,
 		callersSeen:  opts.Started,
 		applying:     -1,
-		cancels:      newCancellations(),
+		cancels:      newCancellations(cmp.Or(opts.CancelMemory, DefaultCancelMemory)),
 		configServer: configsync.NewServer(opts.LinkBytesPerSecond),
 		messageBytes: make(map[string]MessageBytes),
 		rng:          rand.New(rand.NewPCG(opts.Seed, opts.Self.ID)),
