--- a/host/lease_budget_test.go
+++ b/host/lease_budget_test.go
@@ -28,22 +28,29 @@
 			w.advance(20*time.Millisecond + time.Duration(w.rng.Int64N(int64(5*time.Millisecond))))
 		}
 		fault(&hostMachine{w: w}, h)
-		for w.now < time.Hour+8*time.Second && w.failure == nil {
-			w.advance(10 * time.Millisecond)
-			w.check()
-		}
-		if w.failure != nil {
-			t.Fatalf("seed %d: %v", seed, w.failure)
-		}
-		for _, j := range w.jobs {
-			resent += j.resends
-		}
+		resent += w.playOut(t, seed)
 	}
 	if resent < 40 {
 		t.Errorf("%d jobs were sent again; the test shows nothing", resent)
 	}
 }
 
+// playOut checks the simulation of a seed until all jobs have ended. It returns how often jobs were sent again.
+func (w *simulation) playOut(t *testing.T, seed uint64) (resent int) {
+	t.Helper()
+	for w.now < time.Hour+8*time.Second && w.failure == nil {
+		w.advance(5 * time.Millisecond)
+		w.check()
+	}
+	if w.failure != nil {
+		t.Fatalf("seed %d: %v", seed, w.failure)
+	}
+	for _, j := range w.jobs {
+		resent += j.resends
+	}
+	return resent
+}
+
 // killable returns a host with jobs of callers that commands no cell.
 func (w *simulation) killable() *simHost {
 	for _, h := range w.hosts {
--- a/host/paused_callers_test.go
+++ b/host/paused_callers_test.go
@@ -29,16 +29,7 @@
 		pause := 1350*time.Millisecond + time.Duration(w.rng.Int64N(int64(500*time.Millisecond)))
 		w.after(pause, h.wake)
 		h.blindUntil = w.now + pause + time.Duration(w.rng.Int64N(int64(maxNoticeDelay)))
-		for w.now < time.Hour+8*time.Second && w.failure == nil {
-			w.advance(5 * time.Millisecond)
-			w.check()
-		}
-		if w.failure != nil {
-			t.Fatalf("seed %d: %v", seed, w.failure)
-		}
-		for _, j := range w.jobs {
-			resent += j.resends
-		}
+		resent += w.playOut(t, seed)
 	}
 	if resent < 40 {
 		t.Errorf("%d jobs were sent again; the test shows nothing", resent)
