Let a process that drains in the model go on to do so when its state is replaced

The trace shows both hosts draining for ever: the model lost sight of a drain when the state of the process was replaced, while the platform goes on waiting for the process and ends it. A fault of the model, not of the product.

Change: the model counts the lives of a host apart from its states.

--- a/host/machine_test.go
+++ b/host/machine_test.go
@@ -154,13 +154,13 @@
 		return
 	}
 	h.draining = true
-	process := h.processCount
-	h.deliver(process, Drain{})
+	life := h.life
+	h.deliver(h.processCount, Drain{})
 	deadline := m.w.now + 6*time.Second
 	var poll func()
 	poll = func() {
 		switch {
-		case h.processCount != process:
+		case h.life != life:
 		case m.w.now >= deadline || !h.frozen && h.state.OpenJobs() == 0 && h.state.CellCount() == 0:
 			m.restart(h, bootTime)
 		default:
--- a/host/simulation_hosts_test.go
+++ b/host/simulation_hosts_test.go
@@ -20,7 +20,8 @@
 	addr         string
 	skew         time.Duration // of its clock
 	state        *State        // nil: no process
-	processCount int           // number of the current process; a kill and a boot each add one
+	processCount int           // number of the current process; a kill, a boot and a replaced state each add one
+	life         int           // the same without replaced states: a process that drains goes on to do so
 	frozen       bool
 	stalled      bool     // the next step freezes the host; its effects are carried out on waking
 	inbox        []Event  // events that wait while the host is frozen
@@ -50,6 +51,7 @@
 	w := h.w
 	w.nextID++
 	h.processCount++
+	h.life++
 	h.frozen, h.stalled, h.draining = false, false, false
 	h.inbox, h.outbox, h.version = nil, nil, 0
 	h.open = make(map[uint64]*simJob)
@@ -81,6 +83,7 @@
 		return
 	}
 	h.processCount++
+	h.life++
 	h.w.kills++
 	h.state = nil
 	for seq := range h.seq + 1 {
