Split the models of hosts and of the scheduler by what they do

Change: the faults of hosts, the faults of networks and workers, and the callers with the pauses have files of their own; no line of code is changed but two actions that became methods.

--- a/sched/machine_test.go
+++ b/sched/machine_test.go
@@ -10,7 +10,6 @@
 
 	"sesameledge.dev/sesameledge/fleet"
 	"sesameledge.dev/sesameledge/internal/workermodel"
-	"sesameledge.dev/sesameledge/timing"
 )
 
 // startRivalRun starts a run for another host if the worker has free capacity for it.
@@ -81,46 +80,6 @@
 	m.step(UpdateWorkers{Workers: list})
 }
 
-// look cancels the jobs of the callers that have left, and records that the others wait, as the event loop of a host
-// does before a batch. A pause of the process may lie between a look and the steps that rest on it.
-func (m *schedMachine) look() {
-	if m.now < m.blindUntil || m.now-m.lookedAt < lookInterval {
-		return
-	}
-	m.lookedAt = m.now
-	for seq := range m.lastJobSeq {
-		key := JobKey{Host: 1, Seq: seq + 1}
-		if _, left := m.leftAt[key]; left {
-			m.s.Step(m.now, Cancel{Key: key})
-		}
-	}
-	m.s.RecordCallersSeen(1, m.now)
-}
-
-// lookInterval is the time between two looks at the callers.
-const lookInterval = 50 * time.Millisecond
-
-// leave makes the caller of a job leave. It may send the job again to another host DefaultResendAfter later.
-func (m *schedMachine) leave(key JobKey) {
-	if _, left := m.leftAt[key]; !left {
-		m.leftAt[key] = m.now
-	}
-}
-
-// runOfLostCaller returns a run that goes on when its caller may have sent the job again, or an empty string.
-func (m *schedMachine) runOfLostCaller() string {
-	for _, w := range m.workers {
-		for _, key := range w.Running() {
-			for job, left := range m.leftAt {
-				if jobName(job) == key.Task.Job && m.now-left >= timing.DefaultResendAfter {
-					return fmt.Sprintf("%v runs on %s %v after its caller left", key, w.ID, m.now-left)
-				}
-			}
-		}
-	}
-	return ""
-}
-
 func (m *schedMachine) step(ev Event) {
 	m.look()
 	m.s.Step(m.now, ev)
@@ -349,21 +308,8 @@
 					m.step(Cancel{Key: JobKey{Host: 1, Seq: rapid.Uint64Range(1, m.lastJobSeq).Draw(t, "job")}})
 				}
 			},
-			"leave": func(t *rapid.T) {
-				if m.lastJobSeq > 0 {
-					m.leave(JobKey{Host: 1, Seq: rapid.Uint64Range(1, m.lastJobSeq).Draw(t, "job")})
-				}
-			},
-			"pause": func(t *rapid.T) {
-				if rapid.Bool().Draw(t, "left") {
-					for seq := range m.lastJobSeq {
-						m.leave(JobKey{Host: 1, Seq: seq + 1})
-					}
-				}
-				pause := time.Duration(rapid.IntRange(100, 2500).Draw(t, "ms")) * time.Millisecond
-				m.blindUntil = m.now + pause + time.Duration(rapid.IntRange(0, 200).Draw(t, "blind"))*time.Millisecond
-				m.advance(pause)
-			},
+			"leave": m.callerLeaves,
+			"pause": m.pause,
 			"deliver": func(t *rapid.T) {
 				if c, ok := takeCall(t); ok {
 					m.deliver(c, true)
