--- a/entry/callers.go
+++ b/entry/callers.go
@@ -11,8 +11,8 @@
 	// callerCheckInterval is the shortest time between two looks at the connections of all callers. Leases are
 	// granted for the full time as long as looks are less than some 300 ms apart.
 	callerCheckInterval = 50 * time.Millisecond
-	// maxSuspension is the longest time for which the machine may have been suspended without doubt about who still
-	// waits: a closed connection that was announced meanwhile is announced again, later the longer it lasted.
+	// maxSuspension is the longest suspension of the machine after which an open connection still shows that its
+	// caller waits. Closing segments that came meanwhile were lost and are sent again, the later the longer it took.
 	maxSuspension = 50 * time.Millisecond
 )
 
@@ -53,7 +53,7 @@
 }
 
 // check looks at the connections of all callers if the last look is callerCheckInterval ago. It drops those that have
-// left and returns the events that tell of them, and of the time of the look. After an error nothing is known.
+// left and returns an event for each of them and one with the time of the look. After an error nothing is known.
 func (c *callers) check() ([]host.Event, error) {
 	if c.awakeTime()-c.checkedAt.awake < callerCheckInterval {
 		return nil, nil
@@ -73,7 +73,7 @@
 	return append(events, host.CallersSeen{At: now.sinceBoot}), nil
 }
 
-// findGone returns the callers that have left: all that may have if the machine was suspended.
+// findGone returns the callers that have left, or all of them if the machine was suspended.
 func (c *callers) findGone(suspended bool) ([]uint64, error) {
 	if len(c.waiting) == 0 {
 		return nil, nil
--- a/sched/event.go
+++ b/sched/event.go
@@ -21,7 +21,7 @@
 	Route fleet.Route
 	Age   time.Duration // since the caller's request arrived
 	Left  time.Duration // until the caller stops waiting
-	// CallersSeen is when the process in Key was last known to have seen the callers of its jobs wait.
+	// CallersSeen is when the process in Key last saw that the callers of its jobs waited, as far as is known.
 	CallersSeen time.Duration
 }
 
--- a/sched/job.go
+++ b/sched/job.go
@@ -81,7 +81,7 @@
 	}
 }
 
-// abandon ends a job that is not wanted any more since some time after it was last known to be.
+// abandon ends a job whose caller has left at some time since it was last seen.
 func (s *State) abandon(now time.Duration, j *job, reason string) {
 	wanted := now - j.wantedAge(now)
 	s.finish(now, j, Aborted, reason)
--- a/sched/wanted.go
+++ b/sched/wanted.go
@@ -11,8 +11,8 @@
 // the first event.
 func (s *State) SetTiming(b timing.Budget) { s.timing = b }
 
-// origin is a process that has jobs here: this one or another one. It was last known at callersSeen to have seen the
-// callers of its jobs wait.
+// origin is a process that has jobs here: this one or another one. At callersSeen it saw that the callers of all its
+// jobs waited, as far as is known here.
 type origin struct{ callersSeen time.Duration }
 
 // originOf returns the origin of a job.
@@ -26,9 +26,9 @@
 	return o
 }
 
-// RecordCallersSeen records that a process, this one or another one, has seen at a time the callers wait of all its
-// jobs that are in progress here. A job for which this is longer ago than the contact timeout gets no starts, and the
-// leases of the workers that run its tasks are not extended. A later time ends that.
+// RecordCallersSeen records that a process, this one or another one, saw at a time that the callers of all its jobs in
+// progress here waited. A job for which this is longer ago than the contact timeout gets no starts, and the leases of
+// the workers that run its tasks are not extended, until a later time is recorded.
 func (s *State) RecordCallersSeen(host uint64, at time.Duration) {
 	o := s.origins[host]
 	if o == nil || at <= o.callersSeen {
@@ -63,8 +63,8 @@
 }
 
 // leaseFor returns the length of a lease that is granted to a worker now, on the worker's clock, for its
-// runs and a run of the job j, which may be nil. All that runs on a worker has the same lease, so the job limits it
-// that was last known to be wanted the longest time ago.
+// runs and a run of the job j, which may be nil. All that runs on a worker has the same lease, so it is limited by the
+// job whose caller was seen the longest time ago.
 func (s *State) leaseFor(now time.Duration, w *worker, j *job) time.Duration {
 	age := time.Duration(0)
 	if j != nil {
