Ask once whether a caller's connection is known to be open

Change: isOpen takes the place of isClosed; abandon takes the time at which the caller was last seen. Behaviour is the same.

--- a/entry/callerconn.go
+++ b/entry/callerconn.go
@@ -55,8 +55,8 @@
 	}
 }
 
-// isClosed reports whether a socket has been closed, or why that is not known.
-func isClosed(c syscall.RawConn) (bool, error) {
+// isOpen reports whether a socket is known to be open.
+func isOpen(c syscall.RawConn) bool {
 	closed, err := findClosed([]syscall.RawConn{c})
-	return len(closed) > 0, err
+	return err == nil && len(closed) == 0
 }
--- a/entry/callers_test.go
+++ b/entry/callers_test.go
@@ -48,7 +48,7 @@
 func (c *testCaller) awaitClosed(t *testing.T) {
 	t.Helper()
 	for range 1000 {
-		if closed, err := isClosed(c.conn); closed || err != nil {
+		if !isOpen(c.conn) {
 			return
 		}
 		time.Sleep(time.Millisecond)
--- a/entry/ingress.go
+++ b/entry/ingress.go
@@ -144,7 +144,7 @@
 		in.refuse(w, r, err.Error(), time.Second)
 		return
 	}
-	if closed, err := isClosed(conn); closed || err != nil {
+	if !isOpen(conn) {
 		in.refuse(w, r, reasonCallerLeft, time.Second)
 		return
 	}
--- a/entry/loop.go
+++ b/entry/loop.go
@@ -230,7 +230,7 @@
 	l.lastSeq++
 	e.event.Seq = l.lastSeq
 	e.seq <- l.lastSeq
-	if closed, err := isClosed(e.conn); closed || err != nil {
+	if !isOpen(e.conn) {
 		e.answer <- host.Answer{Seq: e.event.Seq, Outcome: sched.Refused, Reason: reasonCallerLeft, RetryAfter: time.Second}
 		return events
 	}
--- a/sched/job.go
+++ b/sched/job.go
@@ -83,9 +83,8 @@
 
 // abandon ends a job whose caller has left at some time since it was last seen.
 func (s *State) abandon(now time.Duration, j *job, reason string) {
-	wanted := now - j.wantedAge(now)
 	s.finish(now, j, Aborted, reason)
-	j.unwantedSince = wanted
+	j.unwantedSince = j.origin.callersSeen
 }
 
 // finish reports the outcome of a job, if none was reported yet, and stops its runs. An outcome of
