Copy frames of the model whole, and cancel a job in tests in one place

Its hosts told of each closed connection again at every look. Three tests submitted a job and cancelled it in the same lines. The comment of playOut named another end than the code. Change: copyFrame takes all fields; a look tells of a closed connection once; submitCancelled. No assertion is changed.

--- a/host/cancellation_test.go
+++ b/host/cancellation_test.go
@@ -102,6 +102,20 @@
 	return w, commander, other
 }
 
+// submitCancelled sends a job of long tasks to a host, and after 100 ms its cancellation to another one or the same. It
+// returns 100 ms later, when the cancellation is acknowledged.
+func (w *simulation) submitCancelled(t *testing.T, to, through *simHost, tasks int) *simJob {
+	t.Helper()
+	j := w.submit(to, tasks, 30*time.Second, false)
+	w.advance(100 * time.Millisecond)
+	w.cancelJob(through, j)
+	w.advance(100 * time.Millisecond)
+	if j.ackedAt == 0 {
+		t.Fatal("not acknowledged")
+	}
+	return j
+}
+
 // TestCancellationIsImmediate guards against a cancellation that waits for a timer, does not reach the
 // commander from a host of another zone, or leaves the caller without an answer.
 func TestCancellationIsImmediate(t *testing.T) {
@@ -168,13 +182,7 @@
 // arrives after a change of command, and is started by the next commander.
 func TestNextCommanderKnowsCancelledJobs(t *testing.T) {
 	w, commander, other := newCancelSimulation()
-	j := w.submit(other, 1, 30*time.Second, false)
-	w.advance(100 * time.Millisecond)
-	w.cancelJob(other, j)
-	w.advance(100 * time.Millisecond)
-	if j.ackedAt == 0 {
-		t.Fatal("not acknowledged")
-	}
+	j := w.submitCancelled(t, other, other, 1)
 	commander.kill()
 	w.advance(2 * time.Second)
 	for _, h := range w.hosts {
@@ -207,12 +215,9 @@
 			}
 		}
 		w.advance(lostZoneTime + time.Second)
-		j := w.submit(commander, 1, 30*time.Second, false)
-		w.advance(100 * time.Millisecond)
-		w.cancelJob(commander, j)
-		w.advance(100 * time.Millisecond)
-		if j.ackedAt == 0 || len(j.runs) != 1 {
-			t.Fatalf("%d zones: acknowledged at %v, %d runs", zones, j.ackedAt, len(j.runs))
+		j := w.submitCancelled(t, commander, commander, 1)
+		if len(j.runs) != 1 {
+			t.Fatalf("%d zones: %d runs", zones, len(j.runs))
 		}
 		commander.kill()
 		w.advance(5 * time.Second)
@@ -288,12 +293,9 @@
 // after it was answered (review/12).
 func TestCancelledJobStaysCancelled(t *testing.T) {
 	w, commander, other := newCancelSimulation()
-	j := w.submit(commander, 2, 30*time.Second, false)
-	w.advance(100 * time.Millisecond)
-	w.cancelJob(other, j)
-	w.advance(100 * time.Millisecond)
-	if j.ackedAt == 0 || len(j.runs) == 0 {
-		t.Fatalf("acknowledged at %v, %d runs", j.ackedAt, len(j.runs))
+	j := w.submitCancelled(t, commander, other, 2)
+	if len(j.runs) == 0 {
+		t.Fatal("no task was started")
 	}
 	runs := len(j.runs)
 	for range 10 {
--- a/host/lease_budget_test.go
+++ b/host/lease_budget_test.go
@@ -35,7 +35,7 @@
 	}
 }
 
-// playOut checks the simulation of a seed until all jobs have ended. It returns how often jobs were sent again.
+// playOut checks the simulation of a seed until its second 8. It returns how often jobs were sent again.
 func (w *simulation) playOut(t *testing.T, seed uint64) (resent int) {
 	t.Helper()
 	for w.now < time.Hour+8*time.Second && w.failure == nil {
--- a/host/simulation_hosts_test.go
+++ b/host/simulation_hosts_test.go
@@ -28,7 +28,7 @@
 	outbox       []Effect // effects that a stalled host carries out on waking
 	seq          uint64
 	open         map[uint64]*simJob // jobs whose callers wait
-	closed       map[uint64]bool    // by sequence number: the kernel knows that the caller's connection is closed
+	closed       map[uint64]bool    // callers whose connections the kernel knows to be closed; true: looked at since
 	lookedAt     time.Duration      // when the process last looked at the connections, on its clock
 	blindUntil   time.Duration      // steps before then rest on the look before a pause
 	version      int64              // of the configuration in force
@@ -180,7 +180,10 @@
 	h.lookedAt = h.clock()
 	var events []Event
 	for _, seq := range slices.Sorted(maps.Keys(h.closed)) {
-		events = append(events, CallerGone{Seq: seq})
+		if !h.closed[seq] {
+			h.closed[seq] = true
+			events = append(events, CallerGone{Seq: seq})
+		}
 	}
 	return append(events, CallersSeen{At: h.clock()})
 }
@@ -188,7 +191,11 @@
 // arrivesClosed reports whether an event is the job of a caller that has left, which the event loop does not take.
 func (h *simHost) arrivesClosed(ev Event) bool {
 	e, ok := ev.(JobArrived)
-	return ok && h.closed[e.Seq]
+	if !ok {
+		return false
+	}
+	_, closed := h.closed[e.Seq]
+	return closed
 }
 
 func (h *simHost) step(events ...Event) {
--- a/host/simulation_jobs_test.go
+++ b/host/simulation_jobs_test.go
@@ -142,7 +142,7 @@
 	process := h.processCount
 	schedule(func() {
 		if h.processCount == process {
-			h.closed[seq] = true
+			h.closed[seq] = false
 		}
 		h.deliver(process, CallerGone{Seq: seq})
 	})
--- a/host/simulation_links_test.go
+++ b/host/simulation_links_test.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protoreflect"
 
 	"sesameledge.dev/sesameledge/mesh/meshpb"
 )
@@ -50,13 +51,22 @@
 	l.generation++
 }
 
+// copyFrame returns a copy of a frame with all its fields, which the receiver may change. What the fields hold is shared.
+func copyFrame(f *meshpb.Frame) *meshpb.Frame {
+	c := new(meshpb.Frame)
+	f.ProtoReflect().Range(func(field protoreflect.FieldDescriptor, v protoreflect.Value) bool {
+		c.ProtoReflect().Set(field, v)
+		return true
+	})
+	return c
+}
+
 func (h *simHost) send(e SendFrame) {
 	to := h.w.hostAt(e.Addr)
 	if to == nil {
 		return
 	}
-	f := e.Frame
-	sent := &meshpb.Frame{From: f.GetFrom(), To: f.GetTo(), Sent: f.GetSent(), Echo: f.GetEcho(), Ack: f.GetAck(), First: f.GetFirst(), Messages: f.GetMessages(), Status: f.GetStatus(), Last: f.GetLast(), CallersAgeNs: f.GetCallersAgeNs()}
+	sent := copyFrame(e.Frame)
 	process := to.processCount
 	link := h.w.links[[2]int{h.index, to.index}]
 	deliver := func() {
